Lay out the workspace and the types between its parts

Cause: the parts are to be built side by side, so the types they share come first: ids and the clock (core), the closed error table, records, frames and the bodies of the platform and the engines (wire), and the daemon's handles. Ruled out: an own protocol for the table, the list and the engines; the bodies are subsets of published ones (DynamoDB, EndpointSlice, chat completions). Conclusion: parts can start.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,7 @@
+//! Decisions of the scheduler, free of I/O, threads and clocks.
+//!
+//! Time and random numbers come in as arguments. Commands change state and
+//! return what has to be done; queries only read.
+
+pub mod clock;
+pub mod id;
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,33 @@
+//! The process's source of monotonic time.
+
+use std::time::Instant;
+
+use basilramp_core::clock::Time;
+
+/// Tells the time since the process started.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Source {
+    origin: Instant,
+}
+
+impl Source {
+    /// Opens a source whose origin is now.
+    pub(crate) fn open() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// Returns the time now.
+    pub(crate) fn now(self) -> Time {
+        let elapsed = self.origin.elapsed().as_millis();
+        Time::from_ms(elapsed as u64)
+    }
+}
+
+/// Returns wall-clock milliseconds, for people to read and for budgets of wall-clock time.
+pub(crate) fn wall_ms() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/daemon/src/service.rs
@@ -0,0 +1,1 @@
+//! Client of the plain services.
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,231 @@
+//! The settings file: JSON with comments.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use eyre::{Result, eyre};
+use serde::Deserialize;
+
+/// Everything that an instance is told at its start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    pub(crate) instance: Instance,
+    pub(crate) listen: Listen,
+    pub(crate) platform: Platform,
+    pub(crate) peers: Peers,
+    #[serde(default)]
+    pub(crate) operators: Vec<Operator>,
+    #[serde(default)]
+    pub(crate) timing: Timing,
+    #[serde(default)]
+    pub(crate) store: Store,
+    #[serde(default)]
+    pub(crate) limits: Limits,
+    #[serde(default)]
+    pub(crate) policy: Policy,
+    #[serde(default)]
+    pub(crate) log: Log,
+    #[serde(default)]
+    pub(crate) traces: Traces,
+}
+
+/// Who this instance is.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Instance {
+    /// Unique over all instances.
+    pub(crate) id: String,
+    /// Where it runs.
+    pub(crate) failure_domain: String,
+}
+
+/// Where it listens. Port 0 takes a free one, which the log names.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Listen {
+    /// HTTP for callers.
+    pub(crate) callers: SocketAddr,
+    /// HTTP for operators, health and metrics.
+    pub(crate) operators: SocketAddr,
+    /// QUIC for other instances.
+    pub(crate) peers: SocketAddr,
+}
+
+/// Where the platform's services are.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Platform {
+    /// The table service.
+    pub(crate) table: SocketAddr,
+    /// The table's name.
+    #[serde(default = "Platform::default_table_name")]
+    pub(crate) table_name: String,
+    /// The object store.
+    pub(crate) objects: SocketAddr,
+    /// The bucket's name.
+    #[serde(default = "Platform::default_bucket")]
+    pub(crate) bucket: String,
+    /// The list of endpoints.
+    pub(crate) list: SocketAddr,
+}
+
+impl Platform {
+    fn default_table_name() -> String {
+        "basilramp".to_owned()
+    }
+
+    fn default_bucket() -> String {
+        "basilramp".to_owned()
+    }
+}
+
+/// Keys for mutual TLS between instances, as PEM files.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Peers {
+    /// This instance's certificate chain.
+    pub(crate) certificate: PathBuf,
+    /// The certificate's private key.
+    pub(crate) key: PathBuf,
+    /// The authority that signs every instance's certificate.
+    pub(crate) authority: PathBuf,
+}
+
+/// An operator.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Operator {
+    /// The name in audit records.
+    pub(crate) name: String,
+    /// SHA-256 digest of the token, in hexadecimal.
+    pub(crate) token_sha256: String,
+}
+
+/// Times in milliseconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Timing {
+    /// A lease without renewal lapses after this.
+    pub(crate) lease_ms: u64,
+    /// What watchers add to the lease.
+    pub(crate) lease_margin_ms: u64,
+    /// Time between renewals and between reads of the other leases.
+    pub(crate) heartbeat_ms: u64,
+    /// Time between reads of the configuration's version.
+    pub(crate) config_poll_ms: u64,
+    /// Time between reads of the platform's list and of upstream loads.
+    pub(crate) upstream_poll_ms: u64,
+    /// The longest that a stop waits for requests in flight.
+    pub(crate) stop_ms: u64,
+    /// The longest that a refusable write waits for the store.
+    pub(crate) store_wait_ms: u64,
+    /// The longest that a call waits for a slot.
+    pub(crate) grant_wait_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            lease_ms: 4_000,
+            lease_margin_ms: 1_000,
+            heartbeat_ms: 1_000,
+            config_poll_ms: 1_000,
+            upstream_poll_ms: 500,
+            stop_ms: 30_000,
+            store_wait_ms: 2_000,
+            grant_wait_ms: 30_000,
+        }
+    }
+}
+
+/// The share of the platform's table service.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Store {
+    /// Writes a second that all instances together may send.
+    pub(crate) writes_per_s: u32,
+    /// Reads a second that all instances together may send.
+    pub(crate) reads_per_s: u32,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            writes_per_s: 300,
+            reads_per_s: 2_000,
+        }
+    }
+}
+
+/// Bounds on what an instance takes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Limits {
+    /// The longest request body in bytes.
+    pub(crate) body_bytes: usize,
+    /// Requests that are worked on at once.
+    pub(crate) requests: usize,
+    /// Bytes of turns that wait for the store.
+    pub(crate) uncommitted_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 1024 * 1024,
+            requests: 4_096,
+            uncommitted_bytes: 32 * 1024 * 1024,
+        }
+    }
+}
+
+/// What the deployment weighs.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Policy {
+    /// What a millisecond of evicted prefill counts against a millisecond of waiting.
+    pub(crate) cache_weight: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self { cache_weight: 0.5 }
+    }
+}
+
+/// How events are logged.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Log {
+    /// The least severe level that is logged: `error`, `warn`, `info` or `debug`.
+    pub(crate) level: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+        }
+    }
+}
+
+/// Where spans go.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Traces {
+    /// The OTLP collector's HTTP address; no spans are exported without it.
+    pub(crate) otlp: Option<SocketAddr>,
+}
+
+impl Settings {
+    /// Reads settings from the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names every fault with its path.
+    pub fn parse(text: &str) -> Result<Self> {
+        let value = jsonc_parser::parse_to_serde_value::<Self>(text, &Default::default());
+        value.map_err(|fault| eyre!("{fault}"))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/trace.rs
@@ -0,0 +1,1 @@
+//! Spans, one for each hop.
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,1 @@
+//! Client of the list of live and leaving endpoints.
