--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use basilramp_core::id;
+use tokio::sync::oneshot;
 
 /// An instance that can be reached.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +16,17 @@
     pub(crate) address: SocketAddr,
 }
 
+/// What changed in what this instance owns.
+#[derive(Debug)]
+pub(crate) enum Change {
+    /// A partition is owned from now on.
+    Gained(id::Partition, id::Term),
+    /// A partition is to be handed over; the sender is answered once its programs are let go.
+    Losing(id::Partition, oneshot::Sender<()>),
+    /// The instance was fenced: everything it owned is lost at once.
+    Fenced,
+}
+
 /// Answers questions about membership.
 #[derive(Clone, Debug)]
 pub(crate) struct Handle;
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -131,6 +131,9 @@
     /// Milliseconds after which another try makes sense.
     #[serde(default)]
     pub retry_after_ms: Option<u64>,
+    /// One line for each fault, or for each change that a stale change did not know.
+    #[serde(default)]
+    pub details: Vec<String>,
 }
 
 impl Error {
@@ -141,6 +144,7 @@
             ran: kind.ran(),
             message: message.into(),
             retry_after_ms: None,
+            details: Vec::new(),
         }
     }
 
@@ -150,6 +154,13 @@
         self.retry_after_ms = Some(ms);
         self
     }
+
+    /// Adds one line for each fault.
+    #[must_use]
+    pub fn with_details(mut self, details: Vec<String>) -> Self {
+        self.details = details;
+        self
+    }
 }
 
 impl fmt::Display for Error {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod error;
 pub mod frame;
 pub mod list;
+pub mod operator;
 pub mod record;
 pub mod table;
