Add listeners, peers, routing and the stop of an instance

Cause: the parts need the frame they are wired into. Ruled out: gotham's own accept loop, which never ends and so can't stop gracefully; requests go through call_handler in a loop of ours instead. Measured: nothing yet; it compiles, and the parts behind it are still stubs. Conclusion: wiring follows as the parts arrive.

--- /dev/null
+++ b/crates/daemon/src/auth.rs
@@ -0,0 +1,95 @@
+//! Who sends a request: an account by its key, an operator by its token.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use basilramp_core::id;
+use basilramp_wire::error::{Error, Kind};
+use gotham::state::{FromState, State};
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use sha2::{Digest, Sha256};
+
+use crate::config;
+use crate::settings::Operator;
+
+/// Finds accounts by the digests of their keys.
+#[derive(Debug)]
+pub(crate) struct Keys {
+    config: config::Handle,
+    index: Mutex<Index>,
+}
+
+/// Accounts by digest, at one version of the configuration.
+#[derive(Clone, Debug, Default)]
+struct Index {
+    version: u64,
+    accounts: Arc<BTreeMap<String, id::Account>>,
+}
+
+impl Keys {
+    /// Makes the index over the configuration's accounts.
+    pub(crate) fn open(config: config::Handle) -> Self {
+        Self {
+            config,
+            index: Mutex::default(),
+        }
+    }
+
+    /// Returns the account whose key the request carries.
+    ///
+    /// # Errors
+    ///
+    /// `Unauthorized` without a key, or with one that no account has.
+    pub(crate) fn account(&self, state: &State) -> Result<id::Account, Error> {
+        let digest = digest(state)?;
+        let accounts = self.accounts();
+        accounts
+            .get(&digest)
+            .cloned()
+            .ok_or_else(|| Error::new(Kind::Unauthorized, "unknown key"))
+    }
+
+    fn accounts(&self) -> Arc<BTreeMap<String, id::Account>> {
+        let current = self.config.current();
+        let mut index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
+        if index.version != current.version {
+            let limits = current.limits.iter();
+            let accounts = limits.map(|(name, limit)| (limit.key_sha256.clone(), name.clone()));
+            *index = Index {
+                version: current.version,
+                accounts: Arc::new(accounts.collect()),
+            };
+        }
+        index.accounts.clone()
+    }
+}
+
+/// Returns the name of the operator whose token the request carries.
+///
+/// # Errors
+///
+/// `Unauthorized` without a token, or with one that no operator has.
+pub(crate) fn operator(operators: &[Operator], state: &State) -> Result<Arc<str>, Error> {
+    let digest = digest(state)?;
+    operators
+        .iter()
+        .find(|operator| operator.token_sha256 == digest)
+        .map(|operator| Arc::from(operator.name.as_str()))
+        .ok_or_else(|| Error::new(Kind::Unauthorized, "unknown token"))
+}
+
+fn digest(state: &State) -> Result<String, Error> {
+    let headers = HeaderMap::borrow_from(state);
+    let secret = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(|| Error::new(Kind::Unauthorized, "no bearer key or token"))?;
+    Ok(hex(&Sha256::digest(secret.trim())))
+}
+
+/// Writes bytes in hexadecimal.
+pub(crate) fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/caller_api.rs
@@ -0,0 +1,171 @@
+//! The callers' HTTP paths.
+
+use std::sync::Arc;
+
+use basilramp_core::id;
+use basilramp_wire::api::{Call, Create, Program};
+use basilramp_wire::error::{Error, Kind};
+use basilramp_wire::frame::{Body as Ask, Reply};
+use gotham::handler::HandlerResult;
+use gotham::helpers::http::Body;
+use gotham::prelude::*;
+use gotham::router::Router as Paths;
+use gotham::router::builder::build_simple_router;
+use gotham::state::State;
+use http::{HeaderMap, Response, StatusCode};
+use serde::Deserialize;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::auth::Keys;
+use crate::route::{Router, parse};
+use crate::{answer, body, front, stop, trace};
+
+/// When a caller should try again while the instance has too much to do.
+const OVERLOAD_RETRY_MS: u64 = 1_000;
+
+/// What the callers' paths work with.
+#[derive(Debug)]
+pub(crate) struct Api {
+    pub(crate) router: Router,
+    pub(crate) keys: Keys,
+    pub(crate) body_bytes: usize,
+    pub(crate) slots: Arc<Semaphore>,
+    pub(crate) stop: stop::Signal,
+}
+
+/// A program named in the path.
+#[derive(Debug, Deserialize, StateData, StaticResponseExtender)]
+pub(crate) struct Named {
+    id: String,
+}
+
+/// Draws the callers' paths.
+pub(crate) fn paths() -> Paths {
+    build_simple_router(|route| {
+        front::refuse_unknown(route);
+        route.post("/v1/programs").to_async(create);
+        route
+            .get("/v1/programs/:id")
+            .with_path_extractor::<Named>()
+            .to_async(read);
+        route
+            .post("/v1/programs/:id/calls")
+            .with_path_extractor::<Named>()
+            .to_async(call);
+        route
+            .post("/v1/programs/:id/end")
+            .with_path_extractor::<Named>()
+            .to_async(end);
+    })
+}
+
+async fn create(mut state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let context = traceparent(&state);
+    let result = trace::scope(context, run_create(&api, &mut state)).await;
+    let response = match result {
+        Ok(program) => answer::json(StatusCode::CREATED, &program),
+        Err(error) => answer::error(&error),
+    };
+    Ok((state, response))
+}
+
+async fn run_create(api: &Api, state: &mut State) -> Result<Program, Error> {
+    let account = api.keys.account(state)?;
+    let _slot = api.slot()?;
+    if api.stop.is_stopping() {
+        return Err(Error::new(Kind::NotReady, "the instance is stopping"));
+    }
+    let create: Create = body::json(state, api.body_bytes).await?;
+    api.create(&account, create).await
+}
+
+async fn read(state: State) -> HandlerResult {
+    let ask = |account, program| Ask::Read {
+        account: Some(account),
+        program,
+    };
+    on_program(state, ask).await
+}
+
+async fn end(state: State) -> HandlerResult {
+    let ask = |account, program| Ask::End { account, program };
+    on_program(state, ask).await
+}
+
+/// Runs a request that names a program in its path and has no body.
+async fn on_program(state: State, ask: fn(String, String) -> Ask) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let context = traceparent(&state);
+    let sender = api.keys.account(&state);
+    let named = program(&state);
+    let work = async {
+        let account = sender?;
+        let program = named?;
+        let _slot = api.slot()?;
+        let body = ask(account.to_string(), program.to_string());
+        api.ask(program, body).await
+    };
+    let result = trace::scope(context, work).await;
+    Ok((state, answer::result(result)))
+}
+
+async fn call(mut state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let context = traceparent(&state);
+    let result = trace::scope(context, run_call(&api, &mut state)).await;
+    let response = result.unwrap_or_else(|error| answer::error(&error));
+    Ok((state, response))
+}
+
+async fn run_call(api: &Api, state: &mut State) -> Result<Response<Body>, Error> {
+    let account = api.keys.account(state)?;
+    let slot = api.slot()?;
+    let program = program(state)?;
+    let call: Call = body::json(state, api.body_bytes).await?;
+    let events = api.router.call(account, program, call);
+    let response = answer::events(events, slot).await;
+    Ok(response)
+}
+
+impl Api {
+    async fn create(&self, account: &id::Account, create: Create) -> Result<Program, Error> {
+        let program = match &create.parent {
+            Some(parent) => parse(parent)?,
+            None => id::Program::root(account, &id::Request::new(create.request_id.as_str())),
+        };
+        let body = Ask::Create {
+            account: account.to_string(),
+            create,
+        };
+        self.ask(program, body).await
+    }
+
+    async fn ask(&self, program: id::Program, body: Ask) -> Result<Program, Error> {
+        match self.router.ask(program.partition(), body).await? {
+            Reply::Program(program) => Ok(program),
+            _ => Err(Error::new(
+                Kind::Internal,
+                "an instance gave a wrong answer",
+            )),
+        }
+    }
+
+    fn slot(&self) -> Result<OwnedSemaphorePermit, Error> {
+        self.slots.clone().try_acquire_owned().map_err(|_| {
+            Error::new(Kind::Overloaded, "the instance has too many requests")
+                .retry_after(OVERLOAD_RETRY_MS)
+        })
+    }
+}
+
+fn program(state: &State) -> Result<id::Program, Error> {
+    parse(&Named::borrow_from(state).id)
+}
+
+/// Returns the W3C trace context of a request.
+fn traceparent(state: &State) -> Option<String> {
+    let headers = HeaderMap::borrow_from(state);
+    let value = headers.get("traceparent")?.to_str().ok()?;
+    Some(value.to_owned())
+}
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -6,6 +6,7 @@
 use basilramp_core::id;
 use basilramp_wire::config::{Change, Limit, Place, Plan, Service};
 use basilramp_wire::error::{Error, Kind};
+use basilramp_wire::operator::Logged;
 
 /// The configuration at one version.
 #[derive(Clone, Debug, Default)]
@@ -37,6 +38,11 @@
         Err(Error::new(Kind::StoreUnavailable, "not built yet"))
     }
 
+    /// Reads the changes after a version from the store.
+    pub(crate) async fn log(&self, _after: u64) -> Result<Vec<Logged>, Error> {
+        Ok(Vec::new())
+    }
+
     /// Notes that `version` is in force somewhere; it is fetched at once.
     pub(crate) fn hint(&self, _version: u64) {}
 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -1,1 +1,158 @@
-//! Placeholder.
+//! HTTP listeners: accept connections and hand their requests to gotham.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use basilramp_wire::error::{Error, Kind};
+use eyre::{Result, WrapErr};
+use gotham::helpers::http::Body;
+use gotham::router::Router;
+use gotham::router::builder::RouterBuilder;
+use gotham::service::call_handler;
+use gotham::state::{FromState, State, StateData};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{answer, stop};
+
+/// What the paths of one listener share.
+#[derive(Debug, StateData)]
+struct Shared<T: Send + Sync + 'static>(Arc<T>);
+
+/// Returns what the paths of this listener share.
+///
+/// # Panics
+///
+/// If the listener was served with another type, which its first request would show.
+pub(crate) fn shared<T: Send + Sync + 'static>(state: &State) -> Arc<T> {
+    Shared::<T>::borrow_from(state).0.clone()
+}
+
+/// Answers unknown paths and methods from the table of errors.
+pub(crate) fn refuse_unknown(route: &mut RouterBuilder<'_, (), ()>) {
+    route.add_response_extender(StatusCode::NOT_FOUND, refuse_path);
+    route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, refuse_method);
+}
+
+fn refuse_path(_state: &mut State, response: &mut Response<Body>) {
+    let error = Error::new(Kind::NotFound, "no such path");
+    fill_empty(response, &error);
+}
+
+fn refuse_method(_state: &mut State, response: &mut Response<Body>) {
+    let error = Error::new(Kind::MethodNotAllowed, "the path does not take this method");
+    fill_empty(response, &error);
+}
+
+/// Leaves answers alone that a handler gave: those have a content type.
+fn fill_empty(response: &mut Response<Body>, error: &Error) {
+    if response.headers().contains_key(http::header::CONTENT_TYPE) {
+        return;
+    }
+    let mut filled = answer::error(error);
+    for (name, value) in response.headers() {
+        if name != http::header::CONTENT_LENGTH {
+            filled.headers_mut().insert(name, value.clone());
+        }
+    }
+    *response = filled;
+}
+
+/// A bound listener that serves nothing yet.
+#[derive(Debug)]
+pub(crate) struct Listener {
+    socket: TcpListener,
+    address: SocketAddr,
+}
+
+impl Listener {
+    /// Binds a listener; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub(crate) async fn bind(address: SocketAddr) -> Result<Self> {
+        let socket = TcpListener::bind(address)
+            .await
+            .wrap_err_with(|| format!("can't listen on {address}"))?;
+        let address = socket.local_addr()?;
+        Ok(Self { socket, address })
+    }
+
+    /// Returns the bound address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves `paths` until the stop closes listeners, then until every request is answered.
+    pub(crate) async fn serve<T: Send + Sync + 'static>(
+        self,
+        paths: Router,
+        shared: Arc<T>,
+        stop: stop::Signal,
+    ) {
+        let graceful = GracefulShutdown::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.socket.accept() => accepted,
+                () = stop.listeners_closed() => break,
+            };
+            let Ok((socket, address)) = accepted else {
+                // Out of file descriptors, say: other tasks must get the time to close some.
+                tokio::task::yield_now().await;
+                continue;
+            };
+            let handler = Handler {
+                paths: paths.clone(),
+                shared: shared.clone(),
+                address,
+            };
+            tokio::spawn(serve_connection(socket, handler, graceful.watcher()));
+        }
+        graceful.shutdown().await;
+    }
+}
+
+/// What answers the requests of one connection.
+struct Handler<T> {
+    paths: Router,
+    shared: Arc<T>,
+    address: SocketAddr,
+}
+
+async fn serve_connection<T: Send + Sync + 'static>(
+    socket: TcpStream,
+    handler: Handler<T>,
+    watcher: Watcher,
+) {
+    // Without it small events wait for the caller's acknowledgements; a failure only costs time.
+    let _ = socket.set_nodelay(true);
+    let handler = Arc::new(handler);
+    let service = service_fn(move |request| handle(handler.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(socket), service);
+    // A connection that breaks ends its own requests only.
+    let _ = watcher.watch(connection).await;
+}
+
+async fn handle<T: Send + Sync + 'static>(
+    handler: Arc<Handler<T>>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let mut state = State::from_request(request, handler.address);
+    state.put(Shared(handler.shared.clone()));
+    let response = call_handler(handler.paths.clone(), AssertUnwindSafe(state)).await;
+    let response = response.unwrap_or_else(|_| {
+        let error = Error::new(Kind::Internal, "the request could not be handled");
+        answer::error(&error)
+    });
+    Ok(response)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,10 @@
 
 #![allow(dead_code)] // Until the parts are wired together.
 
+mod answer;
+mod auth;
+mod body;
+mod caller_api;
 mod clock;
 mod commit;
 mod config;
@@ -15,8 +19,13 @@
 mod log;
 mod membership;
 mod node;
+mod operator_api;
 mod peer;
+mod peer_server;
+mod peer_stream;
+mod peer_tls;
 mod program;
+mod route;
 mod service;
 mod settings;
 mod stop;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -55,6 +55,11 @@
         Vec::new()
     }
 
+    /// Returns every instance known, for operators.
+    pub(crate) fn instances(&self) -> Vec<basilramp_wire::operator::Instance> {
+        Vec::new()
+    }
+
     /// Returns this instance.
     pub(crate) fn own(&self) -> id::Instance {
         id::Instance::new("")
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,14 +1,173 @@
-//! The running instance: what it is made of and in which order.
+//! The running instance: what it is made of and in which order it starts and stops.
 
-use eyre::Result;
+use std::sync::Arc;
+use std::time::Duration;
 
+use eyre::{Result, WrapErr};
+use quinn::{Endpoint, VarInt};
+use slog::{Logger, info};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+
+use crate::auth::Keys;
+use crate::front::Listener;
+use crate::route::{Local, Router};
 use crate::settings::Settings;
+use crate::{
+    caller_api, config, home, log, membership, operator_api, peer, peer_server, peer_tls, program,
+    stop,
+};
+
+/// Time between being not ready and closing the listeners, for the balancer to notice.
+const NOTICE_MS: u64 = 2_000;
+
+/// The error code of connections that a stopped instance closes.
+const STOPPED: VarInt = VarInt::from_u32(0);
 
 /// Runs the daemon until it is told to stop.
 ///
 /// # Errors
 ///
 /// Fails if it can't start.
-pub fn run_daemon(_settings: Settings) -> Result<()> {
-    Ok(())
+pub fn run_daemon(settings: Settings) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .wrap_err("can't start the worker pool")?;
+    let log = log::open(&settings.instance.id);
+    runtime.block_on(async {
+        let node = Node::<Bound>::bind(settings, log).await?;
+        let node = node.join().await?;
+        node.run_until_stopped().await
+    })
+}
+
+/// An instance at one stage of its life.
+struct Node<S> {
+    settings: Settings,
+    log: Logger,
+    stop: stop::Signal,
+    tasks: TaskTracker,
+    stage: S,
+}
+
+/// Listeners are bound; nothing is served.
+struct Bound {
+    callers: Listener,
+    operators: Listener,
+    endpoint: Endpoint,
+    peers: peer::Client,
+    keys: peer_tls::Configs,
+}
+
+/// The instance holds its lease and serves.
+struct Joined {
+    endpoint: Endpoint,
+    membership: membership::Handle,
+}
+
+impl Node<Bound> {
+    async fn bind(settings: Settings, log: Logger) -> Result<Self> {
+        let callers = Listener::bind(settings.listen.callers).await?;
+        let operators = Listener::bind(settings.listen.operators).await?;
+        let keys = peer_tls::open(&settings.peers)?;
+        let endpoint = peer_server::bind(keys.server.clone(), settings.listen.peers)?;
+        let peers = peer::Client::open(endpoint.clone(), keys.client.clone());
+        info!(log, "listening";
+            "callers" => callers.address().to_string(),
+            "operators" => operators.address().to_string(),
+            "peers" => endpoint.local_addr()?.to_string());
+        let stage = Bound {
+            callers,
+            operators,
+            endpoint,
+            peers,
+            keys,
+        };
+        let node = Self {
+            settings,
+            log,
+            stop: stop::Signal::open(),
+            tasks: TaskTracker::new(),
+            stage,
+        };
+        Ok(node)
+    }
+
+    async fn join(self) -> Result<Node<Joined>> {
+        let Bound {
+            callers,
+            operators,
+            endpoint,
+            peers,
+            ..
+        } = self.stage;
+        let config = config::Handle;
+        let membership = membership::Handle;
+        let local = Local {
+            programs: program::Handle,
+            homes: home::Handle,
+            config: config.clone(),
+        };
+        let router = Router {
+            local: local.clone(),
+            membership: membership.clone(),
+            peers,
+        };
+        tokio::spawn(peer_server::serve(
+            endpoint.clone(),
+            local,
+            self.tasks.clone(),
+        ));
+        let api = caller_api::Api {
+            router: router.clone(),
+            keys: Keys::open(config.clone()),
+            body_bytes: self.settings.limits.body_bytes,
+            slots: Arc::new(Semaphore::new(self.settings.limits.requests)),
+            stop: self.stop.clone(),
+        };
+        let serving = callers.serve(caller_api::paths(), Arc::new(api), self.stop.clone());
+        self.tasks.spawn(serving);
+        let api = operator_api::Api {
+            router,
+            config,
+            membership: membership.clone(),
+            operators: self.settings.operators.clone(),
+            body_bytes: self.settings.limits.body_bytes,
+            stop: self.stop.clone(),
+        };
+        let serving = operators.serve(operator_api::paths(), Arc::new(api), self.stop.clone());
+        self.tasks.spawn(serving);
+        Ok(Node {
+            settings: self.settings,
+            log: self.log,
+            stop: self.stop,
+            tasks: self.tasks,
+            stage: Joined {
+                endpoint,
+                membership,
+            },
+        })
+    }
+}
+
+impl Node<Joined> {
+    async fn run_until_stopped(self) -> Result<()> {
+        stop::asked().await.wrap_err("can't wait for signals")?;
+        info!(self.log, "stopping");
+        self.stop.drain();
+        tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
+        self.stop.close_listeners();
+        self.tasks.close();
+        let limit = Duration::from_millis(self.settings.timing.stop_ms);
+        let finished = timeout(limit, self.tasks.wait()).await;
+        if finished.is_err() {
+            info!(self.log, "stop overdue");
+        }
+        self.stage.endpoint.close(STOPPED, b"stopped");
+        self.stage.endpoint.wait_idle().await;
+        info!(self.log, "stopped"; "instance" => self.stage.membership.own().to_string());
+        Ok(())
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/operator_api.rs
@@ -0,0 +1,217 @@
+//! The operators' HTTP paths, health and metrics.
+
+use std::sync::Arc;
+
+use basilramp_wire::api::Program;
+use basilramp_wire::config::{Change, Named as Item, Snapshot, Value};
+use basilramp_wire::error::{Error, Kind};
+use basilramp_wire::frame::{Body as Ask, Reply, Settlement};
+use basilramp_wire::operator::{Applied, Instances, Log, Upstreams};
+use gotham::handler::HandlerResult;
+use gotham::prelude::*;
+use gotham::router::Router as Paths;
+use gotham::router::builder::build_simple_router;
+use gotham::state::State;
+use http::StatusCode;
+use serde::Deserialize;
+
+use crate::config::{self, Config};
+use crate::route::{Router, parse};
+use crate::settings::Operator;
+use crate::{answer, auth, body, front, membership, stop};
+
+/// What the operators' paths work with.
+#[derive(Debug)]
+pub(crate) struct Api {
+    pub(crate) router: Router,
+    pub(crate) config: config::Handle,
+    pub(crate) membership: membership::Handle,
+    pub(crate) operators: Vec<Operator>,
+    pub(crate) body_bytes: usize,
+    pub(crate) stop: stop::Signal,
+}
+
+/// A thing named in the path.
+#[derive(Debug, Deserialize, StateData, StaticResponseExtender)]
+pub(crate) struct Named {
+    id: String,
+}
+
+/// Where a log of changes starts.
+#[derive(Debug, Deserialize, StateData, StaticResponseExtender)]
+pub(crate) struct After {
+    #[serde(default)]
+    after: u64,
+}
+
+/// Draws the operators' paths.
+pub(crate) fn paths() -> Paths {
+    build_simple_router(|route| {
+        front::refuse_unknown(route);
+        route.get("/healthz").to_async(healthy);
+        route.get("/readyz").to_async(ready);
+        route.get("/v1/config").to_async(show_config);
+        route.post("/v1/config").to_async(apply_config);
+        route
+            .get("/v1/config/log")
+            .with_query_string_extractor::<After>()
+            .to_async(show_log);
+        route.get("/v1/instances").to_async(show_instances);
+        route.get("/v1/upstreams").to_async(show_upstreams);
+        route
+            .get("/v1/programs/:id")
+            .with_path_extractor::<Named>()
+            .to_async(show_program);
+        route
+            .post("/v1/programs/:id/settle")
+            .with_path_extractor::<Named>()
+            .to_async(settle);
+    })
+}
+
+async fn healthy(state: State) -> HandlerResult {
+    Ok((state, answer::text(StatusCode::OK, "ok\n")))
+}
+
+async fn ready(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let response = if api.stop.is_stopping() {
+        answer::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
+    } else if api.membership.live().is_empty() {
+        answer::text(StatusCode::SERVICE_UNAVAILABLE, "no store and no peer\n")
+    } else {
+        answer::text(StatusCode::OK, "ready\n")
+    };
+    Ok((state, response))
+}
+
+async fn show_config(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let result = api
+        .operator(&state)
+        .map(|_| snapshot(&api.config.current()));
+    Ok((state, answer::result(result)))
+}
+
+async fn apply_config(mut state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let result = run_apply(&api, &mut state).await;
+    Ok((state, answer::result(result)))
+}
+
+async fn run_apply(api: &Api, state: &mut State) -> Result<Applied, Error> {
+    let operator = api.operator(state)?;
+    let change: Change = body::json(state, api.body_bytes).await?;
+    let version = api.config.apply(&operator, change).await?;
+    Ok(Applied { version })
+}
+
+async fn show_log(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let operator = api.operator(&state);
+    let after = After::borrow_from(&state).after;
+    let result = match operator {
+        Ok(_) => api.config.log(after).await,
+        Err(error) => Err(error),
+    };
+    Ok((state, answer::result(result.map(|changes| Log { changes }))))
+}
+
+async fn show_instances(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let result = api.operator(&state).map(|_| Instances {
+        instances: api.membership.instances(),
+    });
+    Ok((state, answer::result(result)))
+}
+
+async fn show_upstreams(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let result = api.operator(&state).map(|_| Upstreams {
+        upstreams: Vec::new(),
+    });
+    Ok((state, answer::result(result)))
+}
+
+async fn show_program(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let operator = api.operator(&state);
+    let id = Named::borrow_from(&state).id.clone();
+    let result = match operator {
+        Ok(_) => api.read(id).await,
+        Err(error) => Err(error),
+    };
+    Ok((state, answer::result(result)))
+}
+
+async fn settle(mut state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let result = run_settle(&api, &mut state).await;
+    Ok((state, answer::result(result)))
+}
+
+async fn run_settle(api: &Api, state: &mut State) -> Result<Program, Error> {
+    let operator = api.operator(state)?;
+    let id = Named::borrow_from(state).id.clone();
+    let settlement: Settlement = body::json(state, api.body_bytes).await?;
+    let body = Ask::Settle {
+        operator: operator.to_string(),
+        program: id.clone(),
+        settlement,
+    };
+    api.ask(&id, body).await
+}
+
+impl Api {
+    fn operator(&self, state: &State) -> Result<Arc<str>, Error> {
+        auth::operator(&self.operators, state)
+    }
+
+    async fn read(&self, id: String) -> Result<Program, Error> {
+        let body = Ask::Read {
+            account: None,
+            program: id.clone(),
+        };
+        self.ask(&id, body).await
+    }
+
+    async fn ask(&self, id: &str, body: Ask) -> Result<Program, Error> {
+        let partition = parse(id)?.partition();
+        match self.router.ask(partition, body).await? {
+            Reply::Program(program) => Ok(program),
+            _ => Err(Error::new(
+                Kind::Internal,
+                "an instance gave a wrong answer",
+            )),
+        }
+    }
+}
+
+/// Lists every item in force.
+fn snapshot(config: &Config) -> Snapshot {
+    let mut items = Vec::new();
+    for (name, value) in &config.services {
+        items.push(item(name.as_str(), Value::Service(value.clone())));
+    }
+    for (name, value) in &config.places {
+        items.push(item(name, Value::Place(value.clone())));
+    }
+    for (name, value) in &config.plans {
+        items.push(item(name, Value::Plan(value.clone())));
+    }
+    for (name, value) in &config.limits {
+        items.push(item(name.as_str(), Value::Limit(value.clone())));
+    }
+    Snapshot {
+        version: config.version,
+        items,
+    }
+}
+
+fn item(name: &str, value: Value) -> Item {
+    Item {
+        name: name.to_owned(),
+        version: 0,
+        value,
+    }
+}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -1,29 +1,170 @@
-//! QUIC with mutual TLS between instances.
+//! Client side of QUIC between instances.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use basilramp_core::id;
 use basilramp_wire::error::{Error, Kind};
-use basilramp_wire::frame::{Body, Reply};
+use basilramp_wire::frame::{Body, Reply, Request};
+use quinn::{ClientConfig, Connection, Endpoint, RecvStream, VarInt};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::membership::Peer;
+use crate::peer_stream;
+use crate::trace;
+
+/// A peer that accepts no connection for this long is not reachable.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// Replies that wait for a slow receiver.
+const REPLY_BUFFER: usize = 32;
+
+/// The error code of a stream that this side gives up.
+const CANCELLED: VarInt = VarInt::from_u32(1);
+
+/// Names a connection: the peer's id and address.
+type Target = (id::Instance, SocketAddr);
 
 /// Sends requests to other instances.
 #[derive(Clone, Debug)]
-pub(crate) struct Client;
+pub(crate) struct Client {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    endpoint: Endpoint,
+    config: ClientConfig,
+    connections: Mutex<BTreeMap<Target, Connection>>,
+}
 
 impl Client {
+    /// Opens a client that shares the server's UDP socket.
+    pub(crate) fn open(endpoint: Endpoint, config: ClientConfig) -> Self {
+        let inner = Inner {
+            endpoint,
+            config,
+            connections: Mutex::default(),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
     /// Asks a peer and returns its one reply.
     ///
+    /// # Errors
+    ///
     /// `OwnerUnavailable` says that nothing was sent; `Interrupted`, that the peer may have acted.
-    pub(crate) async fn ask(&self, _peer: &Peer, _body: Body) -> Result<Reply, Error> {
-        Err(Error::new(Kind::OwnerUnavailable, "not built yet"))
+    /// An error that the peer replied is returned as it came.
+    pub(crate) async fn ask(&self, peer: &Peer, body: Body) -> Result<Reply, Error> {
+        let mut stream = self.send(peer, body).await?;
+        match peer_stream::receive(&mut stream).await {
+            Ok(Reply::Error(error)) => Err(error),
+            Ok(reply) => Ok(reply),
+            Err(_) => Err(interrupted(peer)),
+        }
     }
 
     /// Asks a peer and returns its replies as they come. Dropping the receiver cancels the request.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::ask`], until the request is sent. A connection that breaks later shows as
+    /// an `Interrupted` reply.
     pub(crate) async fn stream(
         &self,
-        _peer: &Peer,
-        _body: Body,
+        peer: &Peer,
+        body: Body,
     ) -> Result<mpsc::Receiver<Reply>, Error> {
-        Err(Error::new(Kind::OwnerUnavailable, "not built yet"))
+        let stream = self.send(peer, body).await?;
+        let (sender, receiver) = mpsc::channel(REPLY_BUFFER);
+        tokio::spawn(pass_replies(stream, sender, interrupted(peer)));
+        Ok(receiver)
+    }
+
+    async fn send(&self, peer: &Peer, body: Body) -> Result<RecvStream, Error> {
+        let connection = self.connection(peer).await?;
+        let opened = connection.open_bi().await;
+        let (mut sending, receiving) = opened.map_err(|_| unreachable(peer))?;
+        let request = Request {
+            traceparent: trace::current(),
+            body,
+        };
+        peer_stream::send(&mut sending, &request)
+            .await
+            .map_err(|_| interrupted(peer))?;
+        // A stream that is already stopped has been received far enough.
+        let _ = sending.finish();
+        Ok(receiving)
+    }
+
+    async fn connection(&self, peer: &Peer) -> Result<Connection, Error> {
+        let target = (peer.id.clone(), peer.address);
+        if let Some(connection) = self.open_connection(&target) {
+            return Ok(connection);
+        }
+        let connecting = self
+            .inner
+            .endpoint
+            .connect_with(self.inner.config.clone(), peer.address, peer.id.as_str())
+            .map_err(|_| unreachable(peer))?;
+        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let connection = timeout(limit, connecting)
+            .await
+            .map_err(|_| unreachable(peer))?
+            .map_err(|_| unreachable(peer))?;
+        self.lock().insert(target, connection.clone());
+        Ok(connection)
+    }
+
+    fn open_connection(&self, target: &Target) -> Option<Connection> {
+        let mut connections = self.lock();
+        let connection = connections.get(target)?;
+        if connection.close_reason().is_none() {
+            return Some(connection.clone());
+        }
+        connections.remove(target);
+        None
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Target, Connection>> {
+        self.inner
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+async fn pass_replies(mut stream: RecvStream, sender: mpsc::Sender<Reply>, broken: Error) {
+    loop {
+        let reply = tokio::select! {
+            reply = peer_stream::receive(&mut stream) => reply,
+            () = sender.closed() => break,
+        };
+        let reply = reply.unwrap_or_else(|_| Reply::Error(broken.clone()));
+        let last = reply.is_last();
+        if sender.send(reply).await.is_err() || last {
+            break;
+        }
+    }
+    // Tells the peer that nobody reads any more; after the last reply it has no effect.
+    let _ = stream.stop(CANCELLED);
+}
+
+fn unreachable(peer: &Peer) -> Error {
+    Error::new(
+        Kind::OwnerUnavailable,
+        format!("instance {} is not reachable", peer.id),
+    )
+}
+
+fn interrupted(peer: &Peer) -> Error {
+    Error::new(
+        Kind::Interrupted,
+        format!("the connection to instance {} broke", peer.id),
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/peer_server.rs
@@ -0,0 +1,113 @@
+//! Server side of QUIC between instances.
+
+use std::net::SocketAddr;
+
+use basilramp_core::id;
+use basilramp_wire::error::{Error, Kind};
+use basilramp_wire::frame::{Body, Reply, Request};
+use eyre::Result;
+use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream, ServerConfig};
+use tokio::sync::mpsc;
+use tokio_util::task::TaskTracker;
+
+use crate::route::Local;
+use crate::{peer_stream, trace};
+
+/// Events of a call that wait for the peer.
+const EVENT_BUFFER: usize = 32;
+
+/// Binds the UDP socket that both sides of the instance use.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub(crate) fn bind(config: ServerConfig, address: SocketAddr) -> Result<Endpoint> {
+    let endpoint = Endpoint::server(config, address)?;
+    Ok(endpoint)
+}
+
+/// Answers peers until the endpoint is closed. Requests under way are tracked by `tasks`.
+pub(crate) async fn serve(endpoint: Endpoint, local: Local, tasks: TaskTracker) {
+    while let Some(incoming) = endpoint.accept().await {
+        tokio::spawn(serve_connection(incoming, local.clone(), tasks.clone()));
+    }
+}
+
+async fn serve_connection(incoming: Incoming, local: Local, tasks: TaskTracker) {
+    let Ok(connection) = incoming.await else {
+        return;
+    };
+    while let Ok((sending, receiving)) = accept(&connection).await {
+        tasks.spawn(serve_stream(sending, receiving, local.clone()));
+    }
+}
+
+async fn accept(connection: &Connection) -> Result<(SendStream, RecvStream)> {
+    let streams = connection.accept_bi().await?;
+    Ok(streams)
+}
+
+async fn serve_stream(mut sending: SendStream, mut receiving: RecvStream, local: Local) {
+    let Ok(request) = peer_stream::receive::<Request>(&mut receiving).await else {
+        return;
+    };
+    let Request { traceparent, body } = request;
+    trace::scope(traceparent, answer(&mut sending, body, &local)).await;
+    // A peer that stopped reading needs no end of stream.
+    let _ = sending.finish();
+}
+
+async fn answer(sending: &mut SendStream, body: Body, local: &Local) {
+    if let Body::Call {
+        account,
+        program,
+        call,
+    } = body
+    {
+        let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
+        match program.parse() {
+            Ok(program) => {
+                let account = id::Account::new(account);
+                let run = local.call(account, program, call, sender);
+                tokio::join!(run, pass_events(sending, receiver));
+            }
+            Err(_) => reply(sending, Err(unknown_program())).await,
+        }
+        return;
+    }
+    let result = local.answer(body).await;
+    reply(sending, result).await;
+}
+
+async fn pass_events(
+    sending: &mut SendStream,
+    mut receiver: mpsc::Receiver<basilramp_wire::api::Event>,
+) {
+    let stopped = sending.stopped();
+    tokio::pin!(stopped);
+    loop {
+        let event = tokio::select! {
+            event = receiver.recv() => event,
+            _ = &mut stopped => return,
+        };
+        let Some(event) = event else {
+            return;
+        };
+        if peer_stream::send(sending, &Reply::Event(event))
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn reply(sending: &mut SendStream, result: Result<Reply, Error>) {
+    let reply = result.unwrap_or_else(Reply::Error);
+    // The peer learns of a lost reply by the broken stream.
+    let _ = peer_stream::send(sending, &reply).await;
+}
+
+fn unknown_program() -> Error {
+    Error::new(Kind::NotFound, "no such program")
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -182,3 +182,11 @@
 }
 
 impl std::error::Error for Malformed {}
+
+impl Reply {
+    /// Tells whether no other reply follows this one.
+    #[must_use]
+    pub const fn is_last(&self) -> bool {
+        !matches!(self, Self::Event(api::Event::Token(_)))
+    }
+}
