--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -109,7 +109,7 @@
 }
 
 fn whole(status: StatusCode, content_type: &'static str, bytes: Vec<u8>) -> Response<Body> {
-    let body = Full::new(Bytes::from(bytes)).map_err(|never| io::Error::other(never));
+    let body = Full::new(Bytes::from(bytes)).map_err(io::Error::other);
     let mut response = Response::new(UnsyncBoxBody::new(body));
     *response.status_mut() = status;
     response
