Add the platform's clients

An attempt that times out or breaks is Unknown; only a failed connect is Unreached. Built, not yet run against the stand-in.

--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,80 @@
+//! What the clients share: pooled HTTP/1 connections that never send a request twice.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+const IDLE_TIMEOUT_MS: u64 = 20_000;
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// A pool of connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// An answer, read whole.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// No connection could be made, so nothing was sent.
+    Unreached,
+    /// Something may have been sent.
+    Unknown,
+}
+
+impl Pool {
+    pub(crate) fn open() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request once and reads its answer within `timeout_ms` milliseconds.
+    pub(crate) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout_ms: u64,
+    ) -> Result<Answer, Fault> {
+        let timeout = Duration::from_millis(timeout_ms);
+        let exchange = self.exchange(request);
+        tokio::time::timeout(timeout, exchange)
+            .await
+            .unwrap_or(Err(Fault::Unknown))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Fault> {
+        let response = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Fault::Unreached
+            } else {
+                Fault::Unknown
+            }
+        })?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let body = body.collect().await.map_err(|_| Fault::Unknown)?;
+        Ok(Answer {
+            status,
+            body: body.to_bytes(),
+        })
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,6 @@
 //! Clients of the platform's services.
 
+mod http;
 pub mod list;
 pub mod object;
 pub mod table;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,1 +1,62 @@
 //! Client of the list of live and leaving endpoints.
+
+use std::net::SocketAddr;
+
+use ::http::{Request, StatusCode};
+use basilramp_wire::list::SliceList;
+use bytes::Bytes;
+use http_body_util::Full;
+
+use crate::http::Pool;
+
+/// Where the list is read.
+pub const PATH: &str = "/apis/discovery.k8s.io/v1/endpointslices";
+
+const TIMEOUT_MS: u64 = 2_000;
+
+/// The list was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unavailable;
+
+impl std::fmt::Display for Unavailable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the list of endpoints is unavailable")
+    }
+}
+
+impl std::error::Error for Unavailable {}
+
+/// Reads the list.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool,
+    address: SocketAddr,
+}
+
+impl Client {
+    /// Opens a client; connections are made when they are needed.
+    #[must_use]
+    pub fn open(address: SocketAddr) -> Self {
+        Self {
+            pool: Pool::open(),
+            address,
+        }
+    }
+
+    /// Reads the whole list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no well-formed list came in time.
+    pub async fn fetch(&self) -> Result<SliceList, Unavailable> {
+        let request = Request::get(format!("http://{}{PATH}", self.address))
+            .body(Full::new(Bytes::new()))
+            .map_err(|_| Unavailable)?;
+        let answer = self.pool.send(request, TIMEOUT_MS).await;
+        let answer = answer.map_err(|_| Unavailable)?;
+        if answer.status != StatusCode::OK {
+            return Err(Unavailable);
+        }
+        serde_json::from_slice(&answer.body).map_err(|_| Unavailable)
+    }
+}
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -1,7 +1,12 @@
 //! Client of the transactional table service.
 
+mod client;
+mod codec;
+
 use std::sync::Arc;
 
+pub use client::Client;
+
 /// Names a row.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key {
@@ -34,6 +39,24 @@
     pub body: Arc<str>,
 }
 
+/// The order of rows by their sort keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// The least first.
+    Ascending,
+    /// The greatest first.
+    Descending,
+}
+
+/// Some rows of a partition.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The rows, in the order asked for.
+    pub rows: Vec<Row>,
+    /// Whether there are more after them.
+    pub more: bool,
+}
+
 /// What must hold for a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Check {
--- /dev/null
+++ b/crates/platform/src/table/client.rs
@@ -0,0 +1,212 @@
+//! Sends operations to the table service, each at most once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ::http::{Request, StatusCode, header};
+use basilramp_wire::table::{
+    CANCELED, CONTENT_TYPE, Fault, GET_ITEM, GetItem, GetItemOutput, INVALID, Item, QUERY,
+    QUERY_PARTITION, QUERY_PREFIX, Query, QueryOutput, TARGET_HEADER, THROTTLED, TOKEN_MISMATCH,
+    TRANSACT, Transact,
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::{Failure, Key, Order, Page, Row, Write, codec};
+use crate::http::{self, Pool};
+
+const ATTEMPT_TIMEOUT_MS: u64 = 1_500;
+
+/// Reads and writes the rows of one table.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool,
+    address: SocketAddr,
+    table_name: Arc<str>,
+    timeout_ms: u64,
+}
+
+impl Client {
+    /// Opens a client; connections are made when they are needed.
+    pub fn open(address: SocketAddr, table_name: impl Into<Arc<str>>) -> Self {
+        Self {
+            pool: Pool::open(),
+            address,
+            table_name: table_name.into(),
+            timeout_ms: ATTEMPT_TIMEOUT_MS,
+        }
+    }
+
+    /// Returns a client on the same connections that waits `timeout_ms` milliseconds for an answer.
+    #[must_use]
+    pub fn with_timeout(&self, timeout_ms: u64) -> Self {
+        Self {
+            timeout_ms,
+            ..self.clone()
+        }
+    }
+
+    /// Reads one row, with strong consistency.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer; a read may be sent again.
+    pub async fn get(&self, key: &Key) -> Result<Option<Row>, Failure> {
+        let body = GetItem {
+            table_name: self.table_name.to_string(),
+            key: codec::key_item(key),
+            consistent_read: true,
+        };
+        let output: GetItemOutput = self.ask(GET_ITEM, &body).await?;
+        output.item.map(|item| whole_row(&item)).transpose()
+    }
+
+    /// Reads the rows of a partition whose sort keys begin with `prefix`, with strong consistency.
+    ///
+    /// Rows up to and including the sort key `after` are left out. At most `limit` are returned.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer; a read may be sent again.
+    pub async fn query(
+        &self,
+        partition: &str,
+        prefix: &str,
+        after: Option<&str>,
+        limit: u32,
+        order: Order,
+    ) -> Result<Page, Failure> {
+        let mut values = Item::from([(":p".to_owned(), codec::text(partition))]);
+        let mut condition = QUERY_PARTITION;
+        if !prefix.is_empty() {
+            condition = QUERY_PREFIX;
+            values.insert(":s".to_owned(), codec::text(prefix));
+        }
+        let body = Query {
+            table_name: self.table_name.to_string(),
+            key_condition_expression: condition.to_owned(),
+            expression_attribute_values: values,
+            consistent_read: true,
+            scan_index_forward: order == Order::Ascending,
+            limit,
+            exclusive_start_key: after.map(|sort| codec::key_item(&Key::new(partition, sort))),
+        };
+        let output: QueryOutput = self.ask(QUERY, &body).await?;
+        let rows: Result<Vec<Row>, Failure> = output.items.iter().map(whole_row).collect();
+        Ok(Page {
+            rows: rows?,
+            more: output.last_evaluated_key.is_some(),
+        })
+    }
+
+    /// Reads all rows of a partition whose sort keys begin with `prefix`, page by page.
+    ///
+    /// The pages are read one after the other, so they need not be of one moment.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer; a read may be sent again.
+    pub async fn query_all(&self, partition: &str, prefix: &str) -> Result<Vec<Row>, Failure> {
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let after = rows.last().map(|row| row.key.sort.clone());
+            let after = after.as_deref();
+            let page = self
+                .query(partition, prefix, after, PAGE_ROWS, Order::Ascending)
+                .await?;
+            let empty = page.rows.is_empty();
+            rows.extend(page.rows);
+            if !page.more || empty {
+                return Ok(rows);
+            }
+        }
+    }
+
+    /// Makes all writes or none. Sent again with the same token it takes effect at most once.
+    ///
+    /// The rows that it puts carry the token as their write id.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Unknown`] says that it may have taken effect, or may do so later; each other
+    /// failure, that this attempt did not and won't.
+    pub async fn transact(&self, token: &str, writes: &[Write]) -> Result<(), Failure> {
+        let parts = writes
+            .iter()
+            .map(|write| codec::part(&self.table_name, token, write));
+        let body = Transact {
+            client_request_token: token.to_owned(),
+            transact_items: parts.collect(),
+        };
+        self.send(TRANSACT, &body).await.map(|_| ())
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        target: &'static str,
+        body: &impl Serialize,
+    ) -> Result<T, Failure> {
+        let answer = self.send(target, body).await?;
+        serde_json::from_slice(&answer).map_err(|_| Failure::Unknown)
+    }
+
+    async fn send(&self, target: &'static str, body: &impl Serialize) -> Result<Bytes, Failure> {
+        let request = self.request(target, body)?;
+        let answer = self.pool.send(request, self.timeout_ms).await;
+        let answer = answer.map_err(|fault| match fault {
+            http::Fault::Unreached => Failure::Unreached,
+            http::Fault::Unknown => Failure::Unknown,
+        })?;
+        match answer.status {
+            StatusCode::OK => Ok(answer.body),
+            StatusCode::BAD_REQUEST => Err(refusal(&answer.body)),
+            _ => Err(Failure::Unknown),
+        }
+    }
+
+    fn request(
+        &self,
+        target: &'static str,
+        body: &impl Serialize,
+    ) -> Result<Request<Full<Bytes>>, Failure> {
+        let body = serde_json::to_vec(body).map_err(malformed)?;
+        Request::post(format!("http://{}/", self.address))
+            .header(header::CONTENT_TYPE, CONTENT_TYPE)
+            .header(TARGET_HEADER, target)
+            .body(Full::new(body.into()))
+            .map_err(malformed)
+    }
+}
+
+const PAGE_ROWS: u32 = 1_024;
+
+fn whole_row(item: &Item) -> Result<Row, Failure> {
+    codec::row(item).ok_or_else(|| Failure::Invalid("a row lacks an attribute".into()))
+}
+
+fn malformed(error: impl std::fmt::Display) -> Failure {
+    Failure::Invalid(error.to_string().into())
+}
+
+/// Returns what an error answer says; one of a type that isn't known proves nothing.
+fn refusal(body: &[u8]) -> Failure {
+    let Ok(fault) = serde_json::from_slice::<Fault>(body) else {
+        return Failure::Unknown;
+    };
+    match fault.kind.as_str() {
+        CANCELED => Failure::Refused(failed_parts(&fault)),
+        THROTTLED => Failure::Throttled,
+        INVALID | TOKEN_MISMATCH => Failure::Invalid(fault.message.into()),
+        _ => Failure::Unknown,
+    }
+}
+
+fn failed_parts(fault: &Fault) -> Vec<usize> {
+    let reasons = fault.reasons.iter().enumerate();
+    reasons
+        .filter(|(_, reason)| reason.code != "None")
+        .map(|(index, _)| index)
+        .collect()
+}
--- /dev/null
+++ b/crates/platform/src/table/codec.rs
@@ -0,0 +1,99 @@
+//! Turns keys, rows and writes into the service's bodies and back.
+
+use std::sync::Arc;
+
+use basilramp_wire::table::{
+    ABSENT, Attribute, ConditionCheck, Delete, Item, PRESENT, Put, TransactItem, VERSION_IS,
+};
+
+use super::{Action, Check, Key, Row, Write};
+
+/// Returns the key's attributes.
+pub(super) fn key_item(key: &Key) -> Item {
+    let mut item = Item::new();
+    item.insert("pk".to_owned(), text(&key.partition));
+    item.insert("sk".to_owned(), text(&key.sort));
+    item
+}
+
+/// Returns the row that an item holds, if it is a whole one.
+pub(super) fn row(item: &Item) -> Option<Row> {
+    let row = Row {
+        key: Key {
+            partition: read_text(item, "pk")?,
+            sort: read_text(item, "sk")?,
+        },
+        version: read_number(item, "version")?,
+        write_id: read_text(item, "write_id")?,
+        body: read_text(item, "body")?,
+    };
+    Some(row)
+}
+
+/// Returns one part of a transaction.
+pub(super) fn part(table: &str, token: &str, write: &Write) -> TransactItem {
+    let (condition, values) = condition(write.check);
+    match &write.action {
+        Action::Put { version, body } => TransactItem::Put(Put {
+            table_name: table.to_owned(),
+            item: put_item(&write.key, *version, token, body),
+            condition_expression: condition,
+            expression_attribute_values: values,
+        }),
+        Action::Delete => TransactItem::Delete(Delete {
+            table_name: table.to_owned(),
+            key: key_item(&write.key),
+            condition_expression: condition,
+            expression_attribute_values: values,
+        }),
+        Action::Check => TransactItem::ConditionCheck(ConditionCheck {
+            table_name: table.to_owned(),
+            key: key_item(&write.key),
+            condition_expression: condition.unwrap_or_default(),
+            expression_attribute_values: values,
+        }),
+    }
+}
+
+/// Returns a text attribute.
+pub(super) fn text(value: &str) -> Attribute {
+    Attribute::S(value.to_owned())
+}
+
+fn put_item(key: &Key, version: u64, token: &str, body: &str) -> Item {
+    let mut item = key_item(key);
+    item.insert("version".to_owned(), number(version));
+    item.insert("write_id".to_owned(), text(token));
+    item.insert("body".to_owned(), text(body));
+    item
+}
+
+fn condition(check: Check) -> (Option<String>, Option<Item>) {
+    match check {
+        Check::None => (None, None),
+        Check::Absent => (Some(ABSENT.to_owned()), None),
+        Check::Present => (Some(PRESENT.to_owned()), None),
+        Check::Version(version) => {
+            let values = Item::from([(":v".to_owned(), number(version))]);
+            (Some(VERSION_IS.to_owned()), Some(values))
+        }
+    }
+}
+
+fn number(value: u64) -> Attribute {
+    Attribute::N(value.to_string())
+}
+
+fn read_text(item: &Item, name: &str) -> Option<Arc<str>> {
+    match item.get(name)? {
+        Attribute::S(text) => Some(text.as_str().into()),
+        Attribute::N(_) => None,
+    }
+}
+
+fn read_number(item: &Item, name: &str) -> Option<u64> {
+    match item.get(name)? {
+        Attribute::N(text) => text.parse().ok(),
+        Attribute::S(_) => None,
+    }
+}
