--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,5 +3,8 @@
 //! Time and random numbers come in as arguments. Commands change state and
 //! return what has to be done; queries only read.
 
+pub mod batch;
 pub mod clock;
 pub mod id;
+pub mod lease;
+pub mod partition;
