Add the commit loop, leases, partitions and the configuration's first version

One transaction in flight, conditional on the lease row; lost answers are settled by the same token and by raising the lease row's version.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -67,7 +67,7 @@
 pub struct Watch {
     terms: Terms,
     seen: BTreeMap<id::Instance, Seen>,
-    last: Option<Time>,
+    last: Option<Reading>,
 }
 
 impl Watch {
@@ -90,7 +90,7 @@
         if self.is_broken_by(reading) {
             self.seen.clear();
         }
-        self.last = Some(reading.finished);
+        self.last = Some(reading);
         let mut seen = BTreeMap::new();
         for (instance, version) in rows {
             let before = self.seen.get(&instance);
@@ -101,16 +101,12 @@
         self.seen = seen;
     }
 
-    /// Returns the instances whose leases have lapsed for at least `delay(instance)` milliseconds,
-    /// by a reading that started at `started`, with the version that stood still.
-    pub fn lapsed(
-        &self,
-        started: Time,
-        delay: impl Fn(&id::Instance) -> u64,
-    ) -> Vec<(id::Instance, u64)> {
+    /// Returns the instances whose leases have lapsed for at least `delay(instance)` milliseconds
+    /// at the last reading, with the version that stood still.
+    pub fn lapsed(&self, delay: impl Fn(&id::Instance) -> u64) -> BTreeMap<id::Instance, u64> {
         let span = self.terms.lease_ms + self.terms.margin_ms;
         let lapsed = self.seen.iter().filter(|(instance, seen)| {
-            let still = started.since(seen.since);
+            let still = self.last.map_or(0, |last| last.started.since(seen.since));
             still >= span + delay(instance)
         });
         lapsed
@@ -118,8 +114,17 @@
             .collect()
     }
 
+    /// Tells whether an instance was seen to renew its lease within the last `within_ms`
+    /// milliseconds before the last reading.
+    #[must_use]
+    pub fn is_fresh(&self, instance: &id::Instance, within_ms: u64) -> bool {
+        let seen = self.seen.get(instance);
+        seen.zip(self.last)
+            .is_some_and(|(seen, last)| last.started.since(seen.since) <= within_ms)
+    }
+
     fn is_broken_by(&self, reading: Reading) -> bool {
-        let gap = self.last.map(|last| reading.started.since(last));
+        let gap = self.last.map(|last| reading.started.since(last.finished));
         let read_ms = reading.finished.since(reading.started);
         !reading.able || read_ms > self.terms.gap_ms || gap.is_none_or(|ms| ms > self.terms.gap_ms)
     }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -6,20 +6,22 @@
 
 /// Tells the time since the process started.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Source {
+pub struct Source {
     origin: Instant,
 }
 
 impl Source {
     /// Opens a source whose origin is now.
-    pub(crate) fn open() -> Self {
+    #[must_use]
+    pub fn open() -> Self {
         Self {
             origin: Instant::now(),
         }
     }
 
     /// Returns the time now.
-    pub(crate) fn now(self) -> Time {
+    #[must_use]
+    pub fn now(self) -> Time {
         let elapsed = self.origin.elapsed().as_millis();
         Time::from_ms(elapsed as u64)
     }
--- /dev/null
+++ b/crates/daemon/src/commit/queue.rs
@@ -0,0 +1,228 @@
+//! Submissions that wait for the commit loop, bounded by their bytes.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use basilramp_core::batch::{self, Bounds};
+use basilramp_core::id;
+use basilramp_platform::table::{Action, Key, Write};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
+
+use super::stats::{Counters, Stats};
+use super::{Failure, MAX_WRITES};
+
+const MAX_BATCH_BYTES: usize = 3 * 1024 * 1024;
+const ROW_OVERHEAD_BYTES: usize = 128;
+
+/// The part of the queue's bytes that a submission takes up until it is answered.
+pub(super) type Room = OwnedSemaphorePermit;
+
+/// The ownership that a submission depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Scope {
+    pub(super) partition: id::Partition,
+    pub(super) term: id::Term,
+}
+
+/// A submission.
+#[derive(Debug)]
+pub(super) struct Entry {
+    number: u64,
+    pub(super) writes: Vec<Write>,
+    pub(super) incarnation: id::Incarnation,
+    pub(super) scope: Option<Scope>,
+    bytes: usize,
+    answer: oneshot::Sender<Result<(), Failure>>,
+    _room: Room,
+}
+
+impl Entry {
+    pub(super) fn new(
+        writes: Vec<Write>,
+        incarnation: id::Incarnation,
+        scope: Option<Scope>,
+        answer: oneshot::Sender<Result<(), Failure>>,
+        room: Room,
+    ) -> Self {
+        Self {
+            number: 0,
+            bytes: size(&writes),
+            writes,
+            incarnation,
+            scope,
+            answer,
+            _room: room,
+        }
+    }
+
+    /// Tells the submitter what became of it.
+    pub(super) fn answer(self, outcome: Result<(), Failure>) {
+        // A submitter that has gone needs no answer.
+        let _ = self.answer.send(outcome);
+    }
+
+    fn batch_entry(&self) -> batch::Entry<Key> {
+        batch::Entry {
+            keys: self.writes.iter().map(|write| write.key.clone()).collect(),
+            bytes: self.bytes,
+        }
+    }
+}
+
+/// Returns the bytes that writes count as.
+pub(super) fn size(writes: &[Write]) -> usize {
+    let sizes = writes.iter().map(|write| {
+        let body = match &write.action {
+            Action::Put { body, .. } => body.len(),
+            Action::Delete | Action::Check => 0,
+        };
+        ROW_OVERHEAD_BYTES + write.key.partition.len() + write.key.sort.len() + body
+    });
+    sizes.sum()
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    entries: VecDeque<Entry>,
+    last_number: u64,
+    closed: bool,
+}
+
+/// The queue between submitters and the commit loop.
+#[derive(Debug)]
+pub(super) struct Queue {
+    waiting: Mutex<Waiting>,
+    room: Arc<Semaphore>,
+    capacity: usize,
+    notify: Notify,
+    pub(super) counters: Counters,
+}
+
+impl Queue {
+    pub(super) fn open(capacity: usize) -> Self {
+        let capacity = capacity.clamp(1, u32::MAX as usize);
+        Self {
+            waiting: Mutex::default(),
+            room: Arc::new(Semaphore::new(capacity)),
+            capacity,
+            notify: Notify::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Waits for room for a submission.
+    pub(super) async fn room(&self, bytes: usize) -> Room {
+        let permits = self.permits(bytes);
+        let room = Arc::clone(&self.room).acquire_many_owned(permits).await;
+        room.expect("the semaphore is never closed")
+    }
+
+    /// Takes room for a submission, if there is any now.
+    pub(super) fn room_now(&self, bytes: usize) -> Option<Room> {
+        let permits = self.permits(bytes);
+        Arc::clone(&self.room).try_acquire_many_owned(permits).ok()
+    }
+
+    /// Appends a submission and returns its number, unless the queue is closed.
+    pub(super) fn push(&self, mut entry: Entry) -> Option<u64> {
+        let mut waiting = self.lock();
+        if waiting.closed {
+            return None;
+        }
+        waiting.last_number += 1;
+        let number = waiting.last_number;
+        entry.number = number;
+        waiting.entries.push_back(entry);
+        drop(waiting);
+        self.wake();
+        Some(number)
+    }
+
+    /// Takes a submission back, if it is not being sent.
+    pub(super) fn withdraw(&self, number: u64) -> bool {
+        let mut waiting = self.lock();
+        let place = waiting.entries.iter().position(|e| e.number == number);
+        place.and_then(|at| waiting.entries.remove(at)).is_some()
+    }
+
+    /// Takes the submissions that go together next, at most `limit`; those that may not be sent any
+    /// more fail as fenced.
+    pub(super) fn take(&self, limit: usize, may_send: impl Fn(&Entry) -> bool) -> Vec<Entry> {
+        let mut waiting = self.lock();
+        let entries = std::mem::take(&mut waiting.entries);
+        let (entries, barred): (Vec<_>, Vec<_>) = entries.into_iter().partition(may_send);
+        let bounds = Bounds {
+            rows: MAX_WRITES,
+            bytes: MAX_BATCH_BYTES,
+        };
+        let chosen = batch::assemble(entries.iter().map(Entry::batch_entry), bounds);
+        let chosen = &chosen[..chosen.len().min(limit)];
+        let mut batch = Vec::with_capacity(chosen.len());
+        for (place, entry) in entries.into_iter().enumerate() {
+            if chosen.binary_search(&place).is_ok() {
+                batch.push(entry);
+            } else {
+                waiting.entries.push_back(entry);
+            }
+        }
+        drop(waiting);
+        for entry in barred {
+            entry.answer(Err(Failure::Fenced));
+        }
+        batch
+    }
+
+    /// Puts submissions back at the front; none of them may have been sent with effect.
+    pub(super) fn put_back(&self, batch: impl DoubleEndedIterator<Item = Entry>) {
+        let mut waiting = self.lock();
+        for entry in batch.rev() {
+            waiting.entries.push_front(entry);
+        }
+    }
+
+    /// Fails every submission that waits.
+    pub(super) fn fail_all(&self, failure: &Failure) {
+        let entries = std::mem::take(&mut self.lock().entries);
+        for entry in entries {
+            entry.answer(Err(failure.clone()));
+        }
+    }
+
+    /// Fails every submission from now on.
+    pub(super) fn close(&self) {
+        self.lock().closed = true;
+        self.fail_all(&Failure::Fenced);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.lock().entries.is_empty()
+    }
+
+    /// Has the loop look again.
+    pub(super) fn wake(&self) {
+        self.notify.notify_one();
+    }
+
+    /// Returns once the loop is to look again.
+    pub(super) async fn woken(&self) {
+        self.notify.notified().await;
+    }
+
+    pub(super) fn stats(&self) -> Stats {
+        let queued = self.lock().entries.len() as u64;
+        let taken = self.capacity - self.room.available_permits();
+        Stats {
+            queued,
+            queued_bytes: taken as u64,
+            ..self.counters.read()
+        }
+    }
+
+    fn permits(&self, bytes: usize) -> u32 {
+        bytes.min(self.capacity) as u32
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/commit/stats.rs
@@ -0,0 +1,85 @@
+//! Counts of what the commit loop did.
+
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+/// What the commit loop has done since the process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Transactions that took effect.
+    pub transactions: u64,
+    /// Transactions among them that only renewed the lease.
+    pub heartbeats: u64,
+    /// Rows written besides the lease row.
+    pub items: u64,
+    /// Submissions that were made durable.
+    pub submissions: u64,
+    /// The most submissions that one transaction has carried.
+    pub largest_batch: u64,
+    /// Attempts after the first to send a transaction.
+    pub retries: u64,
+    /// Attempts whose outcome was not known at first.
+    pub unknown: u64,
+    /// Submissions that failed a check.
+    pub conflicts: u64,
+    /// Submissions that wait now.
+    pub queued: u64,
+    /// Bytes that wait now or are being sent.
+    pub queued_bytes: u64,
+}
+
+/// Counters that the loop raises.
+#[derive(Debug, Default)]
+pub(super) struct Counters {
+    transactions: AtomicU64,
+    heartbeats: AtomicU64,
+    items: AtomicU64,
+    submissions: AtomicU64,
+    largest_batch: AtomicU64,
+    retries: AtomicU64,
+    unknown: AtomicU64,
+    conflicts: AtomicU64,
+}
+
+impl Counters {
+    /// Counts a transaction that took effect.
+    pub(super) fn count_transaction(&self, submissions: usize, items: usize) {
+        let submissions = submissions as u64;
+        self.transactions.fetch_add(1, Relaxed);
+        self.items.fetch_add(items as u64, Relaxed);
+        self.submissions.fetch_add(submissions, Relaxed);
+        self.largest_batch.fetch_max(submissions, Relaxed);
+        if submissions == 0 {
+            self.heartbeats.fetch_add(1, Relaxed);
+        }
+    }
+
+    /// Counts an attempt that followed a failed one.
+    pub(super) fn count_retry(&self) {
+        self.retries.fetch_add(1, Relaxed);
+    }
+
+    /// Counts an attempt without an answer.
+    pub(super) fn count_unknown(&self) {
+        self.unknown.fetch_add(1, Relaxed);
+    }
+
+    /// Counts submissions that failed a check.
+    pub(super) fn count_conflicts(&self, submissions: usize) {
+        self.conflicts.fetch_add(submissions as u64, Relaxed);
+    }
+
+    /// Returns the counts.
+    pub(super) fn read(&self) -> Stats {
+        Stats {
+            transactions: self.transactions.load(Relaxed),
+            heartbeats: self.heartbeats.load(Relaxed),
+            items: self.items.load(Relaxed),
+            submissions: self.submissions.load(Relaxed),
+            largest_batch: self.largest_batch.load(Relaxed),
+            retries: self.retries.load(Relaxed),
+            unknown: self.unknown.load(Relaxed),
+            conflicts: self.conflicts.load(Relaxed),
+            ..Stats::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/config/check.rs
@@ -0,0 +1,148 @@
+//! Checks a change whole before anything is written.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use basilramp_core::id;
+use basilramp_wire::config::{Change, Edit, Limit, Plan, Service, Target, Value};
+
+use super::{Config, edit};
+use crate::commit::MAX_WRITES;
+
+/// The most edits of one change, which is one transaction with the head and the log entry.
+const MAX_EDITS: usize = MAX_WRITES - 2;
+
+const MAX_NAME_LEN: usize = 128;
+const DAY_MINUTES: u32 = 24 * 60;
+const SHA256_HEX_LEN: usize = 64;
+
+/// Returns one line for each fault of a change to `config`; none if it is in order.
+pub(super) fn faults(config: &Config, change: &Change) -> Vec<String> {
+    let mut faults = Vec::new();
+    check_size(change, &mut faults);
+    let mut seen = BTreeSet::new();
+    let mut after = config.clone();
+    for edit in &change.edits {
+        if !seen.insert((edit.kind, edit.name.as_str())) {
+            faults.push(format!("{}: edited twice", label(edit)));
+        }
+        check_edit(edit, &mut faults);
+        edit::apply(&mut after, config.version + 1, edit);
+    }
+    check_references(&after, &mut faults);
+    check_keys(&after, &mut faults);
+    faults
+}
+
+fn check_size(change: &Change, faults: &mut Vec<String>) {
+    if change.edits.is_empty() {
+        faults.push("the change has no edits".to_owned());
+    }
+    if change.edits.len() > MAX_EDITS {
+        let edits = change.edits.len();
+        faults.push(format!(
+            "{edits} edits, but one change may have {MAX_EDITS}"
+        ));
+    }
+}
+
+fn check_edit(edit: &Edit, faults: &mut Vec<String>) {
+    let label = label(edit);
+    if !is_name(&edit.name) {
+        let rule = "a name is 1 to 128 letters, digits, '-', '_', '.', ':' or '/'";
+        faults.push(format!("{label}: {rule}"));
+    }
+    let Some(value) = &edit.value else {
+        return;
+    };
+    if value.kind() != edit.kind {
+        faults.push(format!("{label}: the value is of another kind"));
+    }
+    match value {
+        Value::Service(service) => check_service(&label, service, faults),
+        Value::Place(place) if place.failure_domain.is_empty() => {
+            faults.push(format!("{label}: the failure domain is empty"));
+        }
+        Value::Place(_) => {}
+        Value::Plan(plan) => check_plan(&label, plan, faults),
+        Value::Limit(limit) => check_limit(&label, limit, faults),
+    }
+}
+
+fn check_service(label: &str, service: &Service, faults: &mut Vec<String>) {
+    if service.timeout_ms == 0 {
+        faults.push(format!("{label}: the timeout is zero"));
+    }
+    match &service.target {
+        Target::Model { model, version, .. } => {
+            if model.is_empty() || version.is_empty() {
+                faults.push(format!("{label}: the model or its version is empty"));
+            }
+        }
+        Target::Plain {
+            path, status_path, ..
+        } => {
+            let paths = [Some(path), status_path.as_ref()];
+            if paths
+                .into_iter()
+                .flatten()
+                .any(|path| !path.starts_with('/'))
+            {
+                faults.push(format!("{label}: a path does not begin with '/'"));
+            }
+        }
+    }
+}
+
+fn check_plan(label: &str, plan: &Plan, faults: &mut Vec<String>) {
+    if plan.from_minute >= plan.until_minute || plan.until_minute > DAY_MINUTES {
+        faults.push(format!("{label}: the minutes are not a span of one day"));
+    }
+    if plan.headroom_percent > 100 {
+        faults.push(format!("{label}: the headroom is more than 100 percent"));
+    }
+}
+
+fn check_limit(label: &str, limit: &Limit, faults: &mut Vec<String>) {
+    let is_digest = limit.key_sha256.len() == SHA256_HEX_LEN
+        && limit
+            .key_sha256
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    if !is_digest {
+        faults.push(format!(
+            "{label}: the key's digest is not 64 lower-case hexadecimal digits"
+        ));
+    }
+}
+
+/// Checks that plans name services and places that exist.
+fn check_references(config: &Config, faults: &mut Vec<String>) {
+    for (name, plan) in &config.plans {
+        let service = id::Service::new(plan.service.as_str());
+        if !config.services.contains_key(&service) {
+            faults.push(format!("plan {name}: no service {service}"));
+        }
+        if !config.places.contains_key(plan.place.as_str()) {
+            faults.push(format!("plan {name}: no place {}", plan.place));
+        }
+    }
+}
+
+/// Checks that no two accounts have the same key.
+fn check_keys(config: &Config, faults: &mut Vec<String>) {
+    let mut accounts: BTreeMap<&str, &id::Account> = BTreeMap::new();
+    for (account, limit) in &config.limits {
+        if let Some(other) = accounts.insert(&limit.key_sha256, account) {
+            faults.push(format!("limit {account}: the key is that of {other}"));
+        }
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
+    (1..=MAX_NAME_LEN).contains(&name.len()) && name.chars().all(allowed)
+}
+
+fn label(edit: &Edit) -> String {
+    format!("{} {}", edit::kind_name(edit.kind), edit.name)
+}
--- /dev/null
+++ b/crates/daemon/src/config/store.rs
@@ -0,0 +1,149 @@
+//! The configuration's rows.
+
+use std::sync::Arc;
+
+use basilramp_platform::table::{Action, Check, Client, Failure, Key, Order, Row, Write};
+use basilramp_wire::config::{Change, Edit, Head, Item};
+use serde::Serialize;
+
+use super::{Config, edit};
+
+const PARTITION: &str = "config";
+const HEAD: &str = "head";
+const ITEM_PREFIX: &str = "item/";
+const LOG_PREFIX: &str = "log/";
+const LOG_PAGE_ROWS: u32 = 100;
+
+/// Reads that may be made before a load that other changes overtake is given up.
+const LOAD_ATTEMPTS: u32 = 5;
+
+/// The rows could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Unavailable;
+
+impl From<Failure> for Unavailable {
+    fn from(_: Failure) -> Self {
+        Self
+    }
+}
+
+/// Reads the rows.
+#[derive(Clone, Debug)]
+pub(super) struct Store {
+    client: Client,
+}
+
+impl Store {
+    pub(super) fn open(client: Client) -> Self {
+        Self { client }
+    }
+
+    /// Reads the version in force.
+    pub(super) async fn head(&self) -> Result<Head, Unavailable> {
+        let row = self.client.get(&Key::new(PARTITION, HEAD)).await?;
+        match row {
+            Some(row) => read(&row),
+            None => Ok(Head::default()),
+        }
+    }
+
+    /// Reads the changes after a version, oldest first.
+    pub(super) async fn changes(&self, after: u64) -> Result<Vec<(u64, Change)>, Unavailable> {
+        let mut changes = Vec::new();
+        let mut after = log_key(after);
+        loop {
+            let page = self
+                .client
+                .query(
+                    PARTITION,
+                    LOG_PREFIX,
+                    Some(&after),
+                    LOG_PAGE_ROWS,
+                    Order::Ascending,
+                )
+                .await?;
+            for row in &page.rows {
+                changes.push((row.version, read(row)?));
+                after = row.key.sort.to_string();
+            }
+            if !page.more || page.rows.is_empty() {
+                return Ok(changes);
+            }
+        }
+    }
+
+    /// Reads the whole configuration as it stands at one version.
+    pub(super) async fn load(&self) -> Result<Config, Unavailable> {
+        for _ in 0..LOAD_ATTEMPTS {
+            let before = self.head().await?;
+            let rows = self.client.query_all(PARTITION, ITEM_PREFIX).await?;
+            if self.head().await? == before {
+                return config(before, &rows);
+            }
+        }
+        Err(Unavailable)
+    }
+}
+
+/// Returns the writes that commit a change on top of the version that it was made from.
+pub(super) fn writes(change: &Change) -> Vec<Write> {
+    let version = change.base + 1;
+    let check = match change.base {
+        0 => Check::Absent,
+        base => Check::Version(base),
+    };
+    let head = put(HEAD.to_owned(), check, version, &Head { version });
+    let log = put(log_key(version), Check::Absent, version, change);
+    let items = change.edits.iter().map(|edit| {
+        let item = Item {
+            version,
+            value: edit.value.clone(),
+        };
+        let key = format!("{ITEM_PREFIX}{}/{}", edit::kind_name(edit.kind), edit.name);
+        put(key, Check::None, version, &item)
+    });
+    [head, log].into_iter().chain(items).collect()
+}
+
+fn put(sort: String, check: Check, version: u64, body: &impl Serialize) -> Write {
+    let body = serde_json::to_string(body).unwrap_or_default();
+    Write {
+        key: Key::new(PARTITION, sort),
+        check,
+        action: Action::Put {
+            version,
+            body: body.into(),
+        },
+    }
+}
+
+fn log_key(version: u64) -> String {
+    format!("{LOG_PREFIX}{version:012}")
+}
+
+fn read<T: serde::de::DeserializeOwned>(row: &Row) -> Result<T, Unavailable> {
+    serde_json::from_str(&row.body).map_err(|_| Unavailable)
+}
+
+fn config(head: Head, rows: &[Row]) -> Result<Config, Unavailable> {
+    let mut config = Config {
+        version: head.version,
+        ..Config::default()
+    };
+    for row in rows {
+        let item: Item = read(row)?;
+        if let Some(edit) = edit(&row.key.sort, &item) {
+            edit::apply(&mut config, item.version, &edit);
+        }
+    }
+    Ok(config)
+}
+
+fn edit(sort: &Arc<str>, item: &Item) -> Option<Edit> {
+    let (kind, name) = sort.strip_prefix(ITEM_PREFIX)?.split_once('/')?;
+    Some(Edit {
+        kind: edit::kind(kind)?,
+        name: name.to_owned(),
+        value: item.value.clone(),
+    })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,15 +5,15 @@
 
 #![allow(dead_code)] // Until the parts are wired together.
 
-mod clock;
-mod commit;
-mod config;
+pub mod clock;
+pub mod commit;
+pub mod config;
 mod engine;
 mod front;
 mod grant;
 mod home;
 mod log;
-mod membership;
+pub mod membership;
 mod node;
 mod peer;
 mod program;
