--- /dev/null
+++ b/crates/fakes/src/caller.rs
@@ -0,0 +1,258 @@
+//! A client of the callers' interface, for tests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use basilramp_wire::api::{Budget, Call, Create, Event, Final, Program};
+use bytes::Bytes;
+use http::Method;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+pub use crate::request::Failure;
+use crate::request::{exchange, read, send};
+
+/// A caller of one account, who sends each request on a fresh connection.
+#[derive(Clone, Debug)]
+pub struct Client {
+    key: Arc<str>,
+}
+
+/// An event of an answer and when it came, in milliseconds after the call was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Timed {
+    /// When it came.
+    pub at_ms: u64,
+    /// The event.
+    pub event: Event,
+}
+
+/// How a call went.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The events, in order.
+    pub events: Vec<Timed>,
+    /// The final event, or why there is none.
+    pub result: Result<Final, Failure>,
+    /// Milliseconds from sending to the end.
+    pub took_ms: u64,
+}
+
+impl Answer {
+    /// Returns the text of the token events.
+    #[must_use]
+    pub fn streamed(&self) -> String {
+        self.events
+            .iter()
+            .filter_map(|timed| match &timed.event {
+                Event::Token(token) => Some(token.text.as_str()),
+                Event::Final(_) | Event::Error(_) => None,
+            })
+            .collect()
+    }
+}
+
+/// Makes the body of a call with the usual output cap.
+#[must_use]
+pub fn call(request_id: &str, position: u32, service: &str, input: &str) -> Call {
+    Call {
+        request_id: request_id.to_owned(),
+        position,
+        service: service.to_owned(),
+        input: input.to_owned(),
+        max_tokens: 64,
+        provisional: false,
+    }
+}
+
+/// Makes a budget of so many tokens and the usual other limits.
+#[must_use]
+pub const fn budget(tokens: u64) -> Budget {
+    Budget {
+        tokens,
+        turns: 100,
+        wall_ms: 600_000,
+        depth: 4,
+    }
+}
+
+impl Client {
+    /// Makes a client that uses an account's key.
+    pub fn new(key: impl Into<Arc<str>>) -> Self {
+        Self { key: key.into() }
+    }
+
+    /// Creates a program.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn create(&self, at: SocketAddr, create: &Create) -> Result<Program, Failure> {
+        let key = Some(&*self.key);
+        exchange(at, Method::POST, "/v1/programs", key, Some(create)).await
+    }
+
+    /// Creates a root program with a budget.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn create_root(
+        &self,
+        at: SocketAddr,
+        request_id: &str,
+        budget: Budget,
+    ) -> Result<Program, Failure> {
+        let create = Create {
+            request_id: request_id.to_owned(),
+            budget: Some(budget),
+            parent: None,
+        };
+        self.create(at, &create).await
+    }
+
+    /// Reads a program.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn read(&self, at: SocketAddr, program: &str) -> Result<Program, Failure> {
+        let path = format!("/v1/programs/{program}");
+        exchange(at, Method::GET, &path, Some(&*self.key), None::<&()>).await
+    }
+
+    /// Ends a program.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn end(&self, at: SocketAddr, program: &str) -> Result<Program, Failure> {
+        let path = format!("/v1/programs/{program}/end");
+        exchange(at, Method::POST, &path, Some(&*self.key), None::<&()>).await
+    }
+
+    /// Runs a call and collects its events.
+    pub async fn call(&self, at: SocketAddr, program: &str, call: &Call) -> Answer {
+        self.call_with(at, program, call, |_| ()).await
+    }
+
+    /// Runs a call, and hands each event to `observe` as it comes.
+    pub async fn call_with(
+        &self,
+        at: SocketAddr,
+        program: &str,
+        call: &Call,
+        mut observe: impl FnMut(&Event),
+    ) -> Answer {
+        let start = Instant::now();
+        let mut events = Vec::new();
+        let result = self
+            .stream(at, program, call, |event| {
+                observe(&event);
+                events.push(Timed {
+                    at_ms: start.elapsed().as_millis() as u64,
+                    event,
+                });
+            })
+            .await;
+        Answer {
+            events,
+            result,
+            took_ms: start.elapsed().as_millis() as u64,
+        }
+    }
+
+    async fn stream(
+        &self,
+        at: SocketAddr,
+        program: &str,
+        call: &Call,
+        mut observe: impl FnMut(Event),
+    ) -> Result<Final, Failure> {
+        let path = format!("/v1/programs/{program}/calls");
+        let body = serde_json::to_vec(call).map_err(|error| malformed(&error))?;
+        let body = Bytes::from(body);
+        let response = send(at, Method::POST, &path, Some(&*self.key), body).await?;
+        if !response.status().is_success() {
+            let refused: Result<serde_json::Value, Failure> = read(response).await;
+            return Err(match refused {
+                Err(failure) => failure,
+                Ok(_) => Failure::Malformed("a refusal was read as an answer".into()),
+            });
+        }
+        let mut events = Events::new(response.into_body());
+        loop {
+            let event = events.next().await?;
+            observe(event.clone());
+            match event {
+                Event::Token(_) => {}
+                Event::Final(last) => return Ok(last),
+                Event::Error(error) => return Err(Failure::Refused(error)),
+            }
+        }
+    }
+}
+
+fn malformed(why: &impl ToString) -> Failure {
+    Failure::Malformed(why.to_string().into())
+}
+
+/// Reads server-sent events from a body.
+struct Events {
+    body: Incoming,
+    text: Vec<u8>,
+}
+
+impl Events {
+    const fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            text: Vec::new(),
+        }
+    }
+
+    async fn next(&mut self) -> Result<Event, Failure> {
+        loop {
+            if let Some(block) = self.take_block() {
+                match parse(&block)? {
+                    Some(event) => return Ok(event),
+                    None => continue,
+                }
+            }
+            let frame = self.body.frame().await;
+            let frame =
+                frame.ok_or_else(|| Failure::Broken("ended without a last event".into()))?;
+            let frame = frame.map_err(|error| Failure::Broken(error.to_string().into()))?;
+            if let Some(data) = frame.data_ref() {
+                self.text.extend_from_slice(data);
+            }
+        }
+    }
+
+    /// Takes the text up to the next empty line.
+    fn take_block(&mut self) -> Option<String> {
+        let end = self.text.windows(2).position(|pair| pair == b"\n\n")?;
+        let rest = self.text.split_off(end + 2);
+        let block = std::mem::replace(&mut self.text, rest);
+        Some(String::from_utf8_lossy(&block).into_owned())
+    }
+}
+
+/// Reads one event; a block without data is none.
+fn parse(block: &str) -> Result<Option<Event>, Failure> {
+    let field = |name: &str| {
+        let line = block.lines().find_map(|line| line.strip_prefix(name));
+        line.map(str::trim_start)
+    };
+    let Some(data) = field("data:") else {
+        return Ok(None);
+    };
+    let event = match field("event:").unwrap_or_default() {
+        "token" => serde_json::from_str(data).map(Event::Token),
+        "final" => serde_json::from_str(data).map(Event::Final),
+        "error" => serde_json::from_str(data).map(Event::Error),
+        other => return Err(malformed(&format!("unknown event {other:?}: {data}"))),
+    };
+    event.map(Some).map_err(|error| malformed(&error))
+}
--- /dev/null
+++ b/crates/fakes/src/cluster.rs
@@ -0,0 +1,359 @@
+//! A deployment on loopback: platform, upstreams and instances as separate processes.
+
+mod deployment;
+mod keys;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use basilramp_wire::config::Edit;
+use eyre::{Result, eyre};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+use crate::engine::{self, Engine};
+use crate::launcher::{Addresses, Launcher, Process};
+use crate::platform::{self, Entry, Platform, Role, State};
+use crate::service::{self, Service};
+use crate::{caller, operator};
+
+pub use deployment::{
+    MODEL, ORDER_PATH, REGISTER_PATH, STATUS_PATH, limit, model, name, place, plain, services, set,
+    sha256_hex,
+};
+
+use keys::Authority;
+
+/// The longest that a deployment may take until every instance is ready.
+const READY_TIMEOUT_MS: u64 = 30_000;
+
+/// Time between two looks whether an instance is ready.
+const READY_POLL_MS: u64 = 25;
+
+/// Accounts of every deployment; the key of an account is `key-` and its name.
+pub const ACCOUNTS: [&str; 2] = ["trust", "atlas"];
+
+/// Operators of every deployment; the token of an operator is `token-` and its name.
+pub const OPERATORS: [&str; 2] = ["ada", "ben"];
+
+/// What a deployment is made of.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How instances are started.
+    pub launcher: Launcher,
+    /// How many instances there are; they are named `i0`, `i1` and so on.
+    pub instances: usize,
+    /// The engines, named `e0`, `e1` and so on.
+    pub engines: Vec<engine::Options>,
+    /// Time-out of every service, in milliseconds.
+    pub timeout_ms: u64,
+    /// Configuration beyond the usual services, accounts and places.
+    pub edits: Vec<Edit>,
+    /// Settings that are merged over the generated ones, as a JSON object.
+    pub settings: Value,
+}
+
+impl Options {
+    /// Makes the options of a deployment with two engines.
+    #[must_use]
+    pub fn new(launcher: Launcher, instances: usize) -> Self {
+        Self {
+            launcher,
+            instances,
+            engines: vec![engine::Options::default(); 2],
+            timeout_ms: 5_000,
+            edits: Vec::new(),
+            settings: json!({}),
+        }
+    }
+}
+
+/// An instance of the deployment.
+#[derive(Debug)]
+pub struct Instance {
+    /// Its id.
+    pub id: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Its settings.
+    pub settings: Value,
+    /// Its process, unless it was killed or has stopped.
+    pub process: Option<Process>,
+}
+
+impl Instance {
+    /// Returns where it listens, if it runs.
+    #[must_use]
+    pub fn addresses(&self) -> Option<Addresses> {
+        self.process.as_ref().map(Process::addresses)
+    }
+}
+
+/// A running deployment. Dropping it ends everything.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The instances.
+    pub instances: Vec<Instance>,
+    /// The platform.
+    pub platform: Platform,
+    /// The engines.
+    pub engines: Vec<Engine>,
+    /// The registry, named `s0`, with a status look-up.
+    pub registry: Service,
+    /// The storefront, named `s1`, without a status look-up.
+    pub store: Service,
+    launcher: Launcher,
+    authority: Authority,
+    directory: TempDir,
+}
+
+/// Returns the failure domain of the upstream or instance of a number.
+fn domain(index: usize) -> String {
+    ["a", "b", "c"][index % 3].to_owned()
+}
+
+impl Cluster {
+    /// Starts a deployment and waits until every instance is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an instance does not start or does not become ready; the error holds its output.
+    pub async fn start(options: Options) -> Result<Self> {
+        let mut cluster = Self::prepare(&options)?;
+        for index in 0..options.instances {
+            let instance = cluster.make_instance(index, &options.settings)?;
+            cluster.instances.push(instance);
+            cluster.launch(index).await?;
+        }
+        cluster.ready().await?;
+        Ok(cluster)
+    }
+
+    /// Starts everything but the instances.
+    fn prepare(options: &Options) -> Result<Self> {
+        let directory = tempfile::tempdir()?;
+        let authority = Authority::open(directory.path())?;
+        let registry = service::spawn(service::Options {
+            status_path: Some(STATUS_PATH.to_owned()),
+            ..service::Options::default()
+        });
+        let engines = options.engines.iter().cloned().map(engine::spawn);
+        let cluster = Self {
+            instances: Vec::new(),
+            platform: platform::spawn(),
+            engines: engines.collect(),
+            registry,
+            store: service::spawn(service::Options::default()),
+            launcher: options.launcher.clone(),
+            authority,
+            directory,
+        };
+        cluster.list_upstreams();
+        deployment::write(&cluster.platform, first_edits(options));
+        Ok(cluster)
+    }
+
+    fn list_upstreams(&self) {
+        for (index, engine) in self.engines.iter().enumerate() {
+            self.platform.list(Entry {
+                name: format!("e{index}"),
+                role: Role::Engine,
+                address: engine.address(),
+                failure_domain: domain(index),
+                place: format!("place-{}", domain(index)),
+                group: String::new(),
+                state: State::Ready,
+            });
+        }
+        let groups = [("registry", &self.registry), ("store", &self.store)];
+        for (index, (group, service)) in groups.into_iter().enumerate() {
+            self.platform.list(Entry {
+                name: format!("s{index}"),
+                role: Role::Service,
+                address: service.address(),
+                failure_domain: domain(index),
+                place: format!("place-{}", domain(index)),
+                group: group.to_owned(),
+                state: State::Ready,
+            });
+        }
+    }
+
+    fn make_instance(&self, index: usize, overrides: &Value) -> Result<Instance> {
+        let id = format!("i{index}");
+        let files = self.authority.sign(&id)?;
+        let operators: Vec<Value> = OPERATORS
+            .iter()
+            .map(|name| json!({"name": name, "token_sha256": sha256_hex(&token(name))}))
+            .collect();
+        let mut settings = json!({
+            "instance": {"id": id, "failure_domain": domain(index)},
+            "listen": {
+                "callers": "127.0.0.1:0",
+                "operators": "127.0.0.1:0",
+                "peers": "127.0.0.1:0",
+            },
+            "platform": {
+                "table": self.platform.table_address(),
+                "objects": self.platform.objects_address(),
+                "list": self.platform.list_address(),
+            },
+            "peers": {
+                "certificate": files.certificate,
+                "key": files.key,
+                "authority": files.authority,
+            },
+            "operators": operators,
+        });
+        merge(&mut settings, overrides);
+        Ok(Instance {
+            id,
+            failure_domain: domain(index),
+            settings,
+            process: None,
+        })
+    }
+
+    /// Starts the process of an instance, or starts it anew.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not listen; the error holds its output.
+    pub async fn launch(&mut self, index: usize) -> Result<()> {
+        let path = self.settings_path(index);
+        let instance = &mut self.instances[index];
+        std::fs::write(&path, serde_json::to_vec_pretty(&instance.settings)?)?;
+        instance.process = None;
+        let process = self.launcher.start(&path).await?;
+        self.platform.list(Entry {
+            name: instance.id.clone(),
+            role: Role::Instance,
+            address: process.addresses().peers,
+            failure_domain: instance.failure_domain.clone(),
+            place: String::new(),
+            group: String::new(),
+            state: State::Ready,
+        });
+        instance.process = Some(process);
+        Ok(())
+    }
+
+    /// Returns the path of an instance's settings file.
+    #[must_use]
+    pub fn settings_path(&self, index: usize) -> PathBuf {
+        let name = format!("{}.json", self.instances[index].id);
+        self.directory.path().join(name)
+    }
+
+    /// Waits until every instance that runs is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one is not ready in time; the error holds its output.
+    pub async fn ready(&self) -> Result<()> {
+        for index in 0..self.instances.len() {
+            if self.instances[index].process.is_some() {
+                self.ready_one(index).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until an instance is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is not ready in time; the error holds its output.
+    pub async fn ready_one(&self, index: usize) -> Result<()> {
+        let instance = &self.instances[index];
+        let process = instance.process.as_ref();
+        let process = process.ok_or_else(|| eyre!("{} does not run", instance.id))?;
+        let limit = Instant::now() + Duration::from_millis(READY_TIMEOUT_MS);
+        let client = self.operator(0);
+        while !client.is_ready(process.addresses().operators).await {
+            if Instant::now() >= limit {
+                let output = process.output().join("\n");
+                return Err(eyre!("{} is not ready: {output}", instance.id));
+            }
+            tokio::time::sleep(Duration::from_millis(READY_POLL_MS)).await;
+        }
+        Ok(())
+    }
+
+    /// Returns the callers' address of an instance, if it runs.
+    #[must_use]
+    pub fn callers(&self, index: usize) -> Option<SocketAddr> {
+        Some(self.instances[index].addresses()?.callers)
+    }
+
+    /// Returns the operators' address of an instance, if it runs.
+    #[must_use]
+    pub fn operators(&self, index: usize) -> Option<SocketAddr> {
+        Some(self.instances[index].addresses()?.operators)
+    }
+
+    /// Returns a caller of the account of a number in [`ACCOUNTS`].
+    #[must_use]
+    pub fn caller(&self, account: usize) -> caller::Client {
+        caller::Client::new(key(ACCOUNTS[account]))
+    }
+
+    /// Returns the operator of a number in [`OPERATORS`].
+    #[must_use]
+    pub fn operator(&self, operator: usize) -> operator::Client {
+        operator::Client::new(token(OPERATORS[operator]))
+    }
+
+    /// Kills an instance at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses.
+    pub fn kill(&mut self, index: usize) -> Result<()> {
+        if let Some(mut process) = self.instances[index].process.take() {
+            process.kill()?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns the key of an account.
+#[must_use]
+pub fn key(account: &str) -> String {
+    format!("key-{account}")
+}
+
+/// Returns the token of an operator.
+#[must_use]
+pub fn token(operator: &str) -> String {
+    format!("token-{operator}")
+}
+
+/// Returns the configuration that a deployment starts with.
+fn first_edits(options: &Options) -> Vec<Edit> {
+    let mut edits = services(options.timeout_ms);
+    let fencing = options.engines.first().is_some_and(|engine| engine.fencing);
+    for index in 0..3 {
+        let domain = domain(index);
+        edits.push(set(&format!("place-{domain}"), place(&domain, fencing)));
+    }
+    for account in ACCOUNTS {
+        edits.push(set(account, limit(&key(account), 100_000, 100_000)));
+    }
+    edits.extend(options.edits.iter().cloned());
+    edits
+}
+
+/// Sets the fields of `changes` in `value`, objects within objects.
+fn merge(value: &mut Value, changes: &Value) {
+    match (value, changes) {
+        (Value::Object(fields), Value::Object(changes)) => {
+            for (name, change) in changes {
+                merge(fields.entry(name.clone()).or_insert(Value::Null), change);
+            }
+        }
+        (value, changes) => *value = changes.clone(),
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/cluster/deployment.rs
@@ -0,0 +1,143 @@
+//! The configuration that a test deployment starts with.
+
+use basilramp_wire::config::{
+    Change, Edit, Head, Item, Kind, Limit, Place, Service, Target, Value,
+};
+use sha2::{Digest, Sha256};
+
+use crate::platform::Platform;
+
+/// Names of the services that every test deployment has.
+pub mod name {
+    /// A model: `base@1`.
+    pub const MODEL: &str = "assistant";
+    /// An idempotent look-up, path `/registry/lookup`.
+    pub const LOOKUP: &str = "registry-lookup";
+    /// An unrepeatable registration with a status look-up, path `/registry/register`.
+    pub const REGISTER: &str = "registry-register";
+    /// An idempotent stock check, path `/store/stock`.
+    pub const STOCK: &str = "store-stock";
+    /// An unrepeatable order without a status look-up, path `/store/order`.
+    pub const ORDER: &str = "store-order";
+}
+
+/// The model that [`name::MODEL`] leads to, as engines name it.
+pub const MODEL: &str = "base@1";
+
+/// The path of the registry's status look-up.
+pub const STATUS_PATH: &str = "/registry/status";
+
+/// The path that calls of an unrepeatable registration are posted to.
+pub const REGISTER_PATH: &str = "/registry/register";
+
+/// The path that calls of an unrepeatable order are posted to.
+pub const ORDER_PATH: &str = "/store/order";
+
+/// Returns the SHA-256 digest of a key or token, in hexadecimal.
+#[must_use]
+pub fn sha256_hex(text: &str) -> String {
+    let digest = Sha256::digest(text.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Returns the configuration value of a plain service.
+#[must_use]
+pub fn plain(path: &str, idempotent: bool, status_path: Option<&str>, timeout_ms: u64) -> Value {
+    Value::Service(Service {
+        target: Target::Plain {
+            path: path.to_owned(),
+            idempotent,
+            status_path: status_path.map(str::to_owned),
+        },
+        timeout_ms,
+    })
+}
+
+/// Returns the configuration value of a model service.
+#[must_use]
+pub fn model(model: &str, version: &str, timeout_ms: u64) -> Value {
+    Value::Service(Service {
+        target: Target::Model {
+            model: model.to_owned(),
+            adapter: None,
+            version: version.to_owned(),
+        },
+        timeout_ms,
+    })
+}
+
+/// Returns the configuration value of an account's limits.
+#[must_use]
+pub fn limit(key: &str, requests_per_s: u32, programs: u32) -> Value {
+    Value::Limit(Limit {
+        key_sha256: sha256_hex(key),
+        requests_per_s,
+        programs,
+    })
+}
+
+/// Returns the configuration value of a place.
+#[must_use]
+pub fn place(failure_domain: &str, fencing: bool) -> Value {
+    Value::Place(Place {
+        failure_domain: failure_domain.to_owned(),
+        fencing,
+    })
+}
+
+/// Returns an edit that sets an item.
+#[must_use]
+pub fn set(name: &str, value: Value) -> Edit {
+    Edit {
+        kind: value.kind(),
+        name: name.to_owned(),
+        value: Some(value),
+    }
+}
+
+/// Returns the services that every test deployment has, with one time-out for all.
+#[must_use]
+pub fn services(timeout_ms: u64) -> Vec<Edit> {
+    let register = plain(REGISTER_PATH, false, Some(STATUS_PATH), timeout_ms);
+    vec![
+        set(name::MODEL, model("base", "1", timeout_ms)),
+        set(
+            name::LOOKUP,
+            plain("/registry/lookup", true, None, timeout_ms),
+        ),
+        set(name::REGISTER, register),
+        set(name::STOCK, plain("/store/stock", true, None, timeout_ms)),
+        set(name::ORDER, plain(ORDER_PATH, false, None, timeout_ms)),
+    ]
+}
+
+/// Writes the first configuration, version 1, straight into the table.
+pub(crate) fn write(platform: &Platform, edits: Vec<Edit>) {
+    const FIRST: u64 = 1;
+    for edit in &edits {
+        let item = Item {
+            version: FIRST,
+            value: edit.value.clone(),
+        };
+        let sort = format!("item/{}/{}", kind(edit.kind), edit.name);
+        platform.put("config", &sort, FIRST, &item);
+    }
+    let change = Change {
+        base: 0,
+        operator: "setup".to_owned(),
+        reason: "first configuration".to_owned(),
+        at_ms: 0,
+        edits,
+    };
+    platform.put("config", &format!("log/{FIRST:012}"), FIRST, &change);
+    platform.put("config", "head", FIRST, &Head { version: FIRST });
+}
+
+const fn kind(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Service => "service",
+        Kind::Place => "place",
+        Kind::Plan => "plan",
+        Kind::Limit => "limit",
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine/cache.rs
@@ -0,0 +1,181 @@
+//! The engine's prefix cache, by holder.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use basilramp_wire::engine::{CacheEvent, Holding, Message};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::text;
+use crate::digest;
+
+/// A message as the cache knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Block {
+    digest: u64,
+    tokens: u64,
+}
+
+#[derive(Debug, Default)]
+struct Prefix {
+    blocks: Vec<Block>,
+    used: u64,
+}
+
+impl Prefix {
+    fn tokens(&self) -> u64 {
+        self.blocks.iter().map(|block| block.tokens).sum()
+    }
+}
+
+/// Prefixes in memory that is limited.
+#[derive(Debug)]
+pub(crate) struct Cache {
+    capacity: u64,
+    clock: u64,
+    prefixes: BTreeMap<String, Prefix>,
+    events: Vec<(Instant, CacheEvent)>,
+    sequence: u64,
+    gaps: Option<(f64, ChaCha8Rng)>,
+    pub(crate) lag: Duration,
+    pub(crate) evictions: u64,
+    pub(crate) lost_events: u64,
+}
+
+impl Cache {
+    /// Makes an empty cache that holds up to `capacity` tokens.
+    pub(crate) const fn new(capacity: u64) -> Self {
+        Self {
+            capacity,
+            clock: 0,
+            prefixes: BTreeMap::new(),
+            events: Vec::new(),
+            sequence: 0,
+            gaps: None,
+            lag: Duration::ZERO,
+            evictions: 0,
+            lost_events: 0,
+        }
+    }
+
+    pub(crate) const fn capacity(&self) -> u64 {
+        self.capacity
+    }
+
+    /// Loses events with a probability from a seed.
+    pub(crate) fn set_gaps(&mut self, probability: f64, seed: u64) {
+        let gaps = (probability, ChaCha8Rng::seed_from_u64(seed));
+        self.gaps = (probability > 0.0).then_some(gaps);
+    }
+
+    /// Forgets everything, events as well.
+    pub(crate) fn clear(&mut self) {
+        self.prefixes.clear();
+        self.events.clear();
+        self.sequence = 0;
+    }
+
+    /// Returns the tokens held.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.prefixes.values().map(Prefix::tokens).sum()
+    }
+
+    /// Returns how many tokens of a prompt are held for a holder.
+    pub(crate) fn cached(&self, holder: &str, messages: &[Message]) -> u64 {
+        let Some(prefix) = self.prefixes.get(holder) else {
+            return 0;
+        };
+        prefix
+            .blocks
+            .iter()
+            .zip(blocks(messages))
+            .take_while(|(held, block)| *held == block)
+            .map(|(held, _)| held.tokens)
+            .sum()
+    }
+
+    /// Holds a prompt for a holder, and evicts those least recently used if there is no room.
+    pub(crate) fn hold(&mut self, holder: &str, messages: &[Message]) {
+        self.clock += 1;
+        let prefix = Prefix {
+            blocks: blocks(messages).collect(),
+            used: self.clock,
+        };
+        let tokens = prefix.tokens();
+        if holder.is_empty() || tokens > self.capacity {
+            return;
+        }
+        self.prefixes.insert(holder.to_owned(), prefix);
+        self.notify(holder, tokens);
+        while self.tokens() > self.capacity {
+            self.evict(holder);
+        }
+    }
+
+    /// Evicts the prefix least recently used, but for `except`.
+    fn evict(&mut self, except: &str) {
+        let oldest = self
+            .prefixes
+            .iter()
+            .filter(|(holder, _)| *holder != except)
+            .min_by_key(|(_, prefix)| prefix.used);
+        if let Some(holder) = oldest.map(|(holder, _)| holder.clone()) {
+            self.evictions += 1;
+            self.release(&holder);
+        }
+    }
+
+    /// Lets go of what is held for a holder.
+    pub(crate) fn release(&mut self, holder: &str) {
+        if self.prefixes.remove(holder).is_some() {
+            self.notify(holder, 0);
+        }
+    }
+
+    /// Returns what is held, by holder.
+    pub(crate) fn holdings(&self) -> Vec<Holding> {
+        self.prefixes
+            .iter()
+            .map(|(holder, prefix)| Holding {
+                holder: holder.clone(),
+                tokens: prefix.tokens(),
+            })
+            .collect()
+    }
+
+    /// Returns the events after a sequence number that are old enough to show.
+    pub(crate) fn events_after(&self, after: u64) -> Vec<CacheEvent> {
+        let now = Instant::now();
+        self.events
+            .iter()
+            .filter(|(at, event)| event.sequence > after && *at + self.lag <= now)
+            .map(|(_, event)| event.clone())
+            .collect()
+    }
+
+    fn notify(&mut self, holder: &str, tokens: u64) {
+        self.sequence += 1;
+        let lost = match &mut self.gaps {
+            Some((probability, random)) => random.random_bool(*probability),
+            None => false,
+        };
+        if lost {
+            self.lost_events += 1;
+            return;
+        }
+        let event = CacheEvent {
+            sequence: self.sequence,
+            holder: holder.to_owned(),
+            tokens,
+        };
+        self.events.push((Instant::now(), event));
+    }
+}
+
+fn blocks(messages: &[Message]) -> impl Iterator<Item = Block> {
+    messages.iter().map(|message| Block {
+        digest: digest::of([message.content.as_str()]),
+        tokens: text::tokens(&message.content),
+    })
+}
--- /dev/null
+++ b/crates/fakes/src/engine/state.rs
@@ -0,0 +1,205 @@
+//! The engine's state: batch, queue, cache, orders and records.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use basilramp_wire::engine::{Load, Order};
+use tokio::sync::oneshot;
+
+use super::cache::Cache;
+use super::{Fault, Options};
+use crate::lag::Lagged;
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It waits for the batch.
+    Waiting,
+    /// It is in the batch.
+    Running,
+    /// Its answer was generated whole.
+    Done,
+    /// Its sender went away.
+    Cancelled,
+    /// The engine broke its stream, or crashed.
+    Broken,
+}
+
+/// A request that the engine took.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The request id; empty if there was none.
+    pub request: String,
+    /// The holder; empty if there was none.
+    pub holder: String,
+    /// The `traceparent` header; empty if there was none.
+    pub traceparent: String,
+    /// The model.
+    pub model: String,
+    /// The contents of all messages, the new prompt last.
+    pub contents: Vec<String>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of it that were cached.
+    pub cached_tokens: u64,
+    /// Tokens generated.
+    pub output_tokens: u64,
+    /// Whether it ever was in the batch.
+    pub started: bool,
+    /// How far it came.
+    pub stage: Stage,
+    /// When it was taken.
+    pub at: Instant,
+    /// The engine's epoch then.
+    pub epoch: u64,
+}
+
+/// An order that the engine was given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ordered {
+    /// Its fencing number; zero if there was none.
+    pub fencing: u64,
+    /// What was ordered.
+    pub order: Order,
+    /// Whether it was obeyed.
+    pub taken: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) options: Options,
+    pub(crate) epoch: u64,
+    pub(crate) slow: f64,
+    pub(crate) models: BTreeSet<String>,
+    pub(crate) leaving: bool,
+    pub(crate) fencing: u64,
+    pub(crate) cache: Cache,
+    pub(crate) load: Lagged<Load>,
+    pub(crate) runs: Vec<Run>,
+    pub(crate) orders: Vec<Ordered>,
+    pub(crate) releases: u64,
+    pub(crate) crashes: u64,
+    pub(crate) next: Vec<Fault>,
+    pub(crate) always: Option<Fault>,
+    pub(crate) hits: u64,
+    running: u32,
+    waiting: BTreeMap<(i64, usize), oneshot::Sender<()>>,
+}
+
+impl State {
+    pub(crate) fn new(options: Options) -> Self {
+        let mut state = Self {
+            epoch: 1,
+            slow: 1.0,
+            models: options.models.iter().cloned().collect(),
+            leaving: false,
+            fencing: 0,
+            cache: Cache::new(options.cache_tokens),
+            load: Lagged::new(Load::default()),
+            runs: Vec::new(),
+            orders: Vec::new(),
+            releases: 0,
+            crashes: 0,
+            next: Vec::new(),
+            always: None,
+            hits: 0,
+            running: 0,
+            waiting: BTreeMap::new(),
+            options,
+        };
+        state.load = Lagged::new(state.current_load());
+        state
+    }
+
+    /// Returns a span of the engine's work, in real time.
+    pub(crate) fn span(&self, ms: f64) -> Duration {
+        Duration::from_secs_f64((ms * self.slow / self.options.speed / 1000.0).max(0.0))
+    }
+
+    pub(crate) fn take_fault(&mut self) -> Option<Fault> {
+        let fault = if self.next.is_empty() {
+            self.always
+        } else {
+            Some(self.next.remove(0))
+        };
+        self.hits += u64::from(fault.is_some());
+        fault
+    }
+
+    /// Takes a request; the receiver is told when it is in the batch.
+    pub(crate) fn enter(&mut self, run: Run, priority: i64) -> (usize, oneshot::Receiver<()>) {
+        let (sender, receiver) = oneshot::channel();
+        let index = self.runs.len();
+        self.runs.push(run);
+        self.waiting.insert((priority, index), sender);
+        self.fill();
+        (index, receiver)
+    }
+
+    /// Moves requests from the queue to the batch while there are slots.
+    fn fill(&mut self) {
+        while self.running < self.options.slots {
+            let Some(((_, index), sender)) = self.waiting.pop_first() else {
+                break;
+            };
+            if sender.send(()).is_err() {
+                continue;
+            }
+            self.running += 1;
+            self.runs[index].stage = Stage::Running;
+            self.runs[index].started = true;
+        }
+        self.publish();
+    }
+
+    /// Takes a request out of the batch or the queue.
+    pub(crate) fn leave(&mut self, index: usize, stage: Stage) {
+        let run = &mut self.runs[index];
+        if run.epoch != self.epoch {
+            return;
+        }
+        match run.stage {
+            Stage::Running => self.running -= 1,
+            Stage::Waiting => self.waiting.retain(|(_, waiting), _| *waiting != index),
+            Stage::Done | Stage::Cancelled | Stage::Broken => return,
+        }
+        self.runs[index].stage = stage;
+        self.fill();
+    }
+
+    /// Forgets all that a crash forgets.
+    pub(crate) fn crash(&mut self) {
+        for run in &mut self.runs {
+            if run.stage <= Stage::Running {
+                run.stage = Stage::Broken;
+            }
+        }
+        self.crashes += 1;
+        self.epoch += 1;
+        self.running = 0;
+        self.waiting.clear();
+        self.cache.clear();
+        self.load = Lagged::new(self.current_load());
+        self.load.set_lag(self.options.load_lag_ms);
+    }
+
+    /// Makes the present load visible, after the lag.
+    pub(crate) fn publish(&mut self) {
+        let load = self.current_load();
+        self.load.set(load);
+    }
+
+    fn current_load(&self) -> Load {
+        Load {
+            epoch: self.epoch,
+            running: self.running,
+            waiting: self.waiting.len() as u32,
+            slots: self.options.slots,
+            cached_tokens: self.cache.tokens(),
+            cache_tokens: self.cache.capacity(),
+            models: self.models.iter().cloned().collect(),
+            leaving: self.leaving,
+            fencing: self.fencing,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/http.rs
@@ -0,0 +1,199 @@
+//! A small HTTP server whose listener can be closed and opened again.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// The most connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// A body of an answer, whole or streamed; an error in it breaks the connection.
+pub(crate) type Body = BoxBody<Bytes, io::Error>;
+
+/// Says that the connection is to be closed without an answer.
+#[derive(Debug)]
+pub(crate) struct Closed;
+
+impl std::fmt::Display for Closed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("closed without an answer")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+/// What a handler makes of a request.
+pub(crate) type Answer = Result<Response<Body>, Closed>;
+
+/// Makes an answer with a whole body.
+pub(crate) fn whole(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let body = Full::new(body.into()).map_err(|never: Infallible| match never {});
+    let mut response = Response::new(body.boxed());
+    *response.status_mut() = status;
+    response
+}
+
+/// Makes an answer with a JSON body.
+pub(crate) fn json(status: StatusCode, body: &impl serde::Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = whole(status, text);
+    let kind = http::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// What the accept loop is to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Gate {
+    open: bool,
+    resets: u64,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    address: SocketAddr,
+    gate: Arc<watch::Sender<Gate>>,
+    task: JoinHandle<()>,
+}
+
+/// Opens and closes a server from inside its own handler.
+#[derive(Clone, Debug)]
+pub(crate) struct Switch(Arc<watch::Sender<Gate>>);
+
+impl Switch {
+    /// Makes a switch for a server that is not running yet.
+    pub(crate) fn new() -> Self {
+        let gate = Gate {
+            open: true,
+            resets: 0,
+        };
+        Self(Arc::new(watch::Sender::new(gate)))
+    }
+
+    /// Opens the listener, or closes it with all connections.
+    pub(crate) fn set_open(&self, open: bool) {
+        self.0.send_modify(|gate| gate.open = open);
+    }
+
+    /// Breaks all connections and goes on listening.
+    pub(crate) fn reset(&self) {
+        self.0.send_modify(|gate| gate.resets += 1);
+    }
+}
+
+impl Server {
+    /// Starts a server on a free port of 127.0.0.1.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime, or if no port is free.
+    pub(crate) fn spawn<H, F>(switch: &Switch, handler: H) -> Self
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let socket = reserve((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
+        let address = socket.local_addr().expect("a bound socket");
+        let listener = socket.listen(BACKLOG).expect("a listening socket");
+        let task = tokio::spawn(run(listener, address, switch.0.subscribe(), handler));
+        Self {
+            address,
+            gate: Arc::clone(&switch.0),
+            task,
+        }
+    }
+
+    /// Returns the address that the server listens on.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.gate.send_modify(|gate| gate.open = false);
+    }
+}
+
+/// Binds a socket without listening, so that connections are refused.
+fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Serves while the gate is open; keeps the port while it is closed.
+async fn run<H, F>(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    mut gate: watch::Receiver<Gate>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    loop {
+        accept(&listener, &gate, &handler).await;
+        drop(listener);
+        let socket = reserve(address).expect("the port stays ours");
+        if gate.wait_for(|gate| gate.open).await.is_err() {
+            return;
+        }
+        listener = socket.listen(BACKLOG).expect("a listening socket");
+    }
+}
+
+/// Accepts connections until the gate closes.
+async fn accept<H, F>(listener: &TcpListener, gate: &watch::Receiver<Gate>, handler: &H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let mut closing = gate.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(serve(stream, gate.clone(), handler.clone()));
+                }
+            }
+            _ = closing.wait_for(|gate| !gate.open) => return,
+        }
+    }
+}
+
+/// Serves one connection until its end, or until the gate breaks it.
+async fn serve<H, F>(stream: TcpStream, mut gate: watch::Receiver<Gate>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let before = *gate.borrow();
+    if !before.open || stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(handler);
+    let connection =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = connection => {}
+        _ = gate.wait_for(|gate| *gate != before) => {}
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lag.rs
@@ -0,0 +1,55 @@
+//! Values that become visible some time after they were set.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// A value that readers see with a lag.
+#[derive(Debug)]
+pub(crate) struct Lagged<T> {
+    lag: Duration,
+    /// Values and when each becomes visible, in the order in which they were set.
+    values: VecDeque<(Instant, T)>,
+}
+
+impl<T: Clone + Default> Lagged<T> {
+    /// Starts with a value that is visible at once.
+    pub(crate) fn new(value: T) -> Self {
+        Self {
+            lag: Duration::ZERO,
+            values: VecDeque::from([(Instant::now(), value)]),
+        }
+    }
+
+    /// Sets the lag in milliseconds of later changes.
+    pub(crate) fn set_lag(&mut self, ms: u64) {
+        self.lag = Duration::from_millis(ms);
+    }
+
+    /// Sets the value, which readers see after the lag.
+    pub(crate) fn set(&mut self, value: T) {
+        self.forget();
+        self.values.push_back((Instant::now() + self.lag, value));
+    }
+
+    /// Returns the value set last.
+    pub(crate) fn latest(&self) -> T {
+        self.values
+            .back()
+            .map_or_else(T::default, |(_, value)| value.clone())
+    }
+
+    /// Returns the value as readers see it now.
+    pub(crate) fn seen(&mut self) -> T {
+        self.forget();
+        self.values
+            .front()
+            .map_or_else(T::default, |(_, value)| value.clone())
+    }
+
+    /// Drops the values that a newer visible one has replaced.
+    fn forget(&mut self) {
+        let now = Instant::now();
+        let visible = self.values.iter().rposition(|(due, _)| *due <= now);
+        self.values.drain(..visible.unwrap_or(0));
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/operator.rs
@@ -0,0 +1,139 @@
+//! A client of the operators' interface, for tests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use basilramp_wire::api::Program;
+use basilramp_wire::config::{Change, Edit, Snapshot};
+use basilramp_wire::engine::Order;
+use basilramp_wire::frame::Settlement;
+use basilramp_wire::operator::{Applied, Instances, Log, Ordered, Upstreams};
+use bytes::Bytes;
+use http::Method;
+use serde::de::DeserializeOwned;
+
+pub use crate::request::Failure;
+use crate::request::{exchange, send};
+
+/// An operator, who sends each request on a fresh connection.
+#[derive(Clone, Debug)]
+pub struct Client {
+    token: Arc<str>,
+}
+
+impl Client {
+    /// Makes a client that uses an operator's token.
+    pub fn new(token: impl Into<Arc<str>>) -> Self {
+        Self {
+            token: token.into(),
+        }
+    }
+
+    async fn get<T: DeserializeOwned>(&self, at: SocketAddr, path: &str) -> Result<T, Failure> {
+        exchange(at, Method::GET, path, Some(&*self.token), None::<&()>).await
+    }
+
+    /// Reads the configuration in force at an instance.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn config(&self, at: SocketAddr) -> Result<Snapshot, Failure> {
+        self.get(at, "/v1/config").await
+    }
+
+    /// Changes the configuration, from a version.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn apply(
+        &self,
+        at: SocketAddr,
+        base: u64,
+        edits: Vec<Edit>,
+    ) -> Result<Applied, Failure> {
+        let change = Change {
+            base,
+            operator: String::new(),
+            reason: "test".to_owned(),
+            at_ms: 0,
+            edits,
+        };
+        let token = Some(&*self.token);
+        exchange(at, Method::POST, "/v1/config", token, Some(&change)).await
+    }
+
+    /// Reads the accepted changes after a version.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn log(&self, at: SocketAddr, after: u64) -> Result<Log, Failure> {
+        self.get(at, &format!("/v1/config/log?after={after}")).await
+    }
+
+    /// Reads the instances that an instance knows.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn instances(&self, at: SocketAddr) -> Result<Instances, Failure> {
+        self.get(at, "/v1/instances").await
+    }
+
+    /// Reads the upstreams that an instance knows.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn upstreams(&self, at: SocketAddr) -> Result<Upstreams, Failure> {
+        self.get(at, "/v1/upstreams").await
+    }
+
+    /// Orders an upstream to load or unload a model.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn order(
+        &self,
+        at: SocketAddr,
+        upstream: &str,
+        order: &Order,
+    ) -> Result<Ordered, Failure> {
+        let path = format!("/v1/upstreams/{upstream}/orders");
+        exchange(at, Method::POST, &path, Some(&*self.token), Some(order)).await
+    }
+
+    /// Reads any program.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn program(&self, at: SocketAddr, program: &str) -> Result<Program, Failure> {
+        self.get(at, &format!("/v1/programs/{program}")).await
+    }
+
+    /// Settles a call in doubt.
+    ///
+    /// # Errors
+    ///
+    /// Says how the request failed.
+    pub async fn settle(
+        &self,
+        at: SocketAddr,
+        program: &str,
+        settlement: &Settlement,
+    ) -> Result<Program, Failure> {
+        let path = format!("/v1/programs/{program}/settle");
+        let token = Some(&*self.token);
+        exchange(at, Method::POST, &path, token, Some(settlement)).await
+    }
+
+    /// Tells whether an instance reports itself ready.
+    pub async fn is_ready(&self, at: SocketAddr) -> bool {
+        let answer = send(at, Method::GET, "/readyz", None, Bytes::new()).await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/platform/store.rs
@@ -0,0 +1,207 @@
+//! Rows and objects, with rates and faults.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use basilramp_wire::table::{Attribute, Item};
+use bytes::Bytes;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Writes a second that are allowed unless set otherwise.
+const DEFAULT_WRITES_PER_S: u32 = 500;
+
+/// Reads a second that are allowed unless set otherwise.
+const DEFAULT_READS_PER_S: u32 = 2_000;
+
+/// A row, as checkers read it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Its version.
+    pub version: u64,
+    /// The id of the transaction that wrote it.
+    pub write_id: String,
+    /// Its JSON body.
+    pub body: String,
+}
+
+/// Operations since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Rows read one by one.
+    pub gets: u64,
+    /// Pages of queries.
+    pub queries: u64,
+    /// Rows returned by queries.
+    pub rows: u64,
+    /// Transactions that took effect.
+    pub transactions: u64,
+    /// Parts of those transactions.
+    pub items: u64,
+    /// Transactions whose conditions failed.
+    pub refused: u64,
+    /// Repeated transactions that had taken effect before.
+    pub repeated: u64,
+    /// Objects written or deleted.
+    pub object_writes: u64,
+    /// Objects read.
+    pub object_reads: u64,
+    /// Operations over the rate.
+    pub throttled: u64,
+    /// Answers lost after the write took effect.
+    pub lost_answers: u64,
+    /// Writes whose effect came after their connection was closed.
+    pub delayed: u64,
+}
+
+/// Faults to apply.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    pub(crate) slow_ms: u64,
+    pub(crate) lose_next: u32,
+    pub(crate) delay_next: u32,
+    pub(crate) delay_ms: u64,
+    random: Option<(f64, ChaCha8Rng)>,
+}
+
+impl Faults {
+    /// Loses answers with a probability; zero ends it.
+    pub(crate) fn lose_at_random(&mut self, probability: f64, seed: u64) {
+        let random = (probability, ChaCha8Rng::seed_from_u64(seed));
+        self.random = (probability > 0.0).then_some(random);
+    }
+
+    /// Tells whether the answer of the present write is lost.
+    pub(crate) fn take_loss(&mut self) -> bool {
+        if self.lose_next > 0 {
+            self.lose_next -= 1;
+            return true;
+        }
+        match &mut self.random {
+            Some((probability, random)) => random.random_bool(*probability),
+            None => false,
+        }
+    }
+
+    /// Returns the delay of the present write, if it is to be delayed.
+    pub(crate) fn take_delay(&mut self) -> Option<u64> {
+        if self.delay_next == 0 {
+            return None;
+        }
+        self.delay_next -= 1;
+        Some(self.delay_ms)
+    }
+}
+
+/// A rate that is enforced; up to a second's worth may come at once.
+#[derive(Debug)]
+pub(crate) struct Rate {
+    per_s: f64,
+    left: f64,
+    at: Instant,
+}
+
+impl Rate {
+    fn new(per_s: u32) -> Self {
+        Self {
+            per_s: f64::from(per_s),
+            left: f64::from(per_s),
+            at: Instant::now(),
+        }
+    }
+
+    /// Takes one operation from the rate, or tells that there is none left.
+    pub(crate) fn take(&mut self) -> bool {
+        let now = Instant::now();
+        let gained = now.duration_since(self.at).as_secs_f64() * self.per_s;
+        self.left = (self.left + gained).min(self.per_s);
+        self.at = now;
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+}
+
+/// Everything that the platform keeps.
+#[derive(Debug)]
+pub(crate) struct Store {
+    pub(crate) rows: BTreeMap<(String, String), Item>,
+    pub(crate) objects: BTreeMap<String, Bytes>,
+    pub(crate) tokens: BTreeMap<String, Vec<u8>>,
+    pub(crate) writes: Rate,
+    pub(crate) reads: Rate,
+    pub(crate) faults: Faults,
+    pub(crate) counters: Counters,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            objects: BTreeMap::new(),
+            tokens: BTreeMap::new(),
+            writes: Rate::new(DEFAULT_WRITES_PER_S),
+            reads: Rate::new(DEFAULT_READS_PER_S),
+            faults: Faults::default(),
+            counters: Counters::default(),
+        }
+    }
+}
+
+impl Store {
+    pub(crate) fn set_rates(&mut self, writes_per_s: u32, reads_per_s: u32) {
+        self.writes = Rate::new(writes_per_s);
+        self.reads = Rate::new(reads_per_s);
+    }
+
+    pub(crate) fn row(&self, partition: &str, sort: &str) -> Option<Row> {
+        let key = (partition.to_owned(), sort.to_owned());
+        self.rows.get(&key).map(read_row)
+    }
+
+    pub(crate) fn rows(&self, partition: &str) -> Vec<(String, Row)> {
+        let first = (partition.to_owned(), String::new());
+        self.rows
+            .range(first..)
+            .take_while(|((pk, _), _)| pk == partition)
+            .map(|((_, sk), item)| (sk.clone(), read_row(item)))
+            .collect()
+    }
+
+    pub(crate) fn partitions(&self) -> Vec<String> {
+        let mut keys: Vec<String> = self.rows.keys().map(|(pk, _)| pk.clone()).collect();
+        keys.dedup();
+        keys
+    }
+
+    pub(crate) fn put(&mut self, partition: &str, sort: &str, version: u64, body: String) {
+        let text = |text: &str| Attribute::S(text.to_owned());
+        let item = Item::from([
+            ("pk".to_owned(), text(partition)),
+            ("sk".to_owned(), text(sort)),
+            ("version".to_owned(), Attribute::N(version.to_string())),
+            ("write_id".to_owned(), text("direct")),
+            ("body".to_owned(), Attribute::S(body)),
+        ]);
+        let key = (partition.to_owned(), sort.to_owned());
+        self.rows.insert(key, item);
+    }
+}
+
+/// Returns the text of an attribute, or an empty one.
+pub(crate) fn text(item: &Item, name: &str) -> String {
+    match item.get(name) {
+        Some(Attribute::S(text) | Attribute::N(text)) => text.clone(),
+        None => String::new(),
+    }
+}
+
+fn read_row(item: &Item) -> Row {
+    Row {
+        version: text(item, "version").parse().unwrap_or_default(),
+        write_id: text(item, "write_id"),
+        body: text(item, "body"),
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/request.rs
@@ -0,0 +1,104 @@
+//! Sends one HTTP request on a fresh connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+
+use basilramp_wire::error::Error;
+
+/// Why a request got no answer of its type.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The system refused it.
+    Refused(Error),
+    /// The connection could not be made, so nothing was sent.
+    Unreached,
+    /// The connection broke after something was sent.
+    Broken(Arc<str>),
+    /// The answer could not be read.
+    Malformed(Arc<str>),
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Refused(error) => write!(f, "refused: {error}"),
+            Self::Unreached => f.write_str("not reached"),
+            Self::Broken(why) => write!(f, "broken: {why}"),
+            Self::Malformed(why) => write!(f, "malformed answer: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Sends a request with an optional JSON body and bearer key.
+pub(crate) async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    key: Option<&str>,
+    body: Bytes,
+) -> Result<Response<Incoming>, Failure> {
+    let stream = TcpStream::connect(address).await;
+    let stream = stream.map_err(|_| Failure::Unreached)?;
+    stream.set_nodelay(true).map_err(|_| Failure::Unreached)?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(|_| Failure::Unreached)?;
+    tokio::spawn(connection);
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json");
+    if let Some(key) = key {
+        request = request.header(header::AUTHORIZATION, format!("Bearer {key}"));
+    }
+    let request = request
+        .body(Full::new(body))
+        .map_err(|error| Failure::Malformed(error.to_string().into()))?;
+    let answer = sender.send_request(request).await;
+    answer.map_err(|error| Failure::Broken(error.to_string().into()))
+}
+
+/// Sends a request and reads the JSON answer.
+pub(crate) async fn exchange<T: DeserializeOwned>(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    key: Option<&str>,
+    body: Option<&impl Serialize>,
+) -> Result<T, Failure> {
+    let body = body.map(serde_json::to_vec).transpose();
+    let body = body.map_err(|error| Failure::Malformed(error.to_string().into()))?;
+    let body = Bytes::from(body.unwrap_or_default());
+    let response = send(address, method, path, key, body).await?;
+    read(response).await
+}
+
+/// Reads a whole JSON answer, or the refusal that stands in its place.
+pub(crate) async fn read<T: DeserializeOwned>(response: Response<Incoming>) -> Result<T, Failure> {
+    let status = response.status();
+    let body = response.into_body().collect().await;
+    let body = body
+        .map_err(|error| Failure::Broken(error.to_string().into()))?
+        .to_bytes();
+    let malformed = |error: serde_json::Error| {
+        let text = String::from_utf8_lossy(&body);
+        Failure::Malformed(format!("{status}: {error}: {text}").into())
+    };
+    if status.is_success() {
+        return serde_json::from_slice(&body).map_err(malformed);
+    }
+    Err(Failure::Refused(
+        serde_json::from_slice(&body).map_err(malformed)?,
+    ))
+}
--- /dev/null
+++ b/crates/fakes/tests/platform.rs
@@ -0,0 +1,267 @@
+//! The platform stand-in keeps the rules of the services that it stands for.
+
+mod http;
+
+use std::time::Duration;
+
+use ::http::Method;
+use basilramp_fakes::platform::{self, Entry, Platform, Role, State};
+use basilramp_wire::list::SliceList;
+use basilramp_wire::table::{
+    ABSENT, Attribute, CANCELED, Delete, Fault, GET_ITEM, GetItem, GetItemOutput, INVALID, Item,
+    Put, QUERY, QUERY_PREFIX, Query, QueryOutput, TARGET_HEADER, THROTTLED, TOKEN_MISMATCH,
+    TRANSACT, Transact, TransactItem, VERSION_IS,
+};
+use serde::Serialize;
+
+fn key(pk: &str, sk: &str) -> Item {
+    let text = |text: &str| Attribute::S(text.to_owned());
+    Item::from([("pk".to_owned(), text(pk)), ("sk".to_owned(), text(sk))])
+}
+
+fn row(pk: &str, sk: &str, version: u64) -> Item {
+    let mut item = key(pk, sk);
+    item.insert("version".to_owned(), Attribute::N(version.to_string()));
+    item.insert("body".to_owned(), Attribute::S(format!("{pk} {sk}")));
+    item
+}
+
+fn put(pk: &str, sk: &str, version: u64, condition: Option<&str>) -> TransactItem {
+    let before = Attribute::N(version.saturating_sub(1).to_string());
+    let values = Item::from([(":v".to_owned(), before)]);
+    TransactItem::Put(Put {
+        table_name: "t".to_owned(),
+        item: row(pk, sk, version),
+        condition_expression: condition.map(str::to_owned),
+        expression_attribute_values: condition
+            .filter(|condition| *condition == VERSION_IS)
+            .map(|_| values),
+    })
+}
+
+async fn ask(platform: &Platform, target: &str, body: &impl Serialize) -> Option<(u16, String)> {
+    let body = serde_json::to_vec(body).expect("a body");
+    let headers = [(TARGET_HEADER, target)];
+    http::exchange(platform.table_address(), Method::POST, "/", &headers, body).await
+}
+
+/// Sends a transaction; `None` if no answer came, else the fault's type, or an empty text.
+async fn transact(platform: &Platform, token: &str, items: Vec<TransactItem>) -> Option<String> {
+    let body = Transact {
+        client_request_token: token.to_owned(),
+        transact_items: items,
+    };
+    let (status, body) = ask(platform, TRANSACT, &body).await?;
+    if status == 200 {
+        return Some(String::new());
+    }
+    let fault: Fault = serde_json::from_str(&body).expect("a fault");
+    Some(fault.kind)
+}
+
+#[tokio::test]
+async fn transaction_takes_effect_whole_or_not() {
+    let platform = platform::spawn();
+    let first = vec![
+        put("p", "a", 1, Some(ABSENT)),
+        put("p", "b", 1, Some(ABSENT)),
+    ];
+    assert_eq!(transact(&platform, "t1", first).await.as_deref(), Some(""));
+    let second = vec![
+        put("p", "a", 2, Some(VERSION_IS)),
+        put("p", "b", 9, Some(VERSION_IS)),
+    ];
+    let kind = transact(&platform, "t2", second).await;
+    assert_eq!(kind.as_deref(), Some(CANCELED));
+    assert_eq!(platform.row("p", "a").map(|row| row.version), Some(1));
+    let third = vec![
+        put("p", "a", 2, Some(VERSION_IS)),
+        TransactItem::Delete(Delete {
+            table_name: "t".to_owned(),
+            key: key("p", "b"),
+            condition_expression: None,
+            expression_attribute_values: None,
+        }),
+    ];
+    assert_eq!(transact(&platform, "t3", third).await.as_deref(), Some(""));
+    assert_eq!(platform.row("p", "a").map(|row| row.version), Some(2));
+    assert_eq!(platform.row("p", "b"), None);
+}
+
+#[tokio::test]
+async fn token_makes_a_transaction_idempotent() {
+    let platform = platform::spawn();
+    let items = || vec![put("p", "a", 1, Some(ABSENT))];
+    assert_eq!(transact(&platform, "t", items()).await.as_deref(), Some(""));
+    assert_eq!(transact(&platform, "t", items()).await.as_deref(), Some(""));
+    assert_eq!(platform.counters().transactions, 1);
+    assert_eq!(platform.counters().repeated, 1);
+    let other = vec![put("p", "b", 1, None)];
+    let kind = transact(&platform, "t", other).await;
+    assert_eq!(kind.as_deref(), Some(TOKEN_MISMATCH));
+    assert_eq!(platform.row("p", "b"), None);
+}
+
+#[tokio::test]
+async fn malformed_transactions_are_refused() {
+    let platform = platform::spawn();
+    let many = (0..101)
+        .map(|n| put("p", &format!("{n}"), 1, None))
+        .collect();
+    let twice = vec![put("p", "a", 1, None), put("p", "a", 2, None)];
+    let unknown = vec![put("p", "a", 1, Some("size(pk) > :v"))];
+    for items in [many, twice, unknown, Vec::new()] {
+        let kind = transact(&platform, "t", items).await;
+        assert_eq!(kind.as_deref(), Some(INVALID));
+    }
+    assert_eq!(platform.counters().transactions, 0);
+}
+
+#[tokio::test]
+async fn query_pages_in_both_directions() {
+    let platform = platform::spawn();
+    for n in 0..7 {
+        platform.put("p", &format!("turn/{n}"), 1, &n);
+    }
+    platform.put("p", "head", 1, &0);
+    platform.put("q", "turn/0", 1, &0);
+    for forward in [true, false] {
+        let mut seen = Vec::new();
+        let mut start = None;
+        loop {
+            let text = |text: &str| Attribute::S(text.to_owned());
+            let values = [(":p", "p"), (":s", "turn/")];
+            let query = Query {
+                table_name: "t".to_owned(),
+                key_condition_expression: QUERY_PREFIX.to_owned(),
+                expression_attribute_values: values
+                    .map(|(name, value)| (name.to_owned(), text(value)))
+                    .into(),
+                consistent_read: true,
+                scan_index_forward: forward,
+                limit: 3,
+                exclusive_start_key: start,
+            };
+            let (status, body) = ask(&platform, QUERY, &query).await.expect("an answer");
+            assert_eq!(status, 200);
+            let page: QueryOutput = serde_json::from_str(&body).expect("a page");
+            assert!(page.items.len() <= 3);
+            seen.extend(page.items.iter().map(|item| item["sk"].clone()));
+            start = page.last_evaluated_key;
+            if start.is_none() {
+                break;
+            }
+        }
+        let mut all: Vec<_> = (0..7).map(|n| Attribute::S(format!("turn/{n}"))).collect();
+        if !forward {
+            all.reverse();
+        }
+        assert_eq!(seen, all);
+    }
+}
+
+#[tokio::test]
+async fn lost_answer_leaves_the_effect() {
+    let platform = platform::spawn();
+    platform.lose_answers(1);
+    let items = || vec![put("p", "a", 1, Some(ABSENT))];
+    assert_eq!(transact(&platform, "t", items()).await, None);
+    assert_eq!(platform.row("p", "a").map(|row| row.version), Some(1));
+    assert_eq!(transact(&platform, "t", items()).await.as_deref(), Some(""));
+    assert_eq!(platform.counters().lost_answers, 1);
+}
+
+#[tokio::test]
+async fn delayed_write_takes_effect_later_and_its_condition_counts_then() {
+    let platform = platform::spawn();
+    platform.delay_writes(2, 100);
+    let overtaken = vec![put("p", "a", 1, Some(ABSENT))];
+    assert_eq!(transact(&platform, "t1", overtaken).await, None);
+    let kept = vec![put("p", "b", 1, Some(ABSENT))];
+    assert_eq!(transact(&platform, "t2", kept).await, None);
+    assert_eq!(platform.row("p", "a"), None);
+    let overtaking = vec![put("p", "a", 5, None)];
+    assert_eq!(
+        transact(&platform, "t3", overtaking).await.as_deref(),
+        Some("")
+    );
+    while platform.row("p", "b").is_none() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(platform.row("p", "a").map(|row| row.version), Some(5));
+}
+
+#[tokio::test]
+async fn rates_and_outages_are_enforced() {
+    let platform = platform::spawn();
+    platform.rates(2, 1);
+    let mut sent = 0;
+    while platform.counters().throttled == 0 {
+        let items = vec![put("p", &format!("{sent}"), 1, None)];
+        let kind = transact(&platform, &format!("t{sent}"), items).await;
+        let kind = kind.expect("an answer");
+        assert!(kind.is_empty() || kind == THROTTLED);
+        sent += 1;
+    }
+    platform.down(true);
+    let items = vec![put("p", "x", 1, None)];
+    assert_eq!(transact(&platform, "down", items).await, None);
+    platform.rates(100, 100);
+    platform.down(false);
+    let get = GetItem {
+        table_name: "t".to_owned(),
+        key: key("p", "0"),
+        consistent_read: true,
+    };
+    let answer = loop {
+        if let Some(answer) = ask(&platform, GET_ITEM, &get).await {
+            break answer;
+        }
+    };
+    let output: GetItemOutput = serde_json::from_str(&answer.1).expect("a row");
+    assert!(output.item.is_some());
+    assert_eq!(platform.row("p", "x"), None);
+}
+
+#[tokio::test]
+async fn objects_are_kept() {
+    let platform = platform::spawn();
+    let at = platform.objects_address();
+    let path = "/bucket/segment/1";
+    let put = http::exchange(at, Method::PUT, path, &[], "text").await;
+    assert_eq!(put, Some((200, String::new())));
+    let get = http::exchange(at, Method::GET, path, &[], "").await;
+    assert_eq!(get, Some((200, "text".to_owned())));
+    let delete = http::exchange(at, Method::DELETE, path, &[], "").await;
+    assert_eq!(delete, Some((204, String::new())));
+    let gone = http::exchange(at, Method::GET, path, &[], "").await;
+    assert_eq!(gone.map(|(status, _)| status), Some(404));
+}
+
+#[tokio::test]
+async fn list_shows_changes_after_its_lag() {
+    let platform = platform::spawn();
+    platform.list(Entry {
+        name: "e0".to_owned(),
+        role: Role::Engine,
+        address: platform.table_address(),
+        failure_domain: "a".to_owned(),
+        place: "place-a".to_owned(),
+        group: String::new(),
+        state: State::Ready,
+    });
+    platform.list_lag_ms(3_600_000);
+    platform.set_state("e0", State::Down);
+    let read = async || {
+        let path = "/apis/discovery.k8s.io/v1/endpointslices";
+        let answer = http::exchange(platform.list_address(), Method::GET, path, &[], "").await;
+        let (_, body) = answer.expect("an answer");
+        let list: SliceList = serde_json::from_str(&body).expect("a list");
+        list.items[0].endpoints[0].conditions
+    };
+    assert!(read().await.ready);
+    platform.list_lag_ms(0);
+    platform.set_state("e0", State::Leaving);
+    assert!(!read().await.ready);
+    assert!(read().await.terminating);
+}
--- /dev/null
+++ b/crates/fakes/tests/upstreams.rs
@@ -0,0 +1,277 @@
+//! The engine and service stand-ins do what the real ones do, and record it.
+
+mod http;
+
+use std::time::Duration;
+
+use ::http::Method;
+use basilramp_fakes::engine::{self, Engine, Fault, Options, Stage};
+use basilramp_fakes::service::{self, Effect};
+use basilramp_wire::engine::{
+    Chunk, Completion, FENCING_HEADER, HOLDER_HEADER, IDEMPOTENCY_HEADER, Load, Message, Order,
+    REQUEST_HEADER, StreamOptions,
+};
+
+const MODEL: &str = "base@1";
+
+fn completion(contents: &[&str]) -> Vec<u8> {
+    let message = |content: &&str| Message {
+        role: "user".to_owned(),
+        content: (*content).to_owned(),
+    };
+    let completion = Completion {
+        model: MODEL.to_owned(),
+        messages: contents.iter().map(message).collect(),
+        max_tokens: 64,
+        stream: true,
+        stream_options: StreamOptions {
+            include_usage: true,
+        },
+        priority: 0,
+    };
+    serde_json::to_vec(&completion).expect("a body")
+}
+
+/// Runs a completion; returns the status and the raw events.
+async fn complete(engine: &Engine, holder: &str, contents: &[&str]) -> Option<(u16, String)> {
+    let headers = [(REQUEST_HEADER, "r"), (HOLDER_HEADER, holder)];
+    let path = "/v1/chat/completions";
+    let body = completion(contents);
+    http::exchange(engine.address(), Method::POST, path, &headers, body).await
+}
+
+fn chunks(events: &str) -> Vec<Chunk> {
+    events
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter(|data| *data != "[DONE]")
+        .map(|data| serde_json::from_str(data).expect("a chunk"))
+        .collect()
+}
+
+fn text(chunks: &[Chunk]) -> String {
+    let choices = chunks.iter().flat_map(|chunk| &chunk.choices);
+    choices
+        .filter_map(|choice| choice.delta.content.clone())
+        .collect()
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+#[tokio::test]
+async fn answer_can_be_recomputed_and_the_prefix_is_cached() {
+    let engine = engine::spawn(Options::default());
+    let first = "please look this up";
+    let (status, events) = complete(&engine, "p1", &[first]).await.expect("an answer");
+    assert_eq!(status, 200);
+    let answer = text(&chunks(&events));
+    assert_eq!(answer, engine::answer(1, &[first], 64));
+    assert!(answer.starts_with(&engine::answer_start(1, first, 64)));
+    let second = complete(&engine, "p1", &[first, &answer, "and more"]).await;
+    let (_, events) = second.expect("an answer");
+    let usage = chunks(&events).last().and_then(|chunk| chunk.usage);
+    let usage = usage.expect("the usage");
+    let held = engine::tokens(first) + engine::tokens(&answer);
+    assert_eq!(usage.prompt_tokens_details.cached_tokens, held);
+    assert_eq!(usage.prompt_tokens, held + engine::tokens("and more"));
+    let other = complete(&engine, "p2", &[first]).await;
+    let usage = chunks(&other.expect("an answer").1)
+        .last()
+        .and_then(|chunk| chunk.usage);
+    assert_eq!(
+        usage.map(|usage| usage.prompt_tokens_details.cached_tokens),
+        Some(0)
+    );
+    let delete = "/cache/holders/p1";
+    let released = http::exchange(engine.address(), Method::DELETE, delete, &[], "").await;
+    assert_eq!(released.map(|(status, _)| status), Some(204));
+    let holders: Vec<_> = engine
+        .holdings()
+        .into_iter()
+        .map(|held| held.holder)
+        .collect();
+    assert_eq!(holders, ["p2"]);
+}
+
+#[tokio::test]
+async fn full_cache_evicts_the_oldest_prefix() {
+    let engine = engine::spawn(Options {
+        cache_tokens: 100,
+        ..Options::default()
+    });
+    let long = "x".repeat(160);
+    for holder in ["p1", "p2", "p3"] {
+        complete(&engine, holder, &[&long])
+            .await
+            .expect("an answer");
+    }
+    assert!(engine.evictions() > 0);
+    assert!(engine.holdings().iter().all(|held| held.holder != "p1"));
+    let events = http::exchange(
+        engine.address(),
+        Method::GET,
+        "/cache/events?after=0",
+        &[],
+        "",
+    );
+    let (_, events) = events.await.expect("the events");
+    assert!(events.contains(r#""holder":"p1","tokens":0"#), "{events}");
+}
+
+#[tokio::test]
+async fn batch_has_as_many_slots_as_stated() {
+    let engine = engine::spawn(Options {
+        slots: 2,
+        decode_ms: 60_000.0,
+        speed: 1.0,
+        ..Options::default()
+    });
+    let headers = [(REQUEST_HEADER, "r")];
+    let mut answers = Vec::new();
+    for _ in 0..3 {
+        let path = "/v1/chat/completions";
+        let body = completion(&["x"]);
+        answers.push(http::send(engine.address(), Method::POST, path, &headers, body).await);
+    }
+    let stages: Vec<_> = engine.runs().iter().map(|run| run.stage).collect();
+    assert_eq!(stages, [Stage::Running, Stage::Running, Stage::Waiting]);
+    answers.remove(0);
+    until(|| engine.runs()[0].stage == Stage::Cancelled).await;
+    assert_eq!(engine.runs()[2].stage, Stage::Running);
+    assert!(engine.runs()[0].started);
+    let load = http::exchange(engine.address(), Method::GET, "/load", &[], "").await;
+    let load: Load = serde_json::from_str(&load.expect("the load").1).expect("a load");
+    assert_eq!((load.running, load.waiting, load.slots), (2, 0, 2));
+}
+
+#[tokio::test]
+async fn poison_crashes_the_engine_and_every_stream() {
+    let engine = engine::spawn(Options {
+        decode_ms: 60_000.0,
+        speed: 1.0,
+        restart_ms: 50,
+        ..Options::default()
+    });
+    complete(&engine, "p0", &["gone when crashed POISON"]).await;
+    assert_eq!(engine.crashes(), 1);
+    until_back(&engine).await;
+    let headers = [(REQUEST_HEADER, "r"), (HOLDER_HEADER, "p1")];
+    let path = "/v1/chat/completions";
+    let body = completion(&["innocent"]);
+    let innocent = http::send(engine.address(), Method::POST, path, &headers, body).await;
+    let innocent = innocent.expect("a stream");
+    until(|| !engine.holdings().is_empty()).await;
+    assert!(complete(&engine, "p2", &["POISON"]).await.is_none());
+    assert!(
+        http_body_util::BodyExt::collect(innocent.into_body())
+            .await
+            .is_err()
+    );
+    assert_eq!(engine.crashes(), 2);
+    assert!(engine.holdings().is_empty());
+    assert!(engine.runs().iter().all(|run| run.stage == Stage::Broken));
+    assert_eq!(until_back(&engine).await.epoch, 3);
+}
+
+async fn until_back(engine: &Engine) -> Load {
+    loop {
+        let load = http::exchange(engine.address(), Method::GET, "/load", &[], "").await;
+        if let Some((200, load)) = load {
+            return serde_json::from_str(&load).expect("a load");
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn faults_strike_one_stream() {
+    let engine = engine::spawn(Options::default());
+    engine.fault_next(Fault::Break);
+    engine.fault_next(Fault::Repeat);
+    assert!(complete(&engine, "p", &["x"]).await.is_none());
+    let (_, events) = complete(&engine, "p", &["x"]).await.expect("an answer");
+    let ids: Vec<_> = events
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
+    let mut once = ids.clone();
+    once.dedup();
+    assert_eq!(ids.len(), 2 * once.len());
+    assert_eq!(engine.hits(), 2);
+    assert_eq!(engine.crashes(), 0);
+}
+
+#[tokio::test]
+async fn old_fencing_number_is_refused_where_it_is_checked() {
+    for fencing in [true, false] {
+        let engine = engine::spawn(Options {
+            fencing,
+            load_ms: 0,
+            ..Options::default()
+        });
+        let order = |model: &str| {
+            let model = model.to_owned();
+            serde_json::to_vec(&Order::Load { model }).expect("an order")
+        };
+        let send = async |number: &str, model: &str| {
+            let headers = [(FENCING_HEADER, number)];
+            let body = order(model);
+            let answer =
+                http::exchange(engine.address(), Method::POST, "/orders", &headers, body).await;
+            answer.expect("an answer").0
+        };
+        assert_eq!(send("7", "new@2").await, 200);
+        let late = send("6", "old@1").await;
+        assert_eq!(late, if fencing { 409 } else { 200 });
+        let has_old = engine.models().contains(&"old@1".to_owned());
+        assert_eq!(has_old, !fencing);
+    }
+}
+
+#[tokio::test]
+async fn service_records_what_took_effect() {
+    let service = service::spawn(service::Options {
+        honours_keys: true,
+        status_path: Some("/status".to_owned()),
+        takes_ms: 0,
+    });
+    let post = async |key: &str, body: &str| {
+        let headers = [(IDEMPOTENCY_HEADER, key), (REQUEST_HEADER, "r")];
+        let body = body.to_owned();
+        http::exchange(service.address(), Method::POST, "/do", &headers, body).await
+    };
+    service.fault_next(service::Fault::CloseBefore);
+    service.fault_next(service::Fault::CloseAfter);
+    assert_eq!(post("k1", "one").await, None);
+    assert_eq!(post("k2", "two").await, None);
+    let answer = Some((200, service::answer("/do", "three")));
+    assert_eq!(post("k3", "three").await, answer);
+    assert_eq!(post("k3", "three").await, answer);
+    let bodies: Vec<Effect> = service.effects();
+    let bodies: Vec<_> = bodies.iter().map(|effect| effect.body.as_str()).collect();
+    assert_eq!(bodies, ["two", "three"]);
+    assert_eq!(service.received(), 4);
+    let status = async |key: &str| {
+        let path = format!("/status/{key}");
+        http::exchange(service.address(), Method::GET, &path, &[], "").await
+    };
+    assert_eq!(status("k1").await.map(|(status, _)| status), Some(404));
+    assert_eq!(
+        status("k2").await,
+        Some((200, service::answer("/do", "two")))
+    );
+}
+
+#[tokio::test]
+async fn delayed_call_takes_effect_though_its_caller_has_gone() {
+    let service = service::spawn(service::Options::default());
+    service.fault_next(service::Fault::Delay(50));
+    let call = http::exchange(service.address(), Method::POST, "/do", &[], "late");
+    let waited = tokio::time::timeout(Duration::from_millis(10), call).await;
+    assert!(waited.is_err());
+    until(|| !service.effects().is_empty()).await;
+}
