Add numbered log events, metrics and traces

Cause: the parts need one way to log, measure and trace before they are wired. Ruled out: slog's own macros (their record wants a constant level, and the level is the event's); the exporter's span processor on an async runtime (experimental feature), in favour of the batch thread with the export polled in the runtime's context. Change: log::open with event!, a closed list of events (log_event) and its catalogue docs/EVENTS.md; metric::open with typed instruments and render; trace::open with spans by hop and W3C traceparent. The exporter and the instruments have not been run.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,9 @@
 mod grant;
 mod home;
 mod log;
+mod log_event;
 mod membership;
+mod metric;
 mod node;
 mod peer;
 mod program;
@@ -22,5 +24,6 @@
 mod stop;
 mod trace;
 
+pub use log_event::Event;
 pub use node::run_daemon;
 pub use settings::Settings;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -195,27 +195,56 @@
 }
 
 /// How events are logged.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct Log {
-    /// The least severe level that is logged: `error`, `warn`, `info` or `debug`.
-    pub(crate) level: String,
+    /// The least severe level that is logged.
+    pub(crate) level: Level,
 }
 
-impl Default for Log {
-    fn default() -> Self {
-        Self {
-            level: "info".to_owned(),
+/// How severe an event is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Level {
+    /// Something is wrong that the system can't mend.
+    Error,
+    /// Something is wrong that the system copes with.
+    Warn,
+    /// What an operator wants to know.
+    #[default]
+    Info,
+    /// What a developer wants to know.
+    Debug,
+}
+
+impl From<Level> for slog::Level {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Error => Self::Error,
+            Level::Warn => Self::Warning,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
         }
     }
 }
 
 /// Where spans go.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct Traces {
     /// The OTLP collector's HTTP address; no spans are exported without it.
     pub(crate) otlp: Option<SocketAddr>,
+    /// Share of the traces that begin here which are exported, from 0 to 1.
+    pub(crate) sample_ratio: f64,
+}
+
+impl Default for Traces {
+    fn default() -> Self {
+        Self {
+            otlp: None,
+            sample_ratio: 1.0,
+        }
+    }
 }
 
 impl Settings {
--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -1,1 +1,222 @@
-//! Spans, one for each hop.
+//! Spans, one for each hop, under the W3C trace context.
+
+use std::net::SocketAddr;
+
+use basilramp_wire::error;
+use eyre::{Result, WrapErr};
+use opentelemetry::propagation::{Extractor, Injector, TextMapPropagator};
+use opentelemetry::trace::{SpanKind, Status, TraceContextExt, Tracer, TracerProvider};
+use opentelemetry::{Context, KeyValue, Value};
+use opentelemetry_otlp::{SpanExporter, WithExportConfig};
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::{Sampler, SdkTracer, SdkTracerProvider, SpanData};
+use tokio::runtime;
+use tokio_util::context::TokioContext;
+
+use crate::log::{self, Event, event};
+use crate::settings;
+
+/// The header that carries the trace context over HTTP.
+pub(crate) const HEADER: &str = "traceparent";
+
+/// A hop on a request's way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Hop {
+    /// The instance that took the request from its caller.
+    Front,
+    /// The way from there to the owner.
+    Forward,
+    /// The owner.
+    Owner,
+    /// The wait for a slot.
+    Grant,
+    /// The call of the upstream.
+    Upstream,
+    /// The commit of a turn.
+    Commit,
+}
+
+impl Hop {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Front => "front",
+            Self::Forward => "forward",
+            Self::Owner => "owner",
+            Self::Grant => "grant",
+            Self::Upstream => "upstream",
+            Self::Commit => "commit",
+        }
+    }
+
+    const fn kind(self) -> SpanKind {
+        match self {
+            Self::Front | Self::Owner => SpanKind::Server,
+            Self::Forward | Self::Grant | Self::Upstream => SpanKind::Client,
+            Self::Commit => SpanKind::Internal,
+        }
+    }
+}
+
+/// Starts spans.
+#[derive(Clone, Debug)]
+pub(crate) struct Handle {
+    provider: SdkTracerProvider,
+    tracer: SdkTracer,
+}
+
+/// Opens the process's traces.
+///
+/// Has to be called within the runtime, which then carries the export.
+///
+/// # Errors
+///
+/// Fails if the exporter can't be built.
+pub(crate) fn open(traces: &settings::Traces, instance: &str, log: &log::Handle) -> Result<Handle> {
+    let resource = Resource::builder()
+        .with_service_name("basilrampd")
+        .with_attribute(KeyValue::new("service.instance.id", instance.to_owned()))
+        .build();
+    let mut builder = SdkTracerProvider::builder().with_resource(resource);
+    builder = match traces.otlp {
+        None => builder.with_sampler(Sampler::ParentBased(Box::new(Sampler::AlwaysOff))),
+        Some(address) => {
+            let sampler = Sampler::TraceIdRatioBased(traces.sample_ratio);
+            builder
+                .with_sampler(Sampler::ParentBased(Box::new(sampler)))
+                .with_batch_exporter(Exporter::open(address, log.clone())?)
+        }
+    };
+    let provider = builder.build();
+    let tracer = provider.tracer("basilramp");
+    Ok(Handle { provider, tracer })
+}
+
+impl Handle {
+    /// Starts a span under the caller's or sender's trace context, or in a trace of its own.
+    pub(crate) fn start(&self, hop: Hop, traceparent: Option<&str>) -> Span {
+        self.start_under(hop, &context(traceparent))
+    }
+
+    fn start_under(&self, hop: Hop, parent: &Context) -> Span {
+        let span = self
+            .tracer
+            .span_builder(hop.name())
+            .with_kind(hop.kind())
+            .start_with_context(&self.tracer, parent);
+        Span {
+            handle: self.clone(),
+            context: Context::new().with_span(span),
+        }
+    }
+
+    /// Exports what is left, and ends. Blocks, for at most some seconds.
+    pub(crate) fn close(&self) -> OTelSdkResult {
+        self.provider.shutdown()
+    }
+}
+
+/// A span under way; it ends when dropped.
+#[derive(Clone, Debug)]
+pub(crate) struct Span {
+    handle: Handle,
+    context: Context,
+}
+
+impl Span {
+    /// Starts a span under this one.
+    pub(crate) fn child(&self, hop: Hop) -> Self {
+        self.handle.start_under(hop, &self.context)
+    }
+
+    /// Returns the trace context to pass on, as the value of a `traceparent` header.
+    pub(crate) fn traceparent(&self) -> String {
+        let mut carrier = Carrier::default();
+        TraceContextPropagator::new().inject_context(&self.context, &mut carrier);
+        carrier.traceparent.unwrap_or_default()
+    }
+
+    /// Adds an attribute.
+    pub(crate) fn set(&self, key: &'static str, value: impl Into<Value>) {
+        self.context.span().set_attribute(KeyValue::new(key, value));
+    }
+
+    /// Marks the span as failed.
+    pub(crate) fn fail(&self, error: &error::Error) {
+        self.set("error.type", error.kind.code());
+        let status = Status::error(error.message.clone());
+        self.context.span().set_status(status);
+    }
+}
+
+/// Reads a trace context; a missing or malformed one gives a context without a span.
+fn context(traceparent: Option<&str>) -> Context {
+    let carrier = Carrier {
+        traceparent: traceparent.map(str::to_owned),
+    };
+    TraceContextPropagator::new().extract_with_context(&Context::new(), &carrier)
+}
+
+/// The one header that carries the trace context.
+#[derive(Debug, Default)]
+struct Carrier {
+    traceparent: Option<String>,
+}
+
+impl Injector for Carrier {
+    fn set(&mut self, key: &str, value: String) {
+        if key == HEADER {
+            self.traceparent = Some(value);
+        }
+    }
+}
+
+impl Extractor for Carrier {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.traceparent.as_deref().filter(|_| key == HEADER)
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        vec![HEADER]
+    }
+}
+
+/// Exports spans on the process's runtime, from the exporter's own thread.
+#[derive(Debug)]
+struct Exporter {
+    otlp: SpanExporter,
+    runtime: runtime::Handle,
+    log: log::Handle,
+}
+
+impl Exporter {
+    fn open(address: SocketAddr, log: log::Handle) -> Result<Self> {
+        let otlp = SpanExporter::builder()
+            .with_http()
+            .with_endpoint(format!("http://{address}/v1/traces"))
+            .build()
+            .wrap_err("can't open the trace exporter")?;
+        Ok(Self {
+            otlp,
+            runtime: runtime::Handle::current(),
+            log,
+        })
+    }
+}
+
+impl opentelemetry_sdk::trace::SpanExporter for Exporter {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        let spans = batch.len();
+        let export = self.otlp.export(batch);
+        let outcome = TokioContext::new(export, self.runtime.clone()).await;
+        if let Err(error) = &outcome {
+            event!(self.log, Event::TraceExportFailed, "spans" => spans, "error" => %error);
+        }
+        outcome
+    }
+
+    fn set_resource(&mut self, resource: &Resource) {
+        self.otlp.set_resource(resource);
+    }
+}
