--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -1,17 +1,20 @@
 //! Spans, one for each hop, under the W3C trace context.
+//!
+//! A task works within one span; a request's span is kept up with [`scope`], [`span`] and
+//! [`inherit`], and ends once the last future within it does.
 
 use std::net::SocketAddr;
 
 use basilramp_wire::error;
 use eyre::{Result, WrapErr};
 use opentelemetry::propagation::{Extractor, Injector, TextMapPropagator};
-use opentelemetry::trace::{SpanKind, Status, TraceContextExt, Tracer, TracerProvider};
-use opentelemetry::{Context, KeyValue, Value};
+use opentelemetry::trace::{SpanKind, Status, TraceContextExt, Tracer};
+use opentelemetry::{Context, KeyValue, Value, global};
 use opentelemetry_otlp::{SpanExporter, WithExportConfig};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::propagation::TraceContextPropagator;
-use opentelemetry_sdk::trace::{Sampler, SdkTracer, SdkTracerProvider, SpanData};
+use opentelemetry_sdk::trace::{Sampler, SdkTracerProvider, SpanData};
 use tokio::runtime;
 use tokio_util::context::TokioContext;
 
@@ -59,14 +62,17 @@
     }
 }
 
-/// Starts spans.
+tokio::task_local! {
+    static CURRENT: Context;
+}
+
+/// The process's traces.
 #[derive(Clone, Debug)]
 pub(crate) struct Handle {
     provider: SdkTracerProvider,
-    tracer: SdkTracer,
 }
 
-/// Opens the process's traces.
+/// Opens the process's traces, to which all spans go from now on.
 ///
 /// Has to be called within the runtime, which then carries the export.
 ///
@@ -89,65 +95,67 @@
         }
     };
     let provider = builder.build();
-    let tracer = provider.tracer("basilramp");
-    Ok(Handle { provider, tracer })
+    global::set_tracer_provider(provider.clone());
+    Ok(Handle { provider })
 }
 
 impl Handle {
-    /// Starts a span under the caller's or sender's trace context, or in a trace of its own.
-    pub(crate) fn start(&self, hop: Hop, traceparent: Option<&str>) -> Span {
-        self.start_under(hop, &context(traceparent))
-    }
-
-    fn start_under(&self, hop: Hop, parent: &Context) -> Span {
-        let span = self
-            .tracer
-            .span_builder(hop.name())
-            .with_kind(hop.kind())
-            .start_with_context(&self.tracer, parent);
-        Span {
-            handle: self.clone(),
-            context: Context::new().with_span(span),
-        }
-    }
-
     /// Exports what is left, and ends. Blocks, for at most some seconds.
     pub(crate) fn close(&self) -> OTelSdkResult {
         self.provider.shutdown()
     }
 }
 
-/// A span under way; it ends when dropped.
-#[derive(Clone, Debug)]
-pub(crate) struct Span {
-    handle: Handle,
-    context: Context,
+/// Runs a future within a span under the trace context that came with its request, if any.
+pub(crate) fn scope<F: Future>(
+    hop: Hop,
+    traceparent: Option<&str>,
+    future: F,
+) -> impl Future<Output = F::Output> {
+    CURRENT.scope(start(hop, &context(traceparent)), future)
 }
 
-impl Span {
-    /// Starts a span under this one.
-    pub(crate) fn child(&self, hop: Hop) -> Self {
-        self.handle.start_under(hop, &self.context)
-    }
+/// Runs a future within a span under the one that this task works in.
+pub(crate) fn span<F: Future>(hop: Hop, future: F) -> impl Future<Output = F::Output> {
+    CURRENT.scope(start(hop, &current_context()), future)
+}
 
-    /// Returns the trace context to pass on, as the value of a `traceparent` header.
-    pub(crate) fn traceparent(&self) -> String {
-        let mut carrier = Carrier::default();
-        TraceContextPropagator::new().inject_context(&self.context, &mut carrier);
-        carrier.traceparent.unwrap_or_default()
-    }
+/// Lets a future that is to be spawned stay within the span that this task works in.
+pub(crate) fn inherit<F: Future>(future: F) -> impl Future<Output = F::Output> {
+    CURRENT.scope(current_context(), future)
+}
 
-    /// Adds an attribute.
-    pub(crate) fn set(&self, key: &'static str, value: impl Into<Value>) {
-        self.context.span().set_attribute(KeyValue::new(key, value));
-    }
+/// Returns the trace context to pass on, as the value of a `traceparent` header.
+pub(crate) fn current() -> Option<String> {
+    let mut carrier = Carrier::default();
+    TraceContextPropagator::new().inject_context(&current_context(), &mut carrier);
+    carrier.traceparent
+}
 
-    /// Marks the span as failed.
-    pub(crate) fn fail(&self, error: &error::Error) {
-        self.set("error.type", error.kind.code());
-        let status = Status::error(error.message.clone());
-        self.context.span().set_status(status);
-    }
+/// Adds an attribute to the span that this task works in.
+pub(crate) fn set(key: &'static str, value: impl Into<Value>) {
+    let attribute = KeyValue::new(key, value);
+    current_context().span().set_attribute(attribute);
+}
+
+/// Marks the span that this task works in as failed.
+pub(crate) fn fail(error: &error::Error) {
+    set("error.type", error.kind.code());
+    let status = Status::error(error.message.clone());
+    current_context().span().set_status(status);
+}
+
+fn start(hop: Hop, parent: &Context) -> Context {
+    let tracer = global::tracer("basilramp");
+    let span = tracer
+        .span_builder(hop.name())
+        .with_kind(hop.kind())
+        .start_with_context(&tracer, parent);
+    Context::new().with_span(span)
+}
+
+fn current_context() -> Context {
+    CURRENT.try_with(Context::clone).unwrap_or_default()
 }
 
 /// Reads a trace context; a missing or malformed one gives a context without a span.
