Check settings whole, with every fault at once

Cause: serde stops at the first fault and gives no path. Ruled out: serde with one fault a run; a second pass over a loose value, which has no positions. jsonc-parser's syntax tree has them.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -1,26 +1,40 @@
 //! Turns the command line into the daemon's settings and runs it.
 
+use std::fs;
 use std::path::PathBuf;
 
 use basilramp_daemon::{Settings, run_daemon};
 use clap::ArgMatches;
-use eyre::{Result, WrapErr, eyre};
+use eyre::{Report, WrapErr, eyre};
+
+/// Why the daemon ended without success.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// The settings are faulty or can't be read.
+    Settings(Report),
+    /// The instance could not start or run on.
+    Run(Report),
+}
 
 /// Runs what the command line asks for.
 ///
 /// # Errors
 ///
 /// Fails if the settings are faulty or the daemon can't start.
-pub(crate) fn run(matches: ArgMatches) -> Result<()> {
-    let path = matches
-        .get_one::<PathBuf>("settings")
-        .ok_or_else(|| eyre!("no settings file given"))?;
-    let text =
-        std::fs::read_to_string(path).wrap_err_with(|| format!("can't read {}", path.display()))?;
-    let settings = Settings::parse(&text).wrap_err("settings refused")?;
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    let settings = read(matches).map_err(Failure::Settings)?;
     if matches.get_flag("check") {
         println!("settings are in order");
         return Ok(());
     }
-    run_daemon(settings)
+    run_daemon(settings).map_err(Failure::Run)
+}
+
+fn read(matches: &ArgMatches) -> Result<Settings, Report> {
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .ok_or_else(|| eyre!("no settings file given"))?;
+    let text =
+        fs::read_to_string(path).wrap_err_with(|| format!("can't read {}", path.display()))?;
+    Settings::parse(&text).wrap_err_with(|| path.display().to_string())
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -35,4 +35,4 @@
 
 pub use log_event::Event;
 pub use node::run_daemon;
-pub use settings::Settings;
+pub use settings::{Fault, Faults, Settings};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,12 +5,20 @@
 
 use std::process::ExitCode;
 
+use app::Failure;
+
+/// Exit code of an instance that could not start or run on.
+const EXIT_RUN: u8 = 1;
+
+/// Exit code for settings that are faulty or can't be read.
+const EXIT_SETTINGS: u8 = 3;
+
 fn main() -> ExitCode {
-    match app::run(clap_app::build().get_matches()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("basilrampd: {report:#}");
-            ExitCode::FAILURE
-        }
-    }
+    let (code, report) = match app::run(&clap_app::build().get_matches()) {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Failure::Run(report)) => (EXIT_RUN, report),
+        Err(Failure::Settings(report)) => (EXIT_SETTINGS, report),
+    };
+    eprintln!("basilrampd: {report:#}");
+    ExitCode::from(code)
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,38 +1,33 @@
 //! The settings file: JSON with comments.
 
+mod fault;
+mod file;
+mod reader;
+mod value;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use eyre::{Result, eyre};
-use serde::Deserialize;
+pub use fault::{Fault, Faults};
 
 /// Everything that an instance is told at its start.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub struct Settings {
     pub(crate) instance: Instance,
     pub(crate) listen: Listen,
     pub(crate) platform: Platform,
     pub(crate) peers: Peers,
-    #[serde(default)]
     pub(crate) operators: Vec<Operator>,
-    #[serde(default)]
     pub(crate) timing: Timing,
-    #[serde(default)]
     pub(crate) store: Store,
-    #[serde(default)]
     pub(crate) limits: Limits,
-    #[serde(default)]
     pub(crate) policy: Policy,
-    #[serde(default)]
     pub(crate) log: Log,
-    #[serde(default)]
     pub(crate) traces: Traces,
 }
 
 /// Who this instance is.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct Instance {
     /// Unique over all instances.
     pub(crate) id: String,
@@ -41,8 +36,7 @@
 }
 
 /// Where it listens. Port 0 takes a free one, which the log names.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct Listen {
     /// HTTP for callers.
     pub(crate) callers: SocketAddr,
@@ -53,36 +47,29 @@
 }
 
 /// Where the platform's services are.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct Platform {
     /// The table service.
     pub(crate) table: SocketAddr,
     /// The table's name.
-    #[serde(default = "Platform::default_table_name")]
     pub(crate) table_name: String,
     /// The object store.
     pub(crate) objects: SocketAddr,
     /// The bucket's name.
-    #[serde(default = "Platform::default_bucket")]
     pub(crate) bucket: String,
     /// The list of endpoints.
     pub(crate) list: SocketAddr,
 }
 
 impl Platform {
-    fn default_table_name() -> String {
-        "basilramp".to_owned()
-    }
-
-    fn default_bucket() -> String {
+    /// The table's name and the bucket's, unless the settings say otherwise.
+    fn default_name() -> String {
         "basilramp".to_owned()
     }
 }
 
 /// Keys for mutual TLS between instances, as PEM files.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct Peers {
     /// This instance's certificate chain.
     pub(crate) certificate: PathBuf,
@@ -93,8 +80,7 @@
 }
 
 /// An operator.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub(crate) struct Operator {
     /// The name in audit records.
     pub(crate) name: String,
@@ -103,8 +89,7 @@
 }
 
 /// Times in milliseconds.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Timing {
     /// A lease without renewal lapses after this.
     pub(crate) lease_ms: u64,
@@ -140,8 +125,7 @@
 }
 
 /// The share of the platform's table service.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Store {
     /// Writes a second that all instances together may send.
     pub(crate) writes_per_s: u32,
@@ -159,8 +143,7 @@
 }
 
 /// Bounds on what an instance takes.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Limits {
     /// The longest request body in bytes.
     pub(crate) body_bytes: usize,
@@ -181,8 +164,7 @@
 }
 
 /// What the deployment weighs.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Policy {
     /// What a millisecond of evicted prefill counts against a millisecond of waiting.
     pub(crate) cache_weight: f64,
@@ -195,16 +177,14 @@
 }
 
 /// How events are logged.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Log {
     /// The least severe level that is logged.
     pub(crate) level: Level,
 }
 
 /// How severe an event is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Level {
     /// Something is wrong that the system can't mend.
     Error,
@@ -229,8 +209,7 @@
 }
 
 /// Where spans go.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Traces {
     /// The OTLP collector's HTTP address; no spans are exported without it.
     pub(crate) otlp: Option<SocketAddr>,
@@ -252,9 +231,8 @@
     ///
     /// # Errors
     ///
-    /// Names every fault with its path.
-    pub fn parse(text: &str) -> Result<Self> {
-        let value = jsonc_parser::parse_to_serde_value::<Self>(text, &Default::default());
-        value.map_err(|fault| eyre!("{fault}"))
+    /// Names every fault with its line, column and path.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        file::read(text)
     }
 }
--- /dev/null
+++ b/crates/daemon/src/settings/reader.rs
@@ -0,0 +1,184 @@
+//! Reads values out of a parsed settings file, and collects every fault on the way.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+
+use jsonc_parser::ast::{Object, Value};
+use jsonc_parser::common::Ranged;
+
+use super::fault::{Fault, Faults};
+
+/// The text of a file, and the faults found in it so far.
+#[derive(Debug)]
+pub(super) struct Source<'a> {
+    text: &'a str,
+    faults: RefCell<Vec<Fault>>,
+}
+
+impl<'a> Source<'a> {
+    /// Makes a source without faults.
+    pub(super) const fn new(text: &'a str) -> Self {
+        Self {
+            text,
+            faults: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Notes a fault at a byte of the text.
+    pub(super) fn fault(&self, at: usize, path: impl Into<String>, message: impl Into<String>) {
+        let before = &self.text[..at];
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        self.faults.borrow_mut().push(Fault {
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+            path: path.into(),
+            message: message.into(),
+        });
+    }
+
+    /// Returns every fault, by place.
+    pub(super) fn into_faults(self) -> Faults {
+        let mut faults = self.faults.into_inner();
+        faults.sort_by_key(|fault| (fault.line, fault.column));
+        Faults(faults)
+    }
+}
+
+/// An object in the file; reading a field marks it as known.
+#[derive(Debug)]
+pub(super) struct Section<'a> {
+    source: &'a Source<'a>,
+    /// Nothing when the section is absent or no object.
+    object: Option<&'a Object<'a>>,
+    /// Where the section, or the one around it, begins.
+    at: usize,
+    path: String,
+    known: BTreeSet<&'static str>,
+}
+
+impl<'a> Section<'a> {
+    /// Makes a section of a value that has to be an object.
+    pub(super) fn new(source: &'a Source<'a>, value: &'a Value<'a>, path: String) -> Self {
+        let object = value.as_object();
+        if object.is_none() {
+            source.fault(value.start(), path.as_str(), "has to be an object");
+        }
+        Self {
+            source,
+            object,
+            at: value.start(),
+            path,
+            known: BTreeSet::new(),
+        }
+    }
+
+    /// Reads a section that has to be there.
+    pub(super) fn section(&mut self, name: &'static str) -> Self {
+        self.require(name);
+        self.section_or_default(name)
+    }
+
+    /// Reads a section that may be left out.
+    pub(super) fn section_or_default(&mut self, name: &'static str) -> Self {
+        let path = self.path_of(name);
+        match self.value(name) {
+            Some(value) => Section::new(self.source, value, path),
+            None => Self {
+                source: self.source,
+                object: None,
+                at: self.at,
+                path,
+                known: BTreeSet::new(),
+            },
+        }
+    }
+
+    /// Reads a list of sections that may be left out.
+    pub(super) fn sections(&mut self, name: &'static str) -> Vec<Self> {
+        let path = self.path_of(name);
+        let Some(value) = self.value(name) else {
+            return Vec::new();
+        };
+        let Some(list) = value.as_array() else {
+            self.source.fault(value.start(), path, "has to be a list");
+            return Vec::new();
+        };
+        let entries = list.elements.iter().enumerate();
+        entries
+            .map(|(index, entry)| Section::new(self.source, entry, format!("{path}[{index}]")))
+            .collect()
+    }
+
+    /// Reads a value that has to be there. Returns nothing after a fault.
+    pub(super) fn required<T>(&mut self, name: &'static str, read: Read<T>) -> Option<T> {
+        self.require(name);
+        self.optional(name, read)
+    }
+
+    /// Reads a value that may be left out, or returns the default, also after a fault.
+    pub(super) fn or_default<T>(&mut self, name: &'static str, read: Read<T>, default: T) -> T {
+        self.optional(name, read).unwrap_or(default)
+    }
+
+    /// Reads a value that may be left out. Returns nothing then, or after a fault.
+    pub(super) fn optional<T>(&mut self, name: &'static str, read: Read<T>) -> Option<T> {
+        let value = self.value(name)?;
+        match read(value) {
+            Ok(read) => Some(read),
+            Err(message) => {
+                self.source
+                    .fault(value.start(), self.path_of(name), message);
+                None
+            }
+        }
+    }
+
+    /// Notes a fault of a field's value.
+    pub(super) fn fault(&mut self, name: &'static str, message: impl Into<String>) {
+        let at = self.value(name).map_or(self.at, Ranged::start);
+        self.source.fault(at, self.path_of(name), message);
+    }
+
+    /// Notes a fault for each field that is not known, or given twice.
+    pub(super) fn finish(self) {
+        let Some(object) = self.object else {
+            return;
+        };
+        let mut seen = BTreeSet::new();
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let message = if !self.known.contains(name) {
+                "is not a known setting"
+            } else if !seen.insert(name) {
+                "is given twice"
+            } else {
+                continue;
+            };
+            self.source
+                .fault(property.range.start, self.path_of(name), message);
+        }
+    }
+
+    fn value(&mut self, name: &'static str) -> Option<&'a Value<'a>> {
+        self.known.insert(name);
+        self.object?.get(name).map(|property| &property.value)
+    }
+
+    /// Notes a fault if a field is missing from an object that is there.
+    fn require(&mut self, name: &'static str) {
+        if self.object.is_some() && self.value(name).is_none() {
+            self.source.fault(self.at, self.path_of(name), "is missing");
+        }
+    }
+
+    fn path_of(&self, name: &str) -> String {
+        if self.path.is_empty() {
+            name.to_owned()
+        } else {
+            format!("{}.{name}", self.path)
+        }
+    }
+}
+
+/// Reads one value, or says what it has to be.
+pub(super) type Read<T> = fn(&Value<'_>) -> Result<T, String>;
--- /dev/null
+++ b/crates/daemon/src/settings/value.rs
@@ -0,0 +1,125 @@
+//! Single values of the settings file. Each function says what the value has to be.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use jsonc_parser::ast::Value;
+
+use super::Level;
+
+/// The longest name, in bytes.
+const MAX_NAME_LEN: usize = 64;
+
+/// The longest time that a setting may say: a day, in milliseconds.
+const MAX_SPAN_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Reads a name: letters, digits, `-`, `_` and `.`.
+pub(super) fn name(value: &Value<'_>) -> Result<String, String> {
+    let fault = || {
+        format!("has to be a name of 1 to {MAX_NAME_LEN} letters, digits, \"-\", \"_\" and \".\"")
+    };
+    let text = string(value).ok_or_else(fault)?;
+    let is_named = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if text.is_empty() || text.len() > MAX_NAME_LEN || !text.chars().all(is_named) {
+        return Err(fault());
+    }
+    Ok(text.to_owned())
+}
+
+/// Reads an address of an IP number and a port.
+pub(super) fn address(value: &Value<'_>) -> Result<SocketAddr, String> {
+    parse(value).ok_or_else(|| "has to be an IP number and a port, as in \"10.0.0.7:8080\"".into())
+}
+
+/// Reads an address that something listens at, so its port is not zero.
+pub(super) fn remote_address(value: &Value<'_>) -> Result<SocketAddr, String> {
+    let address = address(value)?;
+    if address.port() == 0 || address.ip().is_unspecified() {
+        return Err("has to be an address that can be connected to".into());
+    }
+    Ok(address)
+}
+
+/// Reads the path of a file.
+pub(super) fn file(value: &Value<'_>) -> Result<PathBuf, String> {
+    match string(value) {
+        Some(text) if !text.is_empty() => Ok(PathBuf::from(text)),
+        _ => Err("has to be the path of a file".into()),
+    }
+}
+
+/// Reads a SHA-256 digest in hexadecimal, and makes its letters small.
+pub(super) fn digest(value: &Value<'_>) -> Result<String, String> {
+    match string(value) {
+        Some(text) if text.len() == 64 && text.chars().all(|c| c.is_ascii_hexdigit()) => {
+            Ok(text.to_ascii_lowercase())
+        }
+        _ => Err("has to be a SHA-256 digest of 64 hexadecimal digits".into()),
+    }
+}
+
+/// Reads a time in milliseconds, of at least one.
+pub(super) fn span_ms(value: &Value<'_>) -> Result<u64, String> {
+    match number(value) {
+        Some(ms) if (1..=MAX_SPAN_MS).contains(&ms) => Ok(ms),
+        _ => Err(format!(
+            "has to be whole milliseconds from 1 to {MAX_SPAN_MS}"
+        )),
+    }
+}
+
+/// Reads a rate a second, of at least one.
+pub(super) fn rate(value: &Value<'_>) -> Result<u32, String> {
+    match number(value) {
+        Some(rate) if rate > 0 => Ok(rate),
+        _ => Err("has to be a whole number a second, of at least 1".into()),
+    }
+}
+
+/// Reads a count, of at least one.
+pub(super) fn count(value: &Value<'_>) -> Result<usize, String> {
+    match number(value) {
+        Some(count) if count > 0 => Ok(count),
+        _ => Err("has to be a whole number of at least 1".into()),
+    }
+}
+
+/// Reads a weight, of at least zero.
+pub(super) fn weight(value: &Value<'_>) -> Result<f64, String> {
+    match number::<f64>(value) {
+        Some(weight) if weight.is_finite() && weight >= 0.0 => Ok(weight),
+        _ => Err("has to be a number of at least 0".into()),
+    }
+}
+
+/// Reads a share from 0 to 1.
+pub(super) fn share(value: &Value<'_>) -> Result<f64, String> {
+    match number(value) {
+        Some(share) if (0.0..=1.0).contains(&share) => Ok(share),
+        _ => Err("has to be a number from 0 to 1".into()),
+    }
+}
+
+/// Reads a log level.
+pub(super) fn level(value: &Value<'_>) -> Result<Level, String> {
+    match string(value) {
+        Some("error") => Ok(Level::Error),
+        Some("warn") => Ok(Level::Warn),
+        Some("info") => Ok(Level::Info),
+        Some("debug") => Ok(Level::Debug),
+        _ => Err("has to be \"error\", \"warn\", \"info\" or \"debug\"".into()),
+    }
+}
+
+fn string<'a>(value: &'a Value<'_>) -> Option<&'a str> {
+    value.as_string_lit().map(|text| text.value.as_ref())
+}
+
+fn parse<T: FromStr>(value: &Value<'_>) -> Option<T> {
+    string(value)?.parse().ok()
+}
+
+fn number<T: FromStr>(value: &Value<'_>) -> Option<T> {
+    value.as_number_lit()?.value.parse().ok()
+}
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,223 @@
+//! Settings: what is read, and what is refused.
+
+use basilramp_daemon::Settings;
+
+const EXAMPLE: &str = include_str!("../../../examples/settings.jsonc");
+
+const MINIMAL: &str = r#"{
+  "instance": {"id": "a", "failure_domain": "z1"},
+  "listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+  "platform": {"table": "127.0.0.1:1", "objects": "127.0.0.1:2", "list": "127.0.0.1:3"},
+  "peers": {"certificate": "a.pem", "key": "a.key", "authority": "ca.pem"}
+}"#;
+
+fn faults(text: &str) -> Vec<String> {
+    match Settings::parse(text) {
+        Ok(_) => Vec::new(),
+        Err(faults) => faults.0.iter().map(ToString::to_string).collect(),
+    }
+}
+
+/// Returns the faults of the minimal settings after one replacement.
+fn faults_with(old: &str, new: &str) -> Vec<String> {
+    assert!(MINIMAL.contains(old), "{old}");
+    faults(&MINIMAL.replace(old, new))
+}
+
+/// Returns the faults of the minimal settings with one more section.
+fn faults_with_section(section: &str) -> Vec<String> {
+    let end = MINIMAL.rfind('}').unwrap();
+    faults(&format!("{},\n{section}}}", MINIMAL[..end].trim_end()))
+}
+
+#[test]
+fn example_loads() {
+    assert_eq!(faults(EXAMPLE), [""; 0]);
+}
+
+/// The example claims to show the defaults, so it has to read as the minimal settings do.
+#[test]
+fn example_shows_the_defaults() {
+    let defaults = format!("{:#?}", Settings::parse(MINIMAL).unwrap());
+    let example = format!("{:#?}", Settings::parse(EXAMPLE).unwrap());
+    let from_timing = |text: &str| {
+        let start = text.find("timing").unwrap();
+        let end = text.find("traces").unwrap();
+        text[start..end].to_owned()
+    };
+    assert_eq!(from_timing(&example), from_timing(&defaults));
+    for line in [
+        "table_name: \"basilramp\"",
+        "bucket: \"basilramp\"",
+        "sample_ratio: 1.0",
+    ] {
+        assert!(defaults.contains(line) && example.contains(line), "{line}");
+    }
+}
+
+#[test]
+fn minimal_settings_load() {
+    assert_eq!(faults(MINIMAL), [""; 0]);
+}
+
+#[test]
+fn comments_and_trailing_commas_are_taken() {
+    let text = MINIMAL.replace("\"z1\"},", "\"z1\", /* here */}, // there");
+    assert_eq!(faults(&text), [""; 0]);
+}
+
+#[test]
+fn every_fault_is_reported_at_once_with_its_place() {
+    let text = r#"{
+  "instance": {"id": "", "colour": "red"},
+  "listen": {"callers": "localhost:80", "operators": "127.0.0.1:0", "peers": "0.0.0.0:9"},
+  "platform": {"table": "127.0.0.1:0", "objects": 7, "list": "127.0.0.1:3"},
+  "operators": [
+    {"name": "amina", "token_sha256": "abc"},
+    {"name": "amina", "token_sha256": "00"}
+  ],
+  "timing": {"lease_ms": 2000, "stop_ms": 0},
+  "limits": [],
+  "log": {"level": "loud"}
+}"#;
+    let message = Settings::parse(text).unwrap_err().to_string();
+    insta::assert_snapshot!(message);
+}
+
+#[test]
+fn unknown_fields_are_refused_at_every_level() {
+    assert_eq!(
+        faults_with_section(r#""colour": 1"#),
+        ["6:1: colour: is not a known setting"]
+    );
+    assert_eq!(
+        faults_with_section(r#""store": {"colour": 1}"#),
+        ["6:11: store.colour: is not a known setting"]
+    );
+}
+
+#[test]
+fn fields_given_twice_are_refused() {
+    assert_eq!(
+        faults_with(r#""id": "a""#, r#""id": "a", "id": "b""#),
+        ["2:27: instance.id: is given twice"]
+    );
+}
+
+#[test]
+fn broken_json_is_refused_with_its_place() {
+    assert_eq!(
+        faults_with("\"z1\"}", "\"z1\"]"),
+        ["2:49: Unexpected token in object"]
+    );
+    assert_eq!(faults(""), ["1:1: the file is empty"]);
+    assert_eq!(faults("[]"), ["1:1: has to be an object"]);
+}
+
+#[test]
+fn missing_sections_and_fields_are_named() {
+    assert_eq!(
+        faults("{}"),
+        [
+            "1:1: instance: is missing",
+            "1:1: listen: is missing",
+            "1:1: platform: is missing",
+            "1:1: peers: is missing"
+        ]
+    );
+    assert_eq!(
+        faults_with(r#""id": "a", "#, ""),
+        ["2:15: instance.id: is missing"]
+    );
+}
+
+#[test]
+fn addresses_have_to_be_ip_numbers() {
+    for address in [
+        "localhost:80",
+        "127.0.0.1",
+        "example.org:80",
+        ":80",
+        "127.0.0.1:99999",
+    ] {
+        let found = faults_with(
+            "\"callers\": \"127.0.0.1:0\"",
+            &format!("\"callers\": \"{address}\""),
+        );
+        assert_eq!(found.len(), 1, "{address}");
+        assert!(found[0].contains("listen.callers: has to be an IP number and a port"));
+    }
+}
+
+#[test]
+fn an_ipv6_address_is_taken() {
+    assert_eq!(
+        faults_with("\"peers\": \"127.0.0.1:0\"", "\"peers\": \"[::1]:0\""),
+        [""; 0]
+    );
+}
+
+#[test]
+fn listeners_of_callers_and_operators_have_to_differ() {
+    let found = faults_with(
+        r#""callers": "127.0.0.1:0", "operators": "127.0.0.1:0""#,
+        r#""callers": "127.0.0.1:80", "operators": "127.0.0.1:80""#,
+    );
+    assert_eq!(
+        found,
+        ["3:54: listen.operators: is the same address as callers"]
+    );
+}
+
+#[test]
+fn spans_have_to_be_whole_positive_milliseconds() {
+    for value in ["0", "-1", "1.5", "\"5\"", "86400001", "null"] {
+        let found = faults_with_section(&format!(r#""timing": {{"stop_ms": {value}}}"#));
+        assert_eq!(
+            found,
+            ["6:23: timing.stop_ms: has to be whole milliseconds from 1 to 86400000"],
+            "{value}"
+        );
+    }
+}
+
+#[test]
+fn a_lease_has_to_be_longer_than_two_heartbeats() {
+    let section = r#""timing": {"lease_ms": 4000, "heartbeat_ms": 2000}"#;
+    assert_eq!(
+        faults_with_section(section),
+        ["6:24: timing.lease_ms: has to be more than twice heartbeat_ms"]
+    );
+    let section = r#""timing": {"lease_ms": 4001, "heartbeat_ms": 2000}"#;
+    assert_eq!(faults_with_section(section), [""; 0]);
+}
+
+#[test]
+fn a_digest_has_64_hexadecimal_digits() {
+    for digest in ["a".repeat(63), "g".repeat(64), String::new()] {
+        let section = format!(r#""operators": [{{"name": "a", "token_sha256": "{digest}"}}]"#);
+        let found = faults_with_section(&section);
+        assert_eq!(found.len(), 1, "{digest}");
+        assert!(found[0].contains("operators[0].token_sha256: has to be a SHA-256 digest"));
+    }
+}
+
+#[test]
+fn a_name_holds_no_separator() {
+    for name in ["", "a/b", "a b", "ü", &"a".repeat(65)] {
+        let found = faults_with(r#""id": "a""#, &format!(r#""id": "{name}""#));
+        assert_eq!(found.len(), 1, "{name}");
+        assert!(found[0].contains("instance.id: has to be a name"));
+    }
+}
+
+#[test]
+fn a_share_lies_between_0_and_1() {
+    for value in ["-0.1", "1.1", "\"1\""] {
+        let section = format!(r#""traces": {{"sample_ratio": {value}}}"#);
+        assert_eq!(
+            faults_with_section(&section),
+            ["6:28: traces.sample_ratio: has to be a number from 0 to 1"]
+        );
+    }
+}
