--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -18,7 +18,8 @@
 
 use crate::auth::Keys;
 use crate::route::{Router, parse};
-use crate::{answer, body, front, stop, trace};
+use crate::trace::{self, Hop};
+use crate::{answer, body, front, stop};
 
 /// When a caller should try again while the instance has too much to do.
 const OVERLOAD_RETRY_MS: u64 = 1_000;
@@ -62,7 +63,7 @@
 async fn create(mut state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
     let context = traceparent(&state);
-    let result = trace::scope(context, run_create(&api, &mut state)).await;
+    let result = trace::scope(Hop::Front, context.as_deref(), run_create(&api, &mut state)).await;
     let response = match result {
         Ok(program) => answer::json(StatusCode::CREATED, &program),
         Err(error) => answer::error(&error),
@@ -106,14 +107,14 @@
         let body = ask(account.to_string(), program.to_string());
         api.ask(program, body).await
     };
-    let result = trace::scope(context, work).await;
+    let result = trace::scope(Hop::Front, context.as_deref(), work).await;
     Ok((state, answer::result(result)))
 }
 
 async fn call(mut state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
     let context = traceparent(&state);
-    let result = trace::scope(context, run_call(&api, &mut state)).await;
+    let result = trace::scope(Hop::Front, context.as_deref(), run_call(&api, &mut state)).await;
     let response = result.unwrap_or_else(|error| answer::error(&error));
     Ok((state, response))
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,7 +17,9 @@
 mod grant;
 mod home;
 mod log;
+mod log_event;
 pub mod membership;
+mod metric;
 mod node;
 mod operator_api;
 mod peer;
@@ -31,5 +33,6 @@
 mod stop;
 mod trace;
 
+pub use log_event::Event;
 pub use node::run_daemon;
-pub use settings::Settings;
+pub use settings::{Fault, Faults, Settings};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,18 +5,18 @@
 
 use eyre::{Result, WrapErr};
 use quinn::{Endpoint, VarInt};
-use slog::{Logger, info};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 use crate::auth::Keys;
 use crate::front::Listener;
+use crate::log::{Event, event};
 use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    caller_api, config, home, log, membership, operator_api, peer, peer_server, peer_tls, program,
-    stop,
+    caller_api, config, home, log, membership, metric, operator_api, peer, peer_server, peer_tls,
+    program, stop, trace,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -35,7 +35,7 @@
         .enable_all()
         .build()
         .wrap_err("can't start the worker pool")?;
-    let log = log::open(&settings.instance.id);
+    let log = log::open(&settings.instance.id, settings.log.level.into());
     runtime.block_on(async {
         let node = Node::<Bound>::bind(settings, log).await?;
         let node = node.join().await?;
@@ -46,8 +46,10 @@
 /// An instance at one stage of its life.
 struct Node<S> {
     settings: Settings,
-    log: Logger,
+    log: log::Handle,
     stop: stop::Signal,
+    metrics: metric::Handle,
+    traces: trace::Handle,
     tasks: TaskTracker,
     stage: S,
 }
@@ -68,13 +70,15 @@
 }
 
 impl Node<Bound> {
-    async fn bind(settings: Settings, log: Logger) -> Result<Self> {
+    async fn bind(settings: Settings, log: log::Handle) -> Result<Self> {
+        let metrics = metric::open()?;
+        let traces = trace::open(&settings.traces, &settings.instance.id, &log)?;
         let callers = Listener::bind(settings.listen.callers).await?;
         let operators = Listener::bind(settings.listen.operators).await?;
         let keys = peer_tls::open(&settings.peers)?;
         let endpoint = peer_server::bind(keys.server.clone(), settings.listen.peers)?;
         let peers = peer::Client::open(endpoint.clone(), keys.client.clone());
-        info!(log, "listening";
+        event!(log, Event::Listening,
             "callers" => callers.address().to_string(),
             "operators" => operators.address().to_string(),
             "peers" => endpoint.local_addr()?.to_string());
@@ -88,6 +92,8 @@
         let node = Self {
             settings,
             log,
+            metrics,
+            traces,
             stop: stop::Signal::open(),
             tasks: TaskTracker::new(),
             stage,
@@ -132,6 +138,7 @@
         let api = operator_api::Api {
             router,
             config,
+            metrics: self.metrics.clone(),
             membership: membership.clone(),
             operators: self.settings.operators.clone(),
             body_bytes: self.settings.limits.body_bytes,
@@ -142,6 +149,8 @@
         Ok(Node {
             settings: self.settings,
             log: self.log,
+            metrics: self.metrics,
+            traces: self.traces,
             stop: self.stop,
             tasks: self.tasks,
             stage: Joined {
@@ -155,7 +164,7 @@
 impl Node<Joined> {
     async fn run_until_stopped(self) -> Result<()> {
         stop::asked().await.wrap_err("can't wait for signals")?;
-        info!(self.log, "stopping");
+        event!(self.log, Event::Stopping);
         self.stop.drain();
         tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
         self.stop.close_listeners();
@@ -163,11 +172,18 @@
         let limit = Duration::from_millis(self.settings.timing.stop_ms);
         let finished = timeout(limit, self.tasks.wait()).await;
         if finished.is_err() {
-            info!(self.log, "stop overdue");
+            event!(self.log, Event::StopBoundReached);
         }
         self.stage.endpoint.close(STOPPED, b"stopped");
         self.stage.endpoint.wait_idle().await;
-        info!(self.log, "stopped"; "instance" => self.stage.membership.own().to_string());
+        self.close_traces().await;
+        event!(self.log, Event::Stopped);
         Ok(())
     }
+
+    /// Exports the last spans; a failure has been logged by then.
+    async fn close_traces(&self) {
+        let traces = self.traces.clone();
+        let _ = tokio::task::spawn_blocking(move || traces.close()).await;
+    }
 }
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -17,13 +17,14 @@
 
 use crate::route::{Router, parse};
 use crate::settings::Operator;
-use crate::{answer, auth, body, config, front, membership, stop};
+use crate::{answer, auth, body, config, front, membership, metric, stop};
 
 /// What the operators' paths work with.
 #[derive(Debug)]
 pub(crate) struct Api {
     pub(crate) router: Router,
     pub(crate) config: config::Handle,
+    pub(crate) metrics: metric::Handle,
     pub(crate) membership: membership::Handle,
     pub(crate) operators: Vec<Operator>,
     pub(crate) body_bytes: usize,
@@ -49,6 +50,7 @@
         front::refuse_unknown(route);
         route.get("/healthz").to_async(healthy);
         route.get("/readyz").to_async(ready);
+        route.get("/metrics").to_async(show_metrics);
         route.get("/v1/config").to_async(show_config);
         route.post("/v1/config").to_async(apply_config);
         route
@@ -84,6 +86,15 @@
     Ok((state, response))
 }
 
+async fn show_metrics(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let response = match api.metrics.render() {
+        Ok(text) => answer::text(StatusCode::OK, text),
+        Err(fault) => answer::error(&Error::new(Kind::Internal, fault.to_string())),
+    };
+    Ok((state, response))
+}
+
 async fn show_config(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
     let result = api
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::membership::{self, Peer};
+use crate::trace::{self, Hop};
 use crate::{config, home, peer, program};
 
 /// The longest that a request waits for its partition to have a reachable owner.
@@ -131,9 +132,9 @@
     async fn try_ask(&self, partition: id::Partition, body: Body) -> Result<Reply, Error> {
         let owner = self.owner(partition)?;
         if owner.id == self.membership.own() {
-            return self.local.answer(body).await;
+            return trace::span(Hop::Owner, self.local.answer(body)).await;
         }
-        self.peers.ask(&owner, body).await
+        trace::span(Hop::Forward, self.peers.ask(&owner, body)).await
     }
 
     /// Has a call run by its program's owner and returns its events as they come.
@@ -147,7 +148,7 @@
     ) -> mpsc::Receiver<Event> {
         let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
         let router = self.clone();
-        tokio::spawn(crate::trace::inherit(async move {
+        tokio::spawn(trace::inherit(async move {
             router.run_call(account, program, call, sender).await;
         }));
         receiver
@@ -213,7 +214,7 @@
             let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
             let local = self.local.clone();
             let (account, call) = (account.clone(), call.clone());
-            tokio::spawn(crate::trace::inherit(async move {
+            tokio::spawn(trace::span(Hop::Owner, async move {
                 local.call(account, program, call, sender).await;
             }));
             return Ok(receiver);
@@ -223,7 +224,7 @@
             program: program.to_string(),
             call: call.clone(),
         };
-        let replies = self.peers.stream(&owner, body).await?;
+        let replies = trace::span(Hop::Forward, self.peers.stream(&owner, body)).await?;
         Ok(events_of(replies))
     }
 
