Add the upstream view, homes and slot grants

Cause: calls need a slot at an upstream; first whole path, decisions in core. Change: core view of the list, queue by attained service, home with tickets; daemon polls list and loads, homes answer grants, owners ask them. Frames gain Digests, so that owners learn models and waits from the other homes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,4 +4,7 @@
 //! return what has to be done; queries only read.
 
 pub mod clock;
+pub mod home;
 pub mod id;
+pub mod queue;
+pub mod upstream;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod commit;
 mod config;
+mod control;
 mod engine;
 mod front;
 mod grant;
@@ -21,6 +22,7 @@
 mod settings;
 mod stop;
 mod trace;
+mod upstream;
 
 pub use node::run_daemon;
 pub use settings::Settings;
--- /dev/null
+++ b/crates/daemon/src/upstream.rs
@@ -0,0 +1,106 @@
+//! The upstreams that the platform's list names.
+
+use std::future::Future;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use basilramp_core::id;
+use basilramp_core::upstream::{Listing, Role, View};
+use basilramp_wire::list::{Endpoint, GROUP_LABEL, PLACE_LABEL, ROLE_LABEL, Slice, SliceList};
+use slog::{Logger, warn};
+use tokio::time::{MissedTickBehavior, interval};
+
+/// Answers questions about upstreams.
+#[derive(Clone, Debug)]
+pub(crate) struct Handle {
+    view: Arc<Mutex<View>>,
+}
+
+/// Starts to poll the list every `poll_ms` milliseconds by `fetch`, which returns nothing if the
+/// list is out of reach; the last list then stays in force.
+pub(crate) fn spawn<F>(
+    fetch: impl Fn() -> F + Send + Sync + 'static,
+    poll_ms: u64,
+    log: Logger,
+) -> Handle
+where
+    F: Future<Output = Option<SliceList>> + Send + 'static,
+{
+    let handle = Handle {
+        view: Arc::default(),
+    };
+    tokio::spawn(poll(handle.clone(), fetch, poll_ms, log));
+    handle
+}
+
+async fn poll<F>(handle: Handle, fetch: impl Fn() -> F, poll_ms: u64, log: Logger)
+where
+    F: Future<Output = Option<SliceList>>,
+{
+    let mut ticks = interval(Duration::from_millis(poll_ms));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match fetch().await {
+            Some(list) => handle.apply(&list),
+            None => warn!(log, "list of upstreams out of reach"),
+        }
+    }
+}
+
+impl Handle {
+    /// Runs a query on the view; `query` must not block.
+    pub(crate) fn read<T>(&self, query: impl FnOnce(&View) -> T) -> T {
+        let view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
+        query(&view)
+    }
+
+    /// Returns what the list says of an upstream.
+    pub(crate) fn get(&self, upstream: &id::Upstream) -> Option<Listing> {
+        self.read(|view| view.get(upstream).cloned())
+    }
+
+    /// Notes whether an upstream, or its home, says that it is leaving.
+    pub(crate) fn report(&self, upstream: &id::Upstream, leaving: bool) {
+        let mut view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
+        view.report(upstream, leaving);
+    }
+
+    fn apply(&self, list: &SliceList) {
+        let listings = list.items.iter().flat_map(listings);
+        let mut view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
+        view.apply(listings);
+    }
+}
+
+/// Returns the upstreams of a slice; none if its endpoints are something else.
+fn listings(slice: &Slice) -> Vec<Listing> {
+    let labels = &slice.metadata.labels;
+    let role = match labels.get(ROLE_LABEL).map(String::as_str) {
+        Some("engine") => Role::Engine,
+        Some("service") => Role::Service,
+        _ => return Vec::new(),
+    };
+    let Some(port) = slice.ports.first() else {
+        return Vec::new();
+    };
+    let label = |name| labels.get(name).map_or("", String::as_str);
+    let convert = |endpoint: &Endpoint| {
+        let ip: IpAddr = endpoint.addresses.first()?.parse().ok()?;
+        let address = SocketAddr::new(ip, port.port);
+        let id = endpoint.hostname.clone();
+        let state = endpoint.conditions;
+        let listing = Listing {
+            id: id::Upstream::new(id.unwrap_or_else(|| address.to_string())),
+            role,
+            address,
+            place: label(PLACE_LABEL).into(),
+            group: label(GROUP_LABEL).into(),
+            failure_domain: endpoint.zone.as_deref().unwrap_or("").into(),
+            ready: state.ready && !state.terminating,
+        };
+        Some(listing)
+    };
+    slice.endpoints.iter().filter_map(convert).collect()
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -65,6 +65,8 @@
     Grant(Grant),
     /// Give a slot back.
     Return(Return),
+    /// Ask what the receiver knows of the upstreams homed there.
+    Digests,
     /// A configuration version is in force; fetch what is missing.
     Config(config::Head),
     /// The sender stops owning these partitions.
@@ -126,6 +128,27 @@
     pub failed: bool,
 }
 
+/// What the home of an upstream knows of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The upstream.
+    pub upstream: String,
+    /// What is loaded, as in [`crate::engine::Load::models`].
+    pub models: Vec<String>,
+    /// The most calls at once.
+    pub slots: u32,
+    /// Slots that are free.
+    pub free: u32,
+    /// Milliseconds until a new request would be served.
+    pub wait_ms: u64,
+    /// Tokens held in the cache.
+    pub cached_tokens: u64,
+    /// Tokens that the cache can hold.
+    pub cache_tokens: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
 /// An answer from an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
@@ -140,6 +163,8 @@
         /// Milliseconds after which an unreturned grant is void.
         valid_ms: u64,
     },
+    /// The upstreams homed at the sender.
+    Digests(Vec<Digest>),
     /// Taken note of.
     Done,
     /// Refused.
