--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -37,7 +37,9 @@
 impl Client {
     /// Opens a client.
     pub(crate) fn open() -> Self {
-        let pool = Pool::builder(TokioExecutor::new()).build_http();
+        let pool = Pool::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build_http();
         Self { pool }
     }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use basilramp_platform::list;
 use eyre::{Result, WrapErr};
 use quinn::{Endpoint, VarInt};
 use slog::{Logger, info};
@@ -15,8 +16,8 @@
 use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    caller_api, config, home, log, membership, operator_api, peer, peer_server, peer_tls, program,
-    stop,
+    caller_api, clock, config, home, log, membership, operator_api, peer, peer_server, peer_tls,
+    program, stop, upstream,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -105,9 +106,19 @@
         } = self.stage;
         let config = config::Handle;
         let membership = membership::Handle;
+        let poll_ms = self.settings.timing.upstream_poll_ms;
+        let list = list::Client::open(self.settings.platform.list);
+        let upstreams = upstream::spawn(list, poll_ms, self.log.clone());
+        let homes = home::spawn(
+            upstreams,
+            membership.clone(),
+            poll_ms,
+            clock::Source::open(),
+            self.log.clone(),
+        );
         let local = Local {
             programs: program::Handle,
-            homes: home::Handle,
+            homes,
             config: config.clone(),
         };
         let router = Router {
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -82,6 +82,7 @@
                     .map(Reply::Program)
             }
             Body::Grant(grant) => self.homes.grant(grant).await,
+            Body::Digests => Ok(Reply::Digests(self.homes.digests())),
             Body::Return(back) => {
                 self.homes.take_back(back);
                 Ok(Reply::Done)
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,12 +1,12 @@
 //! The upstreams that the platform's list names.
 
-use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use basilramp_core::id;
 use basilramp_core::upstream::{Listing, Role, View};
+use basilramp_platform::list::Client;
 use basilramp_wire::list::{Endpoint, GROUP_LABEL, PLACE_LABEL, ROLE_LABEL, Slice, SliceList};
 use slog::{Logger, warn};
 use tokio::time::{MissedTickBehavior, interval};
@@ -17,34 +17,25 @@
     view: Arc<Mutex<View>>,
 }
 
-/// Starts to poll the list every `poll_ms` milliseconds by `fetch`, which returns nothing if the
-/// list is out of reach; the last list then stays in force.
-pub(crate) fn spawn<F>(
-    fetch: impl Fn() -> F + Send + Sync + 'static,
-    poll_ms: u64,
-    log: Logger,
-) -> Handle
-where
-    F: Future<Output = Option<SliceList>> + Send + 'static,
-{
+/// Starts to poll the list every `poll_ms` milliseconds.
+///
+/// While the list is out of reach, the last one stays in force.
+pub(crate) fn spawn(list: Client, poll_ms: u64, log: Logger) -> Handle {
     let handle = Handle {
         view: Arc::default(),
     };
-    tokio::spawn(poll(handle.clone(), fetch, poll_ms, log));
+    tokio::spawn(poll(handle.clone(), list, poll_ms, log));
     handle
 }
 
-async fn poll<F>(handle: Handle, fetch: impl Fn() -> F, poll_ms: u64, log: Logger)
-where
-    F: Future<Output = Option<SliceList>>,
-{
+async fn poll(handle: Handle, list: Client, poll_ms: u64, log: Logger) {
     let mut ticks = interval(Duration::from_millis(poll_ms));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        match fetch().await {
-            Some(list) => handle.apply(&list),
-            None => warn!(log, "list of upstreams out of reach"),
+        match list.fetch().await {
+            Ok(list) => handle.apply(&list),
+            Err(error) => warn!(log, "upstreams not read"; "error" => %error),
         }
     }
 }
