--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,9 @@
 
 pub mod batch;
 pub mod clock;
+pub mod home;
 pub mod id;
 pub mod lease;
 pub mod partition;
+pub mod queue;
+pub mod upstream;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod commit;
 pub mod config;
+mod control;
 mod engine;
 mod front;
 mod grant;
@@ -32,6 +33,7 @@
 mod settings;
 mod stop;
 mod trace;
+mod upstream;
 
 pub use log_event::Event;
 pub use node::run_daemon;
