--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,5 +3,9 @@
 //! Time and random numbers come in as arguments. Commands change state and
 //! return what has to be done; queries only read.
 
+pub mod budget;
 pub mod clock;
+pub mod fingerprint;
+pub mod history;
 pub mod id;
+pub mod tree;
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,188 @@
+//! Conversions between rows and the types of the core.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use basilramp_core::budget::Budget;
+use basilramp_core::clock::Time;
+use basilramp_core::history::{Ask, Digest, Outcome, State, Turn, Usage};
+use basilramp_core::id;
+use basilramp_core::tree::{Head, Origin, Shape};
+
+use crate::{api, record};
+
+/// A row that can't be what it should be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("malformed row")
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+impl From<api::Budget> for Budget {
+    fn from(budget: api::Budget) -> Self {
+        Self {
+            tokens: budget.tokens,
+            turns: budget.turns,
+            wall_ms: budget.wall_ms,
+            depth: budget.depth,
+        }
+    }
+}
+
+impl From<Budget> for api::Budget {
+    fn from(budget: Budget) -> Self {
+        Self {
+            tokens: budget.tokens,
+            turns: budget.turns,
+            wall_ms: budget.wall_ms,
+            depth: budget.depth,
+        }
+    }
+}
+
+impl From<api::Usage> for Usage {
+    fn from(usage: api::Usage) -> Self {
+        Self {
+            prompt: usage.prompt,
+            cached: usage.cached,
+            output: usage.output,
+        }
+    }
+}
+
+impl From<Usage> for api::Usage {
+    fn from(usage: Usage) -> Self {
+        Self {
+            prompt: usage.prompt,
+            cached: usage.cached,
+            output: usage.output,
+        }
+    }
+}
+
+impl From<State> for record::TurnState {
+    fn from(state: State) -> Self {
+        match state {
+            State::Intent => Self::Intent,
+            State::Done => Self::Done,
+            State::Failed => Self::Failed,
+        }
+    }
+}
+
+impl From<record::TurnState> for State {
+    fn from(state: record::TurnState) -> Self {
+        match state {
+            record::TurnState::Intent => Self::Intent,
+            record::TurnState::Done => Self::Done,
+            record::TurnState::Failed => Self::Failed,
+        }
+    }
+}
+
+impl From<&Turn> for record::Turn {
+    fn from(turn: &Turn) -> Self {
+        Self {
+            request_id: turn.ask.request.to_string(),
+            body_digest: turn.ask.digest.to_string(),
+            service: turn.ask.service.to_string(),
+            state: turn.outcome.state.into(),
+            input: turn.ask.input.to_string(),
+            output: turn.outcome.output.to_string(),
+            usage: turn.outcome.usage.into(),
+            hash: turn.hash.map(|hash| hash.to_string()).unwrap_or_default(),
+        }
+    }
+}
+
+impl TryFrom<record::Turn> for Turn {
+    type Error = Malformed;
+
+    fn try_from(row: record::Turn) -> Result<Self, Malformed> {
+        let hash = match row.hash.as_str() {
+            "" => None,
+            text => Some(digest(text)?),
+        };
+        let ask = Ask {
+            request: id::Request::new(row.request_id),
+            digest: digest(&row.body_digest)?,
+            service: id::Service::new(row.service),
+            input: Arc::from(row.input),
+        };
+        let outcome = Outcome {
+            state: row.state.into(),
+            output: Arc::from(row.output),
+            usage: row.usage.into(),
+        };
+        let turn = Self { ask, outcome, hash };
+        Ok(turn)
+    }
+}
+
+impl From<Head> for record::Program {
+    fn from(head: Head) -> Self {
+        let root = head.shape.root;
+        let is_root = head.number == 0;
+        let parent = head.origin.parent.map(|parent| root.member(parent));
+        Self {
+            account: head.shape.account.to_string(),
+            request_id: head.origin.request.to_string(),
+            body_digest: head.origin.digest.to_string(),
+            parent: parent.map(|parent| parent.to_string()),
+            depth: head.origin.depth,
+            budget: is_root.then(|| head.shape.budget.into()),
+            reserved: if is_root { head.shape.reserved } else { 0 },
+            members: if is_root { head.shape.members } else { 0 },
+            created_at_ms: head.origin.created.as_ms(),
+            ended: head.ended,
+        }
+    }
+}
+
+impl TryFrom<&record::Program> for Origin {
+    type Error = Malformed;
+
+    fn try_from(row: &record::Program) -> Result<Self, Malformed> {
+        let parent = match &row.parent {
+            None => None,
+            Some(text) => Some(id::Program::from_str(text).map_err(|_| Malformed)?),
+        };
+        let origin = Self {
+            request: id::Request::new(row.request_id.as_str()),
+            digest: digest(&row.body_digest)?,
+            parent: parent.map(id::Program::number),
+            depth: row.depth,
+            created: Time::from_ms(row.created_at_ms),
+        };
+        Ok(origin)
+    }
+}
+
+impl record::Program {
+    /// Returns what a root's row says of its tree.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the row is not a root's.
+    pub fn shape(&self, root: id::Program) -> Result<Shape, Malformed> {
+        let budget = self.budget.ok_or(Malformed)?;
+        let shape = Shape {
+            root,
+            account: id::Account::new(self.account.as_str()),
+            budget: budget.into(),
+            reserved: self.reserved,
+            members: self.members,
+        };
+        Ok(shape)
+    }
+}
+
+fn digest(text: &str) -> Result<Digest, Malformed> {
+    Digest::from_str(text).map_err(|_| Malformed)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod api;
 pub mod config;
+pub mod convert;
 pub mod engine;
 pub mod error;
 pub mod frame;
