--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod fingerprint;
 pub mod history;
 pub mod id;
+pub mod retry;
+pub mod suspect;
 pub mod tree;
--- a/crates/core/src/tree.rs
+++ b/crates/core/src/tree.rs
@@ -563,6 +563,12 @@
         self.turns() >= self.budget.turns || budget::expired(&self.budget, self.created(), now)
     }
 
+    /// Tells whether no call of the tree is in progress.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.arena.values().all(|member| member.running.is_none())
+    }
+
     /// Returns the numbers of all programs.
     #[must_use]
     pub fn numbers(&self) -> Vec<u32> {
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -1,1 +1,155 @@
-//! Client of the model engines.
+//! Client of the model engines: chat completions, streamed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use basilramp_wire::engine::{Chunk, Completion, HOLDER_HEADER, REQUEST_HEADER};
+use bytes::{Bytes, BytesMut};
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use crate::trace;
+
+/// The longest line of a stream, in bytes.
+const MAX_LINE: usize = 1024 * 1024;
+
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+const DATA: &str = "data:";
+const DONE: &str = "[DONE]";
+
+/// Header with the W3C trace context.
+pub(crate) const TRACE_HEADER: &str = "traceparent";
+
+/// Why an upstream gave no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// It was not reached; nothing was sent.
+    Unsent,
+    /// It answered with this status in place of an answer.
+    Refused(StatusCode),
+    /// The connection broke after the request was sent, or the answer was unreadable.
+    Broken,
+    /// No whole answer came in time.
+    TimedOut,
+}
+
+/// What is asked of an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    /// The engine.
+    pub(crate) address: SocketAddr,
+    /// Names the attempt.
+    pub(crate) request: String,
+    /// Names the program whose prefix is cached.
+    pub(crate) holder: String,
+    /// The body.
+    pub(crate) completion: Completion,
+}
+
+/// Sends completions to engines.
+#[derive(Clone, Debug)]
+pub(crate) struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Opens a client; connections are made when they are needed.
+    pub(crate) fn open() -> Self {
+        Self { pool: pool() }
+    }
+
+    /// Starts a completion. Dropping the stream closes its connection, which cancels it.
+    pub(crate) async fn complete(&self, ask: Ask) -> Result<Stream, Failure> {
+        let request = request(&ask)?;
+        let answer = self.pool.request(request).await;
+        let answer = answer.map_err(|fault| match fault.is_connect() {
+            true => Failure::Unsent,
+            false => Failure::Broken,
+        })?;
+        if answer.status() != StatusCode::OK {
+            return Err(Failure::Refused(answer.status()));
+        }
+        Ok(Stream {
+            body: answer.into_body(),
+            buffer: BytesMut::new(),
+            id: None,
+        })
+    }
+}
+
+/// Opens a pool of connections that sends nothing twice by itself.
+pub(crate) fn pool() -> Pool<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+    Pool::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+fn request(ask: &Ask) -> Result<Request<Full<Bytes>>, Failure> {
+    let body = serde_json::to_vec(&ask.completion).map_err(|_| Failure::Unsent)?;
+    let mut request = Request::post(format!("http://{}/v1/chat/completions", ask.address))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(REQUEST_HEADER, &ask.request)
+        .header(HOLDER_HEADER, &ask.holder);
+    if let Some(trace) = trace::current() {
+        request = request.header(TRACE_HEADER, trace);
+    }
+    let request = request.body(Full::from(body));
+    request.map_err(|_| Failure::Unsent)
+}
+
+/// A streamed answer.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    body: Incoming,
+    buffer: BytesMut,
+    id: Option<String>,
+}
+
+impl Stream {
+    /// Returns the next chunk of the answer, or nothing once it is whole.
+    ///
+    /// Chunks of any other answer are left out.
+    pub(crate) async fn next(&mut self) -> Result<Option<Chunk>, Failure> {
+        loop {
+            let line = self.line().await?;
+            let Some(data) = line.strip_prefix(DATA) else {
+                continue;
+            };
+            let data = data.trim();
+            if data == DONE {
+                return Ok(None);
+            }
+            let chunk: Chunk = serde_json::from_str(data).map_err(|_| Failure::Broken)?;
+            let id = self.id.get_or_insert_with(|| chunk.id.clone());
+            if *id == chunk.id {
+                return Ok(Some(chunk));
+            }
+        }
+    }
+
+    async fn line(&mut self) -> Result<String, Failure> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                let text = std::str::from_utf8(&line).map_err(|_| Failure::Broken)?;
+                return Ok(text.trim_end().to_owned());
+            }
+            if self.buffer.len() > MAX_LINE {
+                return Err(Failure::Broken);
+            }
+            let frame = self.body.frame().await.ok_or(Failure::Broken)?;
+            let frame = frame.map_err(|_| Failure::Broken)?;
+            if let Ok(data) = frame.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod service;
 mod settings;
 mod stop;
+mod suspect;
 mod trace;
 
 pub use node::run_daemon;
--- /dev/null
+++ b/crates/daemon/src/program/attempt.rs
@@ -0,0 +1,205 @@
+//! One attempt of a call at an upstream, and when there is another.
+
+use std::sync::Arc;
+
+use basilramp_core::fingerprint;
+use basilramp_core::id;
+use basilramp_wire::error::{Error, Kind, Ran};
+
+use super::Shared;
+use super::call::Run;
+use crate::engine::Failure;
+use crate::grant::{End, Grant, Want};
+use crate::suspect::{Crash, Pass};
+
+/// Attempts of one call, the first among them.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// A failed attempt.
+#[derive(Debug)]
+pub(crate) struct Fault {
+    /// What the caller is told if there is no other attempt.
+    pub(crate) error: Error,
+    /// Whether the upstream may have run any of it.
+    pub(crate) sent: bool,
+    /// The upstream that another attempt leaves out; nothing if there may be none.
+    pub(crate) retry: Option<id::Upstream>,
+}
+
+impl Fault {
+    /// Makes a fault after which the call is given up.
+    pub(crate) fn last(error: Error, sent: bool) -> Self {
+        Self {
+            error,
+            sent,
+            retry: None,
+        }
+    }
+}
+
+impl From<Error> for Fault {
+    fn from(error: Error) -> Self {
+        Self::last(error, false)
+    }
+}
+
+/// A slot, and leave to use it for the request.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    pub(crate) grant: Grant,
+    pub(crate) pass: Pass,
+}
+
+/// Waits for a slot and checks that the request may be sent there.
+///
+/// # Errors
+///
+/// Fails if there is no slot, the caller has gone, or the request is quarantined.
+pub(crate) async fn admit(
+    run: &Run,
+    prompt: u64,
+    avoid: &[id::Upstream],
+) -> Result<Admitted, Error> {
+    let attained = run.with(|entry| entry.tree.ledger().spent());
+    let want = Want {
+        program: run.program,
+        account: run.account.clone(),
+        service: run.service_id(),
+        attained: attained.unwrap_or(0),
+        prompt,
+        output: u64::from(run.call.max_tokens),
+        wait_ms: run.shared.parts.timing.grant_wait_ms,
+        avoid: avoid.to_vec(),
+    };
+    let grants = &run.shared.parts.grants;
+    let grant = tokio::select! {
+        grant = grants.acquire(&want) => grant?,
+        () = run.events.closed() => return Err(gone()),
+    };
+    let fingerprint = fingerprint::of(&run.service_id(), &run.call.input);
+    let suspects = &run.shared.suspects;
+    let pass = suspects.admit(fingerprint, &grant.upstream).await;
+    let pass = match pass {
+        Ok(pass) => pass,
+        Err(error) => {
+            grants.give_back(grant, End::Cancelled);
+            return Err(error);
+        }
+    };
+    run.with(|entry| {
+        let holders = entry.holders.entry(run.program).or_default();
+        holders.insert(grant.upstream.clone());
+    });
+    Ok(Admitted { grant, pass })
+}
+
+fn gone() -> Error {
+    let mut error = Error::new(Kind::Interrupted, "the caller went away");
+    error.ran = Ran::No;
+    error
+}
+
+/// Judges a failed attempt, and records a crash durably before there is another.
+pub(crate) async fn failed(
+    run: &Run,
+    pass: Pass,
+    upstream: id::Upstream,
+    failure: Failure,
+) -> Fault {
+    match failure {
+        Failure::Unsent => {
+            pass.abandoned();
+            let error = Error::new(Kind::UpstreamUnavailable, "the upstream was not reached");
+            Fault {
+                error,
+                sent: false,
+                retry: Some(upstream),
+            }
+        }
+        Failure::Refused(status) => {
+            pass.abandoned();
+            let message = format!("the upstream answered with status {status}");
+            Fault {
+                error: Error::new(Kind::UpstreamFailed, message),
+                sent: true,
+                retry: status.is_server_error().then_some(upstream),
+            }
+        }
+        Failure::TimedOut => {
+            pass.abandoned();
+            let error = Error::new(Kind::TimedOut, "the upstream did not answer in time");
+            Fault::last(error, true)
+        }
+        Failure::Broken => {
+            let crash = pass.crashed(&run.shared.parts.log).await;
+            let message = "the upstream failed while it ran the request";
+            Fault {
+                error: Error::new(Kind::UpstreamFailed, message),
+                sent: true,
+                retry: (crash == Crash::Recorded).then_some(upstream),
+            }
+        }
+    }
+}
+
+/// Counts the attempts of one call.
+#[derive(Debug)]
+pub(crate) struct Tries {
+    shared: Arc<Shared>,
+    number: u32,
+    sent: bool,
+    avoid: Vec<id::Upstream>,
+}
+
+impl Tries {
+    /// Opens the count of a call.
+    pub(crate) fn open(shared: &Arc<Shared>) -> Self {
+        shared.retries().deposit();
+        Self {
+            shared: Arc::clone(shared),
+            number: 0,
+            sent: false,
+            avoid: Vec::new(),
+        }
+    }
+
+    /// Starts an attempt and returns its number, from one.
+    pub(crate) fn start(&mut self) -> u32 {
+        self.number += 1;
+        self.number
+    }
+
+    /// Returns the upstreams that failed.
+    pub(crate) fn avoid(&self) -> &[id::Upstream] {
+        &self.avoid
+    }
+
+    /// Notes a failed attempt.
+    ///
+    /// # Errors
+    ///
+    /// Says what the caller is told if there is no other attempt.
+    pub(crate) fn failed(&mut self, fault: Fault) -> Result<(), Error> {
+        self.sent |= fault.sent;
+        let error = match self.sent {
+            true => part_run(fault.error),
+            false => fault.error,
+        };
+        let Some(upstream) = fault.retry else {
+            return Err(error);
+        };
+        if self.number >= MAX_ATTEMPTS || !self.shared.retries().withdraw() {
+            return Err(error);
+        }
+        self.avoid.push(upstream);
+        Ok(())
+    }
+}
+
+/// Returns the error of a call that may have been run in part by an earlier attempt.
+fn part_run(error: Error) -> Error {
+    if error.ran != Ran::No {
+        return error;
+    }
+    Error::new(Kind::UpstreamFailed, error.message)
+}
--- /dev/null
+++ b/crates/daemon/src/program/busy.rs
@@ -0,0 +1,70 @@
+//! Counts what is under way in each partition.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use basilramp_core::id;
+use tokio::sync::Notify;
+
+#[derive(Debug, Default)]
+struct Inner {
+    counts: Mutex<BTreeMap<id::Partition, usize>>,
+    changed: Notify,
+}
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<id::Partition, usize>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts what is under way.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Busy {
+    inner: Arc<Inner>,
+}
+
+/// Something under way; over once dropped.
+#[derive(Debug)]
+pub(crate) struct Work {
+    inner: Arc<Inner>,
+    partition: id::Partition,
+}
+
+impl Busy {
+    /// Notes that something starts in a partition.
+    pub(crate) fn start(&self, partition: id::Partition) -> Work {
+        *self.inner.lock().entry(partition).or_default() += 1;
+        Work {
+            inner: Arc::clone(&self.inner),
+            partition,
+        }
+    }
+
+    /// Waits until nothing is under way in a partition.
+    pub(crate) async fn idle(&self, partition: id::Partition) {
+        loop {
+            let changed = self.inner.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if !self.inner.lock().contains_key(&partition) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let mut counts = self.inner.lock();
+        let Some(count) = counts.get_mut(&self.partition) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&self.partition);
+            self.inner.changed.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/program/end.rs
@@ -0,0 +1,216 @@
+//! Ends programs, on request or when their budget has run out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use basilramp_core::clock::Time;
+use basilramp_core::id;
+use basilramp_platform::table::{Check, Write};
+use basilramp_wire::error::{Error, Kind};
+use basilramp_wire::frame::Body;
+use slog::warn;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::reserve::{self, Reservation};
+use super::shelf::Entry;
+use super::{Shared, load, refusal, row};
+use crate::{clock, commit};
+
+/// Time between two looks for programs whose time is used up.
+const SWEEP: Duration = Duration::from_millis(1_000);
+
+/// Time between two tries to have a home release something.
+const RELEASE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Tries to reach a home; what still fails is left to the sweep of the upstream's holdings.
+const RELEASE_TRIES: u32 = 20;
+
+/// Time between two reads of the programs under way in a partition.
+const WATCH_PAUSE: Duration = Duration::from_millis(20);
+
+struct Ending {
+    writes: Vec<Write>,
+    root: Reservation,
+    holdings: Vec<Holding>,
+}
+
+/// What an upstream may hold for a program that has ended.
+#[derive(Clone, Debug)]
+struct Holding {
+    program: id::Program,
+    upstream: id::Upstream,
+}
+
+/// Ends a program and its sub-agents durably and has everything held for them released.
+///
+/// # Errors
+///
+/// `Interrupted` says that the end may not be durable; the same request may be sent again.
+pub(crate) async fn run(shared: &Arc<Shared>, program: id::Program) -> Result<(), Error> {
+    let work = shared.busy.start(program.partition());
+    let tree = load::touch(shared, program).await?;
+    let ending = shared.with(tree, |entry| start(entry, program));
+    let Some(ending) = ending.ok_or_else(refusal::lost)? else {
+        return Ok(());
+    };
+    release(shared, ending.holdings);
+    let wait_ms = shared.parts.timing.store_wait_ms;
+    let task = tokio::spawn({
+        let shared = Arc::clone(shared);
+        async move {
+            let written = shared.parts.commit.submit(ending.writes).await;
+            shared.with(tree, |entry| {
+                entry.tree.end_write(ending.root.reserved, written.is_ok());
+            });
+            drop(work);
+            written
+        }
+    });
+    let written = tokio::time::timeout(Duration::from_millis(wait_ms), task).await;
+    match written {
+        Ok(Ok(Ok(()))) => Ok(()),
+        Ok(Ok(Err(commit::Failure::Fenced))) => Err(refusal::lost()),
+        _ => Err(Error::new(
+            Kind::Interrupted,
+            "the program ends here; its end is not durable yet",
+        )),
+    }
+}
+
+/// Ends a program in the background.
+pub(crate) fn spawn(shared: &Arc<Shared>, program: id::Program) {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        let ended = run(&shared, program).await;
+        if let Err(error) = ended {
+            warn!(shared.parts.log, "end not durable yet";
+                "program" => %program, "error" => %error);
+        }
+    });
+}
+
+fn start(entry: &mut Entry, program: id::Program) -> Option<Ending> {
+    let ended = entry.tree.end(program.number());
+    if ended.is_empty() {
+        return None;
+    }
+    let root = reserve::start_keeping(entry)?;
+    let mut writes = vec![root.write.clone()];
+    if program.is_root() {
+        writes.push(row::not_live(program));
+    } else {
+        writes.extend(entry.head(program.number(), 0, Check::None));
+    }
+    let mut holdings = Vec::new();
+    for program in ended {
+        holdings.extend(take_holdings(entry, program));
+    }
+    Some(Ending {
+        writes,
+        root,
+        holdings,
+    })
+}
+
+fn take_holdings(entry: &mut Entry, program: id::Program) -> Vec<Holding> {
+    let upstreams = entry.holders.remove(&program).unwrap_or_default();
+    let holdings = upstreams.into_iter();
+    holdings
+        .map(|upstream| Holding { program, upstream })
+        .collect()
+}
+
+/// Releases what a call of a program that ended meanwhile left at its upstream.
+pub(crate) fn release_late(shared: &Arc<Shared>, entry: &mut Entry, program: id::Program) {
+    let ended = entry
+        .tree
+        .key(program.number())
+        .is_some_and(|key| entry.tree.is_ended(key));
+    if ended {
+        release(shared, take_holdings(entry, program));
+    }
+}
+
+/// Has the homes of upstreams release what is held, with retries.
+fn release(shared: &Arc<Shared>, holdings: Vec<Holding>) {
+    for holding in holdings {
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move {
+            for _ in 0..RELEASE_TRIES {
+                if try_release(&shared, &holding).await {
+                    return;
+                }
+                sleep(RELEASE_PAUSE).await;
+            }
+            warn!(shared.parts.log, "home not reached for a release";
+                "program" => %holding.program, "upstream" => %holding.upstream);
+        });
+    }
+}
+
+async fn try_release(shared: &Shared, holding: &Holding) -> bool {
+    let members = &shared.parts.membership;
+    let Some(home) = members.home(&holding.upstream) else {
+        return false;
+    };
+    let upstream = holding.upstream.to_string();
+    let program = holding.program.to_string();
+    if home.id == members.own() {
+        shared.parts.homes.release(&upstream, &program);
+        return true;
+    }
+    let body = Body::Release { upstream, program };
+    shared.parts.peers.ask(&home, body).await.is_ok()
+}
+
+/// Starts to end the trees held here whose time or calls are used up.
+pub(crate) fn spawn_sweep(shared: &Arc<Shared>) {
+    let shared = Arc::downgrade(shared);
+    tokio::spawn(async move {
+        let mut ticks = interval(SWEEP);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let Some(shared) = shared.upgrade() else {
+                return;
+            };
+            for root in exhausted(&shared) {
+                spawn(&shared, root);
+            }
+        }
+    });
+}
+
+fn exhausted(shared: &Shared) -> Vec<id::Program> {
+    let now = Time::from_ms(clock::wall_ms());
+    let shelf = shared.lock();
+    let entries = shelf.all().into_iter().filter_map(|key| shelf.get(key));
+    let over = entries.filter(|entry| {
+        let tree = &entry.tree;
+        let ended = tree.key(0).is_none_or(|key| tree.is_ended(key));
+        !ended && tree.is_idle() && tree.is_exhausted(now)
+    });
+    over.map(|entry| entry.tree.root()).collect()
+}
+
+/// Loads the programs under way in a partition, so that they end in time.
+pub(crate) fn watch(shared: &Arc<Shared>, partition: id::Partition) {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        let Ok(_turn) = shared.watches.acquire().await else {
+            return;
+        };
+        sleep(WATCH_PAUSE).await;
+        let key = row::live_key(partition);
+        let Ok(rows) = shared.parts.table.query_all(&key, "").await else {
+            return;
+        };
+        for row in rows {
+            let Ok(program) = row.key.sort.parse::<id::Program>() else {
+                continue;
+            };
+            let _ = load::touch(&shared, program).await;
+        }
+    });
+}
+
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -1,1 +1,142 @@
 //! Client of the plain services.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use basilramp_wire::engine::{IDEMPOTENCY_HEADER, REQUEST_HEADER};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::engine::{Failure, TRACE_HEADER, pool};
+use crate::trace;
+
+/// The longest answer, in bytes.
+const MAX_ANSWER: usize = 1024 * 1024;
+
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// What is asked of a service.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    /// The service.
+    pub(crate) address: SocketAddr,
+    /// The path that the call is posted to.
+    pub(crate) path: String,
+    /// Names the attempt.
+    pub(crate) request: String,
+    /// Names the call, over all its attempts.
+    pub(crate) key: String,
+    /// The body.
+    pub(crate) body: Arc<str>,
+}
+
+/// A service's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Answer {
+    /// The status.
+    pub(crate) status: StatusCode,
+    /// The body, as text.
+    pub(crate) body: Arc<str>,
+}
+
+/// Sends calls to plain services.
+#[derive(Clone, Debug)]
+pub(crate) struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Opens a client; connections are made when they are needed.
+    pub(crate) fn open() -> Self {
+        Self { pool: pool() }
+    }
+
+    /// Sends a call that may be repeated, on a connection that other calls use too.
+    pub(crate) async fn send(&self, ask: &Ask, timeout_ms: u64) -> Result<Answer, Failure> {
+        let request = post(ask, &format!("http://{}{}", ask.address, ask.path))?;
+        let sending = async {
+            let answer = self.pool.request(request).await;
+            let answer = answer.map_err(|fault| match fault.is_connect() {
+                true => Failure::Unsent,
+                false => Failure::Broken,
+            })?;
+            collect(answer).await
+        };
+        let limit = Duration::from_millis(timeout_ms);
+        timeout(limit, sending).await.unwrap_or(Err(Failure::TimedOut))
+    }
+
+    /// Sends a call that may not be repeated: at most once, on a connection of its own.
+    pub(crate) async fn send_once(&self, ask: &Ask, timeout_ms: u64) -> Result<Answer, Failure> {
+        let request = post(ask, &ask.path)?;
+        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS.min(timeout_ms));
+        let connecting = timeout(limit, TcpStream::connect(ask.address)).await;
+        let Ok(Ok(stream)) = connecting else {
+            return Err(Failure::Unsent);
+        };
+        let sending = async {
+            let handshake = http1::handshake(TokioIo::new(stream)).await;
+            let (mut sender, connection) = handshake.map_err(|_| Failure::Broken)?;
+            let driver = tokio::spawn(connection);
+            let answer = sender.send_request(request).await;
+            let answer = answer.map_err(|_| Failure::Broken);
+            let answer = match answer {
+                Ok(answer) => collect(answer).await,
+                Err(failure) => Err(failure),
+            };
+            driver.abort();
+            answer
+        };
+        let limit = Duration::from_millis(timeout_ms);
+        timeout(limit, sending).await.unwrap_or(Err(Failure::TimedOut))
+    }
+
+    /// Reads a path of a service.
+    pub(crate) async fn read(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout_ms: u64,
+    ) -> Result<Answer, Failure> {
+        let request = Request::get(format!("http://{address}{path}")).body(Full::default());
+        let request = request.map_err(|_| Failure::Unsent)?;
+        let reading = async {
+            let answer = self.pool.request(request).await;
+            collect(answer.map_err(|_| Failure::Broken)?).await
+        };
+        let limit = Duration::from_millis(timeout_ms);
+        timeout(limit, reading).await.unwrap_or(Err(Failure::TimedOut))
+    }
+}
+
+fn post(ask: &Ask, target: &str) -> Result<Request<Full<Bytes>>, Failure> {
+    let mut request = Request::post(target)
+        .header(header::HOST, ask.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(REQUEST_HEADER, &ask.request)
+        .header(IDEMPOTENCY_HEADER, &ask.key);
+    if let Some(trace) = trace::current() {
+        request = request.header(TRACE_HEADER, trace);
+    }
+    let body = Full::from(ask.body.as_bytes().to_vec());
+    request.body(body).map_err(|_| Failure::Unsent)
+}
+
+async fn collect(answer: Response<Incoming>) -> Result<Answer, Failure> {
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+    let body = body.map_err(|_| Failure::Broken)?.to_bytes();
+    Ok(Answer {
+        status,
+        body: String::from_utf8_lossy(&body).into(),
+    })
+}
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -8,6 +8,7 @@
 use basilramp_core::clock::Time;
 use basilramp_core::history::{Ask, Digest, Outcome, State, Turn, Usage};
 use basilramp_core::id;
+use basilramp_core::suspect::{Suspect, Verdict};
 use basilramp_core::tree::{Head, Origin, Shape};
 
 use crate::{api, record};
@@ -183,6 +184,29 @@
     }
 }
 
+impl From<&Suspect> for record::Suspect {
+    fn from(suspect: &Suspect) -> Self {
+        let trial = suspect.trial.as_ref();
+        Self {
+            crashes: suspect.crashes,
+            upstream: suspect.upstream.to_string(),
+            trial: trial.map(ToString::to_string).unwrap_or_default(),
+            quarantined: suspect.verdict() == Verdict::Quarantined,
+        }
+    }
+}
+
+impl From<record::Suspect> for Suspect {
+    fn from(row: record::Suspect) -> Self {
+        let trial = (!row.trial.is_empty()).then(|| id::Upstream::new(row.trial));
+        Self {
+            crashes: row.crashes,
+            upstream: id::Upstream::new(row.upstream),
+            trial,
+        }
+    }
+}
+
 fn digest(text: &str) -> Result<Digest, Malformed> {
     Digest::from_str(text).map_err(|_| Malformed)
 }
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -135,6 +135,8 @@
 pub struct Suspect {
     /// Upstreams that crashed with it in flight.
     pub crashes: u32,
+    /// The upstream that crashed last.
+    pub upstream: String,
     /// Where it is tried alone; empty if nowhere.
     pub trial: String,
     /// Whether it is refused from now on.
