--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,16 @@
 //! return what has to be done; queries only read.
 
 pub mod batch;
+pub mod budget;
 pub mod clock;
+pub mod fingerprint;
+pub mod history;
 pub mod home;
 pub mod id;
 pub mod lease;
 pub mod partition;
 pub mod queue;
+pub mod retry;
+pub mod suspect;
+pub mod tree;
 pub mod upstream;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod service;
 mod settings;
 mod stop;
+mod suspect;
 mod trace;
 mod upstream;
 
