Wire the whole path: programs, grants, homes, commits and configuration

Cause: the parts arrived as libraries; nothing served a request yet. Ruled out: refusing a call at once when no upstream is known; an instance that has just started knows none for its first poll, and the first run of the test was refused 'no upstream is ready' after 0.55 s. The call now waits up to 2 s for one to show; nothing is sent meanwhile. Change: node.rs builds the instance from its parts, ownership.rs follows what it owns, an accepted configuration is announced to the live peers. Before: test path failed as above; after: tests/path.rs passes (three basilrampd processes, table, list and engines in the test's process; a program created through one instance, called through another, read through a third). Conclusion: the thin path stands; parts grow behind it.

--- a/crates/daemon/src/grant.rs
+++ b/crates/daemon/src/grant.rs
@@ -20,7 +20,7 @@
 use basilramp_wire::frame::{self, Body, Reply};
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::{config, home, membership, peer, upstream};
 
@@ -82,6 +82,12 @@
 /// are asked.
 const STICKY_WAIT_MS: u64 = 200;
 
+/// The longest that a call waits for an upstream that can take it to show.
+const CANDIDATE_WAIT_MS: u64 = 2_000;
+
+/// Time between two looks for such an upstream.
+const CANDIDATE_POLL_MS: u64 = 50;
+
 /// Milliseconds after which a call that found no upstream is worth sending again.
 const RETRY_MS: u64 = 1_000;
 
@@ -145,7 +151,7 @@
     ///
     /// Nothing is sent to an upstream; every error says that the call was not run.
     pub(crate) async fn acquire(&self, want: &Want) -> Result<Grant, Error> {
-        let mut candidates = self.candidates(want)?;
+        let mut candidates = self.await_candidates(want).await?;
         let deadline = Instant::now() + Duration::from_millis(want.wait_ms);
         let mut least = None;
         for candidate in candidates.iter_mut().take(FIRST_TRIES) {
@@ -203,6 +209,25 @@
         board.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the upstreams that can take the call, and waits a little for the first to show.
+    ///
+    /// An instance that has just started does not know any yet.
+    async fn await_candidates(&self, want: &Want) -> Result<Vec<Candidate>, Error> {
+        let wait_ms = want.wait_ms.min(CANDIDATE_WAIT_MS);
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            match self.candidates(want) {
+                Err(error) if error.kind == Kind::UpstreamUnavailable => {
+                    if Instant::now() >= deadline {
+                        return Err(error);
+                    }
+                }
+                settled => return settled,
+            }
+            sleep(Duration::from_millis(CANDIDATE_POLL_MS)).await;
+        }
+    }
+
     /// Returns the upstreams that can take the call, best first.
     fn candidates(&self, want: &Want) -> Result<Vec<Candidate>, Error> {
         let config = self.shared.config.current();
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -10,12 +10,13 @@
 use basilramp_wire::engine::Load;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame;
-use slog::{Logger, warn};
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::clock::Source;
 use crate::control::Client;
+use crate::log;
+use crate::log::{Event, event};
 use crate::{membership, upstream};
 
 /// Slots of a plain service, which reports none.
@@ -46,7 +47,7 @@
     members: membership::Handle,
     client: Client,
     clock: Source,
-    log: Logger,
+    log: log::Handle,
 }
 
 #[derive(Debug, Default)]
@@ -68,7 +69,7 @@
     members: membership::Handle,
     poll_ms: u64,
     clock: Source,
-    log: Logger,
+    log: log::Handle,
 ) -> Handle {
     let shared = Shared {
         table: Mutex::default(),
@@ -273,7 +274,7 @@
             None => polled.missed += 1,
         }
         if polled.missed == MISSED_POLLS {
-            warn!(self.shared.log, "engine does not report its load"; "upstream" => %listing.id);
+            event!(self.shared.log, Event::UpstreamDown, "upstream" => %listing.id);
         }
         table.report(now, listing, open);
     }
@@ -374,5 +375,5 @@
         }
         sleep(RELEASE_PAUSE).await;
     }
-    warn!(shared.log, "release failed"; "upstream" => %listing.id, "program" => program);
+    event!(shared.log, Event::ReleaseFailed, "upstream" => %listing.id, "program" => program);
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod metric;
 mod node;
 mod operator_api;
+mod ownership;
 mod peer;
 mod peer_server;
 mod peer_stream;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use basilramp_platform::{list, table};
 use eyre::{Result, WrapErr};
 use quinn::{Endpoint, VarInt};
 use tokio::sync::Semaphore;
@@ -15,8 +16,8 @@
 use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    caller_api, config, home, log, membership, metric, operator_api, peer, peer_server, peer_tls,
-    program, stop, trace,
+    caller_api, clock, config, grant, home, log, membership, metric, operator_api, ownership, peer,
+    peer_server, peer_tls, program, stop, trace, upstream,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -60,7 +61,6 @@
     operators: Listener,
     endpoint: Endpoint,
     peers: peer::Client,
-    keys: peer_tls::Configs,
 }
 
 /// The instance holds its lease and serves.
@@ -76,8 +76,8 @@
         let callers = Listener::bind(settings.listen.callers).await?;
         let operators = Listener::bind(settings.listen.operators).await?;
         let keys = peer_tls::open(&settings.peers)?;
-        let endpoint = peer_server::bind(keys.server.clone(), settings.listen.peers)?;
-        let peers = peer::Client::open(endpoint.clone(), keys.client.clone());
+        let endpoint = peer_server::bind(keys.server, settings.listen.peers)?;
+        let peers = peer::Client::open(endpoint.clone(), keys.client);
         event!(log, Event::Listening,
             "callers" => callers.address().to_string(),
             "operators" => operators.address().to_string(),
@@ -87,7 +87,6 @@
             operators,
             endpoint,
             peers,
-            keys,
         };
         let node = Self {
             settings,
@@ -107,25 +106,57 @@
             operators,
             endpoint,
             peers,
-            ..
         } = self.stage;
-        let config = config::Handle;
-        let membership = membership::Handle;
+        let clock = clock::Source::open();
+        let table = open_table(&self.settings);
+        let address = endpoint.local_addr()?;
+        let (membership, commit, changes) =
+            membership::join(&table, &self.settings, address, clock).await;
+        let config = config::spawn(&table, commit.clone(), &self.settings).await;
+        let list = list::Client::open(self.settings.platform.list);
+        let poll_ms = self.settings.timing.upstream_poll_ms;
+        let upstreams = upstream::spawn(list, poll_ms, self.log.clone());
+        let homes = home::spawn(
+            upstreams.clone(),
+            membership.clone(),
+            poll_ms,
+            clock,
+            self.log.clone(),
+        );
+        let grants = grant::open(
+            homes.clone(),
+            upstreams,
+            membership.clone(),
+            config.clone(),
+            peers.clone(),
+        );
+        let programs = program::spawn(program::Parts {
+            table,
+            commit,
+            membership: membership.clone(),
+            config: config.clone(),
+            grants,
+            homes: homes.clone(),
+            peers: peers.clone(),
+            clock,
+            log: self.log.clone(),
+            timing: self.settings.timing.clone(),
+            limits: self.settings.limits.clone(),
+        });
+        tokio::spawn(ownership::follow(changes, programs.clone(), peers.clone()));
         let local = Local {
-            programs: program::Handle,
-            homes: home::Handle,
+            programs,
+            homes,
             config: config.clone(),
+            membership: membership.clone(),
         };
         let router = Router {
             local: local.clone(),
             membership: membership.clone(),
             peers,
         };
-        tokio::spawn(peer_server::serve(
-            endpoint.clone(),
-            local,
-            self.tasks.clone(),
-        ));
+        let serving = peer_server::serve(endpoint.clone(), local, self.tasks.clone());
+        tokio::spawn(serving);
         let api = caller_api::Api {
             router: router.clone(),
             keys: Keys::open(config.clone()),
@@ -161,6 +192,11 @@
     }
 }
 
+fn open_table(settings: &Settings) -> table::Client {
+    let platform = &settings.platform;
+    table::Client::open(platform.table, platform.table_name.as_str())
+}
+
 impl Node<Joined> {
     async fn run_until_stopped(self) -> Result<()> {
         stop::asked().await.wrap_err("can't wait for signals")?;
@@ -169,9 +205,11 @@
         tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
         self.stop.close_listeners();
         self.tasks.close();
-        let limit = Duration::from_millis(self.settings.timing.stop_ms);
-        let finished = timeout(limit, self.tasks.wait()).await;
-        if finished.is_err() {
+        let stop_ms = self.settings.timing.stop_ms;
+        let leaving = self.stage.membership.leave(stop_ms);
+        let finishing = timeout(Duration::from_millis(stop_ms), self.tasks.wait());
+        let (left, finished) = tokio::join!(leaving, finishing);
+        if !left || finished.is_err() {
             event!(self.log, Event::StopBoundReached);
         }
         self.stage.endpoint.close(STOPPED, b"stopped");
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use basilramp_wire::api::Program;
-use basilramp_wire::config::Change;
+use basilramp_wire::config::{Change, Head};
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::{Body as Ask, Reply, Settlement};
 use basilramp_wire::operator::{Applied, Instances, Upstreams};
@@ -97,9 +97,7 @@
 
 async fn show_config(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
-    let result = api
-        .operator(&state)
-        .map(|_| api.config.snapshot());
+    let result = api.operator(&state).map(|_| api.config.snapshot());
     Ok((state, answer::result(result)))
 }
 
@@ -113,6 +111,7 @@
     let operator = api.operator(state)?;
     let change: Change = body::json(state, api.body_bytes).await?;
     let version = api.config.apply(&operator, change).await?;
+    api.announce(version);
     Ok(Applied { version })
 }
 
@@ -177,6 +176,20 @@
         auth::operator(&self.operators, state)
     }
 
+    /// Tells the other instances of a new version; one that is missed polls it.
+    fn announce(&self, version: u64) {
+        let own = self.membership.own();
+        for peer in self.membership.live() {
+            if peer.id == own {
+                continue;
+            }
+            let peers = self.router.peers.clone();
+            tokio::spawn(async move {
+                let _ = peers.ask(&peer, Ask::Config(Head { version })).await;
+            });
+        }
+    }
+
     async fn read(&self, id: String) -> Result<Program, Error> {
         let body = Ask::Read {
             account: None,
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -26,10 +26,10 @@
 use basilramp_wire::api;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::Settlement;
-use slog::Logger;
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::clock::Source;
+use crate::log;
 use crate::settings::{Limits, Timing};
 use crate::{commit, config, engine, grant, home, membership, peer, service, suspect};
 use busy::Busy;
@@ -46,7 +46,7 @@
     pub(crate) homes: home::Handle,
     pub(crate) peers: peer::Client,
     pub(crate) clock: Source,
-    pub(crate) log: Logger,
+    pub(crate) log: log::Handle,
     pub(crate) timing: Timing,
     pub(crate) limits: Limits,
 }
--- a/crates/daemon/src/program/call.rs
+++ b/crates/daemon/src/program/call.rs
@@ -92,7 +92,9 @@
         Begin::Started(member) => member,
     };
     let config = shared.parts.config.current();
-    let service = config.services.get(&id::Service::new(call.service.as_str()));
+    let service = config
+        .services
+        .get(&id::Service::new(call.service.as_str()));
     let Some(service) = service.cloned() else {
         shared.with(started.tree, |entry| entry.tree.abandon(member));
         let error = Error::new(Kind::NotFound, format!("no service {}", call.service));
@@ -181,9 +183,7 @@
     if entry.tree.account() != account {
         return Err(refusal::missing());
     }
-    let begun = entry
-        .tree
-        .begin(program.number(), call.position, ask, now);
+    let begun = entry.tree.begin(program.number(), call.position, ask, now);
     if let Ok(Begin::Started(member)) = begun
         && full
     {
@@ -198,8 +198,8 @@
         provisional: false,
         ..call.clone()
     };
-    let body = serde_json::to_vec(&body)
-        .map_err(|_| Error::new(Kind::BadRequest, "unreadable body"))?;
+    let body =
+        serde_json::to_vec(&body).map_err(|_| Error::new(Kind::BadRequest, "unreadable body"))?;
     Ok(Ask {
         request: id::Request::new(call.request_id.as_str()),
         digest: Digest::of([body.as_slice()]),
--- a/crates/daemon/src/program/end.rs
+++ b/crates/daemon/src/program/end.rs
@@ -8,12 +8,12 @@
 use basilramp_platform::table::{Check, Write};
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::Body;
-use slog::warn;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::reserve::{self, Reservation};
 use super::shelf::Entry;
 use super::{Shared, load, refusal, row};
+use crate::log::{Event, event};
 use crate::{clock, commit};
 
 /// Time between two looks for programs whose time is used up.
@@ -83,7 +83,7 @@
     tokio::spawn(async move {
         let ended = run(&shared, program).await;
         if let Err(error) = ended {
-            warn!(shared.parts.log, "end not durable yet";
+            event!(shared.parts.log, Event::StoreDown,
                 "program" => %program, "error" => %error);
         }
     });
@@ -142,7 +142,7 @@
                 }
                 sleep(RELEASE_PAUSE).await;
             }
-            warn!(shared.parts.log, "home not reached for a release";
+            event!(shared.parts.log, Event::HomeUnreachable,
                 "program" => %holding.program, "upstream" => %holding.upstream);
         });
     }
@@ -213,4 +213,3 @@
         }
     });
 }
-
--- a/crates/daemon/src/program/intent.rs
+++ b/crates/daemon/src/program/intent.rs
@@ -5,7 +5,6 @@
 use basilramp_platform::table::Write;
 use basilramp_wire::api::{Event, Usage};
 use basilramp_wire::error::{Error, Kind};
-use slog::warn;
 
 use super::attempt::{self, Admitted};
 use super::call::Run;
@@ -14,6 +13,7 @@
 use crate::commit;
 use crate::engine::Failure;
 use crate::grant::{End, Grant};
+use crate::log::{self, event};
 use crate::service::Answer;
 
 /// Looks at the service's status of a call that broke off, before the caller is told of the doubt.
@@ -114,7 +114,11 @@
 
 async fn submit(shared: &Shared, write: Write) -> Result<(), commit::Failure> {
     let wait_ms = shared.parts.timing.store_wait_ms;
-    shared.parts.commit.submit_within(vec![write], wait_ms).await
+    shared
+        .parts
+        .commit
+        .submit_within(vec![write], wait_ms)
+        .await
 }
 
 /// Tells whether the program is still owned under the term in which it was loaded.
@@ -136,7 +140,7 @@
             Ok(()) => {
                 shared.with(place.tree, |entry| entry.tree.withdrawn(place.member));
             }
-            Err(_) => warn!(shared.parts.log, "intent not withdrawn";
+            Err(_) => event!(shared.parts.log, log::Event::CommitUnknown,
                 "program" => %place.program, "position" => position),
         }
         drop(work);
@@ -146,7 +150,7 @@
 /// Looks whether the service knows the outcome; else tells the caller of the doubt.
 async fn doubt(run: Run, position: u32) {
     run.with(|entry| entry.tree.doubt(run.member));
-    warn!(run.shared.parts.log, "call in doubt";
+    event!(run.shared.parts.log, log::Event::CallInDoubt,
         "program" => %run.program, "position" => position);
     for _ in 0..LOOK_UPS {
         if !settle::has_status(&run.service) {
--- a/crates/daemon/src/program/load.rs
+++ b/crates/daemon/src/program/load.rs
@@ -9,11 +9,11 @@
 use basilramp_wire::error::{Error, Kind, Ran};
 use basilramp_wire::record;
 use futures_util::stream::{self, StreamExt, TryStreamExt};
-use slog::error;
 use tokio::sync::{Mutex, MutexGuard};
 
 use super::shelf::{Entry, TreeKey};
 use super::{Shared, refusal, row};
+use crate::log::{Event, event};
 
 const LOCKS: usize = 256;
 
@@ -117,7 +117,7 @@
     programs.extend(others);
     let programs = programs.into_iter().flatten();
     let tree = Tree::load(shape, programs).map_err(|fault| {
-        error!(shared.parts.log, "history broken"; "program" => %root, "fault" => %fault);
+        event!(shared.parts.log, Event::HistoryBroken, "program" => %root, "fault" => %fault);
         broken(shared, root)
     })?;
     Ok(Some(Read { tree, version }))
@@ -129,11 +129,7 @@
 }
 
 /// Returns a program from its rows, or nothing if its creation was never written.
-fn member(
-    shared: &Shared,
-    program: id::Program,
-    rows: Vec<Row>,
-) -> Result<Option<Loaded>, Error> {
+fn member(shared: &Shared, program: id::Program, rows: Vec<Row>) -> Result<Option<Loaded>, Error> {
     let mut head = None;
     let mut turns = Vec::new();
     for row in &rows {
@@ -173,7 +169,7 @@
 
 /// Returns what is said of a program whose rows are not whole; nothing of it is run.
 fn broken(shared: &Shared, program: id::Program) -> Error {
-    error!(shared.parts.log, "rows broken"; "program" => %program);
+    event!(shared.parts.log, Event::RecordMalformed, "program" => %program);
     let mut error = Error::new(Kind::Internal, "the program's history is not whole");
     error.ran = Ran::No;
     error
--- a/crates/daemon/src/program/settle.rs
+++ b/crates/daemon/src/program/settle.rs
@@ -43,11 +43,7 @@
 ///
 /// Returns whether the outcome is durable. A service that does not know the call proves nothing:
 /// the call may still be on its way.
-pub(crate) async fn by_status(
-    shared: &Arc<Shared>,
-    tree: TreeKey,
-    program: id::Program,
-) -> bool {
+pub(crate) async fn by_status(shared: &Arc<Shared>, tree: TreeKey, program: id::Program) -> bool {
     let found = shared.with(tree, |entry| find(entry, tree, program));
     let Some(Some(doubt)) = found else {
         return false;
@@ -80,7 +76,10 @@
     let position = settlement.position;
     let doubt = found.filter(|doubt| doubt.position == position);
     let doubt = doubt.ok_or_else(not_in_doubt)?;
-    let action = format!("settle {program} position {position}: ran {}", settlement.ran);
+    let action = format!(
+        "settle {program} position {position}: ran {}",
+        settlement.ran
+    );
     let audit = Audit {
         operator: operator.to_owned(),
         at_ms: clock::wall_ms(),
--- a/crates/daemon/src/program/turn.rs
+++ b/crates/daemon/src/program/turn.rs
@@ -10,13 +10,13 @@
 use basilramp_platform::table::Write;
 use basilramp_wire::api::Event;
 use basilramp_wire::error::{Error, Kind};
-use slog::error;
 use tokio::time::timeout;
 
 use super::call::Run;
 use super::reserve::{self, Reservation};
 use super::shelf::{Entry, TreeKey};
 use super::{Shared, end, refusal, row, view};
+use crate::log::{self, event};
 use crate::{clock, commit};
 
 /// Milliseconds that a provisional answer waits for its turn to become durable.
@@ -172,7 +172,7 @@
             Ok(())
         }
         Err(commit::Failure::Conflict) => {
-            error!(shared.parts.log, "turn refused by the store";
+            event!(shared.parts.log, log::Event::CommitConflict,
                 "program" => %place.program, "position" => position);
             shared.lock().remove(place.tree);
             Err(Error::new(Kind::Internal, "the turn was not recorded"))
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -31,6 +31,7 @@
     pub(crate) programs: program::Handle,
     pub(crate) homes: home::Handle,
     pub(crate) config: config::Handle,
+    pub(crate) membership: membership::Handle,
 }
 
 impl Local {
@@ -96,7 +97,10 @@
                 self.config.hint(head.version);
                 Ok(Reply::Done)
             }
-            Body::HandOver { .. } => Ok(Reply::Done),
+            Body::HandOver { .. } => {
+                self.membership.refresh();
+                Ok(Reply::Done)
+            }
             Body::Call { .. } => Err(Error::new(Kind::Internal, "a call has no single answer")),
         }
     }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -72,7 +72,9 @@
             collect(answer).await
         };
         let limit = Duration::from_millis(timeout_ms);
-        timeout(limit, sending).await.unwrap_or(Err(Failure::TimedOut))
+        timeout(limit, sending)
+            .await
+            .unwrap_or(Err(Failure::TimedOut))
     }
 
     /// Sends a call that may not be repeated: at most once, on a connection of its own.
@@ -97,7 +99,9 @@
             answer
         };
         let limit = Duration::from_millis(timeout_ms);
-        timeout(limit, sending).await.unwrap_or(Err(Failure::TimedOut))
+        timeout(limit, sending)
+            .await
+            .unwrap_or(Err(Failure::TimedOut))
     }
 
     /// Reads a path of a service.
@@ -114,7 +118,9 @@
             collect(answer.map_err(|_| Failure::Broken)?).await
         };
         let limit = Duration::from_millis(timeout_ms);
-        timeout(limit, reading).await.unwrap_or(Err(Failure::TimedOut))
+        timeout(limit, reading)
+            .await
+            .unwrap_or(Err(Failure::TimedOut))
     }
 }
 
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,5 +1,7 @@
 //! The upstreams that the platform's list names.
 
+use crate::log;
+use crate::log::{Event, event};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -8,7 +10,6 @@
 use basilramp_core::upstream::{Listing, Role, View};
 use basilramp_platform::list::Client;
 use basilramp_wire::list::{Endpoint, GROUP_LABEL, PLACE_LABEL, ROLE_LABEL, Slice, SliceList};
-use slog::{Logger, warn};
 use tokio::time::{MissedTickBehavior, interval};
 
 /// Answers questions about upstreams.
@@ -20,7 +21,7 @@
 /// Starts to poll the list every `poll_ms` milliseconds.
 ///
 /// While the list is out of reach, the last one stays in force.
-pub(crate) fn spawn(list: Client, poll_ms: u64, log: Logger) -> Handle {
+pub(crate) fn spawn(list: Client, poll_ms: u64, log: log::Handle) -> Handle {
     let handle = Handle {
         view: Arc::default(),
     };
@@ -28,14 +29,14 @@
     handle
 }
 
-async fn poll(handle: Handle, list: Client, poll_ms: u64, log: Logger) {
+async fn poll(handle: Handle, list: Client, poll_ms: u64, log: log::Handle) {
     let mut ticks = interval(Duration::from_millis(poll_ms));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         match list.fetch().await {
             Ok(list) => handle.apply(&list),
-            Err(error) => warn!(log, "upstreams not read"; "error" => %error),
+            Err(error) => event!(log, Event::ListUnavailable, "error" => %error),
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/path.rs
@@ -0,0 +1,34 @@
+//! The whole path: a program created, called and read through three instances.
+
+use assert_matches::assert_matches;
+use basilramp_fakes::Launcher;
+use basilramp_fakes::caller;
+use basilramp_fakes::cluster::{Cluster, Options, name};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_program_is_created_called_and_read_through_three_instances() {
+    let launcher = Launcher {
+        program: env!("CARGO_BIN_EXE_basilrampd").into(),
+        arguments: Vec::new(),
+    };
+    let cluster = Cluster::start(Options::new(launcher, 3)).await.unwrap();
+    let [first, second, third] = [0, 1, 2].map(|index| cluster.callers(index).unwrap());
+    let trust = cluster.caller(0);
+
+    let program = trust
+        .create_root(first, "r1", caller::budget(10_000))
+        .await
+        .unwrap();
+    let call = caller::call("c1", 0, name::MODEL, "which sealant for a tin roof?");
+    let answer = trust.call(second, &program.id, &call).await;
+    let done = assert_matches!(&answer.result, Ok(done) => done);
+    assert_eq!(answer.streamed(), done.output);
+    assert!(!done.output.is_empty());
+
+    let read = trust.read(third, &program.id).await.unwrap();
+    assert_eq!(read.turns.len(), 1);
+    assert_eq!(read.turns[0].output, done.output);
+    assert_eq!(read.spent, done.usage.charged());
+    let rows = cluster.platform.rows(&format!("program/{}", program.id));
+    assert!(rows.iter().any(|(sort, _)| sort == "turn/00000000"));
+}
