--- /dev/null
+++ b/crates/core/src/limit.rs
@@ -0,0 +1,94 @@
+//! Limits on rates: token buckets, and the budget of retries.
+
+use crate::clock::Time;
+
+/// Millionths of a token in a token, which is what a thousandth of a token a second brings in
+/// a millisecond.
+const MICRO: u64 = 1_000_000;
+
+/// Milliseconds of the rate that a bucket holds at most.
+const BURST_MS: u64 = 2_000;
+
+/// A token bucket.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    rate_milli_per_s: u64,
+    level_micro: u64,
+    filled: Time,
+}
+
+impl Bucket {
+    /// Makes a full bucket that holds what two seconds bring, and at least one token.
+    ///
+    /// The rate is in thousandths of a token a second.
+    #[must_use]
+    pub fn new(now: Time, rate_milli_per_s: u64) -> Self {
+        Self {
+            rate_milli_per_s,
+            level_micro: burst_micro(rate_milli_per_s),
+            filled: now,
+        }
+    }
+
+    /// Changes the rate, in thousandths of a token a second, and keeps what has gathered.
+    pub fn set_rate(&mut self, now: Time, rate_milli_per_s: u64) {
+        self.fill(now);
+        self.rate_milli_per_s = rate_milli_per_s;
+        self.level_micro = self.level_micro.min(burst_micro(rate_milli_per_s));
+    }
+
+    /// Takes one token.
+    ///
+    /// # Errors
+    ///
+    /// Returns the milliseconds until there is one.
+    pub fn take(&mut self, now: Time) -> Result<(), u64> {
+        self.fill(now);
+        if self.level_micro >= MICRO {
+            self.level_micro -= MICRO;
+            return Ok(());
+        }
+        let missing = MICRO - self.level_micro;
+        Err(missing.div_ceil(self.rate_milli_per_s.max(1)))
+    }
+
+    fn fill(&mut self, now: Time) {
+        let gained = now.since(self.filled).saturating_mul(self.rate_milli_per_s);
+        let level = self.level_micro.saturating_add(gained);
+        self.level_micro = level.min(burst_micro(self.rate_milli_per_s));
+        self.filled = self.filled.max(now);
+    }
+}
+
+fn burst_micro(rate_milli_per_s: u64) -> u64 {
+    rate_milli_per_s.saturating_mul(BURST_MS).max(MICRO)
+}
+
+/// Bounds retries to a share of the calls, so that a fault adds little load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Retries {
+    credit: u32,
+}
+
+/// Calls that earn one retry.
+pub const CALLS_PER_RETRY: u32 = 10;
+
+/// Retries that can be saved up.
+pub const MAX_RETRIES: u32 = 10;
+
+impl Retries {
+    /// Notes a first attempt, which earns a share of a retry.
+    pub fn earn(&mut self) {
+        let most = MAX_RETRIES * CALLS_PER_RETRY;
+        self.credit = (self.credit + 1).min(most);
+    }
+
+    /// Spends a retry, if one has been earned.
+    pub fn spend(&mut self) -> bool {
+        if self.credit < CALLS_PER_RETRY {
+            return false;
+        }
+        self.credit -= CALLS_PER_RETRY;
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,339 @@
+//! Which upstream a call is placed on.
+//!
+//! The cost of an upstream, in milliseconds, is the expected wait, a share for
+//! the load that slows a batch down, the prefill of what is not cached there,
+//! and the cache weight times the prefill that the choice wastes: what it
+//! evicts, and what it leaves behind at the upstream that served the program
+//! last. Only the upstream that served the program last and a few of the least
+//! loaded ones are compared, so a decision's cost grows with the logarithm of
+//! the upstreams known.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use slotmap::{SlotMap, new_key_type};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::id;
+
+/// Prompt tokens that an engine prefills in a millisecond.
+pub const PREFILL_TOKENS_PER_MS: u64 = 4;
+
+/// What a full batch adds to a call's time against an empty one, in milliseconds.
+pub const LOAD_MS: u64 = 400;
+
+/// Least loaded upstreams that are compared.
+const COMPARED: usize = 8;
+
+/// Programs whose last upstream is remembered.
+const MAX_PROGRAMS: usize = 16_384;
+
+new_key_type! {
+    /// Names an upstream on a board.
+    pub struct Key;
+}
+
+/// What is known of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct State {
+    /// The models that it has loaded, or the names that it serves a plain service under.
+    pub offers: Vec<Arc<str>>,
+    /// The most calls at once.
+    pub slots: u32,
+    /// Free slots.
+    pub free: u32,
+    /// Milliseconds until a new request would be served.
+    pub wait_ms: u64,
+    /// Tokens held in the cache.
+    pub cached_tokens: u64,
+    /// Tokens that the cache can hold; zero if it has none.
+    pub cache_tokens: u64,
+}
+
+/// A call to place.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// The program.
+    pub program: id::Program,
+    /// What an upstream must offer.
+    pub offer: &'a str,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Upstreams that must not be chosen.
+    pub avoid: &'a [id::Upstream],
+}
+
+/// A choice, with what it costs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Its cost in milliseconds.
+    pub cost_ms: u64,
+    /// Milliseconds of prefill that another choice would cost more.
+    pub saved_ms: u64,
+    /// Milliseconds that the call is expected to wait there.
+    pub wait_ms: u64,
+}
+
+/// Capacity of all upstreams with one offer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// Upstreams.
+    pub upstreams: u32,
+    /// Slots.
+    pub slots: u32,
+    /// Free slots.
+    pub free: u32,
+    /// Sum of the expected waits, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Everything that placement knows.
+#[derive(Debug)]
+pub struct Board {
+    cache_weight: f64,
+    upstreams: SlotMap<Key, Known>,
+    keys: BTreeMap<id::Upstream, Key>,
+    offers: BTreeMap<Arc<str>, BTreeSet<Order>>,
+    programs: BTreeMap<id::Program, Last>,
+    recent: BTreeSet<(u64, id::Program)>,
+    sequence: u64,
+}
+
+#[derive(Debug)]
+struct Known {
+    id: id::Upstream,
+    state: State,
+}
+
+/// The place of an upstream among those with the same offer: the least loaded comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Order {
+    wait_ms: u64,
+    load_permille: u32,
+    key: Key,
+}
+
+#[derive(Clone, Debug)]
+struct Last {
+    upstream: id::Upstream,
+    tokens: u64,
+    sequence: u64,
+}
+
+impl Board {
+    /// Makes an empty board.
+    ///
+    /// `cache_weight` is what a millisecond of wasted prefill counts against one of waiting.
+    #[must_use]
+    pub fn new(cache_weight: f64) -> Self {
+        Self {
+            cache_weight,
+            upstreams: SlotMap::with_key(),
+            keys: BTreeMap::new(),
+            offers: BTreeMap::new(),
+            programs: BTreeMap::new(),
+            recent: BTreeSet::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Sets what is known of an upstream.
+    pub fn set(&mut self, upstream: &id::Upstream, state: State) {
+        self.remove(upstream);
+        let order = state.order();
+        let offers = state.offers.clone();
+        let known = Known {
+            id: upstream.clone(),
+            state,
+        };
+        let key = self.upstreams.insert(known);
+        self.keys.insert(upstream.clone(), key);
+        for offer in offers {
+            let order = Order { key, ..order };
+            self.offers.entry(offer).or_default().insert(order);
+        }
+    }
+
+    /// Removes an upstream, which is then chosen no more.
+    pub fn remove(&mut self, upstream: &id::Upstream) {
+        let Some(key) = self.keys.remove(upstream) else {
+            return;
+        };
+        let Some(known) = self.upstreams.remove(key) else {
+            return;
+        };
+        let order = Order {
+            key,
+            ..known.state.order()
+        };
+        for offer in &known.state.offers {
+            if let Some(orders) = self.offers.get_mut(offer) {
+                orders.remove(&order);
+            }
+        }
+        self.offers.retain(|_, orders| !orders.is_empty());
+    }
+
+    /// Removes the upstreams that `keep` does not hold to.
+    pub fn retain(&mut self, keep: impl Fn(&id::Upstream) -> bool) {
+        let gone: Vec<_> = self.keys.keys().filter(|id| !keep(id)).cloned().collect();
+        for upstream in gone {
+            self.remove(&upstream);
+        }
+    }
+
+    /// Notes that an upstream serves a program, whose prefix there has `tokens` from now on.
+    pub fn note_served(&mut self, program: id::Program, upstream: &id::Upstream, tokens: u64) {
+        self.forget(program);
+        self.sequence += 1;
+        let last = Last {
+            upstream: upstream.clone(),
+            tokens,
+            sequence: self.sequence,
+        };
+        self.recent.insert((last.sequence, program));
+        self.programs.insert(program, last);
+        if self.programs.len() > MAX_PROGRAMS {
+            self.forget_oldest();
+        }
+    }
+
+    /// Notes that an upstream's slot was granted or refused, until its home says more.
+    pub fn note_wait(&mut self, upstream: &id::Upstream, free: u32, wait_ms: u64) {
+        let key = self.keys.get(upstream);
+        let Some(known) = key.and_then(|key| self.upstreams.get(*key)) else {
+            return;
+        };
+        let state = State {
+            free,
+            wait_ms,
+            ..known.state.clone()
+        };
+        self.set(upstream, state);
+    }
+
+    /// Forgets where a program was served.
+    pub fn forget(&mut self, program: id::Program) {
+        if let Some(last) = self.programs.remove(&program) {
+            self.recent.remove(&(last.sequence, program));
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, program)) = self.recent.pop_first() {
+            self.programs.remove(&program);
+        }
+    }
+
+    /// Returns what is known of an upstream.
+    #[must_use]
+    pub fn state(&self, upstream: &id::Upstream) -> Option<&State> {
+        let key = self.keys.get(upstream)?;
+        self.upstreams.get(*key).map(|known| &known.state)
+    }
+
+    /// Returns the upstreams that are worth asking, cheapest first.
+    #[must_use]
+    pub fn rank(&self, call: &Call<'_>) -> Vec<Choice> {
+        let Some(orders) = self.offers.get(call.offer) else {
+            return Vec::new();
+        };
+        let last = self.programs.get(&call.program);
+        let least = orders
+            .iter()
+            .filter_map(|order| self.upstreams.get(order.key));
+        let least = least.filter(|known| !call.avoid.contains(&known.id));
+        let mut compared: Vec<_> = least.take(COMPARED).collect();
+        let sticky = last.and_then(|last| self.find(last, call));
+        let sticky = sticky.filter(|known| !compared.iter().any(|other| other.id == known.id));
+        compared.extend(sticky);
+        let mut choices: Vec<_> = compared
+            .into_iter()
+            .map(|known| self.choice(known, last, call))
+            .collect();
+        choices.sort_by_cached_key(|choice| (choice.cost_ms, spread(call.program, choice)));
+        choices
+    }
+
+    /// Returns the capacity of the upstreams with an offer.
+    #[must_use]
+    pub fn capacity(&self, offer: &str) -> Capacity {
+        let mut capacity = Capacity::default();
+        let orders = self.offers.get(offer).into_iter().flatten();
+        for known in orders.filter_map(|order| self.upstreams.get(order.key)) {
+            capacity.upstreams += 1;
+            capacity.slots += known.state.slots;
+            capacity.free += known.state.free;
+            capacity.wait_ms += known.state.wait_ms;
+        }
+        capacity
+    }
+
+    /// Returns the upstream that served a program last, if it may be chosen for the call.
+    fn find(&self, last: &Last, call: &Call<'_>) -> Option<&Known> {
+        let key = self.keys.get(&last.upstream)?;
+        let known = self.upstreams.get(*key)?;
+        let offered = known
+            .state
+            .offers
+            .iter()
+            .any(|offer| **offer == *call.offer);
+        let allowed = offered && !call.avoid.contains(&known.id);
+        allowed.then_some(known)
+    }
+
+    fn choice(&self, known: &Known, last: Option<&Last>, call: &Call<'_>) -> Choice {
+        let prefix = last.map_or(0, |last| last.tokens.min(call.prompt));
+        let is_last = last.is_some_and(|last| last.upstream == known.id);
+        let (cached, left) = if is_last { (prefix, 0) } else { (0, prefix) };
+        let state = &known.state;
+        let added = call.prompt - cached;
+        let wasted = state.evicted(added) + left;
+        let weighted = self.cache_weight * prefill_ms(wasted) as f64;
+        let load_ms = u64::from(state.load_permille()) * LOAD_MS / 1_000;
+        Choice {
+            upstream: known.id.clone(),
+            cost_ms: state.wait_ms + load_ms + prefill_ms(added) + weighted as u64,
+            saved_ms: prefill_ms(cached),
+            wait_ms: state.wait_ms,
+        }
+    }
+}
+
+impl State {
+    fn load_permille(&self) -> u32 {
+        let slots = self.slots.max(1);
+        let taken = slots.saturating_sub(self.free);
+        taken * 1_000 / slots
+    }
+
+    /// Returns the tokens that have to go for `added` ones.
+    fn evicted(&self, added: u64) -> u64 {
+        if self.cache_tokens == 0 {
+            return 0;
+        }
+        let wanted = self.cached_tokens + added;
+        wanted.saturating_sub(self.cache_tokens).min(added)
+    }
+
+    fn order(&self) -> Order {
+        Order {
+            wait_ms: self.wait_ms,
+            load_permille: self.load_permille(),
+            key: Key::default(),
+        }
+    }
+}
+
+/// Returns the milliseconds that the prefill of some tokens takes.
+const fn prefill_ms(tokens: u64) -> u64 {
+    tokens / PREFILL_TOKENS_PER_MS
+}
+
+/// Spreads programs over upstreams of the same cost, the same way at every instance.
+fn spread(program: id::Program, choice: &Choice) -> u64 {
+    let seed = xxh3_64_with_seed(program.to_string().as_bytes(), 0);
+    xxh3_64_with_seed(choice.upstream.as_str().as_bytes(), seed)
+}
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -7,6 +7,9 @@
 //! least attained service as in multi-level feedback queues, with the levels
 //! laid out on the time axis so that the order of two waiting programs never
 //! changes and an ordered map holds it.
+//!
+//! Accounts are kept apart in the same way: each request that an account has
+//! waiting already counts as a fixed later arrival of the next.
 
 use std::collections::BTreeMap;
 
@@ -24,7 +27,11 @@
 /// What a cached prefix at the upstream takes off a program's arrival, in milliseconds.
 pub const CACHED_STEP_MS: u64 = 1_000;
 
-/// The longest time by which a later arrival can overtake an earlier one, in milliseconds.
+/// What each waiting request of an account adds to the arrival of its next, in milliseconds.
+pub const BACKLOG_STEP_MS: u64 = 200;
+
+/// The longest time by which a later arrival can overtake an earlier one of an account without
+/// backlog, in milliseconds.
 pub const OVERTAKE_MS: u64 = LEVEL_MS * MAX_LEVEL + CACHED_STEP_MS;
 
 /// What decides a program's place.
@@ -36,6 +43,8 @@
     pub attained: u64,
     /// Whether the upstream holds its prefix.
     pub cached: bool,
+    /// Requests of the same account that wait already.
+    pub backlog: u32,
 }
 
 /// Names a place in a queue.
@@ -103,10 +112,10 @@
 
 /// Returns the arrival that a rank counts as.
 fn due_ms(rank: Rank) -> u64 {
-    let step = if rank.cached { 0 } else { CACHED_STEP_MS };
-    rank.arrived
-        .after(level(rank.attained) * LEVEL_MS + step)
-        .as_ms()
+    let cached = if rank.cached { 0 } else { CACHED_STEP_MS };
+    let backlog = u64::from(rank.backlog) * BACKLOG_STEP_MS;
+    let later = level(rank.attained) * LEVEL_MS + cached + backlog;
+    rank.arrived.after(later).as_ms()
 }
 
 /// Returns the level of a program that has had `attained` tokens of service.
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,145 @@
+//! Admission, rates and retries.
+
+use assert_matches::assert_matches;
+use basilramp_core::admission::{Gate, Load, Programs, REPORT_MS, RETRY_MS, SMOOTHING_MS};
+use basilramp_core::clock::Time;
+use basilramp_core::id;
+use basilramp_core::limit::{Bucket, CALLS_PER_RETRY, MAX_RETRIES, Retries};
+
+fn account() -> id::Account {
+    id::Account::new("account")
+}
+
+fn program(number: u32) -> id::Program {
+    id::Program::root(&account(), &id::Request::new(number.to_string()))
+}
+
+fn observed(taken: u32) -> (Gate, Time) {
+    let mut gate = Gate::default();
+    let now = Time::from_ms(SMOOTHING_MS);
+    gate.observe(now, Load { slots: 100, taken });
+    (gate, now)
+}
+
+#[test]
+fn the_headroom_is_kept_for_programs_under_way() {
+    let (mut gate, now) = observed(70);
+    let admitted = (0..100).filter(|_| gate.admit(now, 20, 1).is_ok()).count();
+    assert_eq!(admitted, 10);
+}
+
+#[test]
+fn each_instance_takes_its_part_of_what_is_free() {
+    let (mut gate, now) = observed(70);
+    let admitted = (0..100).filter(|_| gate.admit(now, 20, 5).is_ok()).count();
+    assert_eq!(admitted, 2);
+}
+
+#[test]
+fn nothing_is_admitted_without_a_ready_upstream() {
+    let mut gate = Gate::default();
+    gate.observe(Time::ZERO, Load::default());
+    assert_matches!(gate.admit(Time::ZERO, 0, 1), Err(_));
+}
+
+#[test]
+fn an_idle_service_takes_a_program_whatever_the_headroom() {
+    let mut gate = Gate::default();
+    gate.observe(Time::ZERO, Load { slots: 1, taken: 0 });
+    assert_matches!(gate.admit(Time::ZERO, 50, 12), Ok(()));
+    assert_matches!(gate.admit(Time::ZERO, 50, 12), Err(_));
+}
+
+#[test]
+fn the_time_to_retry_grows_with_the_refusals() {
+    let (mut gate, now) = observed(100);
+    let first = gate.admit(now, 10, 1).expect_err("full");
+    assert!(RETRY_MS.contains(&first));
+    for _ in 0..1_000 {
+        let later = gate.admit(now, 10, 1).expect_err("full");
+        assert!(RETRY_MS.contains(&later));
+        assert!(later >= first);
+    }
+    assert_eq!(gate.admit(now, 10, 1), Err(*RETRY_MS.end()));
+}
+
+#[test]
+fn an_account_has_no_more_programs_than_its_limit() {
+    let mut programs = Programs::default();
+    let now = Time::ZERO;
+    for number in 0..3 {
+        assert!(programs.admit(now, &account(), program(number), 3));
+    }
+    assert!(!programs.admit(now, &account(), program(3), 3));
+    assert!(
+        programs.admit(now, &account(), program(2), 3),
+        "the same program again"
+    );
+}
+
+#[test]
+fn a_program_reported_twice_counts_once() {
+    let mut programs = Programs::default();
+    let now = Time::ZERO;
+    assert!(programs.admit(now, &account(), program(0), 2));
+    for instance in ["a", "b"] {
+        programs.report(now, &id::Instance::new(instance), &account(), [program(0)]);
+    }
+    assert!(programs.admit(now, &account(), program(1), 2));
+    assert!(!programs.admit(now, &account(), program(2), 2));
+}
+
+#[test]
+fn ended_programs_and_silent_owners_stop_counting() {
+    let mut programs = Programs::default();
+    let owner = id::Instance::new("a");
+    programs.report(Time::ZERO, &owner, &account(), [program(0)]);
+    let early = Time::from_ms(REPORT_MS - 1);
+    assert!(!programs.admit(early, &account(), program(1), 1));
+    programs.report(early, &owner, &account(), []);
+    assert!(programs.admit(early, &account(), program(1), 1));
+    let silent = id::Instance::new("b");
+    programs.report(early, &silent, &account(), [program(2)]);
+    let late = early.after(REPORT_MS);
+    assert!(!programs.admit(Time::from_ms(late.as_ms() - 1), &account(), program(3), 1));
+    assert!(programs.admit(late, &account(), program(3), 1));
+}
+
+#[test]
+fn a_bucket_keeps_to_its_rate() {
+    let mut now = Time::ZERO;
+    let mut bucket = Bucket::new(now, 5_000);
+    let mut taken = 0;
+    for _ in 0..=10_000 {
+        taken += u32::from(bucket.take(now).is_ok());
+        now = now.after(1);
+    }
+    assert_eq!(taken, 10 + 50);
+}
+
+#[test]
+fn a_bucket_tells_when_to_come_back() {
+    let now = Time::ZERO;
+    let mut bucket = Bucket::new(now, 250);
+    assert_matches!(bucket.take(now), Ok(()));
+    let wait_ms = bucket.take(now).expect_err("empty");
+    assert_matches!(bucket.take(now.after(wait_ms - 1)), Err(_));
+    assert_matches!(bucket.take(now.after(wait_ms)), Ok(()));
+}
+
+#[test]
+fn retries_are_a_share_of_the_calls() {
+    let mut retries = Retries::default();
+    assert!(!retries.spend());
+    let mut spent = 0;
+    for _ in 0..1_000 {
+        retries.earn();
+        spent += u32::from(retries.spend());
+    }
+    assert_eq!(spent, 1_000 / CALLS_PER_RETRY);
+    for _ in 0..10_000 {
+        retries.earn();
+    }
+    let saved = (0..1_000).filter(|_| retries.spend()).count();
+    assert_eq!(saved, MAX_RETRIES as usize);
+}
--- /dev/null
+++ b/crates/core/tests/home.rs
@@ -0,0 +1,321 @@
+//! The home's slots and queue under random commands.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use assert_matches::assert_matches;
+use basilramp_core::clock::Time;
+use basilramp_core::home::{
+    Answer, Ask, Effect, GRANT_MS, Home, LAG_MS, LOST_MS, Office, Refusal, Report, SHARE_DIVISOR,
+    Ticket, Waiter,
+};
+use basilramp_core::id;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SLOTS: u32 = 4;
+
+/// What reports lag behind, in milliseconds.
+const REPORT_LAG_MS: u64 = LAG_MS - 500;
+
+fn upstream() -> id::Upstream {
+    id::Upstream::new("engine-1")
+}
+
+fn ask(number: u32, wait_ms: u64) -> Ask {
+    let account = id::Account::new(format!("account-{}", number % 3));
+    let request = id::Request::new(number.to_string());
+    Ask {
+        program: id::Program::root(&account, &request),
+        account,
+        attained: u64::from(number) * 700,
+        cached: number.is_multiple_of(2),
+        wait_ms,
+    }
+}
+
+const fn report(calls: u32) -> Report {
+    Report {
+        slots: SLOTS,
+        calls: Some(calls),
+        leaving: false,
+    }
+}
+
+/// Returns a home that has settled, with no calls under way.
+fn settled() -> (Home, Time) {
+    let mut home = Home::new(0);
+    home.adopt(Time::ZERO, &upstream(), Office::Home);
+    home.report(Time::ZERO, &upstream(), report(0));
+    let now = Time::from_ms(LAG_MS);
+    home.report(now, &upstream(), report(0));
+    (home, now)
+}
+
+#[derive(Clone, Debug)]
+enum Command {
+    Ask { wait_ms: u64 },
+    GiveBack(usize),
+    Withdraw(usize),
+    Leave(bool),
+    Pass(u64),
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    prop_oneof![
+        6 => (0_u64..4_000).prop_map(|wait_ms| Command::Ask { wait_ms }),
+        4 => any::<usize>().prop_map(Command::GiveBack),
+        1 => any::<usize>().prop_map(Command::Withdraw),
+        1 => any::<bool>().prop_map(Command::Leave),
+        4 => (0_u64..3_000).prop_map(Command::Pass),
+    ]
+}
+
+/// What callers saw of the home.
+struct Model {
+    home: Home,
+    now: Time,
+    leaving: bool,
+    asked: u32,
+    held: Vec<(Ticket, Time)>,
+    history: Vec<(Time, u32)>,
+    waiting: BTreeSet<Waiter>,
+}
+
+impl Model {
+    fn new() -> Self {
+        let (home, now) = settled();
+        Self {
+            home,
+            now,
+            leaving: false,
+            asked: 0,
+            held: Vec::new(),
+            history: vec![(Time::ZERO, 0)],
+            waiting: BTreeSet::new(),
+        }
+    }
+
+    fn run(&mut self, command: &Command) {
+        match *command {
+            Command::Ask { wait_ms } => self.ask(wait_ms),
+            Command::GiveBack(index) if !self.held.is_empty() => {
+                let (ticket, _) = self.held.swap_remove(index % self.held.len());
+                let effects = self.home.give_back(self.now, &upstream(), ticket);
+                self.note(&effects);
+            }
+            Command::Withdraw(index) if !self.waiting.is_empty() => {
+                let index = index % self.waiting.len();
+                let waiter = *self.waiting.iter().nth(index).expect("index in range");
+                self.waiting.remove(&waiter);
+                assert!(self.home.withdraw(&upstream(), waiter));
+            }
+            Command::GiveBack(_) | Command::Withdraw(_) => {}
+            Command::Leave(leaving) => {
+                self.leaving = leaving;
+                self.report();
+            }
+            Command::Pass(ms) => {
+                self.now = self.now.after(ms);
+                self.report();
+                let effects = self.home.expire(self.now);
+                self.note(&effects);
+            }
+        }
+        self.history.push((self.now, self.held.len() as u32));
+        let now = self.now;
+        self.held.retain(|(_, since)| now.since(*since) < GRANT_MS);
+    }
+
+    fn ask(&mut self, wait_ms: u64) {
+        self.asked += 1;
+        match self
+            .home
+            .ask(self.now, &upstream(), &ask(self.asked, wait_ms))
+        {
+            Answer::Granted(ticket) => self.hold(ticket),
+            Answer::Queued(waiter) => assert!(self.waiting.insert(waiter)),
+            Answer::Refused(_) => {}
+        }
+    }
+
+    fn report(&mut self) {
+        let seen = |(at, _): &&(Time, u32)| self.now.since(*at) >= REPORT_LAG_MS;
+        let calls = self
+            .history
+            .iter()
+            .rfind(seen)
+            .map_or(0, |(_, calls)| *calls);
+        let report = Report {
+            leaving: self.leaving,
+            ..report(calls)
+        };
+        let effects = self.home.report(self.now, &upstream(), report);
+        self.note(&effects);
+    }
+
+    fn note(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            match *effect {
+                Effect::Granted(waiter, ticket) => {
+                    assert!(self.waiting.remove(&waiter), "granted twice");
+                    self.hold(ticket);
+                }
+                Effect::Refused(waiter, _) => {
+                    assert!(self.waiting.remove(&waiter), "refused twice");
+                }
+            }
+        }
+    }
+
+    fn hold(&mut self, ticket: Ticket) {
+        assert!(!self.leaving, "granted by an upstream that leaves");
+        self.held.push((ticket, self.now));
+        assert!(self.held.len() <= SLOTS as usize, "more grants than slots");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn slots_are_respected_and_every_request_is_settled(
+        commands in prop::collection::vec(command(), 1..120),
+    ) {
+        let mut model = Model::new();
+        for command in &commands {
+            model.run(command);
+        }
+        model.run(&Command::Pass(4_000));
+        prop_assert!(model.waiting.is_empty(), "requests without an outcome");
+    }
+}
+
+#[test]
+fn a_new_home_grants_nothing_until_former_grants_had_time_to_show() {
+    let mut home = Home::new(0);
+    home.adopt(Time::ZERO, &upstream(), Office::Home);
+    home.report(Time::ZERO, &upstream(), report(0));
+    let early = home.ask(Time::from_ms(10), &upstream(), &ask(1, 0));
+    assert_matches!(early, Answer::Refused(Refusal::Busy(_)));
+    home.report(Time::from_ms(LAG_MS - 1), &upstream(), report(SLOTS));
+    let late = home.ask(Time::from_ms(LAG_MS), &upstream(), &ask(2, 0));
+    assert_matches!(late, Answer::Refused(Refusal::Busy(_)));
+}
+
+#[test]
+fn a_former_home_s_grant_is_freed_by_its_return() {
+    let mut home = Home::new(1_000);
+    home.adopt(Time::ZERO, &upstream(), Office::Home);
+    home.report(Time::ZERO, &upstream(), report(SLOTS));
+    let now = Time::from_ms(LAG_MS);
+    home.report(now, &upstream(), report(SLOTS));
+    assert_matches!(home.ask(now, &upstream(), &ask(1, 0)), Answer::Refused(_));
+    home.give_back(now, &upstream(), Ticket(7));
+    assert_matches!(home.ask(now, &upstream(), &ask(1, 0)), Answer::Granted(_));
+    assert_matches!(home.ask(now, &upstream(), &ask(2, 0)), Answer::Refused(_));
+}
+
+#[test]
+fn a_deputy_and_the_home_together_grant_no_more_than_the_slots() {
+    let slots = 2 * SHARE_DIVISOR;
+    let report = Report {
+        slots,
+        calls: Some(0),
+        leaving: false,
+    };
+    let mut granted = 0;
+    for office in [Office::Home, Office::Deputy] {
+        let mut home = Home::new(0);
+        home.adopt(Time::ZERO, &upstream(), office);
+        let now = Time::from_ms(LAG_MS);
+        home.report(now, &upstream(), report);
+        for number in 0..slots {
+            let answer = home.ask(now, &upstream(), &ask(number, 0));
+            granted += u32::from(matches!(answer, Answer::Granted(_)));
+        }
+    }
+    assert_eq!(granted, slots);
+}
+
+#[test]
+fn grants_of_a_dead_holder_are_freed() {
+    let (mut home, start) = settled();
+    for number in 0..SLOTS {
+        assert_matches!(
+            home.ask(start, &upstream(), &ask(number, 0)),
+            Answer::Granted(_)
+        );
+    }
+    let mut now = start;
+    while now.since(start) < LAG_MS + LOST_MS {
+        assert_matches!(home.ask(now, &upstream(), &ask(9, 0)), Answer::Refused(_));
+        now = now.after(500);
+        home.report(now, &upstream(), report(0));
+    }
+    assert_matches!(home.ask(now, &upstream(), &ask(9, 0)), Answer::Granted(_));
+}
+
+#[test]
+fn a_leaving_upstream_refuses_those_who_wait() {
+    let (mut home, now) = settled();
+    for number in 0..SLOTS {
+        home.ask(now, &upstream(), &ask(number, 0));
+    }
+    let answer = home.ask(now, &upstream(), &ask(9, 10_000));
+    let Answer::Queued(waiter) = answer else {
+        panic!("not queued: {answer:?}");
+    };
+    let leaving = Report {
+        leaving: true,
+        ..report(SLOTS)
+    };
+    let effects = home.report(now, &upstream(), leaving);
+    assert_eq!(effects, [Effect::Refused(waiter, Refusal::Closed)]);
+    let answer = home.ask(now, &upstream(), &ask(10, 10_000));
+    assert_eq!(answer, Answer::Refused(Refusal::Closed));
+}
+
+#[test]
+fn a_flooding_account_does_not_hold_up_another() {
+    let (mut home, now) = settled();
+    let mut held = Vec::new();
+    for number in 0..SLOTS {
+        let answer = home.ask(now, &upstream(), &ask(number, 0));
+        let Answer::Granted(ticket) = answer else {
+            panic!("not granted: {answer:?}");
+        };
+        held.push(ticket);
+    }
+    let mut owners = BTreeMap::new();
+    for number in 0..40 {
+        let flood = Ask {
+            account: id::Account::new("flood"),
+            attained: 0,
+            cached: false,
+            ..ask(number, 60_000)
+        };
+        if let Answer::Queued(waiter) = home.ask(now, &upstream(), &flood) {
+            owners.insert(waiter, "flood");
+        }
+    }
+    let other = Ask {
+        account: id::Account::new("other"),
+        attained: 0,
+        cached: false,
+        ..ask(99, 60_000)
+    };
+    if let Answer::Queued(waiter) = home.ask(now.after(1), &upstream(), &other) {
+        owners.insert(waiter, "other");
+    }
+    let mut order = Vec::new();
+    while let Some(ticket) = held.pop() {
+        for effect in home.give_back(now.after(2), &upstream(), ticket) {
+            if let Effect::Granted(waiter, ticket) = effect {
+                order.push(owners[&waiter]);
+                held.push(ticket);
+            }
+        }
+    }
+    let place = order.iter().position(|owner| *owner == "other");
+    assert_eq!(place, Some(1), "{order:?}");
+}
