--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -30,6 +30,12 @@
         Self(self.0.saturating_add(ms))
     }
 
+    /// Returns the point `ms` milliseconds earlier, saturating at the origin.
+    #[must_use]
+    pub const fn before(self, ms: u64) -> Self {
+        Self(self.0.saturating_sub(ms))
+    }
+
     /// Returns the milliseconds from `earlier` to this point, or zero if it lies ahead.
     #[must_use]
     pub const fn since(self, earlier: Self) -> u64 {
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -60,6 +60,8 @@
     pub cached: bool,
     /// Milliseconds that it waits; with zero it is granted or refused at once.
     pub wait_ms: u64,
+    /// Milliseconds that it has waited elsewhere before.
+    pub waited_ms: u64,
 }
 
 /// What becomes of a request at once.
@@ -139,15 +141,15 @@
 
     /// Takes an office for an upstream, with no slots until it reports.
     ///
-    /// A deputy that becomes the home, or the reverse, keeps the grants that it made.
-    pub fn adopt(&mut self, now: Time, upstream: &id::Upstream, office: Office) {
-        match self.upstreams.get_mut(upstream) {
-            Some(entry) => entry.change(now, office),
-            None => {
-                let entry = Entry::new(now, office);
-                self.upstreams.insert(upstream.clone(), entry);
-            }
+    /// A deputy that becomes the home, or the reverse, keeps the grants that it made. Returns
+    /// whether the office is new.
+    pub fn adopt(&mut self, now: Time, upstream: &id::Upstream, office: Office) -> bool {
+        if let Some(entry) = self.upstreams.get_mut(upstream) {
+            return entry.change(now, office);
         }
+        let entry = Entry::new(now, office);
+        self.upstreams.insert(upstream.clone(), entry);
+        true
     }
 
     /// Gives the office up; those who wait there are refused.
--- a/crates/core/src/home/entry.rs
+++ b/crates/core/src/home/entry.rs
@@ -73,14 +73,17 @@
     }
 
     /// Changes the office; what others granted meanwhile has to show again.
-    pub(super) fn change(&mut self, now: Time, office: Office) {
+    ///
+    /// Returns whether it did change.
+    pub(super) fn change(&mut self, now: Time, office: Office) -> bool {
         if self.office == office {
-            return;
+            return false;
         }
         self.office = office;
         self.since = now;
         self.slots = 0;
         self.foreign = 0;
+        true
     }
 
     pub(super) fn report(&mut self, now: Time, report: Report) {
@@ -196,7 +199,7 @@
     fn enqueue(&mut self, now: Time, waiter: Waiter, ask: &Ask) {
         let backlog = self.backlogs.entry(ask.account.clone()).or_default();
         let rank = Rank {
-            arrived: now,
+            arrived: now.before(ask.waited_ms),
             attained: ask.attained,
             cached: ask.cached,
             backlog: *backlog,
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -1,4 +1,4 @@
-//! Limits on rates: token buckets, and the budget of retries.
+//! Limits on rates: token buckets.
 
 use crate::clock::Time;
 
@@ -63,32 +63,3 @@
 fn burst_micro(rate_milli_per_s: u64) -> u64 {
     rate_milli_per_s.saturating_mul(BURST_MS).max(MICRO)
 }
-
-/// Bounds retries to a share of the calls, so that a fault adds little load.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Retries {
-    credit: u32,
-}
-
-/// Calls that earn one retry.
-pub const CALLS_PER_RETRY: u32 = 10;
-
-/// Retries that can be saved up.
-pub const MAX_RETRIES: u32 = 10;
-
-impl Retries {
-    /// Notes a first attempt, which earns a share of a retry.
-    pub fn earn(&mut self) {
-        let most = MAX_RETRIES * CALLS_PER_RETRY;
-        self.credit = (self.credit + 1).min(most);
-    }
-
-    /// Spends a retry, if one has been earned.
-    pub fn spend(&mut self) -> bool {
-        if self.credit < CALLS_PER_RETRY {
-            return false;
-        }
-        self.credit -= CALLS_PER_RETRY;
-        true
-    }
-}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -141,6 +141,9 @@
 
     /// Sets what is known of an upstream.
     pub fn set(&mut self, upstream: &id::Upstream, state: State) {
+        if self.state(upstream) == Some(&state) {
+            return;
+        }
         self.remove(upstream);
         let order = state.order();
         let offers = state.offers.clone();
@@ -169,11 +172,18 @@
             ..known.state.order()
         };
         for offer in &known.state.offers {
-            if let Some(orders) = self.offers.get_mut(offer) {
-                orders.remove(&order);
-            }
+            self.withdraw(offer, &order);
+        }
+    }
+
+    fn withdraw(&mut self, offer: &str, order: &Order) {
+        let Some(orders) = self.offers.get_mut(offer) else {
+            return;
+        };
+        orders.remove(order);
+        if orders.is_empty() {
+            self.offers.remove(offer);
         }
-        self.offers.retain(|_, orders| !orders.is_empty());
     }
 
     /// Removes the upstreams that `keep` does not hold to.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -1,10 +1,10 @@
-//! Admission, rates and retries.
+//! Admission and rates.
 
 use assert_matches::assert_matches;
 use basilramp_core::admission::{Gate, Load, Programs, REPORT_MS, RETRY_MS, SMOOTHING_MS};
 use basilramp_core::clock::Time;
 use basilramp_core::id;
-use basilramp_core::limit::{Bucket, CALLS_PER_RETRY, MAX_RETRIES, Retries};
+use basilramp_core::limit::Bucket;
 
 fn account() -> id::Account {
     id::Account::new("account")
@@ -126,20 +126,3 @@
     assert_matches!(bucket.take(now.after(wait_ms - 1)), Err(_));
     assert_matches!(bucket.take(now.after(wait_ms)), Ok(()));
 }
-
-#[test]
-fn retries_are_a_share_of_the_calls() {
-    let mut retries = Retries::default();
-    assert!(!retries.spend());
-    let mut spent = 0;
-    for _ in 0..1_000 {
-        retries.earn();
-        spent += u32::from(retries.spend());
-    }
-    assert_eq!(spent, 1_000 / CALLS_PER_RETRY);
-    for _ in 0..10_000 {
-        retries.earn();
-    }
-    let saved = (0..1_000).filter(|_| retries.spend()).count();
-    assert_eq!(saved, MAX_RETRIES as usize);
-}
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -30,6 +30,7 @@
         attained: u64::from(number) * 700,
         cached: number.is_multiple_of(2),
         wait_ms,
+        waited_ms: 0,
     }
 }
 
@@ -319,3 +320,30 @@
     let place = order.iter().position(|owner| *owner == "other");
     assert_eq!(place, Some(1), "{order:?}");
 }
+
+#[test]
+fn a_request_that_waited_elsewhere_keeps_its_age() {
+    let (mut home, now) = settled();
+    let Answer::Granted(ticket) = home.ask(now, &upstream(), &ask(0, 0)) else {
+        panic!("not granted");
+    };
+    for number in 1..SLOTS {
+        home.ask(now, &upstream(), &ask(number, 0));
+    }
+    let waiting = |waited_ms| Ask {
+        attained: 0,
+        cached: false,
+        waited_ms,
+        ..ask(1, 60_000)
+    };
+    home.ask(now, &upstream(), &waiting(0));
+    let older = Ask {
+        account: id::Account::new("other"),
+        ..waiting(500)
+    };
+    let Answer::Queued(older) = home.ask(now, &upstream(), &older) else {
+        panic!("not queued");
+    };
+    let effects = home.give_back(now, &upstream(), ticket);
+    assert_matches!(effects[..], [Effect::Granted(waiter, _)] if waiter == older);
+}
