--- a/crates/daemon/src/grant.rs
+++ b/crates/daemon/src/grant.rs
@@ -49,6 +49,8 @@
 /// A slot at an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Grant {
+    /// The program that it was granted for.
+    pub(crate) program: id::Program,
     /// The upstream.
     pub(crate) upstream: id::Upstream,
     /// Where it takes calls.
@@ -190,6 +192,13 @@
             End::Done(usage) => Some(usage),
             End::Cancelled | End::Failed => None,
         };
+        if let Some(usage) = usage {
+            let tokens = usage.prompt + usage.output;
+            let mut table = self.table();
+            table
+                .board
+                .note_served(grant.program, &grant.upstream, tokens);
+        }
         let back = frame::Return {
             upstream: grant.upstream.to_string(),
             ticket: grant.ticket,
@@ -199,17 +208,6 @@
         self.send_back(&grant, back);
     }
 
-    /// Notes what an upstream holds for a program after a call.
-    pub(crate) fn note_prefix(&self, program: id::Program, upstream: &id::Upstream, usage: Usage) {
-        let tokens = usage.prompt + usage.output;
-        self.table().board.note_served(program, upstream, tokens);
-    }
-
-    /// Forgets where a program was served.
-    pub(crate) fn forget(&self, program: id::Program) {
-        self.table().board.forget(program);
-    }
-
     /// Returns the capacity that is ready for a service.
     pub(crate) fn capacity(&self, service: &id::Service) -> Capacity {
         let offers = self.offers(service).unwrap_or_default();
--- a/crates/daemon/src/grant/ask.rs
+++ b/crates/daemon/src/grant/ask.rs
@@ -37,14 +37,14 @@
         let home = home.ok_or_else(|| unavailable(&want.service))?;
         let own = members.own();
         let outcome = if home.id == own {
-            self.ask_here(&choice.upstream, body).await
+            self.ask_here(want.program, &choice.upstream, body).await
         } else {
             let outcome = self
-                .ask_peer(&choice.upstream, From::Home(home), &body)
+                .ask_peer(want.program, &choice.upstream, From::Home(home), &body)
                 .await;
             match outcome {
                 Err(error) if error.kind == Kind::OwnerUnavailable => {
-                    self.ask_deputy(&choice.upstream, body).await
+                    self.ask_deputy(want.program, &choice.upstream, body).await
                 }
                 outcome => outcome,
             }
@@ -53,27 +53,35 @@
         outcome
     }
 
-    async fn ask_here(&self, upstream: &id::Upstream, body: frame::Grant) -> Result<Grant, Error> {
+    async fn ask_here(
+        &self,
+        program: id::Program,
+        upstream: &id::Upstream,
+        body: frame::Grant,
+    ) -> Result<Grant, Error> {
         let reply = self.shared.homes.grant(body).await?;
-        self.granted(upstream, From::Here, reply)
+        self.granted(program, upstream, From::Here, reply)
     }
 
     async fn ask_deputy(
         &self,
+        program: id::Program,
         upstream: &id::Upstream,
         body: frame::Grant,
     ) -> Result<Grant, Error> {
         let deputy = office::deputy(&self.shared.members, upstream);
         let deputy = deputy.ok_or_else(unreached)?;
         if deputy.id == self.shared.members.own() {
-            return self.ask_here(upstream, body).await;
+            return self.ask_here(program, upstream, body).await;
         }
-        self.ask_peer(upstream, From::Deputy(deputy), &body).await
+        self.ask_peer(program, upstream, From::Deputy(deputy), &body)
+            .await
     }
 
     /// Asks a peer. A slot that is granted after the asker went away is given back.
     async fn ask_peer(
         &self,
+        program: id::Program,
         upstream: &id::Upstream,
         from: From,
         body: &frame::Grant,
@@ -86,7 +94,7 @@
         let (sender, receiver) = oneshot::channel();
         tokio::spawn(async move {
             let reply = handle.shared.peers.ask(&peer, Body::Grant(body)).await;
-            let outcome = reply.and_then(|reply| handle.granted(&upstream, from, reply));
+            let outcome = reply.and_then(|reply| handle.granted(program, &upstream, from, reply));
             if let Err(Ok(grant)) = sender.send(outcome) {
                 handle.give_back(grant, End::Cancelled);
             }
@@ -94,7 +102,13 @@
         receiver.await.unwrap_or_else(|_| Err(unreached()))
     }
 
-    fn granted(&self, upstream: &id::Upstream, from: From, reply: Reply) -> Result<Grant, Error> {
+    fn granted(
+        &self,
+        program: id::Program,
+        upstream: &id::Upstream,
+        from: From,
+        reply: Reply,
+    ) -> Result<Grant, Error> {
         let ticket = match reply {
             Reply::Granted { ticket, .. } => ticket,
             Reply::Error(error) => return Err(error),
@@ -103,6 +117,7 @@
         let listing = self.shared.upstreams.get(upstream);
         let address = listing.map(|listing| listing.address);
         Ok(Grant {
+            program,
             upstream: upstream.clone(),
             address: address.ok_or_else(unreached)?,
             ticket,
--- a/crates/daemon/src/grant/digest.rs
+++ b/crates/daemon/src/grant/digest.rs
@@ -76,8 +76,9 @@
         let count = others.len().min(PEERS_AT_ONCE);
         let turn = self.next_turn(count, others.len());
         let mut asks = JoinSet::new();
-        for peer in others.iter().cycle().skip(turn).take(count).cloned() {
+        for peer in others.iter().cycle().skip(turn).take(count) {
             let peers = self.shared.peers.clone();
+            let peer = peer.clone();
             asks.spawn(async move { peers.ask(&peer, Body::Digests).await });
         }
         while let Some(answer) = asks.join_next().await {
