--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod peer_stream;
 mod peer_tls;
 mod program;
+mod release;
 mod route;
 mod service;
 mod settings;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -129,6 +129,8 @@
             membership.clone(),
             config.clone(),
             peers.clone(),
+            clock,
+            self.settings.policy.cache_weight,
         );
         let programs = program::spawn(program::Parts {
             table,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -113,6 +113,8 @@
     pub output: u64,
     /// Milliseconds that the asker waits.
     pub wait_ms: u64,
+    /// Milliseconds that the call has waited for a slot before.
+    pub waited_ms: u64,
 }
 
 /// Gives a slot back.
