--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -13,7 +13,7 @@
 use basilramp_wire::config::{Change, Head, Kind as ItemKind, Limit, Named, Place, Plan};
 use basilramp_wire::config::{Service, Snapshot, Value};
 use basilramp_wire::error::{Error, Kind};
-use basilramp_wire::operator::{Log, Logged};
+use basilramp_wire::operator::Logged;
 use tokio::sync::{Notify, watch};
 
 use crate::commit::{self, Backoff};
@@ -114,14 +114,12 @@
     /// # Errors
     ///
     /// Fails if the store does not answer.
-    pub async fn log(&self, after: u64) -> Result<Log, Error> {
+    pub async fn log(&self, after: u64) -> Result<Vec<Logged>, Error> {
         let logged = self.store.changes(after).await.map_err(|_| unavailable())?;
         let changes = logged
             .into_iter()
             .map(|(version, change)| Logged { version, change });
-        Ok(Log {
-            changes: changes.collect(),
-        })
+        Ok(changes.collect())
     }
 
     /// Commits a change and returns the new version.
