--- /dev/null
+++ b/crates/daemon/tests/ownership/settle.rs
@@ -0,0 +1,136 @@
+//! Answers that are lost, late or never come.
+
+use std::time::Duration;
+
+use basilramp_daemon::commit::Failure;
+use basilramp_fakes::platform;
+use basilramp_platform::table::Check;
+use futures_util::future::join_all;
+use serde_json::json;
+
+use crate::support::{check, join, lease, put, until};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_is_settled_by_the_same_token() {
+    let platform = platform::spawn();
+    let instance = join(&platform, "i0", &json!({})).await;
+    platform.lose_answers(1);
+    let outcome = instance
+        .commit
+        .submit(vec![put("row", Check::Absent)])
+        .await;
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(platform.row("test", "row").map(|row| row.version), Some(1));
+    assert!(platform.counters().lost_answers > 0);
+    assert!(platform.counters().repeated > 0);
+    assert_eq!(lease(&platform, "i0").incarnation, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_is_settled_by_reading_back_once_the_token_is_forgotten() {
+    let platform = platform::spawn();
+    let instance = join(&platform, "i0", &json!({})).await;
+    platform.forget_tokens();
+    platform.lose_answers(1);
+    let outcome = instance
+        .commit
+        .submit(vec![put("row", Check::Absent)])
+        .await;
+    assert_eq!(outcome, Ok(()));
+    assert!(platform.counters().lost_answers > 0);
+    assert!(platform.counters().refused > 0);
+    let after = instance
+        .commit
+        .submit(vec![put("after", Check::Absent)])
+        .await;
+    assert_eq!(after, Ok(()));
+    assert_eq!(lease(&platform, "i0").incarnation, 1);
+    assert_eq!(instance.seen.lock().expect("unpoisoned").fenced, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_write_never_lands_late() {
+    let platform = platform::spawn();
+    let instance = join(&platform, "i0", &json!({})).await;
+    until("every partition", || instance.membership.count() == 1024).await;
+    // The first attempt is on its way for a second; the second one is refused at once.
+    platform.delay_writes(1, 1_000);
+    let writes = vec![check("gate", Check::Present), put("row", Check::Absent)];
+    let outcome = instance.commit.submit(writes).await;
+    assert_eq!(outcome, Err(Failure::Conflict));
+    assert_eq!(platform.counters().delayed, 1);
+    // Now only the lease row's version speaks against the first attempt.
+    platform.put("test", "gate", 1, &json!({}));
+    let refused = platform.counters().refused;
+    until("the late attempt", || platform.counters().refused > refused).await;
+    assert_eq!(platform.row("test", "row"), None);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_write_is_not_doubled() {
+    let platform = platform::spawn();
+    let instance = join(&platform, "i0", &json!({})).await;
+    platform.delay_writes(1, 500);
+    let outcome = instance
+        .commit
+        .submit(vec![put("row", Check::Absent)])
+        .await;
+    assert_eq!(outcome, Ok(()));
+    until("the late attempt", || platform.counters().repeated > 0).await;
+    assert_eq!(instance.seen.lock().expect("unpoisoned").fenced, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_lost_at_random_leave_what_was_told() {
+    let platform = platform::spawn();
+    let instance = join(&platform, "i0", &json!({})).await;
+    platform.lose_answers_at_random(0.3, 11);
+    for round in 0..20 {
+        let names: Vec<String> = (0..10).map(|n| format!("{round:02}-{n}")).collect();
+        let submits = names.iter().enumerate().map(|(n, name)| {
+            let gate = if n % 3 == 0 {
+                Check::Present
+            } else {
+                Check::None
+            };
+            let gate = (n % 3 == 0).then(|| check("missing", gate));
+            let writes = [put(name, Check::Absent)].into_iter().chain(gate);
+            instance.commit.submit(writes.collect())
+        });
+        let outcomes = join_all(submits).await;
+        for (n, (name, outcome)) in names.iter().zip(outcomes).enumerate() {
+            let expected = if n % 3 == 0 {
+                Err(Failure::Conflict)
+            } else {
+                Ok(())
+            };
+            assert_eq!(outcome, expected, "{name}");
+            assert_eq!(
+                platform.row("test", name).is_some(),
+                outcome.is_ok(),
+                "{name}"
+            );
+        }
+    }
+    assert!(
+        platform.counters().lost_answers > 3,
+        "{:?}",
+        platform.counters()
+    );
+    assert_eq!(instance.seen.lock().expect("unpoisoned").fenced, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_slower_than_the_first_time_out_is_waited_for() {
+    let platform = platform::spawn();
+    let instance = join(&platform, "i0", &json!({})).await;
+    platform.slow_ms(2_000);
+    let outcome = instance
+        .commit
+        .submit(vec![put("row", Check::Absent)])
+        .await;
+    assert_eq!(outcome, Ok(()));
+    platform.slow_ms(0);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(instance.seen.lock().expect("unpoisoned").fenced, 0);
+}
--- /dev/null
+++ b/crates/daemon/tests/ownership/support.rs
@@ -0,0 +1,234 @@
+//! Instances without their callers: membership, commit loop and the changes of ownership.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
+
+use basilramp_core::id::{self, PARTITIONS};
+use basilramp_daemon::membership::{self, Change};
+use basilramp_daemon::{Settings, clock, commit};
+use basilramp_fakes::platform::Platform;
+use basilramp_platform::table::{Action, Check, Client, Key, Write};
+use basilramp_wire::record;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+/// Lease, margin and heartbeat that leave a busy machine room and keep tests short.
+pub(crate) fn short_leases() -> Value {
+    json!({"timing": {"lease_ms": 1_600, "lease_margin_ms": 400, "heartbeat_ms": 200}})
+}
+
+/// Makes the settings of an instance, with `overrides` for whole sections.
+pub(crate) fn settings(platform: &Platform, id: &str, overrides: &Value) -> Settings {
+    let mut settings = json!({
+        "instance": {"id": id, "failure_domain": "a"},
+        "listen": {
+            "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
+        },
+        "platform": {
+            "table": platform.table_address(),
+            "objects": platform.objects_address(),
+            "list": platform.list_address(),
+        },
+        "peers": {"certificate": "", "key": "", "authority": ""},
+    });
+    for (name, section) in overrides.as_object().into_iter().flatten() {
+        settings[name] = section.clone();
+    }
+    Settings::parse(&settings.to_string()).expect("settings in order")
+}
+
+/// A running instance.
+pub(crate) struct Instance {
+    pub(crate) membership: membership::Handle,
+    pub(crate) commit: commit::Handle,
+    pub(crate) seen: Arc<Mutex<Seen>>,
+}
+
+/// The changes that an instance has told of.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    pub(crate) owned: BTreeMap<id::Partition, id::Term>,
+    pub(crate) fenced: u32,
+    /// Partitions to be handed over whose programs are not let go while `holds` is set.
+    pub(crate) losing: Vec<(id::Partition, oneshot::Sender<()>)>,
+    pub(crate) holds: bool,
+}
+
+/// Joins an instance that follows its changes.
+pub(crate) async fn join(platform: &Platform, id: &str, overrides: &Value) -> Instance {
+    let settings = settings(platform, id, overrides);
+    let table = Client::open(platform.table_address(), "basilramp");
+    let address = "127.0.0.1:9".parse().expect("an address");
+    let clock = clock::Source::open();
+    let (membership, commit, changes) = membership::join(&table, &settings, address, clock).await;
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    tokio::spawn(follow(changes, Arc::clone(&seen)));
+    Instance {
+        membership,
+        commit,
+        seen,
+    }
+}
+
+async fn follow(mut changes: tokio::sync::mpsc::UnboundedReceiver<Change>, seen: Arc<Mutex<Seen>>) {
+    while let Some(change) = changes.recv().await {
+        let mut seen = seen.lock().expect("no panic under the lock");
+        match change {
+            Change::Gained(partition, term) => {
+                seen.owned.insert(partition, term);
+            }
+            Change::Losing(partition, done) if seen.holds => seen.losing.push((partition, done)),
+            Change::Losing(partition, done) => {
+                seen.owned.remove(&partition);
+                let _ = done.send(());
+            }
+            Change::HandedOver(..) => {}
+            Change::Fenced => {
+                seen.fenced += 1;
+                seen.owned.clear();
+            }
+        }
+    }
+}
+
+impl Instance {
+    pub(crate) fn owned(&self) -> BTreeSet<id::Partition> {
+        let all = (0..PARTITIONS).map(id::Partition);
+        all.filter(|partition| self.membership.owned(*partition).is_some())
+            .collect()
+    }
+}
+
+/// An instance on a thread of its own, which can be paused or ended like a process.
+pub(crate) struct Process {
+    pub(crate) membership: membership::Handle,
+    pub(crate) commit: commit::Handle,
+    runtime: Option<tokio::runtime::Runtime>,
+}
+
+impl Process {
+    pub(crate) async fn start(platform: &Platform, id: &str, overrides: &Value) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let settings = settings(platform, id, overrides);
+        let table = Client::open(platform.table_address(), "basilramp");
+        let address = "127.0.0.1:9".parse().expect("an address");
+        let joining = runtime.spawn(async move {
+            membership::join(&table, &settings, address, clock::Source::open()).await
+        });
+        let (membership, commit, changes) = joining.await.expect("joined");
+        runtime.spawn(follow(changes, Arc::default()));
+        Self {
+            membership,
+            commit,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Stops the only thread of the instance until the pause is dropped.
+    pub(crate) fn pause(&self) -> Pause {
+        let (resume, resumed) = mpsc::channel();
+        let (paused, stopped) = mpsc::channel();
+        let runtime = self.runtime.as_ref().expect("it runs");
+        runtime.spawn(async move {
+            let _ = paused.send(());
+            let _ = resumed.recv();
+        });
+        let _ = stopped.recv();
+        Pause { _resume: resume }
+    }
+
+    /// Runs a future on the instance's thread.
+    pub(crate) fn spawn<F>(&self, future: F) -> tokio::task::JoinHandle<F::Output>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        self.runtime.as_ref().expect("it runs").spawn(future)
+    }
+
+    /// Ends the instance at once, as a crash does.
+    pub(crate) fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// A pause that ends when it is dropped.
+pub(crate) struct Pause {
+    _resume: mpsc::Sender<()>,
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, condition: impl Fn() -> bool) {
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let bound = Duration::from_secs(60);
+    let outcome = tokio::time::timeout(bound, waiting).await;
+    assert!(outcome.is_ok(), "never seen: {what}");
+}
+
+/// Returns the owners of all partitions, by the rows; nothing while any is missing or unowned.
+pub(crate) fn owners(platform: &Platform) -> Option<BTreeMap<u16, record::Partition>> {
+    let rows = platform.rows("partition");
+    let read = |body: &str| serde_json::from_str::<record::Partition>(body).expect("a record");
+    let owners: BTreeMap<u16, record::Partition> = rows
+        .iter()
+        .map(|(sort, row)| (sort.parse().expect("a number"), read(&row.body)))
+        .filter(|(_, record)| !record.owner.is_empty())
+        .collect();
+    (owners.len() == usize::from(PARTITIONS)).then_some(owners)
+}
+
+/// Tells whether all partitions are owned by exactly these instances.
+pub(crate) fn owned_by(platform: &Platform, ids: &[&str]) -> bool {
+    let expected: BTreeSet<&str> = ids.iter().copied().collect();
+    owners(platform).is_some_and(|owners| {
+        let found: BTreeSet<&str> = owners.values().map(|row| row.owner.as_str()).collect();
+        found == expected
+    })
+}
+
+/// Returns an instance's lease row.
+pub(crate) fn lease(platform: &Platform, id: &str) -> record::Instance {
+    let row = platform.row("instance", id).expect("a lease row");
+    serde_json::from_str(&row.body).expect("a record")
+}
+
+/// Returns a write of a row in a partition key of the tests' own.
+pub(crate) fn put(sort: &str, check: Check) -> Write {
+    Write {
+        key: Key::new("test", sort),
+        check,
+        action: Action::Put {
+            version: 1,
+            body: "{}".into(),
+        },
+    }
+}
+
+/// Returns a check of a row.
+pub(crate) fn check(sort: &str, check: Check) -> Write {
+    Write {
+        key: Key::new("test", sort),
+        check,
+        action: Action::Check,
+    }
+}
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -147,6 +147,11 @@
         self.lock().faults.lose_next = count;
     }
 
+    /// Forgets the tokens of transactions as soon as they have taken effect, from now on.
+    pub fn forget_tokens(&self) {
+        self.lock().faults.forget_tokens = true;
+    }
+
     /// Loses the answer of each write with a probability, from a seed; the write takes effect.
     pub fn lose_answers_at_random(&self, probability: f64, seed: u64) {
         self.lock().faults.lose_at_random(probability, seed);
--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -61,6 +61,7 @@
     pub(crate) lose_next: u32,
     pub(crate) delay_next: u32,
     pub(crate) delay_ms: u64,
+    pub(crate) forget_tokens: bool,
     random: Option<(f64, ChaCha8Rng)>,
 }
 
--- a/crates/fakes/src/platform/table.rs
+++ b/crates/fakes/src/platform/table.rs
@@ -273,7 +273,9 @@
         }
     }
     let token = transact.client_request_token.clone();
-    store.tokens.insert(token, body.to_vec());
+    if !store.faults.forget_tokens {
+        store.tokens.insert(token, body.to_vec());
+    }
     store.counters.transactions += 1;
     store.counters.items += transact.transact_items.len() as u64;
     json(StatusCode::OK, &serde_json::json!({}))
