Prove the commit path against the stand-in

Seen on the way: a change of configuration right after an outage was refused since the pooled connection was stale; reads are now sent again once on a broken connection, and a change waits store_wait_ms for its reads. Transactions are still never sent again by the client.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -129,7 +129,7 @@
     /// `Invalid` with one line for each fault; `StaleVersion` with one line for each change that
     /// this one did not know; `StoreUnavailable` if it was not sent.
     pub async fn apply(&self, operator: &str, change: Change) -> Result<u64, Error> {
-        self.refresh().await.map_err(|_| unavailable())?;
+        self.refresh_within(self.store_wait_ms).await?;
         let config = self.current();
         if change.base != config.version {
             return Err(self.stale(change.base, config.version).await);
@@ -182,6 +182,18 @@
         Error::new(Kind::StaleVersion, message).with_details(details.collect())
     }
 
+    async fn refresh_within(&self, wait_ms: u64) -> Result<(), Error> {
+        let refreshing = async {
+            let mut backoff = Backoff::new();
+            while self.refresh().await.is_err() {
+                backoff.wait().await;
+            }
+        };
+        let wait = Duration::from_millis(wait_ms);
+        let refreshed = tokio::time::timeout(wait, refreshing).await;
+        refreshed.map_err(|_| unavailable())
+    }
+
     /// Fetches what is newer than the configuration in force here.
     async fn refresh(&self) -> Result<(), store::Unavailable> {
         let head = self.store.head().await?;
--- a/crates/daemon/tests/ownership/support.rs
+++ b/crates/daemon/tests/ownership/support.rs
@@ -1,10 +1,11 @@
 //! Instances without their callers: membership, commit loop and the changes of ownership.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::Duration;
 
 use basilramp_core::id::{self, PARTITIONS};
+use basilramp_core::partition;
 use basilramp_daemon::membership::{self, Change};
 use basilramp_daemon::{Settings, clock, commit};
 use basilramp_fakes::platform::Platform;
@@ -92,14 +93,6 @@
     }
 }
 
-impl Instance {
-    pub(crate) fn owned(&self) -> BTreeSet<id::Partition> {
-        let all = (0..PARTITIONS).map(id::Partition);
-        all.filter(|partition| self.membership.owned(*partition).is_some())
-            .collect()
-    }
-}
-
 /// An instance on a thread of its own, which can be paused or ended like a process.
 pub(crate) struct Process {
     pub(crate) membership: membership::Handle,
@@ -197,12 +190,16 @@
     (owners.len() == usize::from(PARTITIONS)).then_some(owners)
 }
 
-/// Tells whether all partitions are owned by exactly these instances.
-pub(crate) fn owned_by(platform: &Platform, ids: &[&str]) -> bool {
-    let expected: BTreeSet<&str> = ids.iter().copied().collect();
+/// Tells whether every partition is owned by the one of these instances that it belongs with.
+pub(crate) fn settled(platform: &Platform, ids: &[&str]) -> bool {
+    let instances: Vec<id::Instance> = ids.iter().map(|id| id::Instance::new(*id)).collect();
+    let belongs = |partition: u16| {
+        let key = partition::key(id::Partition(partition));
+        partition::wanted(&key, &instances).map(id::Instance::as_str)
+    };
     owners(platform).is_some_and(|owners| {
-        let found: BTreeSet<&str> = owners.values().map(|row| row.owner.as_str()).collect();
-        found == expected
+        let mut owners = owners.iter();
+        owners.all(|(partition, row)| belongs(*partition) == Some(row.owner.as_str()))
     })
 }
 
--- a/crates/daemon/tests/ownership/takeover.rs
+++ b/crates/daemon/tests/ownership/takeover.rs
@@ -10,7 +10,7 @@
 use basilramp_wire::record::InstanceState;
 use serde_json::json;
 
-use crate::support::{Process, join, lease, owned_by, owners, put, short_leases, until};
+use crate::support::{Process, join, lease, owners, put, settled, short_leases, until};
 
 /// The bound on a takeover.
 const TAKEOVER_MS: u64 = 10_000;
@@ -21,11 +21,11 @@
     let _first = join(&platform, "i0", &json!({})).await;
     let _second = join(&platform, "i1", &json!({})).await;
     let third = Process::start(&platform, "i2", &json!({})).await;
-    until("a third each", || owned_by(&platform, &["i0", "i1", "i2"])).await;
+    until("a third each", || settled(&platform, &["i0", "i1", "i2"])).await;
     let before = owners(&platform).expect("all owned");
     third.kill();
     let taken_over = until("no partition of the dead", || {
-        owned_by(&platform, &["i0", "i1"])
+        settled(&platform, &["i0", "i1"])
     });
     let bound = Duration::from_millis(TAKEOVER_MS);
     let in_time = tokio::time::timeout(bound, taken_over).await;
@@ -49,13 +49,13 @@
         others.push(Process::start(&platform, id, &json!({})).await);
     }
     let all = ["i0", "i1", "i2", "i3", "i4", "i5"];
-    until("a share each", || owned_by(&platform, &all)).await;
+    until("a share each", || settled(&platform, &all)).await;
     let refused = platform.counters().refused;
     for other in others {
         other.kill();
     }
     let taken_over = until("no partition of the dead", || {
-        owned_by(&platform, &["i0", "i1"])
+        settled(&platform, &["i0", "i1"])
     });
     let bound = Duration::from_millis(TAKEOVER_MS);
     let in_time = tokio::time::timeout(bound, taken_over).await;
@@ -72,7 +72,7 @@
     let platform = platform::spawn();
     let _other = join(&platform, "i0", &short_leases()).await;
     let paused = Process::start(&platform, "i1", &short_leases()).await;
-    until("a half each", || owned_by(&platform, &["i0", "i1"])).await;
+    until("a half each", || settled(&platform, &["i0", "i1"])).await;
     let program = owned_program(&paused);
     let partition = program.partition();
     let term = paused.membership.owned(partition).expect("owned");
@@ -88,7 +88,7 @@
     let writes = vec![turn(1)];
     let commit = paused.commit.clone();
     let late = paused.spawn(async move { commit.submit(writes).await });
-    until("the takeover", || owned_by(&platform, &["i0"])).await;
+    until("the takeover", || settled(&platform, &["i0"])).await;
     assert_eq!(paused.membership.owned(partition), None);
     drop(pause);
     assert_matches!(late.await.expect("no panic"), Err(Failure::Fenced));
@@ -96,7 +96,7 @@
         lease(&platform, "i1").incarnation == 2
     })
     .await;
-    until("a half each again", || owned_by(&platform, &["i0", "i1"])).await;
+    until("a half each again", || settled(&platform, &["i0", "i1"])).await;
     // A task of the old ownership tries again under the new one.
     assert_matches!(scoped.submit(vec![turn(1)]).await, Err(Failure::Fenced));
     assert_eq!(
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -31,8 +31,10 @@
 pub(crate) enum Fault {
     /// No connection could be made, so nothing was sent.
     Unreached,
-    /// Something may have been sent.
-    Unknown,
+    /// The connection broke; something may have been sent.
+    Broken,
+    /// No answer came in time; something may have been sent.
+    TimedOut,
 }
 
 impl Pool {
@@ -58,7 +60,7 @@
         let exchange = self.exchange(request);
         tokio::time::timeout(timeout, exchange)
             .await
-            .unwrap_or(Err(Fault::Unknown))
+            .unwrap_or(Err(Fault::TimedOut))
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Fault> {
@@ -66,12 +68,12 @@
             if error.is_connect() {
                 Fault::Unreached
             } else {
-                Fault::Unknown
+                Fault::Broken
             }
         })?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let body = body.collect().await.map_err(|_| Fault::Unknown)?;
+        let body = body.collect().await.map_err(|_| Fault::Broken)?;
         Ok(Answer {
             status,
             body: body.to_bytes(),
--- a/crates/platform/src/table/client.rs
+++ b/crates/platform/src/table/client.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use ::http::{Request, StatusCode, header};
+use basilramp_wire::table;
 use basilramp_wire::table::{
-    CANCELED, CONTENT_TYPE, Fault, GET_ITEM, GetItem, GetItemOutput, INVALID, Item, QUERY,
+    CANCELED, CONTENT_TYPE, GET_ITEM, GetItem, GetItemOutput, INVALID, Item, QUERY,
     QUERY_PARTITION, QUERY_PREFIX, Query, QueryOutput, TARGET_HEADER, THROTTLED, TOKEN_MISMATCH,
     TRANSACT, Transact,
 };
@@ -15,7 +16,7 @@
 use serde::de::DeserializeOwned;
 
 use super::{Failure, Key, Order, Page, Row, Write, codec};
-use crate::http::{self, Pool};
+use crate::http::{Answer, Fault, Pool};
 
 const ATTEMPT_TIMEOUT_MS: u64 = 1_500;
 
@@ -148,22 +149,27 @@
         target: &'static str,
         body: &impl Serialize,
     ) -> Result<T, Failure> {
-        let answer = self.send(target, body).await?;
+        let answer = match self.attempt(target, body).await? {
+            // A pooled connection may have been stale, and a read may be sent again.
+            Err(Fault::Broken) => self.send(target, body).await?,
+            Err(fault) => return Err(failure(fault)),
+            Ok(answer) => conclude(answer)?,
+        };
         serde_json::from_slice(&answer).map_err(|_| Failure::Unknown)
     }
 
     async fn send(&self, target: &'static str, body: &impl Serialize) -> Result<Bytes, Failure> {
+        let answer = self.attempt(target, body).await?;
+        conclude(answer.map_err(failure)?)
+    }
+
+    async fn attempt(
+        &self,
+        target: &'static str,
+        body: &impl Serialize,
+    ) -> Result<Result<Answer, Fault>, Failure> {
         let request = self.request(target, body)?;
-        let answer = self.pool.send(request, self.timeout_ms).await;
-        let answer = answer.map_err(|fault| match fault {
-            http::Fault::Unreached => Failure::Unreached,
-            http::Fault::Unknown => Failure::Unknown,
-        })?;
-        match answer.status {
-            StatusCode::OK => Ok(answer.body),
-            StatusCode::BAD_REQUEST => Err(refusal(&answer.body)),
-            _ => Err(Failure::Unknown),
-        }
+        Ok(self.pool.send(request, self.timeout_ms).await)
     }
 
     fn request(
@@ -190,9 +196,24 @@
     Failure::Invalid(error.to_string().into())
 }
 
+fn failure(fault: Fault) -> Failure {
+    match fault {
+        Fault::Unreached => Failure::Unreached,
+        Fault::Broken | Fault::TimedOut => Failure::Unknown,
+    }
+}
+
+fn conclude(answer: Answer) -> Result<Bytes, Failure> {
+    match answer.status {
+        StatusCode::OK => Ok(answer.body),
+        StatusCode::BAD_REQUEST => Err(refusal(&answer.body)),
+        _ => Err(Failure::Unknown),
+    }
+}
+
 /// Returns what an error answer says; one of a type that isn't known proves nothing.
 fn refusal(body: &[u8]) -> Failure {
-    let Ok(fault) = serde_json::from_slice::<Fault>(body) else {
+    let Ok(fault) = serde_json::from_slice::<table::Fault>(body) else {
         return Failure::Unknown;
     };
     match fault.kind.as_str() {
@@ -203,7 +224,7 @@
     }
 }
 
-fn failed_parts(fault: &Fault) -> Vec<usize> {
+fn failed_parts(fault: &table::Fault) -> Vec<usize> {
     let reasons = fault.reasons.iter().enumerate();
     reasons
         .filter(|(_, reason)| reason.code != "None")
