--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use basilramp_wire::api::Program;
-use basilramp_wire::config::{Change, Named as Item, Snapshot, Value};
+use basilramp_wire::config::Change;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::{Body as Ask, Reply, Settlement};
-use basilramp_wire::operator::{Applied, Instances, Log, Upstreams};
+use basilramp_wire::operator::{Applied, Instances, Upstreams};
 use gotham::handler::HandlerResult;
 use gotham::prelude::*;
 use gotham::router::Router as Paths;
@@ -15,16 +15,16 @@
 use http::StatusCode;
 use serde::Deserialize;
 
-use crate::config::{self, Config};
 use crate::route::{Router, parse};
 use crate::settings::Operator;
-use crate::{answer, auth, body, front, membership, stop};
+use crate::{answer, auth, body, config, front, membership, metric, stop};
 
 /// What the operators' paths work with.
 #[derive(Debug)]
 pub(crate) struct Api {
     pub(crate) router: Router,
     pub(crate) config: config::Handle,
+    pub(crate) metrics: metric::Handle,
     pub(crate) membership: membership::Handle,
     pub(crate) operators: Vec<Operator>,
     pub(crate) body_bytes: usize,
@@ -50,6 +50,7 @@
         front::refuse_unknown(route);
         route.get("/healthz").to_async(healthy);
         route.get("/readyz").to_async(ready);
+        route.get("/metrics").to_async(show_metrics);
         route.get("/v1/config").to_async(show_config);
         route.post("/v1/config").to_async(apply_config);
         route
@@ -85,11 +86,20 @@
     Ok((state, response))
 }
 
+async fn show_metrics(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let response = match api.metrics.render() {
+        Ok(text) => answer::text(StatusCode::OK, text),
+        Err(fault) => answer::error(&Error::new(Kind::Internal, fault.to_string())),
+    };
+    Ok((state, response))
+}
+
 async fn show_config(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
     let result = api
         .operator(&state)
-        .map(|_| snapshot(&api.config.current()));
+        .map(|_| api.config.snapshot());
     Ok((state, answer::result(result)))
 }
 
@@ -114,7 +124,7 @@
         Ok(_) => api.config.log(after).await,
         Err(error) => Err(error),
     };
-    Ok((state, answer::result(result.map(|changes| Log { changes }))))
+    Ok((state, answer::result(result)))
 }
 
 async fn show_instances(state: State) -> HandlerResult {
@@ -186,32 +196,3 @@
         }
     }
 }
-
-/// Lists every item in force.
-fn snapshot(config: &Config) -> Snapshot {
-    let mut items = Vec::new();
-    for (name, value) in &config.services {
-        items.push(item(name.as_str(), Value::Service(value.clone())));
-    }
-    for (name, value) in &config.places {
-        items.push(item(name, Value::Place(value.clone())));
-    }
-    for (name, value) in &config.plans {
-        items.push(item(name, Value::Plan(value.clone())));
-    }
-    for (name, value) in &config.limits {
-        items.push(item(name.as_str(), Value::Limit(value.clone())));
-    }
-    Snapshot {
-        version: config.version,
-        items,
-    }
-}
-
-fn item(name: &str, value: Value) -> Item {
-    Item {
-        name: name.to_owned(),
-        version: 0,
-        value,
-    }
-}
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -10,8 +10,9 @@
 use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
 
+use crate::peer_stream;
 use crate::route::Local;
-use crate::{peer_stream, trace};
+use crate::trace::{self, Hop};
 
 /// Events of a call that wait for the peer.
 const EVENT_BUFFER: usize = 32;
@@ -52,7 +53,8 @@
         return;
     };
     let Request { traceparent, body } = request;
-    trace::scope(traceparent, answer(&mut sending, body, &local)).await;
+    let work = answer(&mut sending, body, &local);
+    trace::scope(Hop::Owner, traceparent.as_deref(), work).await;
     // A peer that stopped reading needs no end of stream.
     let _ = sending.finish();
 }
