--- a/crates/daemon/src/commit.rs
+++ b/crates/daemon/src/commit.rs
@@ -152,3 +152,58 @@
 }
 
 type Answer = oneshot::Receiver<Result<(), Failure>>;
+
+/// Room in the queue for one submission.
+#[derive(Debug)]
+pub(crate) struct Room(queue::Room);
+
+/// Writes that are queued. Those that touch the same row are made in the order of queueing.
+#[derive(Debug)]
+pub(crate) struct Submission {
+    queue: Arc<Queue>,
+    number: u64,
+    answer: Answer,
+}
+
+impl Handle {
+    /// Waits for room for writes of so many bytes.
+    pub(crate) async fn reserve(&self, bytes: usize) -> Room {
+        Room(self.queue.room(bytes).await)
+    }
+
+    /// Queues writes at once.
+    pub(crate) fn enqueue(&self, writes: Vec<Write>, room: Room) -> Result<Submission, Failure> {
+        let (number, answer) = self.push(writes, room.0)?;
+        Ok(Submission {
+            queue: Arc::clone(&self.queue),
+            number,
+            answer,
+        })
+    }
+
+    /// Queues writes at once, unless too many bytes are queued.
+    pub(crate) fn enqueue_now(&self, writes: Vec<Write>) -> Result<Submission, Failure> {
+        let room = self.queue.room_now(queue::size(&writes));
+        let room = room.ok_or(Failure::Withdrawn)?;
+        self.enqueue(writes, Room(room))
+    }
+}
+
+impl Submission {
+    /// Returns once the writes are durable, as [`Handle::submit`].
+    pub(crate) async fn settled(self) -> Result<(), Failure> {
+        self.answer.await.unwrap_or(Err(Failure::Fenced))
+    }
+
+    /// Gives up after `wait_ms` milliseconds, as [`Handle::submit_within`].
+    pub(crate) async fn within(mut self, wait_ms: u64) -> Result<(), Failure> {
+        let wait = Duration::from_millis(wait_ms);
+        if let Ok(outcome) = tokio::time::timeout(wait, &mut self.answer).await {
+            return outcome.unwrap_or(Err(Failure::Fenced));
+        }
+        if self.queue.withdraw(self.number) {
+            return Err(Failure::Withdrawn);
+        }
+        self.answer.try_recv().unwrap_or(Err(Failure::Unknown))
+    }
+}
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -19,12 +19,10 @@
 
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 
+const EVENT_ID: &str = "id:";
 const DATA: &str = "data:";
 const DONE: &str = "[DONE]";
 
-/// Header with the W3C trace context.
-pub(crate) const TRACE_HEADER: &str = "traceparent";
-
 /// Why an upstream gave no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -78,6 +76,8 @@
             body: answer.into_body(),
             buffer: BytesMut::new(),
             id: None,
+            event: None,
+            repeated: false,
         })
     }
 }
@@ -99,7 +99,7 @@
         .header(REQUEST_HEADER, &ask.request)
         .header(HOLDER_HEADER, &ask.holder);
     if let Some(trace) = trace::current() {
-        request = request.header(TRACE_HEADER, trace);
+        request = request.header(trace::HEADER, trace);
     }
     let request = request.body(Full::from(body));
     request.map_err(|_| Failure::Unsent)
@@ -111,16 +111,23 @@
     body: Incoming,
     buffer: BytesMut,
     id: Option<String>,
+    event: Option<String>,
+    repeated: bool,
 }
 
 impl Stream {
     /// Returns the next chunk of the answer, or nothing once it is whole.
     ///
-    /// Chunks of any other answer are left out.
+    /// Chunks of any other answer are left out, and those of an event id that came before.
     pub(crate) async fn next(&mut self) -> Result<Option<Chunk>, Failure> {
         loop {
             let line = self.line().await?;
-            let Some(data) = line.strip_prefix(DATA) else {
+            if let Some(event) = line.strip_prefix(EVENT_ID) {
+                let event = event.trim().to_owned();
+                self.repeated = self.event.as_ref() == Some(&event);
+                self.event = Some(event);
+            }
+            let Some(data) = line.strip_prefix(DATA).filter(|_| !self.repeated) else {
                 continue;
             };
             let data = data.trim();
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -97,9 +97,7 @@
 
 async fn show_config(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
-    let result = api
-        .operator(&state)
-        .map(|_| api.config.snapshot());
+    let result = api.operator(&state).map(|_| api.config.snapshot());
     Ok((state, answer::result(result)))
 }
 
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -26,13 +26,13 @@
 use basilramp_wire::api;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::Settlement;
-use slog::Logger;
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::clock::Source;
 use crate::settings::{Limits, Timing};
-use crate::{commit, config, engine, grant, home, membership, peer, service, suspect};
+use crate::{commit, config, engine, grant, home, log, membership, peer, service, suspect};
 use busy::Busy;
+use load::Lease;
 use shelf::{Entry, Shelf, TreeKey};
 
 /// What the programs need of the rest of the instance.
@@ -46,7 +46,7 @@
     pub(crate) homes: home::Handle,
     pub(crate) peers: peer::Client,
     pub(crate) clock: Source,
-    pub(crate) log: Logger,
+    pub(crate) log: log::Handle,
     pub(crate) timing: Timing,
     pub(crate) limits: Limits,
 }
@@ -136,7 +136,7 @@
         program: id::Program,
     ) -> Result<api::Program, Error> {
         let shared = &self.shared;
-        let tree = load::touch(shared, program).await?;
+        let tree = load::touch(shared, program, Lease::Valid).await?;
         let view = shared.with(tree, |entry| view::read(&entry.tree, account, program));
         view.unwrap_or_else(|| Err(refusal::lost()))
     }
@@ -211,9 +211,17 @@
     /// Returns the term under which a partition is owned here.
     fn term(&self, partition: id::Partition) -> Result<id::Term, Error> {
         let term = self.parts.membership.owned(partition);
-        term.ok_or_else(|| {
-            let message = format!("partition {} is not owned here", partition.0);
-            Error::new(Kind::OwnerUnavailable, message)
-        })
+        term.ok_or_else(|| not_owned(partition))
     }
+
+    /// Returns the term under which a partition was last known to be owned here.
+    fn held_term(&self, partition: id::Partition) -> Result<id::Term, Error> {
+        let term = self.parts.membership.held(partition);
+        term.ok_or_else(|| not_owned(partition))
+    }
+}
+
+fn not_owned(partition: id::Partition) -> Error {
+    let message = format!("partition {} is not owned here", partition.0);
+    Error::new(Kind::OwnerUnavailable, message)
 }
--- a/crates/daemon/src/program/call.rs
+++ b/crates/daemon/src/program/call.rs
@@ -13,9 +13,10 @@
 use tokio::sync::mpsc;
 
 use super::busy::Work;
+use super::load::{self, Lease};
 use super::shelf::{Entry, TreeKey};
 use super::turn::Place;
-use super::{Shared, end, intent, load, model, plain, refusal, settle, view};
+use super::{Shared, end, intent, model, plain, refusal, settle, view};
 use crate::clock;
 
 /// A call that runs.
@@ -92,7 +93,9 @@
         Begin::Started(member) => member,
     };
     let config = shared.parts.config.current();
-    let service = config.services.get(&id::Service::new(call.service.as_str()));
+    let service = config
+        .services
+        .get(&id::Service::new(call.service.as_str()));
     let Some(service) = service.cloned() else {
         shared.with(started.tree, |entry| entry.tree.abandon(member));
         let error = Error::new(Kind::NotFound, format!("no service {}", call.service));
@@ -147,7 +150,7 @@
     call: &Call,
 ) -> Result<Started, Error> {
     let ask = ask(call)?;
-    let tree = load::touch(shared, program).await?;
+    let tree = load::touch(shared, program, Lease::Any).await?;
     let first = begin(shared, tree, account, program, call, ask.clone())?;
     let refused = match first {
         Ok(begin) => return Ok(Started { tree, begin }),
@@ -181,9 +184,7 @@
     if entry.tree.account() != account {
         return Err(refusal::missing());
     }
-    let begun = entry
-        .tree
-        .begin(program.number(), call.position, ask, now);
+    let begun = entry.tree.begin(program.number(), call.position, ask, now);
     if let Ok(Begin::Started(member)) = begun
         && full
     {
@@ -198,8 +199,8 @@
         provisional: false,
         ..call.clone()
     };
-    let body = serde_json::to_vec(&body)
-        .map_err(|_| Error::new(Kind::BadRequest, "unreadable body"))?;
+    let body =
+        serde_json::to_vec(&body).map_err(|_| Error::new(Kind::BadRequest, "unreadable body"))?;
     Ok(Ask {
         request: id::Request::new(call.request_id.as_str()),
         digest: Digest::of([body.as_slice()]),
--- a/crates/daemon/src/program/create.rs
+++ b/crates/daemon/src/program/create.rs
@@ -2,19 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use basilramp_core::budget::Budget;
 use basilramp_core::clock::Time;
 use basilramp_core::history::Digest;
 use basilramp_core::id;
-use basilramp_core::tree::{Origin, Spawn, Tree};
-use basilramp_platform::table::{Check, Write};
+use basilramp_core::tree::{Origin, Refusal, Spawn, Tree};
+use basilramp_platform::table::Check;
 use basilramp_wire::api;
 use basilramp_wire::error::{Error, Kind};
 
-use super::reserve::{self, Reservation};
+use super::load::{self, Lease};
+use super::reserve::{self, Queued, Reserve};
 use super::shelf::{Entry, TreeKey};
-use super::{Shared, load, refusal, row, view};
+use super::{Shared, refusal, row, view};
 use crate::{clock, commit};
 
 /// Tokens of a new tree's budget that are reserved with its creation.
@@ -22,7 +24,7 @@
 
 /// Creates a program or a sub-agent, or finds the one that the same request created.
 pub(crate) async fn run(
-    shared: &std::sync::Arc<Shared>,
+    shared: &Arc<Shared>,
     account: &id::Account,
     create: api::Create,
 ) -> Result<api::Program, Error> {
@@ -68,6 +70,8 @@
     let mut entry = Entry {
         tree,
         term,
+        commit: shared.parts.commit.under(root.partition(), term),
+        ends: 0,
         version: 1,
         holders: BTreeMap::new(),
     };
@@ -75,7 +79,7 @@
     let head = head.ok_or_else(refusal::lost)?;
     let writes = vec![head, row::live(root, account)];
     let wait_ms = shared.parts.timing.store_wait_ms;
-    let written = shared.parts.commit.submit_within(writes, wait_ms).await;
+    let written = entry.commit.submit_within(writes, wait_ms).await;
     match written {
         Ok(()) => {}
         Err(commit::Failure::Conflict) => {
@@ -103,7 +107,7 @@
     });
     match same.flatten() {
         Some(true) => read(shared, tree, account, program),
-        Some(false) => Err(refusal::error(basilramp_core::tree::Refusal::Conflict)),
+        Some(false) => Err(refusal::error(Refusal::Conflict)),
         None => Err(refusal::lost()),
     }
 }
@@ -127,8 +131,7 @@
 
 struct Birth {
     program: id::Program,
-    head: Write,
-    root: Reservation,
+    queued: Queued,
 }
 
 enum Step {
@@ -137,13 +140,13 @@
 }
 
 async fn sub_agent(
-    shared: &std::sync::Arc<Shared>,
+    shared: &Arc<Shared>,
     account: &id::Account,
     origin: Origin,
     parent: id::Program,
 ) -> Result<api::Program, Error> {
     let _work = shared.busy.start(parent.partition());
-    let tree = load::touch(shared, parent).await?;
+    let tree = load::touch(shared, parent, Lease::Valid).await?;
     let _alone = shared.loads.lock(parent.tree()).await;
     read(shared, tree, account, parent)?;
     let step = shared.with(tree, |entry| start(entry, parent, origin));
@@ -151,19 +154,14 @@
         Step::Existing(program) => return read(shared, tree, account, program),
         Step::Write(birth) => birth,
     };
-    let writes = vec![birth.head, birth.root.write];
-    let wait_ms = shared.parts.timing.store_wait_ms;
-    let written = shared.parts.commit.submit_within(writes, wait_ms).await;
-    shared.with(tree, |entry| {
-        entry.tree.end_write(birth.root.reserved, written.is_ok());
-        if written.is_err() {
-            entry.tree.forget(birth.program.number());
-        }
-    });
+    let written = birth.queued.within(shared, tree).await;
+    if written.is_err() {
+        shared.with(tree, |entry| entry.tree.forget(birth.program.number()));
+    }
     match written {
         Ok(()) => read(shared, tree, account, birth.program),
         Err(commit::Failure::Unknown) => {
-            erase(shared, birth.program);
+            erase(shared, tree, birth.program);
             Err(may_exist())
         }
         Err(failure) => Err(refusal::unsent(&failure)),
@@ -177,24 +175,25 @@
         Spawn::New(program) => program,
     };
     let head = entry.head(program.number(), 0, Check::Absent);
-    let root = reserve::start_keeping(entry);
-    match (head, root) {
-        (Some(head), Some(root)) => Ok(Step::Write(Birth {
-            program,
-            head,
-            root,
-        })),
-        _ => Err(refusal::lost()),
+    let writes = head.into_iter().collect();
+    match reserve::queue(entry, Reserve::Keep, writes, None) {
+        Ok(queued) => Ok(Step::Write(Birth { program, queued })),
+        Err(failure) => {
+            entry.tree.forget(program.number());
+            Err(refusal::unsent(&failure))
+        }
     }
 }
 
 /// Deletes the row of a sub-agent whose creation may or may not have been written.
-fn erase(shared: &std::sync::Arc<Shared>, program: id::Program) {
+fn erase(shared: &Arc<Shared>, tree: TreeKey, program: id::Program) {
     let work = shared.busy.start(program.partition());
-    let shared = std::sync::Arc::clone(shared);
+    let commit = shared.with(tree, |entry| entry.commit.clone());
     tokio::spawn(async move {
-        let write = row::head_deletion(program);
-        let _ = shared.parts.commit.submit(vec![write]).await;
+        if let Some(commit) = commit {
+            // Once this instance has lost the partition, the row stands.
+            let _ = commit.submit(vec![row::head_deletion(program)]).await;
+        }
         drop(work);
     });
 }
--- a/crates/daemon/src/program/end.rs
+++ b/crates/daemon/src/program/end.rs
@@ -5,16 +5,18 @@
 
 use basilramp_core::clock::Time;
 use basilramp_core::id;
-use basilramp_platform::table::{Check, Write};
+use basilramp_platform::table::Check;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::Body;
-use slog::warn;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::reserve::{self, Reservation};
+use super::load::{self, Lease};
+use super::reserve::{self, Queued, Reserve};
 use super::shelf::Entry;
-use super::{Shared, load, refusal, row};
-use crate::{clock, commit};
+use super::{Shared, refusal, row};
+use crate::clock;
+use crate::commit::{Failure, Room};
+use crate::log::{Event, event};
 
 /// Time between two looks for programs whose time is used up.
 const SWEEP: Duration = Duration::from_millis(1_000);
@@ -28,9 +30,11 @@
 /// Time between two reads of the programs under way in a partition.
 const WATCH_PAUSE: Duration = Duration::from_millis(20);
 
+/// Room in the commit queue for the rows of an end.
+const END_BYTES: usize = 4_096;
+
 struct Ending {
-    writes: Vec<Write>,
-    root: Reservation,
+    queued: Queued,
     holdings: Vec<Holding>,
 }
 
@@ -48,68 +52,87 @@
 /// `Interrupted` says that the end may not be durable; the same request may be sent again.
 pub(crate) async fn run(shared: &Arc<Shared>, program: id::Program) -> Result<(), Error> {
     let work = shared.busy.start(program.partition());
-    let tree = load::touch(shared, program).await?;
-    let ending = shared.with(tree, |entry| start(entry, program));
-    let Some(ending) = ending.ok_or_else(refusal::lost)? else {
-        return Ok(());
+    let tree = load::touch(shared, program, Lease::Valid).await?;
+    let commit = shared.with(tree, |entry| entry.commit.clone());
+    let room = commit.ok_or_else(refusal::lost)?.reserve(END_BYTES).await;
+    let ending = shared.with(tree, |entry| start(entry, program, room));
+    let ending = match ending.ok_or_else(refusal::lost)? {
+        Start::Ended => return Ok(()),
+        Start::Pending => return Err(not_durable()),
+        Start::Failed(failure) => return Err(refusal::unsent(&failure)),
+        Start::Ending(ending) => ending,
     };
     release(shared, ending.holdings);
     let wait_ms = shared.parts.timing.store_wait_ms;
     let task = tokio::spawn({
         let shared = Arc::clone(shared);
         async move {
-            let written = shared.parts.commit.submit(ending.writes).await;
-            shared.with(tree, |entry| {
-                entry.tree.end_write(ending.root.reserved, written.is_ok());
-            });
+            let written = ending.queued.settled(&shared, tree).await;
+            shared.with(tree, |entry| entry.ends -= 1);
             drop(work);
             written
         }
     });
     let written = tokio::time::timeout(Duration::from_millis(wait_ms), task).await;
     match written {
-        Ok(Ok(Ok(()))) => Ok(()),
-        Ok(Ok(Err(commit::Failure::Fenced))) => Err(refusal::lost()),
-        _ => Err(Error::new(
-            Kind::Interrupted,
-            "the program ends here; its end is not durable yet",
-        )),
+        Ok(Ok(Ok(()))) => {
+            event!(shared.parts.log, Event::ProgramEnded, "program" => %program);
+            Ok(())
+        }
+        Ok(Ok(Err(Failure::Fenced))) => Err(refusal::lost()),
+        _ => Err(not_durable()),
     }
 }
 
+fn not_durable() -> Error {
+    let message = "the program ends here; its end is not durable yet";
+    Error::new(Kind::Interrupted, message)
+}
+
 /// Ends a program in the background.
 pub(crate) fn spawn(shared: &Arc<Shared>, program: id::Program) {
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
-        let ended = run(&shared, program).await;
-        if let Err(error) = ended {
-            warn!(shared.parts.log, "end not durable yet";
-                "program" => %program, "error" => %error);
-        }
+        // What is not durable is tried again by the sweep.
+        let _ = run(&shared, program).await;
     });
 }
 
-fn start(entry: &mut Entry, program: id::Program) -> Option<Ending> {
+enum Start {
+    /// It had ended before.
+    Ended,
+    /// It had ended before, but that is not durable yet.
+    Pending,
+    /// It could not be written.
+    Failed(Failure),
+    /// It ends now.
+    Ending(Ending),
+}
+
+fn start(entry: &mut Entry, program: id::Program, room: Room) -> Start {
     let ended = entry.tree.end(program.number());
     if ended.is_empty() {
-        return None;
+        return match entry.ends {
+            0 => Start::Ended,
+            _ => Start::Pending,
+        };
     }
-    let root = reserve::start_keeping(entry)?;
-    let mut writes = vec![root.write.clone()];
+    let mut writes = Vec::new();
     if program.is_root() {
         writes.push(row::not_live(program));
     } else {
         writes.extend(entry.head(program.number(), 0, Check::None));
     }
+    let queued = match reserve::queue(entry, Reserve::Keep, writes, Some(room)) {
+        Ok(queued) => queued,
+        Err(failure) => return Start::Failed(failure),
+    };
+    entry.ends += 1;
     let mut holdings = Vec::new();
     for program in ended {
         holdings.extend(take_holdings(entry, program));
     }
-    Some(Ending {
-        writes,
-        root,
-        holdings,
-    })
+    Start::Ending(Ending { queued, holdings })
 }
 
 fn take_holdings(entry: &mut Entry, program: id::Program) -> Vec<Holding> {
@@ -142,7 +165,7 @@
                 }
                 sleep(RELEASE_PAUSE).await;
             }
-            warn!(shared.parts.log, "home not reached for a release";
+            event!(shared.parts.log, Event::ReleaseFailed,
                 "program" => %holding.program, "upstream" => %holding.upstream);
         });
     }
@@ -209,8 +232,7 @@
             let Ok(program) = row.key.sort.parse::<id::Program>() else {
                 continue;
             };
-            let _ = load::touch(&shared, program).await;
+            let _ = load::touch(&shared, program, Lease::Valid).await;
         }
     });
 }
-
--- a/crates/daemon/src/program/intent.rs
+++ b/crates/daemon/src/program/intent.rs
@@ -2,18 +2,19 @@
 
 use std::sync::Arc;
 
-use basilramp_platform::table::Write;
-use basilramp_wire::api::{Event, Usage};
+use basilramp_wire::api::{Event as Answered, Usage};
 use basilramp_wire::error::{Error, Kind};
-use slog::warn;
 
 use super::attempt::{self, Admitted};
 use super::call::Run;
+use super::reserve::{self, Queued, Reserve};
+use super::shelf::Entry;
 use super::turn::{self, Ended, Place};
 use super::{Shared, plain, refusal, row, settle};
-use crate::commit;
-use crate::engine::Failure;
+use crate::commit::Failure;
+use crate::engine;
 use crate::grant::{End, Grant};
+use crate::log::{Event, event};
 use crate::service::Answer;
 
 /// Looks at the service's status of a call that broke off, before the caller is told of the doubt.
@@ -36,7 +37,7 @@
         Err(error) => {
             grants.give_back(grant, End::Cancelled);
             pass.abandoned();
-            let _ = run.events.send(Event::Error(error)).await;
+            let _ = run.events.send(Answered::Error(error)).await;
             return;
         }
     };
@@ -44,8 +45,8 @@
         grants.give_back(grant, End::Cancelled);
         pass.abandoned();
         withdraw(&run.shared, run.place(), position);
-        let error = refusal::unsent(&commit::Failure::Fenced);
-        let _ = run.events.send(Event::Error(error)).await;
+        let error = refusal::unsent(&Failure::Fenced);
+        let _ = run.events.send(Answered::Error(error)).await;
         return;
     }
     match send(&run, &grant).await {
@@ -60,16 +61,16 @@
             };
             turn::finish(run, ended).await;
         }
-        Err(Failure::Unsent) => {
+        Err(engine::Failure::Unsent) => {
             grants.give_back(grant, End::Failed);
             pass.abandoned();
             withdraw(&run.shared, run.place(), position);
             let error = Error::new(Kind::UpstreamUnavailable, "the upstream was not reached");
-            let _ = run.events.send(Event::Error(error)).await;
+            let _ = run.events.send(Answered::Error(error)).await;
         }
         Err(failure) => {
             grants.give_back(grant, End::Failed);
-            if failure == Failure::Broken {
+            if failure == engine::Failure::Broken {
                 pass.crashed(&run.shared.parts.log).await;
             } else {
                 pass.abandoned();
@@ -80,7 +81,7 @@
 }
 
 /// Sends the call, once, on a connection of its own.
-async fn send(run: &Run, grant: &Grant) -> Result<Answer, Failure> {
+async fn send(run: &Run, grant: &Grant) -> Result<Answer, engine::Failure> {
     let ask = plain::ask(run, 1, grant);
     let services = &run.shared.services;
     services.send_once(&ask, run.service.timeout_ms).await
@@ -91,30 +92,33 @@
 /// On an error nothing was sent, and nothing will be: either the intent does not exist, or it is
 /// deleted before the position is free again.
 async fn intend(run: &Run) -> Result<u32, Error> {
-    let intent = run.with(|entry| {
-        let position = entry.tree.intend(run.member)?;
-        let turn = entry.tree.history(run.member)?.intent()?;
-        Some((position, row::turn(run.program, position, turn, false)))
-    });
-    let Some((position, write)) = intent.flatten() else {
-        return Err(refusal::unsent(&commit::Failure::Fenced));
-    };
-    let written = submit(&run.shared, write).await;
-    let Err(failure) = written else {
-        return Ok(position);
+    let intent = run.with(|entry| queue(entry, run.place())).flatten();
+    let (position, queued) = intent.ok_or_else(|| refusal::unsent(&Failure::Fenced))?;
+    let written = match queued {
+        Ok(queued) => queued.within(&run.shared, run.tree).await,
+        Err(failure) => Err(failure),
     };
-    match failure {
-        commit::Failure::Unknown => withdraw(&run.shared, run.place(), position),
-        _ => {
+    match written {
+        Ok(()) => return Ok(position),
+        Err(Failure::Unknown) => withdraw(&run.shared, run.place(), position),
+        Err(_) => {
             run.with(|entry| entry.tree.withdrawn(run.member));
         }
     }
-    Err(refusal::unsent(&failure))
+    written
+        .map(|()| position)
+        .map_err(|failure| refusal::unsent(&failure))
 }
 
-async fn submit(shared: &Shared, write: Write) -> Result<(), commit::Failure> {
-    let wait_ms = shared.parts.timing.store_wait_ms;
-    shared.parts.commit.submit_within(vec![write], wait_ms).await
+type Intent = (u32, Result<Queued, Failure>);
+
+/// Queues the intent behind all that was written of its tree before.
+fn queue(entry: &mut Entry, place: Place) -> Option<Intent> {
+    let position = entry.tree.intend(place.member)?;
+    let turn = entry.tree.history(place.member)?.intent()?;
+    let write = row::turn(place.program, position, turn, false);
+    let queued = reserve::queue(entry, Reserve::Keep, vec![write], None);
+    Some((position, queued))
 }
 
 /// Tells whether the program is still owned under the term in which it was loaded.
@@ -127,17 +131,15 @@
 /// Deletes the intent of a call that was not sent, and only then frees its position.
 fn withdraw(shared: &Arc<Shared>, place: Place, position: u32) {
     shared.with(place.tree, |entry| entry.tree.withdraw(place.member));
+    let Some(commit) = shared.with(place.tree, |entry| entry.commit.clone()) else {
+        return;
+    };
     let work = shared.busy.start(place.program.partition());
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
         let write = row::withdrawal(place.program, position);
-        let written = shared.parts.commit.submit(vec![write]).await;
-        match written {
-            Ok(()) => {
-                shared.with(place.tree, |entry| entry.tree.withdrawn(place.member));
-            }
-            Err(_) => warn!(shared.parts.log, "intent not withdrawn";
-                "program" => %place.program, "position" => position),
+        if commit.submit(vec![write]).await.is_ok() {
+            shared.with(place.tree, |entry| entry.tree.withdrawn(place.member));
         }
         drop(work);
     });
@@ -146,7 +148,7 @@
 /// Looks whether the service knows the outcome; else tells the caller of the doubt.
 async fn doubt(run: Run, position: u32) {
     run.with(|entry| entry.tree.doubt(run.member));
-    warn!(run.shared.parts.log, "call in doubt";
+    event!(run.shared.parts.log, Event::CallInDoubt,
         "program" => %run.program, "position" => position);
     for _ in 0..LOOK_UPS {
         if !settle::has_status(&run.service) {
@@ -160,5 +162,5 @@
         tokio::time::sleep(std::time::Duration::from_millis(LOOK_UP_PAUSE_MS)).await;
     }
     let error = refusal::error(basilramp_core::tree::Refusal::Doubt);
-    let _ = run.events.send(Event::Error(error)).await;
+    let _ = run.events.send(Answered::Error(error)).await;
 }
--- a/crates/daemon/src/program/load.rs
+++ b/crates/daemon/src/program/load.rs
@@ -1,6 +1,7 @@
 //! Loads trees from their rows when they are first touched.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 
 use basilramp_core::history::Turn;
 use basilramp_core::id;
@@ -9,17 +10,27 @@
 use basilramp_wire::error::{Error, Kind, Ran};
 use basilramp_wire::record;
 use futures_util::stream::{self, StreamExt, TryStreamExt};
-use slog::error;
 use tokio::sync::{Mutex, MutexGuard};
 
 use super::shelf::{Entry, TreeKey};
 use super::{Shared, refusal, row};
+use crate::log::{Event, event};
 
 const LOCKS: usize = 256;
 
 /// Members of one tree that are read at once.
 const READS_AT_ONCE: usize = 8;
 
+/// What must hold of this instance's lease for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lease {
+    /// It has not run out.
+    Valid,
+    /// It may have run out, as it does while the store is out of reach; commits tell whether the
+    /// tree is still owned.
+    Any,
+}
+
 /// Keeps a tree from being loaded twice at once.
 #[derive(Debug)]
 pub(crate) struct Locks {
@@ -44,9 +55,13 @@
 }
 
 /// Returns the tree of a program, loaded if need be.
-pub(crate) async fn touch(shared: &Shared, program: id::Program) -> Result<TreeKey, Error> {
+pub(crate) async fn touch(
+    shared: &Shared,
+    program: id::Program,
+    lease: Lease,
+) -> Result<TreeKey, Error> {
     let root = program.tree();
-    if let Some(key) = held(shared, root)? {
+    if let Some(key) = held(shared, root, lease)? {
         return Ok(key);
     }
     let _alone = shared.loads.lock(root).await;
@@ -57,7 +72,7 @@
 ///
 /// The caller holds the root's load lock.
 pub(crate) async fn find(shared: &Shared, root: id::Program) -> Result<Option<TreeKey>, Error> {
-    if let Some(key) = held(shared, root)? {
+    if let Some(key) = held(shared, root, Lease::Valid)? {
         return Ok(Some(key));
     }
     let term = shared.term(root.partition())?;
@@ -70,6 +85,8 @@
     let entry = Entry {
         tree: tree.tree,
         term,
+        commit: shared.parts.commit.under(root.partition(), term),
+        ends: 0,
         version: tree.version + 1,
         holders: BTreeMap::new(),
     };
@@ -77,8 +94,11 @@
 }
 
 /// Returns the tree of a root if it is held under the term in force.
-fn held(shared: &Shared, root: id::Program) -> Result<Option<TreeKey>, Error> {
-    let term = shared.term(root.partition())?;
+fn held(shared: &Shared, root: id::Program, lease: Lease) -> Result<Option<TreeKey>, Error> {
+    let term = match lease {
+        Lease::Valid => shared.term(root.partition())?,
+        Lease::Any => shared.held_term(root.partition())?,
+    };
     let mut shelf = shared.lock();
     if shelf.is_closed(root.partition()) {
         let message = "the program is being handed over";
@@ -106,7 +126,9 @@
     };
     let version = head.version;
     let record: record::Program = parse(shared, root, head)?;
-    let shape = record.shape(root).map_err(|_| broken(shared, root))?;
+    let shape = record
+        .shape(root)
+        .map_err(|fault| broken(shared, root, &fault))?;
     let mut programs = vec![member(shared, root, rows)?];
     let numbers = 1..=shape.members;
     let others: Vec<Option<Loaded>> = stream::iter(numbers)
@@ -116,10 +138,7 @@
         .await?;
     programs.extend(others);
     let programs = programs.into_iter().flatten();
-    let tree = Tree::load(shape, programs).map_err(|fault| {
-        error!(shared.parts.log, "history broken"; "program" => %root, "fault" => %fault);
-        broken(shared, root)
-    })?;
+    let tree = Tree::load(shape, programs).map_err(|fault| broken(shared, root, &fault))?;
     Ok(Some(Read { tree, version }))
 }
 
@@ -129,17 +148,13 @@
 }
 
 /// Returns a program from its rows, or nothing if its creation was never written.
-fn member(
-    shared: &Shared,
-    program: id::Program,
-    rows: Vec<Row>,
-) -> Result<Option<Loaded>, Error> {
+fn member(shared: &Shared, program: id::Program, rows: Vec<Row>) -> Result<Option<Loaded>, Error> {
     let mut head = None;
     let mut turns = Vec::new();
     for row in &rows {
         if let Some(position) = row::position(&row.key.sort) {
             let record: record::Turn = parse(shared, program, row)?;
-            let turn = Turn::try_from(record).map_err(|_| broken(shared, program))?;
+            let turn = Turn::try_from(record).map_err(|fault| broken(shared, program, &fault))?;
             turns.push((position, turn));
         } else if &*row.key.sort == row::HEAD {
             head = Some(parse::<record::Program>(shared, program, row)?);
@@ -148,7 +163,7 @@
     let Some(head) = head else {
         return Ok(None);
     };
-    let origin = Origin::try_from(&head).map_err(|_| broken(shared, program))?;
+    let origin = Origin::try_from(&head).map_err(|fault| broken(shared, program, &fault))?;
     Ok(Some(Loaded {
         number: program.number(),
         origin,
@@ -168,12 +183,13 @@
     program: id::Program,
     row: &Row,
 ) -> Result<T, Error> {
-    serde_json::from_str(&row.body).map_err(|_| broken(shared, program))
+    serde_json::from_str(&row.body).map_err(|fault| broken(shared, program, &fault))
 }
 
 /// Returns what is said of a program whose rows are not whole; nothing of it is run.
-fn broken(shared: &Shared, program: id::Program) -> Error {
-    error!(shared.parts.log, "rows broken"; "program" => %program);
+fn broken(shared: &Shared, program: id::Program, fault: &impl Display) -> Error {
+    event!(shared.parts.log, Event::HistoryBroken,
+        "program" => %program, "fault" => %fault);
     let mut error = Error::new(Kind::Internal, "the program's history is not whole");
     error.ran = Ran::No;
     error
--- a/crates/daemon/src/program/model.rs
+++ b/crates/daemon/src/program/model.rs
@@ -174,7 +174,11 @@
             break;
         };
         usage = chunk.usage.or(usage);
-        for piece in chunk.choices.into_iter().filter_map(|one| one.delta.content) {
+        for piece in chunk
+            .choices
+            .into_iter()
+            .filter_map(|one| one.delta.content)
+        {
             if piece.is_empty() {
                 continue;
             }
@@ -200,12 +204,7 @@
 }
 
 /// Sends the caller what is new in `text`. An attempt that differs from what was sent is given up.
-async fn show(
-    run: &Run,
-    text: &str,
-    shown: &mut String,
-    deadline: Instant,
-) -> Result<(), Broken> {
+async fn show(run: &Run, text: &str, shown: &mut String, deadline: Instant) -> Result<(), Broken> {
     if shown.starts_with(text) {
         return Ok(());
     }
--- a/crates/daemon/src/program/reserve.rs
+++ b/crates/daemon/src/program/reserve.rs
@@ -1,4 +1,4 @@
-//! Tokens that are reserved durably before they are used.
+//! Tokens that are reserved durably before they are used, and the root's row that says so.
 
 use basilramp_core::budget::Hold;
 use basilramp_core::id;
@@ -7,44 +7,82 @@
 
 use super::shelf::{Entry, TreeKey};
 use super::{Shared, refusal};
+use crate::commit::{Failure, Room, Submission};
 
 /// Rounds of reserving before a call that always finds its tokens taken by others is refused.
 const ROUNDS: u32 = 16;
 
-/// A write of the root's head that is under way.
-#[derive(Debug)]
-pub(crate) struct Reservation {
-    /// The tokens that it reserves.
-    pub(crate) reserved: u64,
-    /// The write.
-    pub(crate) write: Write,
+/// What a write of the root's row does to the reservation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reserve {
+    /// It stays as it is.
+    Keep,
+    /// It becomes so many tokens more than are used.
+    Ahead(u64),
 }
 
-/// Starts a write of the root's head that reserves `ahead` tokens more than are used.
-pub(crate) fn start(entry: &mut Entry, ahead: u64) -> Option<Reservation> {
-    let reserved = entry.tree.start_write(ahead);
-    let write = entry.head(0, reserved, Check::None);
-    close(entry, reserved, write)
+/// A queued write of the root's row, and of what goes with it.
+#[derive(Debug)]
+pub(crate) struct Queued {
+    reserved: u64,
+    submission: Submission,
 }
 
-/// Starts a write of the root's head that leaves the reservation as it is.
-pub(crate) fn start_keeping(entry: &mut Entry) -> Option<Reservation> {
-    let reserved = entry.tree.start_write_keeping();
-    let write = entry.head(0, reserved, Check::None);
-    close(entry, reserved, write)
+/// Queues a write of the root's row together with others.
+///
+/// It is queued while the tree is locked, so rows of a tree are written in the order in which the
+/// tree changed.
+pub(crate) fn queue(
+    entry: &mut Entry,
+    reserve: Reserve,
+    mut writes: Vec<Write>,
+    room: Option<Room>,
+) -> Result<Queued, Failure> {
+    let reserved = match reserve {
+        Reserve::Keep => entry.tree.start_write_keeping(),
+        Reserve::Ahead(tokens) => entry.tree.start_write(tokens),
+    };
+    writes.extend(entry.head(0, reserved, Check::None));
+    let queued = match room {
+        Some(room) => entry.commit.enqueue(writes, room),
+        None => entry.commit.enqueue_now(writes),
+    };
+    match queued {
+        Ok(submission) => Ok(Queued {
+            reserved,
+            submission,
+        }),
+        Err(failure) => {
+            entry.tree.end_write(reserved, false);
+            Err(failure)
+        }
+    }
 }
 
-fn close(entry: &mut Entry, reserved: u64, write: Option<Write>) -> Option<Reservation> {
-    if write.is_none() {
-        entry.tree.end_write(reserved, false);
+impl Queued {
+    /// Waits until the writes are durable, however long that takes.
+    pub(crate) async fn settled(self, shared: &Shared, tree: TreeKey) -> Result<(), Failure> {
+        let written = self.submission.settled().await;
+        shared.with(tree, |entry| {
+            entry.tree.end_write(self.reserved, written.is_ok());
+        });
+        written
+    }
+
+    /// Waits until the writes are durable, for as long as a refusable write waits.
+    pub(crate) async fn within(self, shared: &Shared, tree: TreeKey) -> Result<(), Failure> {
+        let wait_ms = shared.parts.timing.store_wait_ms;
+        let written = self.submission.within(wait_ms).await;
+        shared.with(tree, |entry| {
+            entry.tree.end_write(self.reserved, written.is_ok());
+        });
+        written
     }
-    let write = write?;
-    Some(Reservation { reserved, write })
 }
 
 enum Step {
     Held,
-    Write(Reservation),
+    Write(Queued),
 }
 
 /// Holds tokens of a tree for a call, within what is reserved durably.
@@ -55,17 +93,13 @@
 pub(crate) async fn hold(shared: &Shared, tree: TreeKey, tokens: u64) -> Result<(), Error> {
     for _ in 0..ROUNDS {
         let step = shared.with(tree, |entry| next_step(entry, tokens));
-        let reservation = match step.ok_or_else(refusal::lost)?? {
+        match step.ok_or_else(refusal::lost)?? {
             Step::Held => return Ok(()),
-            Step::Write(reservation) => reservation,
-        };
-        let wait_ms = shared.parts.timing.store_wait_ms;
-        let commit = &shared.parts.commit;
-        let written = commit.submit_within(vec![reservation.write], wait_ms).await;
-        shared.with(tree, |entry| {
-            entry.tree.end_write(reservation.reserved, written.is_ok());
-        });
-        written.map_err(|failure| refusal::unsent(&failure))?;
+            Step::Write(queued) => {
+                let written = queued.within(shared, tree).await;
+                written.map_err(|failure| refusal::unsent(&failure))?;
+            }
+        }
     }
     Err(refusal::store())
 }
@@ -73,27 +107,23 @@
 fn next_step(entry: &mut Entry, tokens: u64) -> Result<Step, Error> {
     match entry.tree.hold(tokens).map_err(refusal::error)? {
         Hold::Held => Ok(Step::Held),
-        Hold::Reserve(_) => start(entry, tokens)
+        Hold::Reserve(_) => queue(entry, Reserve::Ahead(tokens), Vec::new(), None)
             .map(Step::Write)
-            .ok_or_else(refusal::lost),
+            .map_err(|failure| refusal::unsent(&failure)),
     }
 }
 
 /// Gives back what is reserved and not used in all trees of a partition.
 pub(crate) async fn give_back(shared: &Shared, partition: id::Partition) {
     let trees = shared.lock().keys(partition);
+    let mut writes = Vec::new();
     for tree in trees {
-        let Some(Some(reservation)) = shared.with(tree, |entry| start(entry, 0)) else {
-            continue;
-        };
-        let wait_ms = shared.parts.timing.store_wait_ms;
-        let commit = &shared.parts.commit;
-        let written = commit.submit_within(vec![reservation.write], wait_ms).await;
-        shared.with(tree, |entry| {
-            entry.tree.end_write(reservation.reserved, written.is_ok());
+        let queued = shared.with(tree, |entry| {
+            queue(entry, Reserve::Ahead(0), Vec::new(), None)
         });
-        if written.is_err() {
-            return;
+        if let Some(Ok(queued)) = queued {
+            writes.push(queued.within(shared, tree));
         }
     }
+    futures_util::future::join_all(writes).await;
 }
--- a/crates/daemon/src/program/settle.rs
+++ b/crates/daemon/src/program/settle.rs
@@ -5,16 +5,19 @@
 use basilramp_core::history::{Outcome, State, Usage};
 use basilramp_core::id;
 use basilramp_core::tree::Phase;
+use basilramp_platform::table::Write;
 use basilramp_wire::config::{Service, Target};
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::Settlement;
 use basilramp_wire::record::Audit;
 
+use super::load::{self, Lease};
 use super::shelf::{Entry, TreeKey};
-use super::turn::{self, Ended, Pending, Place};
-use super::{Shared, load, plain, refusal, row};
+use super::turn::{self, Ended, Place};
+use super::{Shared, plain, refusal, row};
 use crate::clock;
 use crate::grant::{End, Want};
+use crate::log::{Event, event};
 use crate::service::Answer;
 
 /// Milliseconds that a look-up waits for a slot and for its answer.
@@ -43,11 +46,7 @@
 ///
 /// Returns whether the outcome is durable. A service that does not know the call proves nothing:
 /// the call may still be on its way.
-pub(crate) async fn by_status(
-    shared: &Arc<Shared>,
-    tree: TreeKey,
-    program: id::Program,
-) -> bool {
+pub(crate) async fn by_status(shared: &Arc<Shared>, tree: TreeKey, program: id::Program) -> bool {
     let found = shared.with(tree, |entry| find(entry, tree, program));
     let Some(Some(doubt)) = found else {
         return false;
@@ -56,11 +55,12 @@
         return false;
     };
     let outcome = plain::outcome(answer);
-    let pending = shared.with(tree, |entry| append(entry, doubt.place, outcome));
-    match pending {
-        Some(Some(pending)) => turn::write(shared, doubt.place, pending).await.is_ok(),
-        _ => false,
+    let settled = record(shared, doubt.place, outcome, Vec::new()).await;
+    if settled.is_ok() {
+        event!(shared.parts.log, Event::CallResolved,
+            "program" => %program, "position" => doubt.position);
     }
+    settled.is_ok()
 }
 
 /// Settles a call in doubt by an operator's word, with an audit record.
@@ -74,13 +74,16 @@
     settlement: Settlement,
 ) -> Result<(), Error> {
     let _work = shared.busy.start(program.partition());
-    let tree = load::touch(shared, program).await?;
+    let tree = load::touch(shared, program, Lease::Valid).await?;
     let found = shared.with(tree, |entry| find(entry, tree, program));
     let found = found.ok_or_else(refusal::lost)?;
     let position = settlement.position;
     let doubt = found.filter(|doubt| doubt.position == position);
     let doubt = doubt.ok_or_else(not_in_doubt)?;
-    let action = format!("settle {program} position {position}: ran {}", settlement.ran);
+    let action = format!(
+        "settle {program} position {position}: ran {}",
+        settlement.ran
+    );
     let audit = Audit {
         operator: operator.to_owned(),
         at_ms: clock::wall_ms(),
@@ -88,10 +91,11 @@
         reason: settlement.reason.clone(),
     };
     let outcome = outcome(settlement);
-    let pending = shared.with(tree, |entry| append(entry, doubt.place, outcome));
-    let mut pending = pending.flatten().ok_or_else(not_in_doubt)?;
-    pending.also(row::audit(&audit, program, position));
-    turn::write(shared, doubt.place, pending).await
+    let also = vec![row::audit(&audit, program, position)];
+    record(shared, doubt.place, outcome, also).await?;
+    event!(shared.parts.log, Event::CallSettled, "operator" => operator,
+        "program" => %program, "position" => position);
+    Ok(())
 }
 
 fn outcome(settlement: Settlement) -> Outcome {
@@ -134,17 +138,28 @@
 }
 
 /// Records the outcome of a call in doubt, unless another has done so meanwhile.
-fn append(entry: &mut Entry, place: Place, outcome: Outcome) -> Option<Pending> {
-    if entry.tree.phase(place.member)? != Phase::Doubt {
-        return None;
-    }
+async fn record(
+    shared: &Arc<Shared>,
+    place: Place,
+    outcome: Outcome,
+    also: Vec<Write>,
+) -> Result<(), Error> {
     let ended = Ended {
         outcome,
         held: 0,
         intended: true,
         next_output: 0,
     };
-    turn::append(entry, place, &ended)
+    let room = turn::room(shared, place, &ended).await?;
+    let pending = shared.with(place.tree, |entry| {
+        let phase = entry.tree.phase(place.member);
+        if phase != Some(Phase::Doubt) {
+            return Err(not_in_doubt());
+        }
+        turn::append(entry, place, &ended, also, room)
+    });
+    let pending = pending.ok_or_else(refusal::lost)??;
+    turn::settled(shared, place, pending).await
 }
 
 async fn look_up(shared: &Shared, doubt: &Doubt) -> Option<Answer> {
--- a/crates/daemon/src/program/shelf.rs
+++ b/crates/daemon/src/program/shelf.rs
@@ -8,6 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::row;
+use crate::commit;
 
 new_key_type! {
     /// Names a tree on the shelf. A tree that is loaded again has another key.
@@ -21,6 +22,10 @@
     pub(crate) tree: Tree,
     /// The term under which it was loaded.
     pub(crate) term: id::Term,
+    /// Writes rows while the partition is owned under that term.
+    pub(crate) commit: commit::Handle,
+    /// Ends of programs that are not durable yet.
+    pub(crate) ends: u32,
     /// The version of the next head row.
     pub(crate) version: u64,
     /// Upstreams that may hold something for a program.
--- a/crates/daemon/src/program/turn.rs
+++ b/crates/daemon/src/program/turn.rs
@@ -10,14 +10,14 @@
 use basilramp_platform::table::Write;
 use basilramp_wire::api::Event;
 use basilramp_wire::error::{Error, Kind};
-use slog::error;
 use tokio::time::timeout;
 
 use super::call::Run;
-use super::reserve::{self, Reservation};
+use super::reserve::{self, Queued, Reserve};
 use super::shelf::{Entry, TreeKey};
 use super::{Shared, end, refusal, row, view};
-use crate::{clock, commit};
+use crate::commit::{Failure, Room};
+use crate::{clock, log};
 
 /// Milliseconds that a provisional answer waits for its turn to become durable.
 const PROVISIONAL_WAIT_MS: u64 = 200;
@@ -25,6 +25,9 @@
 /// Tokens that are reserved along with a turn for the next input.
 const NEXT_INPUT_TOKENS: u64 = 1_024;
 
+/// Room in the commit queue for a turn's rows besides its texts.
+const ROW_BYTES: usize = 4_096;
+
 /// A call that ran, before its turn is durable.
 #[derive(Clone, Debug)]
 pub(crate) struct Ended {
@@ -51,25 +54,19 @@
 pub(crate) struct Pending {
     position: u32,
     bytes: usize,
-    writes: Vec<Write>,
-    root: Reservation,
-}
-
-impl Pending {
-    /// Has something else written with the turn.
-    pub(crate) fn also(&mut self, write: Write) {
-        self.writes.push(write);
-    }
+    queued: Queued,
 }
 
 /// Commits the turn and sends the last event.
 pub(crate) async fn finish(run: Run, ended: Ended) {
     let provisional = run.call.provisional && !ended.intended;
     let place = run.place();
-    let pending = run.with(|entry| append(entry, place, &ended));
-    let Some(Some(pending)) = pending else {
-        let _ = run.events.send(Event::Error(refusal::lost())).await;
-        return;
+    let pending = match begin(&run, place, &ended).await {
+        Ok(pending) => pending,
+        Err(error) => {
+            let _ = run.events.send(Event::Error(error)).await;
+            return;
+        }
     };
     let position = pending.position;
     let Run {
@@ -81,7 +78,7 @@
     let mut writing = tokio::spawn({
         let shared = Arc::clone(&shared);
         async move {
-            let written = write(&shared, place, pending).await;
+            let written = settled(&shared, place, pending).await;
             drop(work);
             written
         }
@@ -108,6 +105,12 @@
     let _ = events.send(event).await;
 }
 
+async fn begin(run: &Run, place: Place, ended: &Ended) -> Result<Pending, Error> {
+    let room = room(&run.shared, place, ended).await?;
+    let pending = run.with(|entry| append(entry, place, ended, Vec::new(), room));
+    pending.ok_or_else(refusal::lost)?
+}
+
 /// Returns the last event of a call whose turn is recorded.
 pub(crate) fn last_event(shared: &Shared, place: Place, position: u32) -> Event {
     let event = shared.with(place.tree, |entry| {
@@ -116,32 +119,53 @@
     event.unwrap_or_else(|| Event::Error(refusal::lost()))
 }
 
-/// Appends the turn of the call in progress to its program's history.
-pub(crate) fn append(entry: &mut Entry, place: Place, ended: &Ended) -> Option<Pending> {
+/// Waits for room in the commit queue for a turn.
+pub(crate) async fn room(shared: &Shared, place: Place, ended: &Ended) -> Result<Room, Error> {
+    let wanted = shared.with(place.tree, |entry| {
+        let history = entry.tree.history(place.member);
+        let intent = history.and_then(|history| history.intent());
+        let input = intent.map_or(0, |turn| turn.ask.input.len());
+        (entry.commit.clone(), input)
+    });
+    let (commit, input) = wanted.ok_or_else(refusal::lost)?;
+    let bytes = ROW_BYTES + input + ended.outcome.output.len();
+    Ok(commit.reserve(bytes).await)
+}
+
+/// Appends the turn of the call in progress to its program's history and queues its row.
+pub(crate) fn append(
+    entry: &mut Entry,
+    place: Place,
+    ended: &Ended,
+    also: Vec<Write>,
+    room: Room,
+) -> Result<Pending, Error> {
     let usage = ended.outcome.usage;
     entry.tree.settle_tokens(ended.held, usage.charged());
     let outcome = ended.outcome.clone();
-    let (position, _) = entry.tree.finish(place.member, outcome)?;
-    let history = entry.tree.history(place.member)?;
-    let turn = history.turns().get(position as usize)?;
+    let finished = entry.tree.finish(place.member, outcome);
+    let (position, _) = finished.ok_or_else(refusal::lost)?;
+    let history = entry.tree.history(place.member).ok_or_else(refusal::lost)?;
+    let turn = history.turns().get(position as usize);
+    let turn = turn.ok_or_else(refusal::lost)?;
     let bytes = turn.ask.input.len() + turn.outcome.output.len();
-    let turn = row::turn(place.program, position, turn, ended.intended);
+    let mut writes = also;
+    writes.push(row::turn(place.program, position, turn, ended.intended));
     let next = usage.charged() + NEXT_INPUT_TOKENS + ended.next_output;
-    let root = reserve::start(entry, next)?;
-    Some(Pending {
+    let queued = reserve::queue(entry, Reserve::Ahead(next), writes, Some(room));
+    Ok(Pending {
         position,
         bytes,
-        writes: vec![turn],
-        root,
+        queued: queued.map_err(|_| refusal::lost())?,
     })
 }
 
-/// Writes a turn, however long that takes.
+/// Waits until a turn is durable, however long that takes.
 ///
 /// # Errors
 ///
 /// `Interrupted` if this instance lost the program.
-pub(crate) async fn write(
+pub(crate) async fn settled(
     shared: &Arc<Shared>,
     place: Place,
     pending: Pending,
@@ -149,15 +173,12 @@
     let Pending {
         position,
         bytes,
-        mut writes,
-        root,
+        queued,
     } = pending;
-    writes.push(root.write);
     shared.lock().add_uncommitted(bytes);
-    let written = shared.parts.commit.submit(writes).await;
+    let written = queued.settled(shared, place.tree).await;
     shared.lock().sub_uncommitted(bytes);
     let exhausted = shared.with(place.tree, |entry| {
-        entry.tree.end_write(root.reserved, written.is_ok());
         if written.is_ok() {
             entry.tree.committed(place.member, position + 1);
         }
@@ -171,8 +192,8 @@
             }
             Ok(())
         }
-        Err(commit::Failure::Conflict) => {
-            error!(shared.parts.log, "turn refused by the store";
+        Err(Failure::Conflict) => {
+            log::event!(shared.parts.log, log::Event::HistoryBroken,
                 "program" => %place.program, "position" => position);
             shared.lock().remove(place.tree);
             Err(Error::new(Kind::Internal, "the turn was not recorded"))
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::engine::{Failure, TRACE_HEADER, pool};
+use crate::engine::{Failure, pool};
 use crate::trace;
 
 /// The longest answer, in bytes.
@@ -72,7 +72,9 @@
             collect(answer).await
         };
         let limit = Duration::from_millis(timeout_ms);
-        timeout(limit, sending).await.unwrap_or(Err(Failure::TimedOut))
+        timeout(limit, sending)
+            .await
+            .unwrap_or(Err(Failure::TimedOut))
     }
 
     /// Sends a call that may not be repeated: at most once, on a connection of its own.
@@ -97,7 +99,9 @@
             answer
         };
         let limit = Duration::from_millis(timeout_ms);
-        timeout(limit, sending).await.unwrap_or(Err(Failure::TimedOut))
+        timeout(limit, sending)
+            .await
+            .unwrap_or(Err(Failure::TimedOut))
     }
 
     /// Reads a path of a service.
@@ -114,7 +118,9 @@
             collect(answer.map_err(|_| Failure::Broken)?).await
         };
         let limit = Duration::from_millis(timeout_ms);
-        timeout(limit, reading).await.unwrap_or(Err(Failure::TimedOut))
+        timeout(limit, reading)
+            .await
+            .unwrap_or(Err(Failure::TimedOut))
     }
 }
 
@@ -125,7 +131,7 @@
         .header(REQUEST_HEADER, &ask.request)
         .header(IDEMPOTENCY_HEADER, &ask.key);
     if let Some(trace) = trace::current() {
-        request = request.header(TRACE_HEADER, trace);
+        request = request.header(trace::HEADER, trace);
     }
     let body = Full::from(ask.body.as_bytes().to_vec());
     request.body(body).map_err(|_| Failure::Unsent)
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -10,10 +10,10 @@
 use basilramp_platform::table::{self, Action, Check, Key, Row, Write};
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::record;
-use slog::{Logger, warn};
 
 use crate::clock::Source;
-use crate::commit;
+use crate::log::{Event, event};
+use crate::{commit, log};
 
 const PARTITION_KEY: &str = "suspect";
 
@@ -250,15 +250,18 @@
     ///
     /// Unless the crash is durable this instance does not send the request again; it goes on
     /// trying to record the crash.
-    pub(crate) async fn crashed(self, log: &Logger) -> Crash {
+    pub(crate) async fn crashed(self, log: &log::Handle) -> Crash {
         let (shared, fingerprint) = (self.shared, self.fingerprint);
-        warn!(log, "upstream failed with a request in flight";
+        event!(log, Event::RequestSuspected,
             "upstream" => %self.upstream, "fingerprint" => %fingerprint);
         shared.lock().unrecorded.insert(fingerprint);
         if let Some(suspect) = shared.record(fingerprint, &self.upstream).await {
             shared.lock().unrecorded.remove(&fingerprint);
             return match suspect.verdict() {
-                Verdict::Quarantined => Crash::Barred,
+                Verdict::Quarantined => {
+                    event!(log, Event::RequestQuarantined, "fingerprint" => %fingerprint);
+                    Crash::Barred
+                }
                 Verdict::Trial | Verdict::Busy => Crash::Recorded,
             };
         }
