--- a/crates/core/tests/tree_machine.rs
+++ b/crates/core/tests/tree_machine.rs
@@ -18,7 +18,7 @@
 use proptest::test_runner::{RngSeed, TestRunner};
 
 const BUDGET: Budget = Budget {
-    tokens: 2_000,
+    tokens: 600,
     turns: 12,
     wall_ms: 1_000_000,
     depth: 2,
@@ -57,20 +57,20 @@
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let member = 0..4usize;
+    let member = 0..2usize;
     prop_oneof![
-        6 => (member.clone(), 0..6u8, 0..2u8, 0..8u8).prop_map(|(member, request, body, skew)| {
+        20 => (member.clone(), 0..3u8, prop_oneof![5 => Just(0), 1 => Just(1)], 0..12u8).prop_map(|(member, request, body, skew)| {
             Step::Call { member, request, body, skew }
         }),
-        6 => (member.clone(), 1..500u64, any::<u8>())
+        24 => (member.clone(), 1..120u64, any::<u8>())
             .prop_map(|(member, tokens, used)| Step::Send { member, tokens, used }),
-        5 => (member.clone(), prop::bool::weighted(0.8))
+        16 => (member.clone(), prop::bool::weighted(0.8))
             .prop_map(|(member, whole)| Step::Answer { member, whole }),
-        1 => (member, 0..3u8).prop_map(|(member, request)| Step::Spawn { member, request }),
-        6 => (1..4usize).prop_map(|count| Step::Write { count }),
-        1 => Just(Step::TakeBack),
-        1 => Just(Step::GiveBack),
-        1 => (0..3usize).prop_map(|written| Step::Takeover { written }),
+        2 => (member, 0..3u8).prop_map(|(member, request)| Step::Spawn { member, request }),
+        20 => (1..4usize).prop_map(|count| Step::Write { count }),
+        3 => Just(Step::TakeBack),
+        3 => Just(Step::GiveBack),
+        1 => (0..4usize).prop_map(|written| Step::Takeover { written }),
     ]
 }
 
@@ -374,7 +374,7 @@
     };
     let totals = Cell::new(Totals::default());
     let mut runner = TestRunner::new(config);
-    let outcome = runner.run(&vec(step(), 1..120), |steps| {
+    let outcome = runner.run(&vec(step(), 1..200), |steps| {
         let mut world = World::new();
         for step in steps {
             world.apply(step);
