Add relays, recorded histories and a checker for each promise

Change: relays for TCP and UDP with one-way cuts; todc-utils' checker with specifications for program history, unrepeatable calls, budgets and configuration; an operation of unknown outcome is closed at the end of its history. One known-bad history was accepted at first (a refusal with ran: no whose call took effect later), since the refusal was placed before the effect; it now holds after the last effect.

--- /dev/null
+++ b/crates/fakes/src/check/budget.rs
@@ -0,0 +1,80 @@
+//! A program tree's budget as a counter that never passes its limit.
+
+use std::collections::BTreeSet;
+
+use todc_utils::Specification;
+
+use super::{Timed, is_linearizable};
+use crate::history::{Entry, Operation, Outcome};
+
+/// An operation on the counter.
+#[derive(Clone, Copy, Debug)]
+pub enum Spend {
+    /// A call used so many tokens.
+    Charge {
+        /// The tokens.
+        tokens: u64,
+        /// The limit.
+        limit: u64,
+    },
+    /// A caller was told what is spent or reserved.
+    Read {
+        /// The tokens.
+        spent: u64,
+        /// The limit.
+        limit: u64,
+    },
+}
+
+/// The specification of the counter.
+#[derive(Clone, Copy, Debug)]
+pub struct Counter;
+
+impl Specification for Counter {
+    type State = u64;
+    type Operation = Spend;
+
+    fn init() -> u64 {
+        0
+    }
+
+    fn apply(operation: &Spend, state: &u64) -> (bool, u64) {
+        match operation {
+            Spend::Charge { tokens, limit } => (state + tokens <= *limit, state + tokens),
+            Spend::Read { spent, limit } => (state <= spent && spent <= limit, *state),
+        }
+    }
+}
+
+/// Checks the entries of one tree against its limit.
+///
+/// Each call counts once, however often its recorded answer was given.
+#[must_use]
+pub fn check_budget(entries: &[&Entry], limit: u64) -> bool {
+    let mut seen = BTreeSet::new();
+    let mut operations = Vec::new();
+    for entry in entries {
+        let operation = match (&entry.operation, &entry.outcome) {
+            (Operation::Call { program, call }, Outcome::Final(last)) => {
+                if !seen.insert((program.clone(), call.request_id.clone())) {
+                    continue;
+                }
+                Spend::Charge {
+                    tokens: last.usage.charged(),
+                    limit,
+                }
+            }
+            (_, Outcome::Program(program)) => Spend::Read {
+                spent: program.spent,
+                limit,
+            },
+            _ => continue,
+        };
+        operations.push(Timed {
+            operation,
+            began: entry.began,
+            ended: Some(entry.ended),
+        });
+    }
+    is_linearizable::<Counter>(&operations)
+}
--- /dev/null
+++ b/crates/fakes/src/check/program.rs
@@ -0,0 +1,183 @@
+//! A program's history as an append-only list.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use basilramp_wire::api;
+use todc_utils::Specification;
+
+use super::{Timed, is_linearizable};
+use crate::history::{Entry, Operation, Outcome};
+
+/// A line of the list: who asked, and the answer once it is known.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Line {
+    /// The request id.
+    pub request: Arc<str>,
+    /// The answer; nothing while the call is in doubt.
+    pub output: Option<Arc<str>>,
+}
+
+/// An operation on the list.
+#[derive(Clone, Debug)]
+pub enum Turns {
+    /// The caller was given the answer at a position.
+    Append {
+        /// The position.
+        position: usize,
+        /// The line.
+        line: Line,
+    },
+    /// The caller does not know whether its request was appended at a position.
+    Unknown {
+        /// The position.
+        position: usize,
+        /// The request id.
+        request: Arc<str>,
+    },
+    /// The caller read the whole list.
+    Read(Vec<Line>),
+}
+
+/// The specification of the list.
+#[derive(Clone, Copy, Debug)]
+pub struct AppendList;
+
+impl Specification for AppendList {
+    type State = Vec<Line>;
+    type Operation = Turns;
+
+    fn init() -> Self::State {
+        Vec::new()
+    }
+
+    fn apply(operation: &Turns, state: &Vec<Line>) -> (bool, Vec<Line>) {
+        match operation {
+            Turns::Append { position, line } => append(*position, line, state),
+            Turns::Unknown { position, request } => {
+                let line = Line {
+                    request: Arc::clone(request),
+                    output: None,
+                };
+                let (appended, next) = append(*position, &line, state);
+                (true, if appended { next } else { state.clone() })
+            }
+            Turns::Read(lines) => read(lines, state),
+        }
+    }
+}
+
+/// Appends a line, or finds it where an earlier request of the same id put it.
+fn append(position: usize, line: &Line, state: &[Line]) -> (bool, Vec<Line>) {
+    let mut next = state.to_vec();
+    if position == state.len() {
+        next.push(line.clone());
+        return (true, next);
+    }
+    match next.get_mut(position) {
+        Some(old) if old.request == line.request => (settle(old, line), next),
+        _ => (false, next),
+    }
+}
+
+/// Compares the list with what was read, and learns the answers that were not known.
+fn read(lines: &[Line], state: &[Line]) -> (bool, Vec<Line>) {
+    let mut next = state.to_vec();
+    let same = lines.len() == state.len()
+        && next
+            .iter_mut()
+            .zip(lines)
+            .all(|(old, line)| old.request == line.request && settle(old, line));
+    (same, next)
+}
+
+/// Learns an answer; an answer once known never changes and is never unknown again.
+fn settle(old: &mut Line, line: &Line) -> bool {
+    match (&old.output, &line.output) {
+        (None, None) => true,
+        (None, Some(_)) => {
+            old.output.clone_from(&line.output);
+            true
+        }
+        (Some(old), Some(new)) => old == new,
+        (Some(_), None) => false,
+    }
+}
+
+/// Returns the line that a turn stands for; a failed turn's answer is its state.
+fn line(turn: &api::Turn) -> Line {
+    let output = match turn.state.as_str() {
+        "done" => Some(turn.output.as_str()),
+        "failed" => Some("\u{0}failed"),
+        _ => None,
+    };
+    Line {
+        request: turn.request_id.as_str().into(),
+        output: output.map(Into::into),
+    }
+}
+
+/// Returns the operation on the list that an entry of one program stands for, if it is one.
+fn operation(entry: &Entry) -> Option<Turns> {
+    match (&entry.operation, &entry.outcome) {
+        (Operation::Call { call, .. }, Outcome::Final(last)) => Some(Turns::Append {
+            position: call.position as usize,
+            line: Line {
+                request: call.request_id.as_str().into(),
+                output: Some(last.output.as_str().into()),
+            },
+        }),
+        (Operation::Call { call, .. }, outcome) if !outcome.is_not_run() => Some(Turns::Unknown {
+            position: call.position as usize,
+            request: call.request_id.as_str().into(),
+        }),
+        (_, Outcome::Program(program)) => {
+            Some(Turns::Read(program.turns.iter().map(line).collect()))
+        }
+        _ => None,
+    }
+}
+
+/// Returns the requests that some read showed without an answer.
+fn seen_in_doubt(entries: &[&Entry]) -> BTreeSet<String> {
+    let mut seen = BTreeSet::new();
+    for entry in entries {
+        if let Outcome::Program(program) = &entry.outcome {
+            let turns = program.turns.iter();
+            let doubted = turns.filter(|turn| line(turn).output.is_none());
+            seen.extend(doubted.map(|turn| turn.request_id.clone()));
+        }
+    }
+    seen
+}
+
+/// Checks the entries of one program.
+///
+/// A call that a read showed in doubt takes effect in two steps: its line, then its answer.
+#[must_use]
+pub fn check_program(entries: &[&Entry]) -> bool {
+    let doubted = seen_in_doubt(entries);
+    let mut operations = Vec::new();
+    for entry in entries {
+        let Some(operation) = operation(entry) else {
+            continue;
+        };
+        let known = !matches!(operation, Turns::Unknown { .. });
+        let timed = |operation, ended| Timed {
+            operation,
+            began: entry.began,
+            ended,
+        };
+        if let Turns::Append { position, line } = &operation
+            && doubted.contains(&*line.request)
+        {
+            let first = Turns::Unknown {
+                position: *position,
+                request: Arc::clone(&line.request),
+            };
+            operations.push(timed(first, Some(entry.ended)));
+        }
+        operations.push(timed(operation, known.then_some(entry.ended)));
+    }
+    is_linearizable::<AppendList>(&operations)
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,10 +11,13 @@
 mod request;
 
 pub mod caller;
+pub mod check;
 pub mod cluster;
 pub mod engine;
+pub mod history;
 pub mod operator;
 pub mod platform;
+pub mod relay;
 pub mod service;
 
 pub use cluster::Cluster;
--- /dev/null
+++ b/crates/fakes/src/relay.rs
@@ -0,0 +1,130 @@
+//! Relays between two processes that can be cut, one way or both, and healed.
+//!
+//! A cut drops datagrams. It holds back the bytes of a stream until the relay is healed, as a
+//! network does whose lost packets are sent again.
+
+mod datagram;
+mod stream;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// What a relay does with each direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Way {
+    to_target_cut: bool,
+    from_target_cut: bool,
+    delay_ms: u64,
+    resets: u64,
+}
+
+/// Which direction is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Both directions.
+    Both,
+    /// Nothing reaches the target.
+    ToTarget,
+    /// Nothing comes back from the target.
+    FromTarget,
+}
+
+/// A direction of a relay, as one of its tasks sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    ToTarget,
+    FromTarget,
+}
+
+impl Way {
+    const fn is_cut(self, direction: Direction) -> bool {
+        match direction {
+            Direction::ToTarget => self.to_target_cut,
+            Direction::FromTarget => self.from_target_cut,
+        }
+    }
+
+    const fn delay(self) -> Duration {
+        Duration::from_millis(self.delay_ms)
+    }
+}
+
+/// A running relay.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    way: Arc<watch::Sender<Way>>,
+    task: JoinHandle<()>,
+}
+
+/// Starts a relay for TCP connections.
+///
+/// # Panics
+///
+/// Panics outside a tokio runtime, or if no port is free.
+#[must_use]
+pub fn spawn(target: SocketAddr) -> Relay {
+    let way = Arc::new(watch::Sender::new(Way::default()));
+    let (address, listener) = stream::bind();
+    let task = tokio::spawn(stream::run(listener, target, way.subscribe()));
+    Relay { address, way, task }
+}
+
+/// Starts a relay for UDP datagrams.
+///
+/// # Panics
+///
+/// Panics outside a tokio runtime, or if no port is free.
+#[must_use]
+pub fn spawn_udp(target: SocketAddr) -> Relay {
+    let way = Arc::new(watch::Sender::new(Way::default()));
+    let (address, socket) = datagram::bind();
+    let task = tokio::spawn(datagram::run(socket, target, way.subscribe()));
+    Relay { address, way, task }
+}
+
+impl Relay {
+    /// Returns the address that stands for the target.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts one or both directions.
+    pub fn cut(&self, cut: Cut) {
+        self.way.send_modify(|way| {
+            way.to_target_cut = cut != Cut::FromTarget;
+            way.from_target_cut = cut != Cut::ToTarget;
+        });
+    }
+
+    /// Ends every cut and delay.
+    pub fn heal(&self) {
+        self.way.send_modify(|way| {
+            way.to_target_cut = false;
+            way.from_target_cut = false;
+            way.delay_ms = 0;
+        });
+    }
+
+    /// Makes every piece of data come `ms` milliseconds later.
+    pub fn delay_ms(&self, ms: u64) {
+        self.way.send_modify(|way| way.delay_ms = ms);
+    }
+
+    /// Breaks all connections.
+    pub fn reset(&self) {
+        self.way.send_modify(|way| way.resets += 1);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.way.send_modify(|way| way.resets += 1);
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/relay/stream.rs
@@ -0,0 +1,82 @@
+//! Relays TCP connections.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+
+use super::{Direction, Way};
+
+/// The most connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// The most bytes read at once.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Binds a listener on a free port.
+pub(super) fn bind() -> (SocketAddr, TcpListener) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(any).expect("a free port");
+    let listener = socket.listen(BACKLOG).expect("a listening socket");
+    let address = listener.local_addr().expect("a bound socket");
+    (address, listener)
+}
+
+/// Accepts connections and relays each one.
+pub(super) async fn run(listener: TcpListener, target: SocketAddr, way: watch::Receiver<Way>) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(relay(stream, target, way.clone()));
+        }
+    }
+}
+
+/// Relays one connection until one side ends it or the relay breaks it.
+async fn relay(near: TcpStream, target: SocketAddr, mut way: watch::Receiver<Way>) {
+    let resets = way.borrow().resets;
+    let work = async {
+        let mut open = way.clone();
+        // Without a sender the relay is gone, and the copies below end at once.
+        let _ = open.wait_for(|way| !way.to_target_cut).await;
+        let far = TcpStream::connect(target).await?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let there = copy(near_read, far_write, way.clone(), Direction::ToTarget);
+        let back = copy(far_read, near_write, way.clone(), Direction::FromTarget);
+        tokio::try_join!(there, back).map(|_| ())
+    };
+    let mut reset = way.clone();
+    tokio::select! {
+        _ = work => {}
+        _ = reset.wait_for(|way| way.resets != resets) => {}
+    }
+    way.mark_unchanged();
+}
+
+/// Copies one direction; holds data back while it is cut.
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut way: watch::Receiver<Way>,
+    direction: Direction,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        let open = way.wait_for(|way| !way.is_cut(direction)).await;
+        let delay = open.map_err(io::Error::other)?.delay();
+        tokio::time::sleep(delay).await;
+        if count == 0 {
+            to.shutdown().await?;
+            // The other direction ends with the connection, as a peer's close ends both here.
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        to.write_all(&buffer[..count]).await?;
+    }
+}
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use basilramp_wire::engine::{IDEMPOTENCY_HEADER, REQUEST_HEADER};
 use bytes::Bytes;
@@ -60,13 +60,15 @@
     pub request: String,
     /// The `traceparent` header; empty if there was none.
     pub traceparent: String,
+    /// When it took effect; for a receipt, when it was read.
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
 struct State {
     options: Options,
     effects: Vec<Effect>,
-    received: u64,
+    receipts: Vec<Effect>,
     lookups: u64,
     next: Vec<Fault>,
     always: Option<Fault>,
@@ -137,10 +139,10 @@
         lock(&self.state).effects.clone()
     }
 
-    /// Returns how many calls were read, whether or not they took effect.
+    /// Returns the calls that were read, whether or not they took effect, in order.
     #[must_use]
-    pub fn received(&self) -> u64 {
-        lock(&self.state).received
+    pub fn receipts(&self) -> Vec<Effect> {
+        lock(&self.state).receipts.clone()
     }
 
     /// Returns how many status look-ups were answered.
@@ -176,7 +178,8 @@
             && !effect.key.is_empty()
             && self.effects.iter().any(|old| old.key == effect.key);
         if !repeated {
-            self.effects.push(effect);
+            let at = Instant::now();
+            self.effects.push(Effect { at, ..effect });
         }
     }
 
@@ -217,6 +220,7 @@
         key: header(&head.headers, IDEMPOTENCY_HEADER),
         request: header(&head.headers, REQUEST_HEADER),
         traceparent: header(&head.headers, "traceparent"),
+        at: Instant::now(),
     };
     call(state, effect).await
 }
@@ -224,7 +228,7 @@
 async fn call(state: Arc<Mutex<State>>, effect: Effect) -> Answer {
     let (fault, takes_ms) = {
         let mut state = lock(&state);
-        state.received += 1;
+        state.receipts.push(effect.clone());
         (state.take_fault(), state.options.takes_ms)
     };
     let text = answer(&effect.path, &effect.body);
--- a/crates/fakes/tests/upstreams.rs
+++ b/crates/fakes/tests/upstreams.rs
@@ -254,7 +254,7 @@
     let bodies: Vec<Effect> = service.effects();
     let bodies: Vec<_> = bodies.iter().map(|effect| effect.body.as_str()).collect();
     assert_eq!(bodies, ["two", "three"]);
-    assert_eq!(service.received(), 4);
+    assert_eq!(service.receipts().len(), 4);
     let status = async |key: &str| {
         let path = format!("/status/{key}");
         http::exchange(service.address(), Method::GET, &path, &[], "").await
