--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,22 +5,37 @@
 
 #![allow(dead_code)] // Until the parts are wired together.
 
-mod clock;
-mod commit;
-mod config;
+mod answer;
+mod auth;
+mod body;
+mod caller_api;
+pub mod clock;
+pub mod commit;
+pub mod config;
+mod control;
 mod engine;
 mod front;
 mod grant;
 mod home;
 mod log;
-mod membership;
+mod log_event;
+pub mod membership;
+mod metric;
 mod node;
+mod operator_api;
 mod peer;
+mod peer_server;
+mod peer_stream;
+mod peer_tls;
 mod program;
+mod route;
 mod service;
 mod settings;
 mod stop;
+mod suspect;
 mod trace;
+mod upstream;
 
+pub use log_event::Event;
 pub use node::run_daemon;
-pub use settings::Settings;
+pub use settings::{Fault, Faults, Settings};
