--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use basilramp_wire::config::Edit;
@@ -16,6 +17,7 @@
 use crate::engine::{self, Engine};
 use crate::launcher::{Addresses, Launcher, Process};
 use crate::platform::{self, Entry, Platform, Role, State};
+use crate::relay::{self, Relay};
 use crate::service::{self, Service};
 use crate::{caller, operator};
 
@@ -38,6 +40,9 @@
 /// Operators of every deployment; the token of an operator is `token-` and its name.
 pub const OPERATORS: [&str; 2] = ["ada", "ben"];
 
+/// Groups of the plain services, in the order of the list.
+const GROUPS: [&str; 2] = ["registry", "store"];
+
 /// What a deployment is made of.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -53,6 +58,8 @@
     pub edits: Vec<Edit>,
     /// Settings that are merged over the generated ones, as a JSON object.
     pub settings: Value,
+    /// Whether relays that can be cut stand before the upstreams and the store.
+    pub relays: bool,
 }
 
 impl Options {
@@ -66,6 +73,7 @@
             timeout_ms: 5_000,
             edits: Vec::new(),
             settings: json!({}),
+            relays: false,
         }
     }
 }
@@ -79,8 +87,12 @@
     pub failure_domain: String,
     /// Its settings.
     pub settings: Value,
+    /// A relay between it and the platform's store, if there is one.
+    pub store_relay: Option<Relay>,
     /// Its process, unless it was killed or has stopped.
     pub process: Option<Process>,
+    /// What its earlier processes printed.
+    pub past_output: Vec<String>,
 }
 
 impl Instance {
@@ -97,13 +109,15 @@
     /// The instances.
     pub instances: Vec<Instance>,
     /// The platform.
-    pub platform: Platform,
+    pub platform: Arc<Platform>,
     /// The engines.
-    pub engines: Vec<Engine>,
+    pub engines: Vec<Arc<Engine>>,
     /// The registry, named `s0`, with a status look-up.
-    pub registry: Service,
+    pub registry: Arc<Service>,
     /// The storefront, named `s1`, without a status look-up.
-    pub store: Service,
+    pub store: Arc<Service>,
+    /// A relay before each engine and service, in the order of the list, if there are any.
+    pub upstream_relays: Vec<Relay>,
     launcher: Launcher,
     authority: Authority,
     directory: TempDir,
@@ -123,7 +137,7 @@
     pub async fn start(options: Options) -> Result<Self> {
         let mut cluster = Self::prepare(&options)?;
         for index in 0..options.instances {
-            let instance = cluster.make_instance(index, &options.settings)?;
+            let instance = cluster.make_instance(index, &options)?;
             cluster.instances.push(instance);
             cluster.launch(index).await?;
         }
@@ -139,51 +153,72 @@
             status_path: Some(STATUS_PATH.to_owned()),
             ..service::Options::default()
         });
-        let engines = options.engines.iter().cloned().map(engine::spawn);
-        let cluster = Self {
+        let engines = options.engines.iter().cloned();
+        let mut cluster = Self {
             instances: Vec::new(),
-            platform: platform::spawn(),
-            engines: engines.collect(),
-            registry,
-            store: service::spawn(service::Options::default()),
+            platform: Arc::new(platform::spawn()),
+            engines: engines.map(engine::spawn).map(Arc::new).collect(),
+            registry: Arc::new(registry),
+            store: Arc::new(service::spawn(service::Options::default())),
+            upstream_relays: Vec::new(),
             launcher: options.launcher.clone(),
             authority,
             directory,
         };
-        cluster.list_upstreams();
+        cluster.list_upstreams(options.relays);
         deployment::write(&cluster.platform, first_edits(options));
         Ok(cluster)
     }
 
-    fn list_upstreams(&self) {
-        for (index, engine) in self.engines.iter().enumerate() {
-            self.platform.list(Entry {
-                name: format!("e{index}"),
-                role: Role::Engine,
-                address: engine.address(),
-                failure_domain: domain(index),
-                place: format!("place-{}", domain(index)),
-                group: String::new(),
-                state: State::Ready,
-            });
+    fn list_upstreams(&mut self, relays: bool) {
+        for index in 0..self.engines.len() {
+            let address = self.engines[index].address();
+            let address = self.relayed(address, relays);
+            self.list_upstream(&format!("e{index}"), Role::Engine, address, index, "");
+        }
+        let services = [self.registry.address(), self.store.address()];
+        for (index, (address, group)) in services.into_iter().zip(GROUPS).enumerate() {
+            let address = self.relayed(address, relays);
+            self.list_upstream(&format!("s{index}"), Role::Service, address, index, group);
         }
-        let groups = [("registry", &self.registry), ("store", &self.store)];
-        for (index, (group, service)) in groups.into_iter().enumerate() {
-            self.platform.list(Entry {
-                name: format!("s{index}"),
-                role: Role::Service,
-                address: service.address(),
-                failure_domain: domain(index),
-                place: format!("place-{}", domain(index)),
-                group: group.to_owned(),
-                state: State::Ready,
-            });
+    }
+
+    /// Returns the address by which instances reach an upstream.
+    fn relayed(&mut self, address: SocketAddr, relays: bool) -> SocketAddr {
+        if !relays {
+            return address;
         }
+        let relay = relay::spawn(address);
+        let address = relay.address();
+        self.upstream_relays.push(relay);
+        address
     }
 
-    fn make_instance(&self, index: usize, overrides: &Value) -> Result<Instance> {
+    fn list_upstream(
+        &self,
+        name: &str,
+        role: Role,
+        address: SocketAddr,
+        index: usize,
+        group: &str,
+    ) {
+        self.platform.list(Entry {
+            name: name.to_owned(),
+            role,
+            address,
+            failure_domain: domain(index),
+            place: format!("place-{}", domain(index)),
+            group: group.to_owned(),
+            state: State::Ready,
+        });
+    }
+
+    fn make_instance(&self, index: usize, options: &Options) -> Result<Instance> {
         let id = format!("i{index}");
         let files = self.authority.sign(&id)?;
+        let store = self.platform.table_address();
+        let store_relay = options.relays.then(|| relay::spawn(store));
+        let store = store_relay.as_ref().map_or(store, Relay::address);
         let operators: Vec<Value> = OPERATORS
             .iter()
             .map(|name| json!({"name": name, "token_sha256": sha256_hex(&token(name))}))
@@ -196,8 +231,8 @@
                 "peers": "127.0.0.1:0",
             },
             "platform": {
-                "table": self.platform.table_address(),
-                "objects": self.platform.objects_address(),
+                "table": store,
+                "objects": store,
                 "list": self.platform.list_address(),
             },
             "peers": {
@@ -207,12 +242,14 @@
             },
             "operators": operators,
         });
-        merge(&mut settings, overrides);
+        merge(&mut settings, &options.settings);
         Ok(Instance {
             id,
             failure_domain: domain(index),
             settings,
+            store_relay,
             process: None,
+            past_output: Vec::new(),
         })
     }
 
@@ -312,8 +349,10 @@
     ///
     /// Fails if the system refuses.
     pub fn kill(&mut self, index: usize) -> Result<()> {
-        if let Some(mut process) = self.instances[index].process.take() {
+        let instance = &mut self.instances[index];
+        if let Some(mut process) = instance.process.take() {
             process.kill()?;
+            instance.past_output.extend(process.output());
         }
         Ok(())
     }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -162,6 +162,13 @@
         self.shared.crash();
     }
 
+    /// Ends all faults, those still to come as well.
+    pub fn clear_faults(&self) {
+        let mut state = lock(&self.shared);
+        state.next.clear();
+        state.always = None;
+    }
+
     /// Closes the listener and all connections without a crash, or opens it again.
     pub fn down(&self, down: bool) {
         self.shared.switch.set_open(!down);
@@ -232,6 +239,12 @@
         lock(&self.shared).crashes
     }
 
+    /// Returns how often a poisoned prompt crashed it.
+    #[must_use]
+    pub fn poisonings(&self) -> u64 {
+        lock(&self.shared).poisonings
+    }
+
     /// Returns how many prefixes were evicted for want of room.
     #[must_use]
     pub fn evictions(&self) -> u64 {
--- a/crates/fakes/src/engine/generate.rs
+++ b/crates/fakes/src/engine/generate.rs
@@ -142,6 +142,7 @@
     async fn run(mut self, admitted: oneshot::Receiver<()>) -> Result<(), Ended> {
         admitted.await.map_err(|_| Ended(Stage::Broken))?;
         if self.is_poisoned() {
+            lock(&self.shared).poisonings += 1;
             self.shared.crash();
             return Err(Ended(Stage::Broken));
         }
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -128,6 +128,13 @@
         lock(&self.state).always = fault;
     }
 
+    /// Ends all faults, those still to come as well.
+    pub fn clear_faults(&self) {
+        let mut state = lock(&self.state);
+        state.next.clear();
+        state.always = None;
+    }
+
     /// Closes the listener and all connections, or opens it again.
     pub fn down(&self, down: bool) {
         self.switch.set_open(!down);
--- /dev/null
+++ b/crates/fakes/src/trial.rs
@@ -0,0 +1,168 @@
+//! Trials: concurrent callers and operators against real instances, while faults strike.
+//!
+//! A trial starts a deployment, lets callers and operators work, applies faults, heals them, and
+//! waits until every caller has finished. Then it checks what callers were told against the
+//! promises, and against what the stand-ins recorded.
+
+mod fault;
+mod operators;
+mod poison;
+mod records;
+mod report;
+mod scene;
+mod script;
+mod verify;
+mod world;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eyre::Result;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::cluster::{self, Cluster};
+use crate::engine;
+use crate::launcher::Launcher;
+
+pub use fault::Fault;
+pub use report::Report;
+
+use scene::Scene;
+use world::World;
+
+/// The longest that callers may take after everything was healed.
+const FINISH_TIMEOUT_MS: u64 = 60_000;
+
+/// The longest time from the callers' start to the first fault.
+const FIRST_FAULT_MS: u64 = 800;
+
+/// The longest time between two faults.
+const NEXT_FAULT_MS: u64 = 1_000;
+
+/// What a trial is made of.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How instances are started.
+    pub launcher: Launcher,
+    /// Decides every choice of callers, operators and faults.
+    pub seed: u64,
+    /// The faults, in order; later ones begin while earlier ones last.
+    pub faults: Vec<Fault>,
+    /// How many instances there are.
+    pub instances: usize,
+    /// How many callers work at once, each on one program tree.
+    pub callers: usize,
+    /// How many calls each program makes.
+    pub turns: u32,
+}
+
+impl Options {
+    /// Makes the options of a trial of the usual size.
+    #[must_use]
+    pub fn new(launcher: Launcher, seed: u64, faults: Vec<Fault>) -> Self {
+        Self {
+            launcher,
+            seed,
+            faults,
+            instances: 3,
+            callers: 8,
+            turns: 10,
+        }
+    }
+}
+
+/// Runs a trial.
+///
+/// # Errors
+///
+/// Fails if the deployment can't be started or a fault can't be applied.
+pub async fn run(options: Options) -> Result<Report> {
+    let cluster = Cluster::start(deployment(&options)).await?;
+    let world = Arc::new(World::open(&cluster));
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut callers = JoinSet::new();
+    for number in 0..options.callers {
+        let seed = random.random();
+        let script = script::Script::new(Arc::clone(&world), number, seed, options.turns);
+        callers.spawn(script.run());
+    }
+    let operators = operators::spawn(&world, random.random());
+    let mut scene = Scene::new(cluster, Arc::clone(&world));
+    let mut report = Report::default();
+    strike(&mut scene, &options.faults, &mut random, &mut report).await?;
+    scene.heal().await?;
+    finish(&mut callers, &mut report).await;
+    drop(operators);
+    verify::run(&scene, &world, &options, &mut report).await;
+    Ok(report)
+}
+
+fn deployment(options: &Options) -> cluster::Options {
+    let mut deployment = cluster::Options::new(options.launcher.clone(), options.instances);
+    deployment.relays = true;
+    deployment.timeout_ms = 3_000;
+    deployment.engines = vec![
+        engine::Options {
+            restart_ms: 400,
+            ..engine::Options::default()
+        };
+        3
+    ];
+    deployment.settings = json!({
+        "timing": {
+            "lease_ms": 1_500,
+            "lease_margin_ms": 500,
+            "heartbeat_ms": 300,
+            "config_poll_ms": 500,
+            "upstream_poll_ms": 200,
+            "store_wait_ms": 1_000,
+            "grant_wait_ms": 5_000,
+        },
+    });
+    deployment
+}
+
+/// Applies the faults, and counts those that hit.
+async fn strike(
+    scene: &mut Scene,
+    faults: &[Fault],
+    random: &mut ChaCha8Rng,
+    report: &mut Report,
+) -> Result<()> {
+    pause(random, FIRST_FAULT_MS).await;
+    for fault in faults {
+        scene.begin(*fault, random).await?;
+        pause(random, NEXT_FAULT_MS).await;
+    }
+    scene.last().await;
+    for (fault, hits) in scene.end().await? {
+        *report.hits.entry(fault).or_default() += hits;
+    }
+    Ok(())
+}
+
+async fn pause(random: &mut ChaCha8Rng, most_ms: u64) {
+    let ms = random.random_range(most_ms / 4..most_ms);
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Waits for the callers; one that does not finish in time is a violation.
+async fn finish(callers: &mut JoinSet<()>, report: &mut Report) {
+    let limit = Instant::now() + Duration::from_millis(FINISH_TIMEOUT_MS);
+    let all = async {
+        while let Some(ended) = callers.join_next().await {
+            if let Err(error) = ended {
+                report.violations.push(format!("a caller failed: {error}"));
+            }
+        }
+    };
+    if tokio::time::timeout_at(limit.into(), all).await.is_err() {
+        let left = callers.len();
+        let text = format!("{left} callers did not finish within {FINISH_TIMEOUT_MS} ms");
+        report.violations.push(text);
+        callers.abort_all();
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/trial/records.rs
@@ -0,0 +1,150 @@
+//! Checks against what the stand-ins recorded, and checks with a time bound.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use basilramp_wire::error::Kind;
+
+use super::Options;
+use super::fault::Fault;
+use super::report::Report;
+use super::scene::Scene;
+use super::world::World;
+use crate::history::{Entry, Operation, Outcome};
+
+/// The longest time from the list naming an engine as leaving to its last new request.
+const LEAVING_MS: u64 = 3_000;
+
+/// The longest time from a change's acceptance until it is in force everywhere.
+const IN_FORCE_MS: u64 = 4_000;
+
+/// The most engines that one poisoned request may crash.
+const POISONINGS: u64 = 2;
+
+/// Checks that no request ran of which every word was that it was not run.
+pub(crate) fn refusals(entries: &[Entry], world: &World, report: &mut Report) {
+    let mut told: BTreeMap<&str, bool> = BTreeMap::new();
+    for entry in entries {
+        if let Operation::Call { call, .. } = &entry.operation {
+            let not_run = told.entry(&call.input).or_insert(true);
+            *not_run &= entry.outcome.is_not_run();
+        }
+    }
+    let ran = ran(world);
+    for (input, _) in told.iter().filter(|(_, not_run)| **not_run) {
+        *report.histories.entry("refusal").or_default() += 1;
+        if ran.contains(*input) {
+            let text = format!("refused as not run, and ran: {input:?}");
+            report.violations.push(text);
+        }
+    }
+}
+
+/// Returns the inputs of everything that upstreams have run or read.
+fn ran(world: &World) -> BTreeSet<String> {
+    let runs = world.engines.iter().flat_map(|engine| engine.runs());
+    let prompts = runs
+        .filter(|run| run.started)
+        .filter_map(|run| run.contents.last().cloned());
+    let services = [&world.registry, &world.store].into_iter();
+    let bodies = services
+        .flat_map(|service| service.receipts())
+        .map(|receipt| receipt.body);
+    prompts.chain(bodies).collect()
+}
+
+/// Checks that no engine got new work too long after the list named it as leaving.
+pub(crate) fn absences(scene: &Scene, report: &mut Report) {
+    for absence in &scene.absences {
+        let deadline = absence.from + Duration::from_millis(LEAVING_MS);
+        let runs = scene.cluster.engines[absence.engine].runs();
+        let late = runs
+            .iter()
+            .filter(|run| run.at > deadline && run.at < absence.until);
+        let late = late.count();
+        *report.histories.entry("leaving").or_default() += 1;
+        if late > 0 {
+            let text = format!(
+                "e{} got {late} requests more than {LEAVING_MS} ms after it was listed as leaving",
+                absence.engine
+            );
+            report.violations.push(text);
+        }
+    }
+}
+
+/// Checks how many engines each poisoned request has crashed.
+pub(crate) fn poison(world: &World, options: &Options, report: &mut Report) {
+    let requests = options
+        .faults
+        .iter()
+        .filter(|fault| **fault == Fault::Poison);
+    let requests = requests.count() as u64;
+    let crashed: u64 = world.engines.iter().map(|engine| engine.poisonings()).sum();
+    *report.histories.entry("poison").or_default() += requests;
+    if crashed > requests * POISONINGS {
+        let text = format!("{requests} poisoned requests crashed engines {crashed} times");
+        report.violations.push(text);
+    }
+}
+
+/// Checks that planned stops end well, and cut no request if nothing else went wrong.
+pub(crate) fn stops(scene: &Scene, entries: &[Entry], options: &Options, report: &mut Report) {
+    report.violations.extend(scene.bad_stops.iter().cloned());
+    if options.faults.is_empty()
+        || options
+            .faults
+            .iter()
+            .any(|fault| *fault != Fault::RollingStop)
+    {
+        return;
+    }
+    for entry in entries {
+        *report
+            .histories
+            .entry("request during planned stops")
+            .or_default() += 1;
+        let cut = match &entry.outcome {
+            Outcome::Lost(_) => true,
+            Outcome::Refused(error) => matches!(
+                error.kind,
+                Kind::Interrupted | Kind::Internal | Kind::UpstreamFailed | Kind::TimedOut
+            ),
+            _ => false,
+        };
+        if cut {
+            let text = format!("cut by a stop: {:?}: {:?}", entry.operation, entry.outcome);
+            report.violations.push(text);
+        }
+    }
+}
+
+/// Checks that every accepted change is in force everywhere in time.
+pub(crate) fn in_force(entries: &[&Entry], report: &mut Report) {
+    let mut accepted: Vec<(Instant, u64)> = Vec::new();
+    for entry in entries {
+        if let (Operation::Apply { .. }, Outcome::Version(version)) =
+            (&entry.operation, &entry.outcome)
+        {
+            let due = entry.ended + Duration::from_millis(IN_FORCE_MS);
+            accepted.push((due, *version));
+        }
+    }
+    for entry in entries {
+        let (Operation::Version { instance }, Outcome::Version(version)) =
+            (&entry.operation, &entry.outcome)
+        else {
+            continue;
+        };
+        let due = accepted.iter().filter(|(due, _)| *due <= entry.began);
+        let due = due.map(|(_, version)| *version).max().unwrap_or(0);
+        *report
+            .histories
+            .entry("configuration in force")
+            .or_default() += 1;
+        if *version < due {
+            let text = format!("start {instance} had version {version}, {due} was due");
+            report.violations.push(text);
+        }
+    }
+}
