--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,11 +11,15 @@
 mod request;
 
 pub mod caller;
+pub mod check;
 pub mod cluster;
 pub mod engine;
+pub mod history;
 pub mod operator;
 pub mod platform;
+pub mod relay;
 pub mod service;
+pub mod trial;
 
 pub use cluster::Cluster;
 pub use launcher::{Addresses, Launcher, Process};
