Add the command-line client

Cause: operators need service, place, plan, limit, upstream, program, instance and config commands, and the import of the morning's sheet. Ruled out: checking the sheet row by row until the first fault (planners fix all at once); history and differences worked out by the daemon (the log already holds every edit). Change: crates/cli as a library free of the command line and a thin binary; the sheet is checked whole, a change is based on a version, a stale one prints what came first; exit codes tell what became of a request; completions and manual pages under assets/. wire: Budget::of_tokens, and Service::default_timeout_ms is public.

--- /dev/null
+++ b/crates/cli/src/app.rs
@@ -0,0 +1,55 @@
+//! Turns the command line into a plain [`Config`] and runs it.
+
+mod command;
+mod connection;
+
+use std::io::Write;
+use std::path::PathBuf;
+
+use basilramp_cli::{Command, Config, Error, Output};
+use clap::ArgMatches;
+use clap_complete::Shell;
+
+use crate::{asset, clap_app};
+
+/// Runs what the command line asks for.
+///
+/// # Errors
+///
+/// Fails as the command does.
+pub(crate) fn run(matches: &ArgMatches, out: &mut impl Write) -> Result<(), Error> {
+    match matches.subcommand() {
+        Some(("completions", matches)) => {
+            let shell = matches.get_one::<Shell>("shell").copied();
+            asset::write_completions(clap_app::build(), shell.unwrap_or(Shell::Bash), out)
+        }
+        Some(("manual", matches)) => {
+            let directory = matches.get_one::<PathBuf>("directory").cloned();
+            asset::write_manual(clap_app::build(), &directory.unwrap_or_default())
+        }
+        _ => run_command(matches, out),
+    }
+}
+
+fn run_command(matches: &ArgMatches, out: &mut impl Write) -> Result<(), Error> {
+    let (inner, command) = command::read(matches)?;
+    let config = Config {
+        connection: connection::read(inner)?,
+        output: output(inner),
+        command,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(basilramp_cli::run(&config, out))
+}
+
+fn output(matches: &ArgMatches) -> Output {
+    match matches.get_one::<String>("output").map(String::as_str) {
+        Some("json") => Output::Json,
+        _ => Output::Table,
+    }
+}
+
+/// A command, with the matches of its innermost part.
+type Read<'a> = (&'a ArgMatches, Command);
--- /dev/null
+++ b/crates/cli/src/app/connection.rs
@@ -0,0 +1,60 @@
+//! Whom to talk to: options first, then the environment.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use basilramp_cli::{Connection, Error, Secret};
+use clap::ArgMatches;
+
+/// Reads the global options.
+pub(super) fn read(matches: &ArgMatches) -> Result<Connection, Error> {
+    let seconds = matches.get_one::<u64>("timeout").copied();
+    Ok(Connection {
+        operators: address(matches, "operators", "BASILRAMP_OPERATORS")?,
+        callers: address(matches, "callers", "BASILRAMP_CALLERS")?,
+        token: secret(matches, "token-file", "BASILRAMP_TOKEN")?,
+        key: secret(matches, "key-file", "BASILRAMP_KEY")?,
+        timeout_ms: seconds.unwrap_or_default() * 1_000,
+    })
+}
+
+fn address(
+    matches: &ArgMatches,
+    option: &str,
+    variable: &str,
+) -> Result<Option<SocketAddr>, Error> {
+    if let Some(address) = matches.get_one::<SocketAddr>(option) {
+        return Ok(Some(*address));
+    }
+    let Some(text) = variable_text(variable) else {
+        return Ok(None);
+    };
+    let address = text.parse();
+    let wrong = |_| Error::Usage(format!("{variable} has to be an IP number and a port"));
+    address.map(Some).map_err(wrong)
+}
+
+/// Reads a secret from the option's file, the variable's file, or the variable itself.
+fn secret(matches: &ArgMatches, option: &str, variable: &str) -> Result<Option<Secret>, Error> {
+    if let Some(file) = matches.get_one::<PathBuf>(option) {
+        return secret_file(file).map(Some);
+    }
+    if let Some(file) = variable_text(&format!("{variable}_FILE")) {
+        return secret_file(Path::new(&file)).map(Some);
+    }
+    Ok(variable_text(variable).map(|text| Secret::new(&text)))
+}
+
+fn secret_file(file: &Path) -> Result<Secret, Error> {
+    let text = fs::read_to_string(file).map_err(|error| Error::Input {
+        file: file.display().to_string(),
+        faults: vec![error.to_string()],
+    })?;
+    Ok(Secret::new(&text))
+}
+
+fn variable_text(name: &str) -> Option<String> {
+    env::var(name).ok().filter(|text| !text.is_empty())
+}
--- /dev/null
+++ b/crates/cli/src/change.rs
@@ -0,0 +1,136 @@
+//! Differences between configured items, and the edits that make them.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use basilramp_wire::config::{Edit, Kind, Snapshot, Value};
+use serde::Serialize;
+
+/// Configured items by kind and name.
+pub(crate) type Items = BTreeMap<(Kind, String), Value>;
+
+/// Returns the items of a snapshot.
+pub(crate) fn items(snapshot: &Snapshot) -> Items {
+    let entry = |item: &basilramp_wire::config::Named| {
+        let key = (item.value.kind(), item.name.clone());
+        (key, item.value.clone())
+    };
+    snapshot.items.iter().map(entry).collect()
+}
+
+/// An item that is not the same before and after.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct Difference {
+    pub(crate) kind: Kind,
+    pub(crate) name: String,
+    pub(crate) before: Option<Value>,
+    pub(crate) after: Option<Value>,
+}
+
+/// Compares all items before and after.
+pub(crate) fn compare(before: &Items, after: &Items) -> Vec<Difference> {
+    let mut keys: Vec<_> = before.keys().chain(after.keys()).collect();
+    keys.sort();
+    keys.dedup();
+    let differences = keys.into_iter().map(|key| Difference {
+        kind: key.0,
+        name: key.1.clone(),
+        before: before.get(key).cloned(),
+        after: after.get(key).cloned(),
+    });
+    differences
+        .filter(|difference| difference.before != difference.after)
+        .collect()
+}
+
+/// Returns the edits that make the differences.
+pub(crate) fn edits(differences: &[Difference]) -> Vec<Edit> {
+    let edit = |difference: &Difference| Edit {
+        kind: difference.kind,
+        name: difference.name.clone(),
+        value: difference.after.clone(),
+    };
+    differences.iter().map(edit).collect()
+}
+
+/// Returns the name of a kind, as on the command line.
+pub(crate) const fn kind_name(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Service => "service",
+        Kind::Place => "place",
+        Kind::Plan => "plan",
+        Kind::Limit => "limit",
+    }
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (kind, name) = (kind_name(self.kind), &self.name);
+        match (&self.before, &self.after) {
+            (None, Some(after)) => write!(f, "+ {kind} {name}: {}", all(after)),
+            (Some(before), None) => write!(f, "- {kind} {name}: {}", all(before)),
+            (Some(before), Some(after)) => {
+                write!(f, "~ {kind} {name}: {}", changed(before, after))
+            }
+            (None, None) => write!(f, "  {kind} {name}"),
+        }
+    }
+}
+
+/// Writes every field of a value.
+pub(crate) fn all(value: &Value) -> String {
+    let fields = fields(value);
+    let texts = fields.iter().map(|(field, text)| format!("{field}={text}"));
+    texts.collect::<Vec<_>>().join(" ")
+}
+
+/// Writes the fields that differ.
+fn changed(before: &Value, after: &Value) -> String {
+    let (before, after) = (fields(before), fields(after));
+    let mut names: Vec<_> = before.keys().chain(after.keys()).collect();
+    names.sort();
+    names.dedup();
+    let absent = "none".to_owned();
+    let mut texts = Vec::new();
+    for name in names {
+        let old = before.get(name).unwrap_or(&absent);
+        let new = after.get(name).unwrap_or(&absent);
+        if old != new {
+            texts.push(format!("{name} {old} -> {new}"));
+        }
+    }
+    texts.join(", ")
+}
+
+/// Returns the fields of a value by dotted name, without those that are null.
+fn fields(value: &Value) -> BTreeMap<String, String> {
+    let mut fields = BTreeMap::new();
+    let tree = serde_json::to_value(value).unwrap_or_default();
+    // The outermost object only names the kind.
+    for inner in tree.as_object().into_iter().flat_map(|kind| kind.values()) {
+        collect(inner, "", &mut fields);
+    }
+    fields
+}
+
+fn collect(tree: &serde_json::Value, path: &str, fields: &mut BTreeMap<String, String>) {
+    match tree {
+        serde_json::Value::Null => {}
+        serde_json::Value::Object(object) => {
+            for (name, inner) in object {
+                let path = if path.is_empty() {
+                    name.clone()
+                } else {
+                    format!("{path}.{name}")
+                };
+                collect(inner, &path, fields);
+            }
+        }
+        serde_json::Value::String(text) => {
+            fields.insert(path.to_owned(), text.clone());
+        }
+        other => {
+            fields.insert(path.to_owned(), other.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/clap_app/program.rs
@@ -0,0 +1,122 @@
+//! Commands on programs.
+
+use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
+
+use super::positional;
+use crate::help;
+
+/// Builds the commands on programs.
+pub(super) fn build() -> Command {
+    Command::new("program")
+        .about("Programs: try one, look at one, settle a call in doubt")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("show")
+                .about("Show a program and its turns")
+                .arg(id()),
+        )
+        .subcommand(run())
+        .subcommand(settle())
+        .subcommand(Command::new("end").about("End a program").arg(id()))
+}
+
+fn run() -> Command {
+    Command::new("run")
+        .about("Run a call and stream its answer")
+        .long_about(help::RUN)
+        .arg(positional("service", "SERVICE", "The service to call"))
+        .arg(positional(
+            "input",
+            "INPUT",
+            "The prompt or body; - is standard input",
+        ))
+        .arg(
+            Arg::new("program")
+                .long("program")
+                .value_name("ID")
+                .help("Call within this program"),
+        )
+        .arg(
+            Arg::new("position")
+                .long("position")
+                .value_name("NUMBER")
+                .value_parser(value_parser!(u32))
+                .help("The call's place in the program [default: the next]"),
+        )
+        .arg(
+            Arg::new("request-id")
+                .long("request-id")
+                .value_name("TEXT")
+                .help("Names the request; repeated, it gets the recorded answer"),
+        )
+        .arg(
+            Arg::new("max-tokens")
+                .long("max-tokens")
+                .value_name("COUNT")
+                .value_parser(value_parser!(u32).range(1..))
+                .default_value("256")
+                .help("Most tokens to generate"),
+        )
+        .arg(
+            Arg::new("budget")
+                .long("budget")
+                .value_name("TOKENS")
+                .value_parser(value_parser!(u64).range(1..))
+                .default_value("100000")
+                .help("Tokens that a new program may use"),
+        )
+        .arg(
+            Arg::new("keep")
+                .long("keep")
+                .action(ArgAction::SetTrue)
+                .help("Leave a new program running"),
+        )
+}
+
+fn settle() -> Command {
+    Command::new("settle")
+        .about("Settle a call in doubt")
+        .long_about(help::SETTLE)
+        .arg(id())
+        .arg(
+            positional("position", "POSITION", "The call's place").value_parser(value_parser!(u32)),
+        )
+        .arg(
+            Arg::new("ran")
+                .long("ran")
+                .action(ArgAction::SetTrue)
+                .help("The call took effect"),
+        )
+        .arg(
+            Arg::new("not-ran")
+                .long("not-ran")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("answer")
+                .help("The call did not take effect"),
+        )
+        .group(
+            ArgGroup::new("outcome")
+                .args(["ran", "not-ran"])
+                .required(true),
+        )
+        .arg(
+            Arg::new("answer")
+                .long("answer")
+                .value_name("TEXT")
+                .default_value("")
+                .hide_default_value(true)
+                .help("The answer to record"),
+        )
+        .arg(
+            Arg::new("reason")
+                .long("reason")
+                .value_name("TEXT")
+                .required(true)
+                .help("Why; kept with the turn"),
+        )
+}
+
+fn id() -> Arg {
+    positional("id", "PROGRAM", "The program's id")
+}
--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,213 @@
+//! HTTP towards an instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use basilramp_wire::error;
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::config::{Connection, Secret};
+use crate::error::Error;
+use crate::stream::Events;
+
+/// What to do after a lost answer to a change of configuration.
+const CHANGE_HINT: &str = "see `basilramp config log` for whether the change took effect";
+
+/// What to do after a lost answer to a read.
+const READ_HINT: &str = "try again";
+
+/// Sends requests to one listener of an instance.
+#[derive(Debug)]
+pub(crate) struct Client {
+    http: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    secret: Secret,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Makes a client of the operators' listener.
+    pub(crate) fn operator(connection: &Connection) -> Result<Self, Error> {
+        let address = required(
+            connection.operators,
+            "no instance given: set --operators or BASILRAMP_OPERATORS",
+        )?;
+        let secret = required(
+            connection.token.clone(),
+            "no token given: set --token-file, BASILRAMP_TOKEN_FILE or BASILRAMP_TOKEN",
+        )?;
+        Ok(Self::new(address, secret, connection.timeout_ms))
+    }
+
+    /// Makes a client of the callers' listener.
+    pub(crate) fn caller(connection: &Connection) -> Result<Self, Error> {
+        let address = required(
+            connection.callers,
+            "no instance given: set --callers or BASILRAMP_CALLERS",
+        )?;
+        let secret = required(
+            connection.key.clone(),
+            "no key given: set --key-file, BASILRAMP_KEY_FILE or BASILRAMP_KEY",
+        )?;
+        Ok(Self::new(address, secret, connection.timeout_ms))
+    }
+
+    /// Requests are never sent twice by the client itself: idle connections are not kept.
+    fn new(address: SocketAddr, secret: Secret, timeout_ms: u64) -> Self {
+        let http = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build_http();
+        Self {
+            http,
+            address,
+            secret,
+            timeout: Duration::from_millis(timeout_ms),
+        }
+    }
+
+    /// Reads what is at a path.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let request = self.request(Method::GET, path, Bytes::new())?;
+        self.answer(request, READ_HINT).await
+    }
+
+    /// Posts a body and returns the answer; a lost one is told with `hint`.
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        hint: &str,
+    ) -> Result<T, Error> {
+        let request = self.request(Method::POST, path, encode(body)?)?;
+        self.answer(request, hint).await
+    }
+
+    /// Posts a change of configuration.
+    pub(crate) async fn change<T: DeserializeOwned>(
+        &self,
+        body: &impl Serialize,
+    ) -> Result<T, Error> {
+        self.post("/v1/config", body, CHANGE_HINT).await
+    }
+
+    /// Posts a body and returns the events of the answer; it may take any time.
+    pub(crate) async fn stream(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        hint: &str,
+    ) -> Result<Events, Error> {
+        let request = self.request(Method::POST, path, encode(body)?)?;
+        let response = self.send(request, hint).await?;
+        if response.status().is_success() {
+            return Ok(Events::new(response.into_body(), hint));
+        }
+        let body = collect(response, hint).await?;
+        Err(refusal(&body, hint))
+    }
+
+    async fn answer<T: DeserializeOwned>(
+        &self,
+        request: Request<Full<Bytes>>,
+        hint: &str,
+    ) -> Result<T, Error> {
+        let work = async {
+            let response = self.send(request, hint).await?;
+            let is_success = response.status().is_success();
+            let body = collect(response, hint).await?;
+            if !is_success {
+                return Err(refusal(&body, hint));
+            }
+            serde_json::from_slice(&body).map_err(|error| lost(error, hint))
+        };
+        match timeout(self.timeout, work).await {
+            Ok(answer) => answer,
+            Err(_) => Err(lost("no answer in time", hint)),
+        }
+    }
+
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        hint: &str,
+    ) -> Result<Response<Incoming>, Error> {
+        self.http.request(request).await.map_err(|error| {
+            let reason = chain(&error);
+            if error.is_connect() {
+                let address = self.address;
+                Error::Unreachable { address, reason }
+            } else {
+                lost(reason, hint)
+            }
+        })
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(AUTHORIZATION, format!("Bearer {}", self.secret.expose()))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| Error::Usage(error.to_string()))
+    }
+}
+
+fn required<T>(value: Option<T>, message: &str) -> Result<T, Error> {
+    value.ok_or_else(|| Error::Usage(message.to_owned()))
+}
+
+fn encode(body: &impl Serialize) -> Result<Bytes, Error> {
+    serde_json::to_vec(body)
+        .map(Bytes::from)
+        .map_err(|error| Error::Usage(error.to_string()))
+}
+
+async fn collect(response: Response<Incoming>, hint: &str) -> Result<Bytes, Error> {
+    let collected = response.into_body().collect().await;
+    let body = collected.map_err(|error| lost(chain(&error), hint))?;
+    Ok(body.to_bytes())
+}
+
+/// Reads a refusal; an answer of another shape says nothing about what happened.
+fn refusal(body: &[u8], hint: &str) -> Error {
+    match serde_json::from_slice::<error::Error>(body) {
+        Ok(error) => Error::Refused(error),
+        Err(_) => lost("the answer is not basilramp's", hint),
+    }
+}
+
+/// Makes the error of a lost answer.
+pub(crate) fn lost(reason: impl ToString, hint: &str) -> Error {
+    Error::Lost {
+        hint: hint.to_owned(),
+        reason: reason.to_string(),
+    }
+}
+
+/// Returns an error with its causes.
+pub(crate) fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/cli/src/command/instance.rs
@@ -0,0 +1,41 @@
+//! Instances.
+
+use std::io::Write;
+
+use basilramp_wire::operator::Instances;
+
+use crate::client::Client;
+use crate::config::Output;
+use crate::error::Error;
+use crate::output;
+
+/// Lists the instances that the asked one knows.
+pub(super) async fn list(
+    client: &Client,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<(), Error> {
+    let answer: Instances = client.get("/v1/instances").await?;
+    if output == Output::Json {
+        return output::json(out, &answer.instances);
+    }
+    let header = [
+        "ID",
+        "FAILURE DOMAIN",
+        "STATE",
+        "INCARNATION",
+        "PARTITIONS",
+        "PEER ADDRESS",
+    ];
+    let rows = answer.instances.into_iter().map(|instance| {
+        vec![
+            instance.id,
+            instance.failure_domain,
+            instance.state,
+            instance.incarnation.to_string(),
+            instance.partitions.to_string(),
+            instance.peer_address,
+        ]
+    });
+    output::table(out, &header, rows.collect())
+}
--- /dev/null
+++ b/crates/cli/src/command/program.rs
@@ -0,0 +1,99 @@
+//! Programs: show, end, settle.
+
+use std::io::Write;
+
+use basilramp_wire::api::Program;
+use basilramp_wire::frame::Settlement;
+
+use crate::client::Client;
+use crate::config::{Output, Settle};
+use crate::error::Error;
+use crate::output;
+
+/// What to do after a lost answer about a program.
+const PROGRAM_HINT: &str = "see `basilramp program show`, or try again: it does no harm";
+
+/// Longest text of a cell, in characters.
+const CELL_CHARS: usize = 40;
+
+/// Shows a program and its turns.
+pub(super) async fn show(
+    client: &Client,
+    id: &str,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<(), Error> {
+    let program: Program = client.get(&format!("/v1/programs/{id}")).await?;
+    write(&program, output, out)
+}
+
+/// Ends a program.
+pub(super) async fn end(
+    client: &Client,
+    id: &str,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<(), Error> {
+    let path = format!("/v1/programs/{id}/end");
+    let program: Program = client.post(&path, &(), PROGRAM_HINT).await?;
+    write(&program, output, out)
+}
+
+/// Settles a call in doubt.
+pub(super) async fn settle(
+    client: &Client,
+    settle: &Settle,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<(), Error> {
+    let settlement = Settlement {
+        position: settle.position,
+        ran: settle.ran,
+        output: settle.answer.clone(),
+        reason: settle.reason.clone(),
+    };
+    let path = format!("/v1/programs/{}/settle", settle.program);
+    let program: Program = client.post(&path, &settlement, PROGRAM_HINT).await?;
+    write(&program, output, out)
+}
+
+fn write(program: &Program, output: Output, out: &mut impl Write) -> Result<(), Error> {
+    if output == Output::Json {
+        return output::json(out, program);
+    }
+    writeln!(out, "program   {}", program.id)?;
+    if let Some(parent) = &program.parent {
+        writeln!(out, "parent    {parent}")?;
+    }
+    writeln!(out, "state     {}", program.state)?;
+    let budget = &program.budget;
+    writeln!(out, "tokens    {} of {}", program.spent, budget.tokens)?;
+    writeln!(out, "turns     {} of {}", program.turns.len(), budget.turns)?;
+    writeln!(out)?;
+    let rows = program.turns.iter().map(|turn| {
+        vec![
+            turn.position.to_string(),
+            turn.service.clone(),
+            turn.state.clone(),
+            turn.usage.prompt.to_string(),
+            turn.usage.cached.to_string(),
+            turn.usage.output.to_string(),
+            shortened(&turn.input),
+            shortened(&turn.output),
+        ]
+    });
+    let header = [
+        "TURN", "SERVICE", "STATE", "PROMPT", "CACHED", "OUTPUT", "ASKED", "ANSWERED",
+    ];
+    output::table(out, &header, rows.collect())
+}
+
+/// Returns the beginning of a text on one line.
+fn shortened(text: &str) -> String {
+    let line = text.split_whitespace().collect::<Vec<_>>().join(" ");
+    if line.chars().count() <= CELL_CHARS {
+        return line;
+    }
+    let kept: String = line.chars().take(CELL_CHARS - 1).collect();
+    format!("{kept}…")
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,142 @@
+//! Why a run failed, and its exit code.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+
+use basilramp_wire::error::{self, Kind, Ran};
+
+/// Why a run failed.
+#[derive(Debug)]
+pub enum Error {
+    /// The command line lacks something.
+    Usage(String),
+    /// A file that was given is faulty or can't be read; one line for each fault.
+    Input {
+        /// The file.
+        file: String,
+        /// Its faults.
+        faults: Vec<String>,
+    },
+    /// The instance could not be reached; nothing was sent.
+    Unreachable {
+        /// The instance's listener.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// The answer was lost; the request may have taken effect.
+    Lost {
+        /// What to do now.
+        hint: String,
+        /// What went wrong.
+        reason: String,
+    },
+    /// The instance refused.
+    Refused(error::Error),
+    /// Another change came first; one line for each change that came in between.
+    Stale {
+        /// The version that the change was made from.
+        base: u64,
+        /// What the other changes did.
+        changes: Vec<String>,
+    },
+    /// There is no such item.
+    Missing(String),
+    /// The compared things differ.
+    Differ,
+    /// The output can't be written.
+    Output(io::Error),
+}
+
+impl Error {
+    /// Returns the exit code of the process.
+    #[must_use]
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Missing(_) | Self::Output(_) => 1,
+            Self::Usage(_) => 2,
+            Self::Input { .. } => 3,
+            Self::Unreachable { .. } => 4,
+            Self::Lost { .. } => 5,
+            Self::Stale { .. } => 6,
+            Self::Differ => 8,
+            Self::Refused(error) => match error.ran {
+                _ if error.kind == Kind::StaleVersion => 6,
+                Ran::No => 1,
+                Ran::Unknown => 5,
+                Ran::Yes => 7,
+            },
+        }
+    }
+
+    /// Tells whether there is nothing to say: the exit code alone tells it.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        match self {
+            Self::Differ => true,
+            Self::Output(error) => error.kind() == io::ErrorKind::BrokenPipe,
+            _ => false,
+        }
+    }
+
+    /// Makes the error of a file with one fault.
+    pub(crate) fn input(file: impl Into<String>, fault: impl fmt::Display) -> Self {
+        Self::Input {
+            file: file.into(),
+            faults: vec![fault.to_string()],
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage(message) | Self::Missing(message) => f.write_str(message),
+            Self::Input { file, faults } => {
+                write!(f, "{file} is faulty; nothing was changed")?;
+                write_lines(f, faults)
+            }
+            Self::Unreachable { address, reason } => {
+                write!(f, "can't reach {address}, nothing was sent: {reason}")
+            }
+            Self::Lost { hint, reason } => write!(f, "the answer was lost: {reason}\n{hint}"),
+            Self::Refused(error) => write_refusal(f, error),
+            Self::Stale { base, changes } => {
+                write!(f, "the change was made from version {base}, ")?;
+                f.write_str("and others came first; nothing was changed")?;
+                write_lines(f, changes)
+            }
+            Self::Differ => f.write_str("they differ"),
+            Self::Output(error) => write!(f, "can't write: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Self::Output(error)
+    }
+}
+
+fn write_refusal(f: &mut fmt::Formatter<'_>, error: &error::Error) -> fmt::Result {
+    let ran = match error.ran {
+        Ran::No => "it was not run",
+        Ran::Yes => "it was run",
+        Ran::Unknown => "it may have been run",
+    };
+    write!(f, "{} ({}; {ran})", error.message, error.kind)?;
+    if let Some(ms) = error.retry_after_ms {
+        write!(f, "; try again in {ms} ms")?;
+    }
+    write_lines(f, &error.details)
+}
+
+fn write_lines(f: &mut fmt::Formatter<'_>, lines: &[String]) -> fmt::Result {
+    for line in lines {
+        write!(f, "\n  {line}")?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,113 @@
+//! Writes results as tables or as JSON.
+
+use std::io::Write;
+
+use basilramp_wire::config::{Kind, Target, Value};
+use comfy_table::{Table, presets};
+use serde::Serialize;
+
+use crate::error::Error;
+
+/// Writes a value as indented JSON.
+pub(crate) fn json(out: &mut impl Write, value: &impl Serialize) -> Result<(), Error> {
+    serde_json::to_writer_pretty(&mut *out, value).map_err(std::io::Error::from)?;
+    writeln!(out)?;
+    Ok(())
+}
+
+/// Writes rows below a header, or a line that says that there are none.
+pub(crate) fn table(
+    out: &mut impl Write,
+    header: &[&str],
+    rows: Vec<Vec<String>>,
+) -> Result<(), Error> {
+    if rows.is_empty() {
+        writeln!(out, "none")?;
+        return Ok(());
+    }
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(header);
+    table.add_rows(rows);
+    for column in table.column_iter_mut() {
+        column.set_padding((0, 2));
+    }
+    for line in table.lines() {
+        writeln!(out, "{}", line.trim_end())?;
+    }
+    Ok(())
+}
+
+/// Returns the column names of items of a kind.
+pub(crate) const fn columns(kind: Kind) -> &'static [&'static str] {
+    match kind {
+        Kind::Service => &["NAME", "TARGET", "IDEMPOTENT", "TIMEOUT MS", "CHANGED"],
+        Kind::Place => &["NAME", "FAILURE DOMAIN", "FENCING", "CHANGED"],
+        Kind::Plan => &[
+            "NAME", "SERVICE", "PLACE", "FROM", "UNTIL", "READY", "HEADROOM", "CHANGED",
+        ],
+        Kind::Limit => &["NAME", "REQUESTS/S", "PROGRAMS", "KEY DIGEST", "CHANGED"],
+    }
+}
+
+/// Returns the cells of an item, in the order of its kind's columns.
+pub(crate) fn cells(name: &str, version: u64, value: &Value) -> Vec<String> {
+    let mut cells = vec![name.to_owned()];
+    match value {
+        Value::Service(service) => {
+            cells.extend(target(&service.target));
+            cells.push(service.timeout_ms.to_string());
+        }
+        Value::Place(place) => {
+            cells.push(place.failure_domain.clone());
+            cells.push(yes(place.fencing));
+        }
+        Value::Plan(plan) => cells.extend([
+            plan.service.clone(),
+            plan.place.clone(),
+            time_of_day(plan.from_minute),
+            time_of_day(plan.until_minute),
+            plan.ready.to_string(),
+            format!("{}%", plan.headroom_percent),
+        ]),
+        Value::Limit(limit) => cells.extend([
+            limit.requests_per_s.to_string(),
+            limit.programs.to_string(),
+            shortened(&limit.key_sha256),
+        ]),
+    }
+    cells.push(version.to_string());
+    cells
+}
+
+/// Returns what a service leads to, and whether its calls are idempotent.
+fn target(target: &Target) -> [String; 2] {
+    match target {
+        Target::Model {
+            model,
+            adapter,
+            version,
+        } => {
+            let adapter = adapter.as_ref();
+            let adapter = adapter.map(|adapter| format!("+{adapter}"));
+            let text = format!("{model}@{version}{}", adapter.unwrap_or_default());
+            [text, yes(true)]
+        }
+        Target::Plain {
+            path, idempotent, ..
+        } => [path.clone(), yes(*idempotent)],
+    }
+}
+
+fn time_of_day(minute: u32) -> String {
+    format!("{:02}:{:02}", minute / 60, minute % 60)
+}
+
+fn yes(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
+
+/// Returns the beginning of a long text.
+fn shortened(text: &str) -> String {
+    const KEPT_CHARS: usize = 12;
+    text.chars().take(KEPT_CHARS).collect()
+}
--- /dev/null
+++ b/crates/cli/src/sheet/cell.rs
@@ -0,0 +1,57 @@
+//! Single cells of the sheet. Each function says what the cell has to be.
+
+/// The longest name, in bytes.
+const MAX_NAME_LEN: usize = 64;
+
+/// The most upstreams that a plan may ask for.
+const MAX_READY: u32 = 100_000;
+
+const MINUTES_PER_DAY: u32 = 24 * 60;
+
+/// Reads a name: letters, digits, `-`, `_` and `.`.
+pub(super) fn name(text: &str) -> Result<String, String> {
+    let is_named = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if text.is_empty() || text.len() > MAX_NAME_LEN || !text.chars().all(is_named) {
+        return Err(format!(
+            "has to be a name of 1 to {MAX_NAME_LEN} letters, digits, \"-\", \"_\" and \".\""
+        ));
+    }
+    Ok(text.to_owned())
+}
+
+/// Reads a time of the day as minutes after midnight.
+pub(super) fn minute(text: &str) -> Result<u32, String> {
+    parse_minute(text).ok_or_else(|| "has to be a time from 00:00 to 24:00".to_owned())
+}
+
+fn parse_minute(text: &str) -> Option<u32> {
+    let (hour, minute) = text.split_once(':')?;
+    if hour.len() != 2 || minute.len() != 2 {
+        return None;
+    }
+    let (hour, minute) = (digits(hour)?, digits(minute)?);
+    let total = hour * 60 + minute;
+    (minute < 60 && total <= MINUTES_PER_DAY).then_some(total)
+}
+
+/// Reads a number of upstreams.
+pub(super) fn ready(text: &str) -> Result<u32, String> {
+    match digits(text) {
+        Some(count) if count <= MAX_READY => Ok(count),
+        _ => Err(format!("has to be a whole number from 0 to {MAX_READY}")),
+    }
+}
+
+/// Reads a percentage.
+pub(super) fn percent(text: &str) -> Result<u32, String> {
+    match digits(text) {
+        Some(percent) if percent <= 100 => Ok(percent),
+        _ => Err("has to be a whole number from 0 to 100".to_owned()),
+    }
+}
+
+/// Reads a number without sign.
+fn digits(text: &str) -> Option<u32> {
+    let is_number = text.chars().all(|c| c.is_ascii_digit());
+    is_number.then(|| text.parse().ok()).flatten()
+}
--- /dev/null
+++ b/crates/cli/tests/suite/command_line.rs
@@ -0,0 +1,178 @@
+//! The command line itself: help, connection, exit codes, generated files.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::Write;
+use std::net::TcpListener;
+use std::path::Path;
+
+use crate::operator::Operator;
+use crate::server::{Server, basilramp, operate, stderr, stdout};
+use tempfile::{NamedTempFile, TempDir};
+
+const ASSETS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../assets");
+
+#[test]
+fn help_texts_are_as_recorded() {
+    let commands: [&[&str]; 8] = [
+        &["--help"],
+        &["plan", "--help"],
+        &["plan", "import", "--help"],
+        &["service", "apply", "--help"],
+        &["program", "run", "--help"],
+        &["program", "settle", "--help"],
+        &["config", "diff", "--help"],
+        &["upstream", "order", "--help"],
+    ];
+    for command in commands {
+        let run = basilramp().args(command).assert().success();
+        let name = command
+            .join("_")
+            .replace("_--help", "")
+            .replace("--help", "basilramp");
+        insta::assert_snapshot!(name, stdout(&run));
+    }
+}
+
+#[test]
+fn a_wrong_command_line_exits_with_2() {
+    for arguments in [
+        vec![],
+        vec!["plan"],
+        vec!["plan", "colour"],
+        vec!["--operators", "localhost:80", "plan", "list"],
+        vec!["plan", "list", "--output", "xml"],
+        vec!["plan", "list", "--timeout", "0"],
+        vec!["config", "diff", "x"],
+    ] {
+        basilramp().args(&arguments).assert().code(2).stdout("");
+    }
+}
+
+#[test]
+fn a_missing_connection_is_named() {
+    let run = basilramp().args(["plan", "list"]).assert().code(2);
+    assert!(stderr(&run).contains("BASILRAMP_OPERATORS"));
+    let run = basilramp()
+        .args(["plan", "list", "--operators", "127.0.0.1:1"])
+        .assert()
+        .code(2);
+    assert!(stderr(&run).contains("BASILRAMP_TOKEN"));
+    let run = basilramp().args(["program", "end", "p0"]).assert().code(2);
+    assert!(stderr(&run).contains("BASILRAMP_CALLERS"));
+    let run = basilramp()
+        .args(["plan", "list"])
+        .env("BASILRAMP_OPERATORS", "localhost")
+        .assert()
+        .code(2);
+    assert!(stderr(&run).contains("BASILRAMP_OPERATORS has to be an IP number and a port"));
+}
+
+#[test]
+fn a_token_may_come_from_a_file() {
+    let server = Operator::default().bind();
+    let mut token = NamedTempFile::new().unwrap();
+    writeln!(token, "secret").unwrap();
+    let address = server.address.to_string();
+    let path = token.path().display().to_string();
+    basilramp()
+        .args([
+            "--operators",
+            &address,
+            "--token-file",
+            &path,
+            "plan",
+            "list",
+        ])
+        .assert()
+        .success()
+        .stdout("none\n");
+    basilramp()
+        .args(["plan", "list"])
+        .env("BASILRAMP_OPERATORS", &address)
+        .env("BASILRAMP_TOKEN_FILE", &path)
+        .assert()
+        .success();
+    basilramp()
+        .args(["--token-file", "/does/not/exist", "plan", "list"])
+        .assert()
+        .code(3);
+}
+
+#[test]
+fn a_wrong_token_is_refused() {
+    let server = Operator::default().bind();
+    basilramp()
+        .args(["plan", "list"])
+        .env("BASILRAMP_OPERATORS", server.address.to_string())
+        .env("BASILRAMP_TOKEN", "wrong")
+        .assert()
+        .code(1)
+        .stderr("basilramp: unknown token (unauthorized; it was not run)\n");
+}
+
+#[test]
+fn an_unreachable_instance_exits_with_4() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let run = basilramp()
+        .args(["--operators", &address, "plan", "list"])
+        .env("BASILRAMP_TOKEN", "secret")
+        .assert()
+        .code(4);
+    assert!(stderr(&run).contains("nothing was sent"));
+}
+
+#[test]
+fn a_lost_answer_to_a_change_exits_with_5_and_says_where_to_look() {
+    let server = Server::bind(|asked| match asked.method.as_str() {
+        "GET" => (200, r#"{"version": 0, "items": []}"#.to_owned()),
+        _ => (502, "<html>bad gateway</html>".to_owned()),
+    });
+    let mut file = NamedTempFile::new().unwrap();
+    write!(file, r#"{{"a": {{"failure_domain": "z1"}}}}"#).unwrap();
+    let path = file.path().display().to_string();
+    let run = operate(&server, &["place", "apply", &path])
+        .code(5)
+        .stdout("");
+    assert!(stderr(&run).contains("basilramp config log"));
+}
+
+#[test]
+fn completions_and_manual_pages_are_up_to_date() {
+    let fresh = TempDir::new().unwrap();
+    basilramp()
+        .arg("manual")
+        .arg(fresh.path())
+        .assert()
+        .success();
+    assert_eq!(
+        read_all(fresh.path()),
+        read_all(&Path::new(ASSETS).join("man")),
+        "run `basilramp manual assets/man`"
+    );
+    for (shell, file) in [
+        ("bash", "basilramp.bash"),
+        ("zsh", "_basilramp"),
+        ("fish", "basilramp.fish"),
+    ] {
+        let run = basilramp().args(["completions", shell]).assert().success();
+        let committed = fs::read_to_string(Path::new(ASSETS).join("completions").join(file));
+        assert_eq!(
+            stdout(&run),
+            committed.unwrap(),
+            "run `basilramp completions {shell} > assets/completions/{file}`"
+        );
+    }
+}
+
+fn read_all(directory: &Path) -> BTreeMap<String, String> {
+    let entries = fs::read_dir(directory).unwrap();
+    let files = entries.map(|entry| {
+        let path = entry.unwrap().path();
+        let name = path.file_name().unwrap().to_string_lossy().into_owned();
+        (name, fs::read_to_string(path).unwrap())
+    });
+    files.collect()
+}
--- /dev/null
+++ b/crates/cli/tests/suite/server.rs
@@ -0,0 +1,139 @@
+//! A small HTTP server in the place of an instance, and the binary run against it.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use assert_cmd::Command;
+use assert_cmd::assert::Assert;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+
+/// A request as the server got it.
+#[derive(Clone, Debug)]
+pub(crate) struct Asked {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) authorization: String,
+    pub(crate) body: String,
+}
+
+/// An answer: status and body.
+pub(crate) type Answer = (u16, String);
+
+/// A running server; it ends when dropped.
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    asked: Arc<Mutex<Vec<Asked>>>,
+    _runtime: Runtime,
+}
+
+impl Server {
+    /// Binds a free port and answers every request by `answer`.
+    pub(crate) fn bind(answer: impl Fn(&Asked) -> Answer + Send + Sync + 'static) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+        let address = listener.local_addr().unwrap();
+        let asked = Arc::new(Mutex::new(Vec::new()));
+        runtime.spawn(accept(listener, Arc::new(answer), Arc::clone(&asked)));
+        Self {
+            address,
+            asked,
+            _runtime: runtime,
+        }
+    }
+
+    /// Returns the requests so far.
+    pub(crate) fn asked(&self) -> Vec<Asked> {
+        self.asked.lock().unwrap().clone()
+    }
+}
+
+type Asking = Arc<dyn Fn(&Asked) -> Answer + Send + Sync>;
+
+async fn accept(listener: TcpListener, answer: Asking, asked: Arc<Mutex<Vec<Asked>>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (answer, asked) = (Arc::clone(&answer), Arc::clone(&asked));
+        let service = service_fn(move |request| {
+            let (answer, asked) = (Arc::clone(&answer), Arc::clone(&asked));
+            async move { Ok::<_, Infallible>(respond(request, &answer, &asked).await) }
+        });
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+async fn respond(
+    request: Request<Incoming>,
+    answer: &Asking,
+    asked: &Mutex<Vec<Asked>>,
+) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.unwrap().to_bytes();
+    let authorization = head.headers.get("authorization");
+    let request = Asked {
+        method: head.method.to_string(),
+        path: head.uri.to_string(),
+        authorization: authorization
+            .map_or("", |value| value.to_str().unwrap())
+            .to_owned(),
+        body: String::from_utf8(body.to_vec()).unwrap(),
+    };
+    asked.lock().unwrap().push(request.clone());
+    let (status, body) = answer(&request);
+    Response::builder()
+        .status(status)
+        .body(Full::new(Bytes::from(body)))
+        .unwrap()
+}
+
+/// Returns the binary with a clean environment.
+pub(crate) fn basilramp() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_basilramp"));
+    for name in [
+        "OPERATORS",
+        "CALLERS",
+        "TOKEN",
+        "TOKEN_FILE",
+        "KEY",
+        "KEY_FILE",
+    ] {
+        command.env_remove(format!("BASILRAMP_{name}"));
+    }
+    command.env_remove("COLUMNS");
+    command
+}
+
+/// Runs the binary as an operator of a server.
+pub(crate) fn operate(server: &Server, arguments: &[&str]) -> Assert {
+    basilramp()
+        .env("BASILRAMP_OPERATORS", server.address.to_string())
+        .env("BASILRAMP_TOKEN", "secret")
+        .args(arguments)
+        .assert()
+}
+
+/// Runs the binary as a caller of a server.
+pub(crate) fn call(server: &Server, arguments: &[&str]) -> Assert {
+    basilramp()
+        .env("BASILRAMP_CALLERS", server.address.to_string())
+        .env("BASILRAMP_KEY", "key")
+        .args(arguments)
+        .assert()
+}
+
+/// Returns what a run wrote to standard output.
+pub(crate) fn stdout(run: &Assert) -> String {
+    String::from_utf8(run.get_output().stdout.clone()).unwrap()
+}
+
+/// Returns what a run wrote to standard error.
+pub(crate) fn stderr(run: &Assert) -> String {
+    String::from_utf8(run.get_output().stderr.clone()).unwrap()
+}
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -34,6 +34,17 @@
 }
 
 impl Budget {
+    /// Makes a budget of tokens, with the defaults for all else.
+    #[must_use]
+    pub const fn of_tokens(tokens: u64) -> Self {
+        Self {
+            tokens,
+            turns: Self::default_turns(),
+            wall_ms: Self::default_wall_ms(),
+            depth: Self::default_depth(),
+        }
+    }
+
     const fn default_turns() -> u32 {
         180
     }
--- a/crates/wire/src/config.rs
+++ b/crates/wire/src/config.rs
@@ -71,7 +71,9 @@
 }
 
 impl Service {
-    const fn default_timeout_ms() -> u64 {
+    /// Returns the time limit of a service that names none, in milliseconds.
+    #[must_use]
+    pub const fn default_timeout_ms() -> u64 {
         60_000
     }
 }
