Name a sheet's plans by the daemon's own rule

Cause: the sheet's plan names held '@', which the daemon's check of a change refuses; the rule for names stood in two places. Change: wire::config::is_name is the one rule, used by the daemon's check and the sheet; a plan is named service/place/HHMM; two rows that give one name are refused.

--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -52,7 +52,8 @@
 
 The whole sheet is checked first; each fault is printed with its line and column, and nothing \
 is changed. Then all of it becomes one change, based on the version in force when the command \
-reads it, or on --base. Plans that the sheet does not name are deleted, unless --keep is given.";
+reads it, or on --base. Plans that the sheet does not name are deleted, unless --keep is given. \
+A plan is named after its service, place and start, as in advice/casa-a/0600.";
 
 pub(crate) const RUN: &str = "\
 Runs a call and streams its answer.
--- a/crates/cli/src/sheet.rs
+++ b/crates/cli/src/sheet.rs
@@ -9,7 +9,7 @@
 //! | `headroom_percent` | share of them kept for programs under way, 0 to 100 | required |
 //! | `model`, `version`, `adapter` | what the service leads to from now on | optional |
 //!
-//! A plan is named after its service, place and start: `advice@casa-a@0600`.
+//! A plan is named after its service, place and start: `advice/casa-a/0600`.
 
 mod cell;
 mod row;
@@ -155,6 +155,7 @@
 
 /// Sets the plans. Those of one service and place may not overlap.
 fn set_plans(rows: &[Row], wanted: &mut Items, faults: &mut Vec<Fault>) {
+    let mut lines = BTreeMap::new();
     for (index, row) in rows.iter().enumerate() {
         let place = row.place.as_ref();
         let is_configured = |place: &String| wanted.contains_key(&(Kind::Place, place.clone()));
@@ -165,8 +166,18 @@
             let message = format!("overlaps with line {}", earlier.line);
             faults.push(row.fault("from", message));
         }
-        if let Some((name, plan)) = row.plan() {
-            wanted.insert((Kind::Plan, name), Value::Plan(plan));
+        let Some((name, plan)) = row.plan() else {
+            continue;
+        };
+        match lines.insert(name.clone(), row.line) {
+            // Two rows of one service, place and start overlap, which has been said.
+            Some(earlier) if !rows[..index].iter().any(|earlier| earlier.overlaps(row)) => {
+                let message = format!("gives the plan the name {name}, as line {earlier} does");
+                faults.push(row.fault("service", message));
+            }
+            _ => {
+                wanted.insert((Kind::Plan, name), Value::Plan(plan));
+            }
         }
     }
 }
--- a/crates/cli/src/sheet/cell.rs
+++ b/crates/cli/src/sheet/cell.rs
@@ -1,22 +1,19 @@
 //! Single cells of the sheet. Each function says what the cell has to be.
 
-/// The longest name, in bytes.
-const MAX_NAME_LEN: usize = 64;
+use basilramp_wire::config::{NAME_RULE, is_name};
 
 /// The most upstreams that a plan may ask for.
 const MAX_READY: u32 = 100_000;
 
 const MINUTES_PER_DAY: u32 = 24 * 60;
 
-/// Reads a name: letters, digits, `-`, `_` and `.`.
+/// Reads the name of a service, place, model or version.
 pub(super) fn name(text: &str) -> Result<String, String> {
-    let is_named = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-    if text.is_empty() || text.len() > MAX_NAME_LEN || !text.chars().all(is_named) {
-        return Err(format!(
-            "has to be a name of 1 to {MAX_NAME_LEN} letters, digits, \"-\", \"_\" and \".\""
-        ));
+    if is_name(text) {
+        Ok(text.to_owned())
+    } else {
+        Err(NAME_RULE.to_owned())
     }
-    Ok(text.to_owned())
 }
 
 /// Reads a time of the day as minutes after midnight.
--- a/crates/cli/src/sheet/row.rs
+++ b/crates/cli/src/sheet/row.rs
@@ -114,7 +114,7 @@
             headroom_percent: self.headroom_percent?,
         };
         let (hour, minute) = (from_minute / 60, from_minute % 60);
-        let name = format!("{}@{}@{hour:02}{minute:02}", plan.service, plan.place);
+        let name = format!("{}/{}/{hour:02}{minute:02}", plan.service, plan.place);
         Some((name, plan))
     }
 
--- a/crates/daemon/src/config/check.rs
+++ b/crates/daemon/src/config/check.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use basilramp_core::id;
-use basilramp_wire::config::{Change, Edit, Limit, Plan, Service, Target, Value};
+use basilramp_wire::config::{
+    Change, Edit, Limit, NAME_RULE, Plan, Service, Target, Value, is_name,
+};
 
 use super::{Config, edit};
 use crate::commit::MAX_WRITES;
@@ -11,7 +13,6 @@
 /// The most edits of one change, which is one transaction with the head and the log entry.
 const MAX_EDITS: usize = MAX_WRITES - 2;
 
-const MAX_NAME_LEN: usize = 128;
 const DAY_MINUTES: u32 = 24 * 60;
 const SHA256_HEX_LEN: usize = 64;
 
@@ -48,8 +49,7 @@
 fn check_edit(edit: &Edit, faults: &mut Vec<String>) {
     let label = label(edit);
     if !is_name(&edit.name) {
-        let rule = "a name is 1 to 128 letters, digits, '-', '_', '.', ':' or '/'";
-        faults.push(format!("{label}: {rule}"));
+        faults.push(format!("{label}: {NAME_RULE}"));
     }
     let Some(value) = &edit.value else {
         return;
@@ -138,11 +138,6 @@
     }
 }
 
-fn is_name(name: &str) -> bool {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
-    (1..=MAX_NAME_LEN).contains(&name.len()) && name.chars().all(allowed)
-}
-
 fn label(edit: &Edit) -> String {
     format!("{} {}", edit::kind_name(edit.kind), edit.name)
 }
