Admit requests and new programs

Cause: nothing bounded an account's rate or programs, nor the load taken on. Change: a token bucket for each account and instance; a gate for each model over the capacity that the digests show, less the plan's headroom; an account's programs counted at its home from sets of ids that owners report. Checked by the owner when a program is new, so a repeated creation is never refused for load. Programs' liveness can be asked of their owner.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -12,8 +12,15 @@
 use crate::clock::Time;
 use crate::id;
 
-/// Time over which the load is smoothed, in milliseconds.
-pub const SMOOTHING_MS: u64 = 2_000;
+/// Time over which a rise of the load is smoothed, in milliseconds.
+pub const RISE_MS: u64 = 500;
+
+/// Time over which a fall of the load is smoothed, in milliseconds.
+pub const FALL_MS: u64 = 2_000;
+
+/// Slots that a new program is expected to take, in thousandths: it pauses for tools, and it
+/// starts over the time of a reading.
+pub const PROGRAM_PERMILLE: u64 = 250;
 
 /// Time over which refusals and admissions are counted, in milliseconds.
 pub const WINDOW_MS: u64 = 10_000;
@@ -57,9 +64,11 @@
     /// Notes a reading.
     pub fn observe(&mut self, now: Time, load: Load) {
         let reading = u64::from(load.taken) * MILLE / u64::from(load.slots.max(1));
-        let elapsed = now.since(self.observed).min(SMOOTHING_MS);
-        let kept = SMOOTHING_MS - elapsed;
-        self.load_permille = (self.load_permille * kept + reading * elapsed) / SMOOTHING_MS;
+        let rises = reading > self.load_permille;
+        let span = if rises { RISE_MS } else { FALL_MS };
+        let elapsed = now.since(self.observed).min(span);
+        let kept = span - elapsed;
+        self.load_permille = (self.load_permille * kept + reading * elapsed) / span;
         self.slots = load.slots;
         self.observed = now;
         self.admitted = 0;
@@ -73,7 +82,7 @@
     pub fn admit(&mut self, now: Time, headroom_percent: u32, instances: u32) -> Result<(), u64> {
         self.window.turn(now);
         let limit = MILLE.saturating_sub(u64::from(headroom_percent) * 10);
-        let added = u64::from(self.admitted + 1) * u64::from(instances) * MILLE;
+        let added = u64::from(self.admitted + 1) * u64::from(instances) * PROGRAM_PERMILLE;
         let added = added / u64::from(self.slots.max(1));
         let idle = self.load_permille == 0 && self.admitted == 0;
         if self.slots > 0 && (idle || self.load_permille + added <= limit) {
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -19,7 +19,7 @@
 use crate::auth::Keys;
 use crate::route::{Router, parse};
 use crate::trace::{self, Hop};
-use crate::{answer, body, front, stop};
+use crate::{admission, answer, body, front, stop};
 
 /// When a caller should try again while the instance has too much to do.
 const OVERLOAD_RETRY_MS: u64 = 1_000;
@@ -29,6 +29,7 @@
 pub(crate) struct Api {
     pub(crate) router: Router,
     pub(crate) keys: Keys,
+    pub(crate) admission: admission::Handle,
     pub(crate) body_bytes: usize,
     pub(crate) slots: Arc<Semaphore>,
     pub(crate) stop: stop::Signal,
@@ -73,6 +74,7 @@
 
 async fn run_create(api: &Api, state: &mut State) -> Result<Program, Error> {
     let account = api.keys.account(state)?;
+    api.admission.request(&account)?;
     let _slot = api.slot()?;
     if api.stop.is_stopping() {
         return Err(Error::new(Kind::NotReady, "the instance is stopping"));
@@ -102,6 +104,7 @@
     let named = program(&state);
     let work = async {
         let account = sender?;
+        api.admission.request(&account)?;
         let program = named?;
         let _slot = api.slot()?;
         let body = ask(account.to_string(), program.to_string());
@@ -121,6 +124,7 @@
 
 async fn run_call(api: &Api, state: &mut State) -> Result<Response<Body>, Error> {
     let account = api.keys.account(state)?;
+    api.admission.request(&account)?;
     let slot = api.slot()?;
     let program = program(state)?;
     let call: Call = body::json(state, api.body_bytes).await?;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)] // Until the parts are wired together.
 
+mod admission;
 mod answer;
 mod auth;
 mod body;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -120,6 +120,12 @@
         self.state.wanted(upstream.as_str().as_bytes())
     }
 
+    /// Returns the instance that anything else with a key belongs with.
+    #[must_use]
+    pub fn wanted(&self, key: &[u8]) -> Option<Peer> {
+        self.state.wanted(key)
+    }
+
     /// Returns the instances that live, this one among them.
     #[must_use]
     pub fn live(&self) -> Vec<Peer> {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,8 +16,8 @@
 use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    caller_api, clock, config, grant, home, log, membership, metric, operator_api, ownership, peer,
-    peer_server, peer_tls, program, stop, trace, upstream,
+    admission, caller_api, clock, config, grant, home, log, membership, metric, operator_api,
+    ownership, peer, peer_server, peer_tls, program, stop, trace, upstream,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -132,12 +132,20 @@
             clock,
             self.settings.policy.cache_weight,
         );
+        let admission = admission::spawn(
+            grants.clone(),
+            config.clone(),
+            membership.clone(),
+            peers.clone(),
+            clock,
+        );
         let programs = program::spawn(program::Parts {
             table,
             commit,
             membership: membership.clone(),
             config: config.clone(),
             grants,
+            admission: admission.clone(),
             homes: homes.clone(),
             peers: peers.clone(),
             clock,
@@ -145,12 +153,14 @@
             timing: self.settings.timing.clone(),
             limits: self.settings.limits.clone(),
         });
+        admission.follow(programs.clone());
         tokio::spawn(ownership::follow(changes, programs.clone(), peers.clone()));
         let local = Local {
             programs,
             homes,
             config: config.clone(),
             membership: membership.clone(),
+            admission: admission.clone(),
         };
         let router = Router {
             local: local.clone(),
@@ -162,6 +172,7 @@
         let api = caller_api::Api {
             router: router.clone(),
             keys: Keys::open(config.clone()),
+            admission,
             body_bytes: self.settings.limits.body_bytes,
             slots: Arc::new(Semaphore::new(self.settings.limits.requests)),
             stop: self.stop.clone(),
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -6,6 +6,7 @@
 mod create;
 mod end;
 mod intent;
+mod live;
 mod load;
 mod model;
 mod plain;
@@ -31,7 +32,7 @@
 use crate::clock::Source;
 use crate::log;
 use crate::settings::{Limits, Timing};
-use crate::{commit, config, engine, grant, home, membership, peer, service, suspect};
+use crate::{admission, commit, config, engine, grant, home, membership, peer, service, suspect};
 use busy::Busy;
 use shelf::{Entry, Shelf, TreeKey};
 
@@ -43,6 +44,7 @@
     pub(crate) membership: membership::Handle,
     pub(crate) config: config::Handle,
     pub(crate) grants: grant::Handle,
+    pub(crate) admission: admission::Handle,
     pub(crate) homes: home::Handle,
     pub(crate) peers: peer::Client,
     pub(crate) clock: Source,
--- /dev/null
+++ b/crates/daemon/src/program/live.rs
@@ -0,0 +1,63 @@
+//! Which programs are under way.
+
+use std::collections::BTreeMap;
+
+use basilramp_core::id;
+use basilramp_platform::table::Key;
+
+use super::{Handle, Shared, row};
+
+impl Handle {
+    /// Returns the programs held here that have not ended, by account; sub-agents are left out.
+    pub(crate) fn under_way(&self) -> BTreeMap<id::Account, Vec<id::Program>> {
+        let shelf = self.shared.lock();
+        let entries = shelf.all().into_iter().filter_map(|key| shelf.get(key));
+        let mut programs: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for entry in entries {
+            let tree = &entry.tree;
+            if tree.key(0).is_some_and(|key| !tree.is_ended(key)) {
+                let account = tree.account().clone();
+                programs.entry(account).or_default().push(tree.root());
+            }
+        }
+        programs
+    }
+
+    /// Returns those of some programs, of partitions owned here, that have ended.
+    ///
+    /// A program whose state can't be learnt, or whose partition is not owned here, is left out.
+    pub(crate) async fn ended(&self, programs: Vec<id::Program>) -> Vec<id::Program> {
+        let mut ended = Vec::new();
+        for program in programs {
+            if has_ended(&self.shared, program).await {
+                ended.push(program);
+            }
+        }
+        ended
+    }
+}
+
+async fn has_ended(shared: &Shared, program: id::Program) -> bool {
+    let partition = program.partition();
+    if shared.term(partition).is_err() {
+        return false;
+    }
+    if let Some(ended) = ended_on_shelf(shared, program) {
+        return ended;
+    }
+    let root = program.tree();
+    let key = Key::new(row::live_key(partition), root.to_string());
+    let row = shared.parts.table.get(&key).await;
+    matches!(row, Ok(None)) && shared.term(partition).is_ok()
+}
+
+/// Tells whether a program has ended, if its tree is held here.
+fn ended_on_shelf(shared: &Shared, program: id::Program) -> Option<bool> {
+    let shelf = shared.lock();
+    let entry = shelf.get(shelf.find(program.tree())?)?;
+    let tree = &entry.tree;
+    let ended = tree
+        .key(program.number())
+        .is_none_or(|key| tree.is_ended(key));
+    Some(ended)
+}
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::membership::{self, Peer};
 use crate::trace::{self, Hop};
-use crate::{config, home, peer, program};
+use crate::{admission, config, home, peer, program};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -32,6 +32,7 @@
     pub(crate) homes: home::Handle,
     pub(crate) config: config::Handle,
     pub(crate) membership: membership::Handle,
+    pub(crate) admission: admission::Handle,
 }
 
 impl Local {
@@ -93,6 +94,24 @@
                 self.homes.release(&upstream, &program);
                 Ok(Reply::Done)
             }
+            Body::Admit { account, program } => {
+                let program = parse(&program)?;
+                let account = id::Account::new(account);
+                self.admission
+                    .count(&account, program)
+                    .map(|()| Reply::Done)
+            }
+            Body::Programs { instance, accounts } => {
+                self.admission.note(&instance, accounts);
+                Ok(Reply::Done)
+            }
+            Body::Ended { programs } => {
+                let programs = programs.iter().filter_map(|program| program.parse().ok());
+                let ended = self.programs.ended(programs.collect()).await;
+                Ok(Reply::Ended(
+                    ended.iter().map(id::Program::to_string).collect(),
+                ))
+            }
             Body::Config(head) => {
                 self.config.hint(head.version);
                 Ok(Reply::Done)
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -67,6 +67,25 @@
     Return(Return),
     /// Ask what the receiver knows of the upstreams homed there.
     Digests,
+    /// Ask the home of an account whether one more program may start.
+    Admit {
+        /// The account.
+        account: String,
+        /// The program.
+        program: String,
+    },
+    /// The programs that an instance owns, of accounts homed at the receiver.
+    Programs {
+        /// The owner.
+        instance: String,
+        /// The accounts.
+        accounts: Vec<AccountPrograms>,
+    },
+    /// Ask which of some programs, of partitions that the receiver owns, have ended.
+    Ended {
+        /// The programs.
+        programs: Vec<String>,
+    },
     /// A configuration version is in force; fetch what is missing.
     Config(config::Head),
     /// The sender stops owning these partitions.
@@ -130,6 +149,15 @@
     pub failed: bool,
 }
 
+/// The programs of an account that one instance owns.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountPrograms {
+    /// The account.
+    pub account: String,
+    /// The programs.
+    pub programs: Vec<String>,
+}
+
 /// What the home of an upstream knows of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -167,6 +195,8 @@
     },
     /// The upstreams homed at the sender.
     Digests(Vec<Digest>),
+    /// Those of the programs asked about that have ended.
+    Ended(Vec<String>),
     /// Taken note of.
     Done,
     /// Refused.
