--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod limit;
 pub mod partition;
 pub mod placement;
+pub mod plan;
 pub mod queue;
 pub mod retry;
 pub mod suspect;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -13,9 +13,6 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-/// Time after which an engine that does not answer is given up.
-const TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// The longest answer that is read, in bytes.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
 
@@ -35,6 +32,9 @@
 }
 
 impl Client {
+    /// Milliseconds after which an engine that does not answer is given up.
+    pub(crate) const TIMEOUT_MS: u64 = 1_000;
+
     /// Opens a client.
     pub(crate) fn open() -> Self {
         let pool = Pool::builder(TokioExecutor::new())
@@ -104,7 +104,8 @@
     }
 
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Bytes, Failure> {
-        let answer = timeout(TIMEOUT, self.exchange(request)).await;
+        let limit = Duration::from_millis(Self::TIMEOUT_MS);
+        let answer = timeout(limit, self.exchange(request)).await;
         answer.unwrap_or(Err(Failure::Unreached))
     }
 
--- a/crates/daemon/src/grant.rs
+++ b/crates/daemon/src/grant.rs
@@ -218,6 +218,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns how many upstreams have a model ready.
+    pub(crate) fn ready(&self, model: &str) -> u32 {
+        self.table().board.capacity(model).upstreams
+    }
+
     /// Returns the services that an account called since a point in time.
     pub(crate) fn services(&self, account: &id::Account, since: Time) -> Vec<id::Service> {
         let mut table = self.table();
@@ -296,31 +301,32 @@
     }
 }
 
+/// Returns the names under which upstreams may offer a service.
 fn offers(service: &id::Service, target: &Target) -> Vec<String> {
-    match target {
-        Target::Model {
-            model,
-            adapter,
-            version,
-        } => vec![model_name(model, version, adapter.as_deref())],
-        Target::Plain { path, .. } => {
-            let path = path.trim_start_matches('/');
-            let group = path.split('/').next().unwrap_or("");
-            let mut offers = vec![group.to_owned()];
-            if service.as_str() != group {
-                offers.push(service.to_string());
-            }
-            offers
-        }
+    if let Target::Plain { path, .. } = target {
+        let path = path.trim_start_matches('/');
+        let group = path.split('/').next().unwrap_or("");
+        let own = service.to_string();
+        let other = Some(own).filter(|own| own != group);
+        return std::iter::once(group.to_owned()).chain(other).collect();
     }
+    model_of(target).into_iter().collect()
 }
 
-/// Returns a model's name as engines know it.
-pub(crate) fn model_name(model: &str, version: &str, adapter: Option<&str>) -> String {
-    match adapter {
+/// Returns the name of a service's model as engines know it, if it has one.
+pub(crate) fn model_of(target: &Target) -> Option<String> {
+    let Target::Model {
+        model,
+        adapter,
+        version,
+    } = target
+    else {
+        return None;
+    };
+    Some(match adapter {
         Some(adapter) => format!("{model}@{version}+{adapter}"),
         None => format!("{model}@{version}"),
-    }
+    })
 }
 
 fn unavailable(service: &id::Service) -> Error {
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -6,8 +6,10 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use basilramp_core::home::{Answer, Ask, GRANT_MS, Refusal, Ticket, Waiter};
+use basilramp_core::home::{Answer, Ask, GRANT_MS, Office, Refusal, Ticket, Waiter};
 use basilramp_core::id;
+use basilramp_core::upstream::{Listing, Role};
+use basilramp_wire::engine::Load;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame;
 use tokio::sync::oneshot;
@@ -97,6 +99,25 @@
         self.table().digests()
     }
 
+    /// Returns the engines homed here.
+    pub(crate) fn engines(&self) -> Vec<Listing> {
+        let homed: Vec<_> = {
+            let table = self.table();
+            let homed = table.home.upstreams();
+            let homed = homed.filter(|(_, office)| *office == Office::Home);
+            homed.map(|(upstream, _)| upstream.clone()).collect()
+        };
+        let listings = homed.iter().filter_map(|id| self.shared.upstreams.get(id));
+        listings
+            .filter(|listing| listing.role == Role::Engine)
+            .collect()
+    }
+
+    /// Returns what an engine homed here reported last, if it answers.
+    pub(crate) fn load(&self, upstream: &id::Upstream) -> Option<Load> {
+        self.table().load(upstream).cloned()
+    }
+
     /// Has an upstream let go of what it holds for a program, with retries.
     pub(crate) fn release(&self, upstream: &str, program: &str) {
         let Some(listing) = self.shared.upstreams.get(&id::Upstream::new(upstream)) else {
--- a/crates/daemon/src/home/table.rs
+++ b/crates/daemon/src/home/table.rs
@@ -136,6 +136,13 @@
         engine.is_some_and(|engine| engine.cache.tokens(now, program) > 0)
     }
 
+    /// Returns an engine's last load, if it still answers.
+    pub(super) fn load(&self, upstream: &id::Upstream) -> Option<&Load> {
+        let engine = self.engines.get(upstream)?;
+        let answers = engine.reported && engine.missed == 0;
+        answers.then_some(&engine.load)
+    }
+
     /// Passes what is known of an upstream on to its home.
     pub(super) fn report(&mut self, now: Time, listing: &Listing, open: bool) {
         let report = match (listing.role, self.engines.get(&listing.id)) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod metric;
 mod node;
 mod operator_api;
+mod order;
 mod ownership;
 mod peer;
 mod peer_server;
@@ -36,6 +37,7 @@
 mod settings;
 mod stop;
 mod suspect;
+mod sweep;
 mod trace;
 mod upstream;
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -17,7 +17,7 @@
 use crate::settings::Settings;
 use crate::{
     admission, caller_api, clock, config, grant, home, log, membership, metric, operator_api,
-    ownership, peer, peer_server, peer_tls, program, stop, trace, upstream,
+    order, ownership, peer, peer_server, peer_tls, program, stop, sweep, trace, upstream,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -125,7 +125,7 @@
         );
         let grants = grant::open(
             homes.clone(),
-            upstreams,
+            upstreams.clone(),
             membership.clone(),
             config.clone(),
             peers.clone(),
@@ -139,6 +139,17 @@
             peers.clone(),
             clock,
         );
+        order::spawn(order::Parts {
+            homes: homes.clone(),
+            upstreams,
+            grants: grants.clone(),
+            members: membership.clone(),
+            config: config.clone(),
+            commit: commit.clone(),
+            table: table.clone(),
+            clock,
+            log: self.log.clone(),
+        });
         let programs = program::spawn(program::Parts {
             table,
             commit,
@@ -154,6 +165,13 @@
             limits: self.settings.limits.clone(),
         });
         admission.follow(programs.clone());
+        sweep::spawn(sweep::Sweep {
+            homes: homes.clone(),
+            programs: programs.clone(),
+            members: membership.clone(),
+            peers: peers.clone(),
+            log: self.log.clone(),
+        });
         tokio::spawn(ownership::follow(changes, programs.clone(), peers.clone()));
         let local = Local {
             programs,
