--- a/crates/daemon/src/program/call.rs
+++ b/crates/daemon/src/program/call.rs
@@ -13,9 +13,10 @@
 use tokio::sync::mpsc;
 
 use super::busy::Work;
+use super::load::{self, Lease};
 use super::shelf::{Entry, TreeKey};
 use super::turn::Place;
-use super::{Shared, end, intent, load, model, plain, refusal, settle, view};
+use super::{Shared, end, intent, model, plain, refusal, settle, view};
 use crate::clock;
 
 /// A call that runs.
@@ -149,7 +150,7 @@
     call: &Call,
 ) -> Result<Started, Error> {
     let ask = ask(call)?;
-    let tree = load::touch(shared, program).await?;
+    let tree = load::touch(shared, program, Lease::Any).await?;
     let first = begin(shared, tree, account, program, call, ask.clone())?;
     let refused = match first {
         Ok(begin) => return Ok(Started { tree, begin }),
