--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,8 +16,8 @@
 use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    caller_api, clock, config, grant, home, log, membership, metric, operator_api, ownership, peer,
-    peer_server, peer_tls, program, stop, trace, upstream,
+    admission, caller_api, clock, config, grant, home, log, membership, metric, operator_api,
+    order, ownership, peer, peer_server, peer_tls, program, stop, sweep, trace, upstream,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -126,19 +126,38 @@
         );
         let grants = grant::open(
             homes.clone(),
-            upstreams,
+            upstreams.clone(),
             membership.clone(),
             config.clone(),
             peers.clone(),
             clock,
             self.settings.policy.cache_weight,
         );
+        let admission = admission::spawn(
+            grants.clone(),
+            config.clone(),
+            membership.clone(),
+            peers.clone(),
+            clock,
+        );
+        order::spawn(order::Parts {
+            homes: homes.clone(),
+            upstreams,
+            grants: grants.clone(),
+            members: membership.clone(),
+            config: config.clone(),
+            commit: commit.clone(),
+            table: table.clone(),
+            clock,
+            log: self.log.clone(),
+        });
         let programs = program::spawn(program::Parts {
             table,
             commit,
             membership: membership.clone(),
             config: config.clone(),
             grants,
+            admission: admission.clone(),
             homes: homes.clone(),
             peers: peers.clone(),
             clock,
@@ -146,12 +165,21 @@
             timing: self.settings.timing.clone(),
             limits: self.settings.limits.clone(),
         });
+        admission.follow(programs.clone());
+        sweep::spawn(sweep::Sweep {
+            homes: homes.clone(),
+            programs: programs.clone(),
+            members: membership.clone(),
+            peers: peers.clone(),
+            log: self.log.clone(),
+        });
         tokio::spawn(ownership::follow(changes, programs.clone(), peers.clone()));
         let local = Local {
             programs,
             homes,
             config: config.clone(),
             membership: membership.clone(),
+            admission: admission.clone(),
         };
         let router = Router {
             local: local.clone(),
@@ -163,6 +191,7 @@
         let api = caller_api::Api {
             router: router.clone(),
             keys: Keys::open(config.clone()),
+            admission,
             body_bytes: self.settings.limits.body_bytes,
             slots: Arc::new(Semaphore::new(self.settings.limits.requests)),
             stop: self.stop.clone(),
