Measure calls, watch the parts, and give each hop its span

Cause: instruments, spans and most events had no caller. Ruled out: passing the log and the metrics into each part (their owners are at work there, and their tests open them without); histograms of commits, which nobody measures. One line each in attempt, plain, intent, model, turn, program, route, ownership. tests/ownership/support.rs: its settings named empty key files, which the checked settings refuse; they now name files that nobody reads.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -16,6 +16,8 @@
 use serde::Serialize;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
+use crate::meter::Meter;
+
 /// Makes an answer with a JSON body.
 pub(crate) fn json(status: StatusCode, body: &impl Serialize) -> Response<Body> {
     match serde_json::to_vec(body) {
@@ -60,15 +62,20 @@
 pub(crate) async fn events(
     mut receiver: mpsc::Receiver<Event>,
     slot: OwnedSemaphorePermit,
+    mut meter: Meter,
 ) -> Response<Body> {
     let first = match receiver.recv().await {
-        Some(Event::Error(refusal)) => return error(&refusal),
         Some(event) => event,
-        None => return error(&Error::new(Kind::Interrupted, "the call gave no answer")),
+        None => Event::Error(Error::new(Kind::Interrupted, "the call gave no answer")),
     };
+    if let Event::Error(refusal) = &first {
+        meter.refused(refusal);
+        return error(refusal);
+    }
     let rest = Rest {
         first: Some(first),
         receiver,
+        meter,
         _slot: slot,
     };
     let frames = stream::unfold(rest, next_frame);
@@ -85,6 +92,7 @@
     /// The first event, until it is sent.
     first: Option<Event>,
     receiver: mpsc::Receiver<Event>,
+    meter: Meter,
     _slot: OwnedSemaphorePermit,
 }
 
@@ -93,6 +101,7 @@
         Some(event) => event,
         None => rest.receiver.recv().await?,
     };
+    rest.meter.note(&event);
     let frame = Frame::data(encode(&event));
     Some((Ok(frame), rest))
 }
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -3,23 +3,26 @@
 use std::sync::Arc;
 
 use basilramp_core::id;
-use basilramp_wire::api::{Call, Create, Program};
+use basilramp_wire::api::{Call, Create, Event, Program};
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::{Body as Ask, Reply};
 use gotham::handler::HandlerResult;
-use gotham::helpers::http::Body;
 use gotham::prelude::*;
 use gotham::router::Router as Paths;
 use gotham::router::builder::build_simple_router;
 use gotham::state::State;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, StatusCode};
 use serde::Deserialize;
+use tokio::sync::mpsc::Receiver;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::auth::Keys;
+use crate::log::{Event as LogEvent, event};
+use crate::meter::Meter;
+use crate::metric::{Outcome, Request};
 use crate::route::{Router, parse};
 use crate::trace::{self, Hop};
-use crate::{answer, body, front, stop};
+use crate::{answer, body, front, log, metric, stop};
 
 /// When a caller should try again while the instance has too much to do.
 const OVERLOAD_RETRY_MS: u64 = 1_000;
@@ -30,6 +33,8 @@
     pub(crate) router: Router,
     pub(crate) keys: Keys,
     pub(crate) body_bytes: usize,
+    pub(crate) metrics: metric::Handle,
+    pub(crate) log: log::Handle,
     pub(crate) slots: Arc<Semaphore>,
     pub(crate) stop: stop::Signal,
 }
@@ -64,6 +69,7 @@
     let api = front::shared::<Api>(&state);
     let context = traceparent(&state);
     let result = trace::scope(Hop::Front, context.as_deref(), run_create(&api, &mut state)).await;
+    api.count(Request::Create, &result);
     let response = match result {
         Ok(program) => answer::json(StatusCode::CREATED, &program),
         Err(error) => answer::error(&error),
@@ -86,16 +92,20 @@
         account: Some(account),
         program,
     };
-    on_program(state, ask).await
+    on_program(state, Request::Read, ask).await
 }
 
 async fn end(state: State) -> HandlerResult {
     let ask = |account, program| Ask::End { account, program };
-    on_program(state, ask).await
+    on_program(state, Request::End, ask).await
 }
 
 /// Runs a request that names a program in its path and has no body.
-async fn on_program(state: State, ask: fn(String, String) -> Ask) -> HandlerResult {
+async fn on_program(
+    state: State,
+    request: Request,
+    ask: fn(String, String) -> Ask,
+) -> HandlerResult {
     let api = front::shared::<Api>(&state);
     let context = traceparent(&state);
     let sender = api.keys.account(&state);
@@ -108,25 +118,35 @@
         api.ask(program, body).await
     };
     let result = trace::scope(Hop::Front, context.as_deref(), work).await;
+    api.count(request, &result);
     Ok((state, answer::result(result)))
 }
 
 async fn call(mut state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
     let context = traceparent(&state);
-    let result = trace::scope(Hop::Front, context.as_deref(), run_call(&api, &mut state)).await;
-    let response = result.unwrap_or_else(|error| answer::error(&error));
+    let mut meter = Meter::start(api.metrics.clone(), api.log.clone());
+    let start = start_call(&api, &mut state);
+    let started = trace::scope(Hop::Front, context.as_deref(), start).await;
+    let response = match started {
+        Ok((events, slot)) => answer::events(events, slot, meter).await,
+        Err(error) => {
+            meter.refused(&error);
+            answer::error(&error)
+        }
+    };
     Ok((state, response))
 }
 
-async fn run_call(api: &Api, state: &mut State) -> Result<Response<Body>, Error> {
+async fn start_call(
+    api: &Api,
+    state: &mut State,
+) -> Result<(Receiver<Event>, OwnedSemaphorePermit), Error> {
     let account = api.keys.account(state)?;
     let slot = api.slot()?;
     let program = program(state)?;
     let call: Call = body::json(state, api.body_bytes).await?;
-    let events = api.router.call(account, program, call);
-    let response = answer::events(events, slot).await;
-    Ok(response)
+    Ok((api.router.call(account, program, call), slot))
 }
 
 impl Api {
@@ -152,6 +172,26 @@
         }
     }
 
+    /// Counts a request that has been worked on, and logs its refusal.
+    fn count(&self, request: Request, result: &Result<Program, Error>) {
+        let outcome = match result {
+            Ok(_) => Outcome::Done,
+            Err(error) => {
+                self.log_refusal(error);
+                Outcome::Refused(error.kind)
+            }
+        };
+        self.metrics.request(request, outcome);
+    }
+
+    fn log_refusal(&self, error: &Error) {
+        let event = match error.kind {
+            Kind::Internal => LogEvent::InternalError,
+            _ => LogEvent::CallerRefused,
+        };
+        event!(self.log, event, "kind" => error.kind.code(), "message" => error.message.as_str());
+    }
+
     fn slot(&self) -> Result<OwnedSemaphorePermit, Error> {
         self.slots.clone().try_acquire_owned().map_err(|_| {
             Error::new(Kind::Overloaded, "the instance has too many requests")
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,8 +16,8 @@
 use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    caller_api, clock, config, grant, home, log, membership, metric, operator_api, ownership, peer,
-    peer_server, peer_tls, program, stop, trace, upstream,
+    caller_api, clock, config, grant, home, log, membership, metric, observe, operator_api,
+    ownership, peer, peer_server, peer_tls, program, stop, trace, upstream,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -37,11 +37,15 @@
         .build()
         .wrap_err("can't start the worker pool")?;
     let log = log::open(&settings.instance.id, settings.log.level.into());
-    runtime.block_on(async {
-        let node = Node::<Bound>::bind(settings, log).await?;
+    let outcome = runtime.block_on(async {
+        let node = Node::<Bound>::bind(settings, log.clone()).await?;
         let node = node.join().await?;
         node.run_until_stopped().await
-    })
+    });
+    if let Err(error) = &outcome {
+        event!(log, Event::Fatal, "error" => format!("{error:#}"));
+    }
+    outcome
 }
 
 /// An instance at one stage of its life.
@@ -125,7 +129,7 @@
         );
         let grants = grant::open(
             homes.clone(),
-            upstreams,
+            upstreams.clone(),
             membership.clone(),
             config.clone(),
             peers.clone(),
@@ -133,8 +137,8 @@
             self.settings.policy.cache_weight,
         );
         let programs = program::spawn(program::Parts {
-            table,
-            commit,
+            table: table.clone(),
+            commit: commit.clone(),
             membership: membership.clone(),
             config: config.clone(),
             grants,
@@ -145,7 +149,27 @@
             timing: self.settings.timing.clone(),
             limits: self.settings.limits.clone(),
         });
-        tokio::spawn(ownership::follow(changes, programs.clone(), peers.clone()));
+        self.metrics.watch(metric::Watched {
+            commit: commit.clone(),
+            membership: membership.clone(),
+            config: config.clone(),
+            table,
+            programs: programs.clone(),
+            homes: homes.clone(),
+        });
+        tokio::spawn(observe::run(observe::Parts {
+            commit: commit.clone(),
+            membership: membership.clone(),
+            config: config.clone(),
+            upstreams: upstreams.clone(),
+            log: self.log.clone(),
+        }));
+        tokio::spawn(ownership::follow(
+            changes,
+            programs.clone(),
+            peers.clone(),
+            self.log.clone(),
+        ));
         let local = Local {
             programs,
             homes,
@@ -156,6 +180,7 @@
             local: local.clone(),
             membership: membership.clone(),
             peers,
+            metrics: self.metrics.clone(),
         };
         let serving = peer_server::serve(endpoint.clone(), local, self.tasks.clone());
         tokio::spawn(serving);
@@ -163,6 +188,8 @@
             router: router.clone(),
             keys: Keys::open(config.clone()),
             body_bytes: self.settings.limits.body_bytes,
+            metrics: self.metrics.clone(),
+            log: self.log.clone(),
             slots: Arc::new(Semaphore::new(self.settings.limits.requests)),
             stop: self.stop.clone(),
         };
@@ -172,6 +199,7 @@
             router,
             config,
             metrics: self.metrics.clone(),
+            log: self.log.clone(),
             membership: membership.clone(),
             operators: self.settings.operators.clone(),
             body_bytes: self.settings.limits.body_bytes,
@@ -201,6 +229,7 @@
 
 impl Node<Joined> {
     async fn run_until_stopped(self) -> Result<()> {
+        event!(self.log, Event::Ready);
         stop::asked().await.wrap_err("can't wait for signals")?;
         event!(self.log, Event::Stopping);
         self.stop.drain();
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -15,9 +15,10 @@
 use http::StatusCode;
 use serde::Deserialize;
 
+use crate::log::{Event as LogEvent, event};
 use crate::route::{Router, parse};
 use crate::settings::Operator;
-use crate::{answer, auth, body, config, front, membership, metric, stop};
+use crate::{answer, auth, body, config, front, log, membership, metric, stop};
 
 /// What the operators' paths work with.
 #[derive(Debug)]
@@ -25,6 +26,7 @@
     pub(crate) router: Router,
     pub(crate) config: config::Handle,
     pub(crate) metrics: metric::Handle,
+    pub(crate) log: log::Handle,
     pub(crate) membership: membership::Handle,
     pub(crate) operators: Vec<Operator>,
     pub(crate) body_bytes: usize,
@@ -110,7 +112,15 @@
 async fn run_apply(api: &Api, state: &mut State) -> Result<Applied, Error> {
     let operator = api.operator(state)?;
     let change: Change = body::json(state, api.body_bytes).await?;
-    let version = api.config.apply(&operator, change).await?;
+    let (base, edits) = (change.base, change.edits.len());
+    let applied = api.config.apply(&operator, change).await;
+    match &applied {
+        Ok(version) => event!(api.log, LogEvent::ConfigChanged,
+            "operator" => &*operator, "version" => version, "edits" => edits),
+        Err(error) => event!(api.log, LogEvent::ConfigRefused,
+            "operator" => &*operator, "base" => base, "kind" => error.kind.code()),
+    }
+    let version = applied?;
     api.announce(version);
     Ok(Applied { version })
 }
@@ -163,17 +173,25 @@
     let operator = api.operator(state)?;
     let id = Named::borrow_from(state).id.clone();
     let settlement: Settlement = body::json(state, api.body_bytes).await?;
+    let (position, ran) = (settlement.position, settlement.ran);
     let body = Ask::Settle {
         operator: operator.to_string(),
         program: id.clone(),
         settlement,
     };
-    api.ask(&id, body).await
+    let program = api.ask(&id, body).await?;
+    event!(api.log, LogEvent::CallSettled,
+        "operator" => &*operator, "program" => id, "position" => position, "ran" => ran);
+    Ok(program)
 }
 
 impl Api {
     fn operator(&self, state: &State) -> Result<Arc<str>, Error> {
-        auth::operator(&self.operators, state)
+        let operator = auth::operator(&self.operators, state);
+        if operator.is_err() {
+            event!(self.log, LogEvent::OperatorRefused);
+        }
+        operator
     }
 
     /// Tells the other instances of a new version; one that is missed polls it.
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -6,6 +6,7 @@
 use basilramp_wire::frame::Body;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::log::{self, Event, event};
 use crate::membership::{Change, Peer};
 use crate::{peer, program};
 
@@ -17,6 +18,7 @@
     mut changes: mpsc::UnboundedReceiver<Change>,
     programs: program::Handle,
     peers: peer::Client,
+    log: log::Handle,
 ) {
     let mut batch = Vec::new();
     while changes.recv_many(&mut batch, BATCH).await > 0 {
@@ -26,7 +28,10 @@
                 Change::Gained(partition, _) => programs.gained(partition),
                 Change::Losing(partition, done) => let_go(&programs, partition, done),
                 Change::HandedOver(partition, peer) => note(&mut handed_over, partition, peer),
-                Change::Fenced => programs.fenced(),
+                Change::Fenced => {
+                    event!(log, Event::Fenced);
+                    programs.fenced();
+                }
             }
         }
         for (peer, partitions) in handed_over.into_values() {
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -53,8 +53,15 @@
         return;
     };
     let Request { traceparent, body } = request;
+    let hop = match &body {
+        Body::Grant(_) => Hop::Home,
+        _ => Hop::Owner,
+    };
     let work = answer(&mut sending, body, &local);
-    trace::scope(Hop::Owner, traceparent.as_deref(), work).await;
+    match traceparent {
+        Some(context) => trace::scope(hop, Some(&context), work).await,
+        None => work.await,
+    }
     // A peer that stopped reading needs no end of stream.
     let _ = sending.finish();
 }
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -187,6 +187,11 @@
         end::watch(&self.shared, partition);
     }
 
+    /// Returns how many program trees are held here.
+    pub(crate) fn count(&self) -> usize {
+        self.shared.lock().all().len()
+    }
+
     /// Forgets all programs at once; their calls in flight are given up.
     pub(crate) fn fenced(&self) {
         self.shared.lock().clear();
--- a/crates/daemon/src/program/attempt.rs
+++ b/crates/daemon/src/program/attempt.rs
@@ -11,6 +11,7 @@
 use crate::engine::Failure;
 use crate::grant::{End, Grant, Want};
 use crate::suspect::{Crash, Pass};
+use crate::trace::{self, Hop};
 
 /// Attempts of one call, the first among them.
 const MAX_ATTEMPTS: u32 = 4;
@@ -73,7 +74,7 @@
     };
     let grants = &run.shared.parts.grants;
     let grant = tokio::select! {
-        grant = grants.acquire(&want) => grant?,
+        grant = trace::span(Hop::Grant, grants.acquire(&want)) => grant?,
         () = run.events.closed() => return Err(gone()),
     };
     let fingerprint = fingerprint::of(&run.service_id(), &run.call.input);
--- a/crates/daemon/src/program/intent.rs
+++ b/crates/daemon/src/program/intent.rs
@@ -16,6 +16,7 @@
 use crate::grant::{End, Grant};
 use crate::log::{Event, event};
 use crate::service::Answer;
+use crate::trace::{self, Hop};
 
 /// Looks at the service's status of a call that broke off, before the caller is told of the doubt.
 const LOOK_UPS: u32 = 3;
@@ -84,7 +85,8 @@
 async fn send(run: &Run, grant: &Grant) -> Result<Answer, engine::Failure> {
     let ask = plain::ask(run, 1, grant);
     let services = &run.shared.services;
-    services.send_once(&ask, run.service.timeout_ms).await
+    let sending = services.send_once(&ask, run.service.timeout_ms);
+    trace::span(Hop::Upstream, sending).await
 }
 
 /// Makes the intent durable and returns its position.
--- a/crates/daemon/src/program/model.rs
+++ b/crates/daemon/src/program/model.rs
@@ -15,6 +15,7 @@
 use super::{refusal, reserve};
 use crate::engine::{self, Ask};
 use crate::grant::{End, Grant};
+use crate::trace::{self, Hop};
 
 /// The answer of a model.
 struct Answer {
@@ -99,7 +100,8 @@
     avoid: &[id::Upstream],
 ) -> Result<Answer, Fault> {
     let admitted = attempt::admit(run, progress.prompt.bound, avoid).await?;
-    let streamed = stream(run, progress, number, &admitted.grant).await;
+    let streaming = stream(run, progress, number, &admitted.grant);
+    let streamed = trace::span(Hop::Upstream, streaming).await;
     let Admitted { grant, pass } = admitted;
     let grants = &run.shared.parts.grants;
     match streamed {
--- a/crates/daemon/src/program/plain.rs
+++ b/crates/daemon/src/program/plain.rs
@@ -12,6 +12,7 @@
 use super::turn::{self, Ended};
 use crate::grant::{End, Grant};
 use crate::service::{Answer, Ask};
+use crate::trace::{self, Hop};
 
 /// Runs a call of a plain service that may be repeated.
 pub(crate) async fn run(run: Run) {
@@ -39,6 +40,7 @@
     let Admitted { grant, pass } = attempt::admit(run, 0, avoid).await?;
     let ask = ask(run, number, &grant);
     let sending = run.shared.services.send(&ask, run.service.timeout_ms);
+    let sending = trace::span(Hop::Upstream, sending);
     let sent = tokio::select! {
         sent = sending => sent,
         () = run.events.closed() => {
--- a/crates/daemon/src/program/turn.rs
+++ b/crates/daemon/src/program/turn.rs
@@ -17,6 +17,7 @@
 use super::shelf::{Entry, TreeKey};
 use super::{Shared, end, refusal, row, view};
 use crate::commit::{Failure, Room};
+use crate::trace::{self, Hop};
 use crate::{clock, log};
 
 /// Milliseconds that a provisional answer waits for its turn to become durable.
@@ -77,11 +78,11 @@
     } = run;
     let mut writing = tokio::spawn({
         let shared = Arc::clone(&shared);
-        async move {
+        trace::span(Hop::Commit, async move {
             let written = settled(&shared, place, pending).await;
             drop(work);
             written
-        }
+        })
     });
     let mut written = None;
     if provisional {
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::membership::{self, Peer};
 use crate::trace::{self, Hop};
-use crate::{config, home, peer, program};
+use crate::{config, home, metric, peer, program};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -112,6 +112,7 @@
     pub(crate) local: Local,
     pub(crate) membership: membership::Handle,
     pub(crate) peers: peer::Client,
+    pub(crate) metrics: metric::Handle,
 }
 
 impl Router {
@@ -139,6 +140,7 @@
         if owner.id == self.membership.own() {
             return trace::span(Hop::Owner, self.local.answer(body)).await;
         }
+        self.metrics.forward();
         trace::span(Hop::Forward, self.peers.ask(&owner, body)).await
     }
 
@@ -229,6 +231,7 @@
             program: program.to_string(),
             call: call.clone(),
         };
+        self.metrics.forward();
         let replies = trace::span(Hop::Forward, self.peers.stream(&owner, body)).await?;
         Ok(events_of(replies))
     }
--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -33,8 +33,10 @@
     Forward,
     /// The owner.
     Owner,
-    /// The wait for a slot.
+    /// The wait for a slot, at the owner.
     Grant,
+    /// The wait for a slot, at the home of an upstream on another instance.
+    Home,
     /// The call of the upstream.
     Upstream,
     /// The commit of a turn.
@@ -48,6 +50,7 @@
             Self::Forward => "forward",
             Self::Owner => "owner",
             Self::Grant => "grant",
+            Self::Home => "home",
             Self::Upstream => "upstream",
             Self::Commit => "commit",
         }
@@ -55,7 +58,7 @@
 
     const fn kind(self) -> SpanKind {
         match self {
-            Self::Front | Self::Owner => SpanKind::Server,
+            Self::Front | Self::Owner | Self::Home => SpanKind::Server,
             Self::Forward | Self::Grant | Self::Upstream => SpanKind::Client,
             Self::Commit => SpanKind::Internal,
         }
--- a/crates/daemon/tests/ownership/support.rs
+++ b/crates/daemon/tests/ownership/support.rs
@@ -31,7 +31,7 @@
             "objects": platform.objects_address(),
             "list": platform.list_address(),
         },
-        "peers": {"certificate": "", "key": "", "authority": ""},
+        "peers": {"certificate": "unread", "key": "unread", "authority": "unread"},
     });
     for (name, section) in overrides.as_object().into_iter().flatten() {
         settings[name] = section.clone();
--- a/crates/platform/src/table/client.rs
+++ b/crates/platform/src/table/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use ::http::{Request, StatusCode, header};
 use basilramp_wire::table;
@@ -27,6 +28,14 @@
     address: SocketAddr,
     table_name: Arc<str>,
     timeout_ms: u64,
+    counts: Arc<Counts>,
+}
+
+/// Requests sent since the client was opened, by all its clones.
+#[derive(Debug, Default)]
+struct Counts {
+    reads: AtomicU64,
+    writes: AtomicU64,
 }
 
 impl Client {
@@ -37,9 +46,22 @@
             address,
             table_name: table_name.into(),
             timeout_ms: ATTEMPT_TIMEOUT_MS,
+            counts: Arc::default(),
         }
     }
 
+    /// Returns how many reads were sent, by this client and its clones.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        self.counts.reads.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many transactions were sent, by this client and its clones.
+    #[must_use]
+    pub fn writes(&self) -> u64 {
+        self.counts.writes.load(Ordering::Relaxed)
+    }
+
     /// Returns a client on the same connections that waits `timeout_ms` milliseconds for an answer.
     #[must_use]
     pub fn with_timeout(&self, timeout_ms: u64) -> Self {
@@ -169,6 +191,11 @@
         body: &impl Serialize,
     ) -> Result<Result<Answer, Fault>, Failure> {
         let request = self.request(target, body)?;
+        let count = match target {
+            TRANSACT => &self.counts.writes,
+            _ => &self.counts.reads,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
         Ok(self.pool.send(request, self.timeout_ms).await)
     }
 
