--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::membership::{self, Peer};
 use crate::trace::{self, Hop};
-use crate::{admission, config, home, peer, program};
+use crate::{admission, config, home, metric, peer, program};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -131,6 +131,7 @@
     pub(crate) local: Local,
     pub(crate) membership: membership::Handle,
     pub(crate) peers: peer::Client,
+    pub(crate) metrics: metric::Handle,
 }
 
 impl Router {
@@ -158,6 +159,7 @@
         if owner.id == self.membership.own() {
             return trace::span(Hop::Owner, self.local.answer(body)).await;
         }
+        self.metrics.forward();
         trace::span(Hop::Forward, self.peers.ask(&owner, body)).await
     }
 
@@ -248,6 +250,7 @@
             program: program.to_string(),
             call: call.clone(),
         };
+        self.metrics.forward();
         let replies = trace::span(Hop::Forward, self.peers.stream(&owner, body)).await?;
         Ok(events_of(replies))
     }
