--- a/crates/core/tests/tree_machine.rs
+++ b/crates/core/tests/tree_machine.rs
@@ -18,8 +18,8 @@
 use proptest::test_runner::{RngSeed, TestRunner};
 
 const BUDGET: Budget = Budget {
-    tokens: 600,
-    turns: 12,
+    tokens: 300,
+    turns: 30,
     wall_ms: 1_000_000,
     depth: 2,
 };
@@ -62,7 +62,7 @@
         20 => (member.clone(), 0..3u8, prop_oneof![5 => Just(0), 1 => Just(1)], 0..12u8).prop_map(|(member, request, body, skew)| {
             Step::Call { member, request, body, skew }
         }),
-        24 => (member.clone(), 1..120u64, any::<u8>())
+        24 => (member.clone(), 1..100u64, prop_oneof![3 => Just(u8::MAX), 1 => any::<u8>()])
             .prop_map(|(member, tokens, used)| Step::Send { member, tokens, used }),
         16 => (member.clone(), prop::bool::weighted(0.8))
             .prop_map(|(member, whole)| Step::Answer { member, whole }),
