--- a/crates/core/tests/tree.rs
+++ b/crates/core/tests/tree.rs
@@ -186,6 +186,18 @@
     assert_eq!(ledger.hold(91), Ok(Hold::Reserve(101)));
 }
 
+#[test]
+fn a_reservation_counts_only_once_it_is_durable() {
+    let mut ledger = Ledger::open(1_000, 0);
+    let lost = ledger.start_write(500);
+    assert_eq!(ledger.hold(500), Ok(Hold::Reserve(500)));
+    ledger.end_write(lost, false);
+    assert_eq!(ledger.hold(500), Ok(Hold::Reserve(500)));
+    let kept = ledger.start_write(500);
+    ledger.end_write(kept, true);
+    assert_eq!(ledger.hold(500), Ok(Hold::Held));
+}
+
 fn turns(program: id::Program, count: u32) -> Vec<(u32, Turn)> {
     let mut history = History::open(program);
     for position in 0..count {
--- /dev/null
+++ b/crates/daemon/tests/calls/main.rs
@@ -0,0 +1,4 @@
+//! Promises on calls, with real instances against the stand-ins.
+
+mod once;
+mod support;
--- /dev/null
+++ b/crates/daemon/tests/calls/once.rs
@@ -0,0 +1,272 @@
+//! Calls that may not be repeated run at most once, whatever fails.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use basilramp_fakes::caller::{self, Answer};
+use basilramp_fakes::cluster::{Cluster, name};
+use basilramp_fakes::service::Fault;
+use basilramp_wire::api::Call;
+use basilramp_wire::error::{Kind, Ran};
+use basilramp_wire::frame::Settlement;
+use basilramp_wire::record::TurnState;
+use tokio::task::JoinHandle;
+
+use crate::support::{
+    self, assert_refused, call_until_settled, create, other, owner, start, turn_row, until,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_closed_after_the_request_was_read_is_not_replayed() {
+    let cluster = start(1).await;
+    let program = create(&cluster, "p").await;
+    let at = support::any(&cluster);
+    // The first call leaves a connection behind that a pool would use again.
+    let first = caller::call("a", 0, name::ORDER, "one bag of grit");
+    let first = cluster.caller(0).call(at, &program.id, &first).await;
+    assert_matches!(first.result, Ok(_));
+
+    cluster.store.fault_next(Fault::CloseAfter);
+    let order = caller::call("b", 1, name::ORDER, "two bags of grit");
+    let answer = cluster.caller(0).call(at, &program.id, &order).await;
+    assert_refused(&answer, Kind::InDoubt, Ran::Unknown);
+    let again = cluster.caller(0).call(at, &program.id, &order).await;
+    assert_refused(&again, Kind::InDoubt, Ran::Unknown);
+    let next = caller::call("c", 2, name::ORDER, "three bags of grit");
+    let next = cluster.caller(0).call(at, &program.id, &next).await;
+    assert_refused(&next, Kind::OutOfOrder, Ran::No);
+    assert_eq!(cluster.store.received(), 2);
+    assert_eq!(cluster.store.effects().len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_settles_a_call_in_doubt_on_record() {
+    let cluster = start(1).await;
+    let program = create(&cluster, "p").await;
+    let at = support::any(&cluster);
+    cluster.store.fault_next(Fault::CloseAfter);
+    let order = caller::call("a", 0, name::ORDER, "one bag of grit");
+    let answer = cluster.caller(0).call(at, &program.id, &order).await;
+    assert_refused(&answer, Kind::InDoubt, Ran::Unknown);
+
+    let settlement = Settlement {
+        position: 0,
+        ran: true,
+        output: "order 7".to_owned(),
+        reason: "seen in the shop's books".to_owned(),
+    };
+    let operators = cluster.operators(0).expect("it runs");
+    let settled = cluster.operator(0);
+    let settled = settled.settle(operators, &program.id, &settlement).await;
+    let settled = settled.expect("the call is settled");
+    assert_eq!(settled.turns[0].state, "done");
+    let audits = cluster.platform.rows("audit");
+    assert!(
+        audits
+            .iter()
+            .any(|(_, row)| row.body.contains("seen in the shop's books"))
+    );
+
+    let recorded = cluster.caller(0).call(at, &program.id, &order).await;
+    let recorded = recorded.result.expect("the answer is recorded");
+    assert_eq!(
+        (recorded.output.as_str(), recorded.recorded),
+        ("order 7", true)
+    );
+    let next = caller::call("b", 1, name::ORDER, "two bags of grit");
+    let next = cluster.caller(0).call(at, &program.id, &next).await;
+    assert_matches!(next.result, Ok(_));
+    assert_eq!(cluster.store.received(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_with_a_status_look_up_settles_the_doubt_itself() {
+    let cluster = start(1).await;
+    let program = create(&cluster, "p").await;
+    let at = support::any(&cluster);
+    cluster.registry.fault_next(Fault::CloseAfter);
+    let register = caller::call("a", 0, name::REGISTER, "roof 12, sealant S");
+    let answer = cluster.caller(0).call(at, &program.id, &register).await;
+    assert_matches!(answer.result, Ok(_));
+    assert_eq!(cluster.registry.received(), 1);
+    assert!(cluster.registry.lookups() > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owner_leaves_the_call_in_doubt_and_nobody_sends_it_again() {
+    let mut cluster = start(3).await;
+    let program = create(&cluster, "p").await;
+    let order = caller::call("a", 0, name::ORDER, "one bag of grit");
+    cluster.store.fault_next(Fault::Hang);
+    let owner = owner(&cluster, &program.id).await;
+    let at = other(&cluster, owner);
+    let caller = cluster.caller(0);
+    let calling = {
+        let (id, order) = (program.id.clone(), order.clone());
+        tokio::spawn(async move { caller.call(at, &id, &order).await })
+    };
+    until("the call arrives", || cluster.store.received() == 1).await;
+    cluster.kill(owner).expect("the owner is killed");
+    let cut = calling.await.expect("the caller is answered");
+    assert_refused(&cut, Kind::Interrupted, Ran::Unknown);
+
+    let again = call_until_settled(&cluster, at, &program.id, &order).await;
+    assert_refused(&again, Kind::InDoubt, Ran::Unknown);
+    assert_eq!(cluster.store.received(), 1);
+    let row = turn_row(&cluster, &program.id, 0).expect("the intent is kept");
+    assert_eq!(row.state, TurnState::Intent);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_frozen_between_its_intent_and_its_send_does_not_send_late() {
+    let cluster = start(3).await;
+    let program = create(&cluster, "p").await;
+    let owner = owner(&cluster, &program.id).await;
+    let at = other(&cluster, owner);
+    let (order, first) = freeze_before_send(&cluster, &program.id, owner).await;
+    let sent = cluster.store.received();
+    let again = call_until_settled(&cluster, at, &program.id, &order).await;
+    assert_refused(&again, Kind::InDoubt, Ran::Unknown);
+
+    let process = cluster.instances[owner].process.as_ref();
+    process.expect("it runs").thaw().expect("it goes on");
+    let first = first.await.expect("the caller is answered");
+    assert_matches!(first.result, Err(_));
+    cluster.ready_one(owner).await.expect("it joins again");
+    let received = cluster.store.received();
+    assert_eq!(received, sent, "sent after the takeover");
+}
+
+/// Tries at freezing an owner at the right moment.
+const FREEZES: u32 = 40;
+
+/// Looks whether an intent is written, 10 ms apart, before the next try.
+const LOOKS: u32 = 20;
+
+/// Freezes the owner of a program after an order's intent was written and before it learns so.
+async fn freeze_before_send(
+    cluster: &Cluster,
+    program: &str,
+    owner: usize,
+) -> (Call, JoinHandle<Answer>) {
+    let at = other(cluster, owner);
+    for position in 0..FREEZES {
+        let order = caller::call(&format!("r{position}"), position, name::ORDER, "grit");
+        let sent = cluster.store.received();
+        cluster.platform.lose_answers(1_000);
+        let caller = cluster.caller(0);
+        let calling = {
+            let (id, order) = (program.to_owned(), order.clone());
+            tokio::spawn(async move { caller.call(at, &id, &order).await })
+        };
+        let mut caught = false;
+        for _ in 0..LOOKS {
+            caught = turn_row(cluster, program, position).is_some();
+            if caught || calling.is_finished() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let process = cluster.instances[owner].process.as_ref();
+        let process = process.expect("it runs");
+        process.freeze().expect("it is frozen");
+        cluster.platform.lose_answers(0);
+        let row = turn_row(cluster, program, position);
+        let open = row.is_some_and(|row| row.state == TurnState::Intent);
+        if caught && open && cluster.store.received() == sent {
+            return (order, calling);
+        }
+        process.thaw().expect("it goes on");
+        let _ = calling.await;
+        let done = call_until_settled(cluster, at, program, &order).await;
+        assert_matches!(done.result, Ok(_));
+    }
+    panic!("the owner was never frozen between intent and send");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_frozen_after_its_send_records_no_outcome_of_its_own() {
+    let cluster = start(3).await;
+    let program = create(&cluster, "p").await;
+    let order = caller::call("a", 0, name::ORDER, "one bag of grit");
+    let owner = owner(&cluster, &program.id).await;
+    let at = other(&cluster, owner);
+    cluster.store.fault_next(Fault::Late(1_000));
+    let caller = cluster.caller(0);
+    let calling = {
+        let (id, order) = (program.id.clone(), order.clone());
+        tokio::spawn(async move { caller.call(at, &id, &order).await })
+    };
+    until("the call arrives", || cluster.store.received() == 1).await;
+    let process = cluster.instances[owner].process.as_ref();
+    let process = process.expect("it runs");
+    process.freeze().expect("it is frozen");
+    let again = call_until_settled(&cluster, at, &program.id, &order).await;
+    assert_refused(&again, Kind::InDoubt, Ran::Unknown);
+
+    process.thaw().expect("it goes on");
+    let first = calling.await.expect("the caller is answered");
+    assert_matches!(first.result, Err(_));
+    cluster.ready_one(owner).await.expect("it joins again");
+    let row = turn_row(&cluster, &program.id, 0).expect("the intent is kept");
+    assert_eq!(row.state, TurnState::Intent);
+    assert_eq!(cluster.store.received(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_store_send_nothing_twice() {
+    let cluster = start(1).await;
+    let program = create(&cluster, "p").await;
+    let at = support::any(&cluster);
+    for position in 0..5 {
+        cluster.platform.lose_answers(1);
+        let request = format!("r{position}");
+        let order = caller::call(&request, position, name::ORDER, "one bag of grit");
+        let answer = call_until_settled(&cluster, at, &program.id, &order).await;
+        assert_matches!(answer.result, Ok(_));
+    }
+    assert_eq!(cluster.store.received(), 5);
+    assert!(cluster.platform.counters().lost_answers > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_refused_while_the_store_is_down_never_runs_later() {
+    let cluster = start(1).await;
+    let program = create(&cluster, "p").await;
+    let at = support::any(&cluster);
+    cluster.platform.down(true);
+    let order = caller::call("a", 0, name::ORDER, "one bag of grit");
+    let refused = cluster.caller(0).call(at, &program.id, &order).await;
+    assert_refused(&refused, Kind::StoreUnavailable, Ran::No);
+    assert_eq!(cluster.store.received(), 0);
+
+    cluster.platform.down(false);
+    // Another call takes the position: the refused one can't have left anything behind.
+    let other = caller::call("b", 0, name::ORDER, "two bags of grit");
+    let other = call_until_settled(&cluster, at, &program.id, &other).await;
+    assert_matches!(other.result, Ok(_));
+    let effects = cluster.store.effects();
+    let bodies: Vec<&str> = effects.iter().map(|effect| effect.body.as_str()).collect();
+    assert_eq!(bodies, ["two bags of grit"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_intent_that_is_written_late_is_withdrawn_and_not_sent() {
+    let cluster = start(1).await;
+    let program = create(&cluster, "p").await;
+    let at = support::any(&cluster);
+    // Longer than a refusable write waits.
+    cluster.platform.slow_ms(900);
+    let order = caller::call("a", 0, name::ORDER, "one bag of grit");
+    let refused = cluster.caller(0).call(at, &program.id, &order).await;
+    assert_refused(&refused, Kind::StoreUnavailable, Ran::No);
+    cluster.platform.slow_ms(0);
+    until("the intent is withdrawn", || {
+        turn_row(&cluster, &program.id, 0).is_none()
+    })
+    .await;
+    assert_eq!(cluster.store.received(), 0);
+    let again = call_until_settled(&cluster, at, &program.id, &order).await;
+    assert_matches!(again.result, Ok(_));
+    assert_eq!(cluster.store.received(), 1);
+}
