--- a/crates/fakes/src/trial.rs
+++ b/crates/fakes/src/trial.rs
@@ -69,7 +69,7 @@
             faults,
             instances: 3,
             callers: 8,
-            turns: 10,
+            turns: 20,
         }
     }
 }
--- a/crates/fakes/src/trial/script.rs
+++ b/crates/fakes/src/trial/script.rs
@@ -30,6 +30,9 @@
 /// Time before a refused request is sent again.
 const RETRY_MS: u64 = 150;
 
+/// The longest time between two calls of a program.
+const THINK_MS: u64 = 400;
+
 /// Time that an operator waits before looking what became of a call in doubt.
 const SETTLE_WAIT_MS: u64 = 1_500;
 
@@ -85,6 +88,7 @@
                 Step::Next(next) => position = next,
                 Step::Over => break,
             }
+            self.think().await;
         }
     }
 
@@ -112,6 +116,11 @@
         tokio::time::sleep(Duration::from_millis(ms)).await;
     }
 
+    async fn think(&mut self) {
+        let ms = self.random.random_range(0..THINK_MS);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+
     /// Creates a program; nothing if its budget does not allow it.
     async fn create(&mut self, budget: Option<Budget>, parent: Option<&str>) -> Option<String> {
         let create = Create {
