--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::engine::{Failure, TRACE_HEADER, pool};
+use crate::engine::{Failure, pool};
 use crate::trace;
 
 /// The longest answer, in bytes.
@@ -131,7 +131,7 @@
         .header(REQUEST_HEADER, &ask.request)
         .header(IDEMPOTENCY_HEADER, &ask.key);
     if let Some(trace) = trace::current() {
-        request = request.header(TRACE_HEADER, trace);
+        request = request.header(trace::HEADER, trace);
     }
     let body = Full::from(ask.body.as_bytes().to_vec());
     request.body(body).map_err(|_| Failure::Unsent)
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -12,9 +12,8 @@
 use basilramp_wire::record;
 
 use crate::clock::Source;
-use crate::commit;
-use crate::log;
 use crate::log::{Event, event};
+use crate::{commit, log};
 
 const PARTITION_KEY: &str = "suspect";
 
@@ -259,7 +258,10 @@
         if let Some(suspect) = shared.record(fingerprint, &self.upstream).await {
             shared.lock().unrecorded.remove(&fingerprint);
             return match suspect.verdict() {
-                Verdict::Quarantined => Crash::Barred,
+                Verdict::Quarantined => {
+                    event!(log, Event::RequestQuarantined, "fingerprint" => %fingerprint);
+                    Crash::Barred
+                }
                 Verdict::Trial | Verdict::Busy => Crash::Recorded,
             };
         }
