Build the parts in a module of their own; list upstreams for operators

Cause: node.rs had grown a 140-line join function; operators saw no upstreams; a creation that met a stopping entry instance was refused 'not_ready' though another instance owns the program (seen in tests/stop.rs under a loaded machine). Ruled out: refusing at the entry; the entry only passes the request on.

--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -22,7 +22,7 @@
 use crate::metric::{Outcome, Request};
 use crate::route::{Router, parse};
 use crate::trace::{self, Hop};
-use crate::{admission, answer, body, front, log, metric, stop};
+use crate::{admission, answer, body, front, log, metric};
 
 /// When a caller should try again while the instance has too much to do.
 const OVERLOAD_RETRY_MS: u64 = 1_000;
@@ -37,7 +37,6 @@
     pub(crate) metrics: metric::Handle,
     pub(crate) log: log::Handle,
     pub(crate) slots: Arc<Semaphore>,
-    pub(crate) stop: stop::Signal,
 }
 
 /// A program named in the path.
@@ -82,9 +81,6 @@
     let account = api.keys.account(state)?;
     api.admission.request(&account)?;
     let _slot = api.slot()?;
-    if api.stop.is_stopping() {
-        return Err(Error::new(Kind::NotReady, "the instance is stopping"));
-    }
     let create: Create = body::json(state, api.body_bytes).await?;
     api.create(&account, create).await
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,22 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use basilramp_platform::{list, table};
 use eyre::{Result, WrapErr};
 use quinn::{Endpoint, VarInt};
-use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
-use crate::auth::Keys;
 use crate::front::Listener;
 use crate::log::{Event, event};
-use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    admission, caller_api, clock, config, grant, home, log, membership, metric, observe,
-    operator_api, order, ownership, peer, peer_server, peer_tls, program, stop, sweep, trace,
-    upstream,
+    caller_api, log, membership, metric, operator_api, parts, peer, peer_server, peer_tls, stop,
+    trace,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -112,152 +107,40 @@
             endpoint,
             peers,
         } = self.stage;
-        let clock = clock::Source::open();
-        let table = open_table(&self.settings);
         let bound = endpoint.local_addr()?;
-        let address = self.settings.listen.peers_advertised.unwrap_or(bound);
-        let (membership, commit, changes) =
-            membership::join(&table, &self.settings, address, clock).await;
-        let config = config::spawn(&table, commit.clone(), &self.settings).await;
-        let list = list::Client::open(self.settings.platform.list);
-        let poll_ms = self.settings.timing.upstream_poll_ms;
-        let upstreams = upstream::spawn(list, poll_ms, self.log.clone());
-        let homes = home::spawn(
-            upstreams.clone(),
-            membership.clone(),
-            poll_ms,
-            clock,
-            self.log.clone(),
-        );
-        let grants = grant::open(
-            homes.clone(),
-            upstreams.clone(),
-            membership.clone(),
-            config.clone(),
-            peers.clone(),
-            clock,
-            self.settings.policy.cache_weight,
-        );
-        let admission = admission::spawn(
-            grants.clone(),
-            config.clone(),
-            membership.clone(),
-            peers.clone(),
-            clock,
-        );
-        order::spawn(order::Parts {
-            homes: homes.clone(),
-            upstreams: upstreams.clone(),
-            grants: grants.clone(),
-            members: membership.clone(),
-            config: config.clone(),
-            commit: commit.clone(),
-            table: table.clone(),
-            clock,
-            log: self.log.clone(),
-        });
-        let programs = program::spawn(program::Parts {
-            table: table.clone(),
-            commit: commit.clone(),
-            membership: membership.clone(),
-            config: config.clone(),
-            grants,
-            admission: admission.clone(),
-            homes: homes.clone(),
-            peers: peers.clone(),
-            clock,
-            log: self.log.clone(),
-            timing: self.settings.timing.clone(),
-            limits: self.settings.limits.clone(),
-        });
-        admission.follow(programs.clone());
-        sweep::spawn(sweep::Sweep {
-            homes: homes.clone(),
-            programs: programs.clone(),
-            members: membership.clone(),
-            peers: peers.clone(),
-            log: self.log.clone(),
-        });
-        self.metrics.watch(metric::Watched {
-            commit: commit.clone(),
-            membership: membership.clone(),
-            config: config.clone(),
-            table,
-            programs: programs.clone(),
-            homes: homes.clone(),
-        });
-        tokio::spawn(observe::run(observe::Parts {
-            commit: commit.clone(),
-            membership: membership.clone(),
-            config: config.clone(),
-            upstreams: upstreams.clone(),
-            log: self.log.clone(),
-        }));
-        tokio::spawn(ownership::follow(
-            changes,
-            programs.clone(),
-            peers.clone(),
-            self.log.clone(),
-        ));
-        let local = Local {
-            programs,
-            homes,
-            config: config.clone(),
-            membership: membership.clone(),
-            admission: admission.clone(),
-        };
-        let router = Router {
-            local: local.clone(),
-            membership: membership.clone(),
+        let started = parts::start(parts::Frame {
+            settings: &self.settings,
+            address: self.settings.listen.peers_advertised.unwrap_or(bound),
             peers,
             metrics: self.metrics.clone(),
-        };
-        let serving = peer_server::serve(endpoint.clone(), local, self.tasks.clone());
-        tokio::spawn(serving);
-        let api = caller_api::Api {
-            router: router.clone(),
-            keys: Keys::open(config.clone()),
-            admission,
-            body_bytes: self.settings.limits.body_bytes,
-            metrics: self.metrics.clone(),
             log: self.log.clone(),
-            slots: Arc::new(Semaphore::new(self.settings.limits.requests)),
             stop: self.stop.clone(),
-        };
-        let serving = callers.serve(caller_api::paths(), Arc::new(api), self.stop.clone());
+        });
+        let parts = started.await;
+        let local = parts.router.local.clone();
+        let serving = peer_server::serve(endpoint.clone(), local, self.tasks.clone());
+        tokio::spawn(serving);
+        let api = Arc::new(parts.caller_api(&self.settings));
+        let serving = callers.serve(caller_api::paths(), api, self.stop.clone());
         self.tasks.spawn(serving);
-        let api = operator_api::Api {
-            router,
-            config,
-            metrics: self.metrics.clone(),
-            log: self.log.clone(),
-            membership: membership.clone(),
-            operators: self.settings.operators.clone(),
-            body_bytes: self.settings.limits.body_bytes,
-            stop: self.stop.clone(),
-        };
-        let serving = operators.serve(operator_api::paths(), Arc::new(api), self.stop.clone());
+        let api = Arc::new(parts.operator_api(&self.settings));
+        let serving = operators.serve(operator_api::paths(), api, self.stop.clone());
         self.tasks.spawn(serving);
         Ok(Node {
             settings: self.settings,
             log: self.log,
-            metrics: self.metrics,
             traces: self.traces,
+            metrics: self.metrics,
             stop: self.stop,
             tasks: self.tasks,
             stage: Joined {
                 endpoint,
-                membership,
+                membership: parts.router.membership,
             },
         })
     }
 }
 
-fn open_table(settings: &Settings) -> table::Client {
-    let platform = &settings.platform;
-    table::Client::open(platform.table, platform.table_name.as_str())
-}
-
 impl Node<Joined> {
     async fn run_until_stopped(self) -> Result<()> {
         event!(self.log, Event::Ready);
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -18,7 +18,7 @@
 use crate::log::{Event as LogEvent, event};
 use crate::route::{Router, parse};
 use crate::settings::Operator;
-use crate::{answer, auth, body, config, front, log, membership, metric, stop};
+use crate::{answer, auth, body, config, front, inventory, log, membership, metric, stop};
 
 /// What the operators' paths work with.
 #[derive(Debug)]
@@ -28,6 +28,7 @@
     pub(crate) metrics: metric::Handle,
     pub(crate) log: log::Handle,
     pub(crate) membership: membership::Handle,
+    pub(crate) inventory: inventory::Handle,
     pub(crate) operators: Vec<Operator>,
     pub(crate) body_bytes: usize,
     pub(crate) stop: stop::Signal,
@@ -146,9 +147,12 @@
 
 async fn show_upstreams(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
-    let result = api.operator(&state).map(|_| Upstreams {
-        upstreams: Vec::new(),
-    });
+    let result = match api.operator(&state) {
+        Ok(_) => Ok(Upstreams {
+            upstreams: api.inventory.upstreams().await,
+        }),
+        Err(error) => Err(error),
+    };
     Ok((state, answer::result(result)))
 }
 
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::membership::{self, Peer};
 use crate::trace::{self, Hop};
-use crate::{admission, config, home, metric, peer, program};
+use crate::{admission, config, home, metric, peer, program, stop};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -32,6 +32,7 @@
     pub(crate) homes: home::Handle,
     pub(crate) config: config::Handle,
     pub(crate) membership: membership::Handle,
+    pub(crate) stop: stop::Signal,
     pub(crate) admission: admission::Handle,
 }
 
@@ -47,10 +48,20 @@
         self.programs.call(&account, program, call, events).await;
     }
 
+    /// A stopping instance takes no new programs: the entry instance waits for the next owner.
+    fn takes_programs(&self) -> Result<(), Error> {
+        if self.stop.is_stopping() {
+            let message = "the owner is stopping";
+            return Err(Error::new(Kind::OwnerUnavailable, message));
+        }
+        Ok(())
+    }
+
     /// Runs any other request.
     pub(crate) async fn answer(&self, body: Body) -> Result<Reply, Error> {
         match body {
             Body::Create { account, create } => {
+                self.takes_programs()?;
                 let account = id::Account::new(account);
                 self.programs
                     .create(&account, create)
