--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -4,6 +4,7 @@
 //! [`inherit`], and ends once the last future within it does.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use basilramp_wire::error;
 use eyre::{Result, WrapErr};
@@ -14,7 +15,9 @@
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::propagation::TraceContextPropagator;
-use opentelemetry_sdk::trace::{Sampler, SdkTracerProvider, SpanData};
+use opentelemetry_sdk::trace::{
+    BatchConfigBuilder, BatchSpanProcessor, Sampler, SdkTracerProvider, SpanData,
+};
 use tokio::runtime;
 use tokio_util::context::TokioContext;
 
@@ -24,6 +27,9 @@
 /// The header that carries the trace context over HTTP.
 pub(crate) const HEADER: &str = "traceparent";
 
+/// The longest that a span waits for others to be exported with.
+const EXPORT_DELAY_MS: u64 = 1_000;
+
 /// A hop on a request's way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hop {
@@ -94,7 +100,7 @@
             let sampler = Sampler::TraceIdRatioBased(traces.sample_ratio);
             builder
                 .with_sampler(Sampler::ParentBased(Box::new(sampler)))
-                .with_batch_exporter(Exporter::open(address, log.clone())?)
+                .with_span_processor(batches(Exporter::open(address, log.clone())?))
         }
     };
     let provider = builder.build();
@@ -102,6 +108,16 @@
     Ok(Handle { provider })
 }
 
+/// Gathers spans and exports them together.
+fn batches(exporter: Exporter) -> BatchSpanProcessor {
+    let config = BatchConfigBuilder::default()
+        .with_scheduled_delay(Duration::from_millis(EXPORT_DELAY_MS))
+        .build();
+    BatchSpanProcessor::builder(exporter)
+        .with_batch_config(config)
+        .build()
+}
+
 impl Handle {
     /// Exports what is left, and ends. Blocks, for at most some seconds.
     pub(crate) fn close(&self) -> OTelSdkResult {
