--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -22,7 +22,7 @@
 use crate::metric::{Outcome, Request};
 use crate::route::{Router, parse};
 use crate::trace::{self, Hop};
-use crate::{answer, body, front, log, metric, stop};
+use crate::{admission, answer, body, front, log, metric, stop};
 
 /// When a caller should try again while the instance has too much to do.
 const OVERLOAD_RETRY_MS: u64 = 1_000;
@@ -32,6 +32,7 @@
 pub(crate) struct Api {
     pub(crate) router: Router,
     pub(crate) keys: Keys,
+    pub(crate) admission: admission::Handle,
     pub(crate) body_bytes: usize,
     pub(crate) metrics: metric::Handle,
     pub(crate) log: log::Handle,
@@ -79,6 +80,7 @@
 
 async fn run_create(api: &Api, state: &mut State) -> Result<Program, Error> {
     let account = api.keys.account(state)?;
+    api.admission.request(&account)?;
     let _slot = api.slot()?;
     if api.stop.is_stopping() {
         return Err(Error::new(Kind::NotReady, "the instance is stopping"));
@@ -112,6 +114,7 @@
     let named = program(&state);
     let work = async {
         let account = sender?;
+        api.admission.request(&account)?;
         let program = named?;
         let _slot = api.slot()?;
         let body = ask(account.to_string(), program.to_string());
@@ -143,6 +146,7 @@
     state: &mut State,
 ) -> Result<(Receiver<Event>, OwnedSemaphorePermit), Error> {
     let account = api.keys.account(state)?;
+    api.admission.request(&account)?;
     let slot = api.slot()?;
     let program = program(state)?;
     let call: Call = body::json(state, api.body_bytes).await?;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)] // Until the parts are wired together.
 
+mod admission;
 mod answer;
 mod auth;
 mod body;
@@ -25,6 +26,7 @@
 mod node;
 mod observe;
 mod operator_api;
+mod order;
 mod ownership;
 mod peer;
 mod peer_server;
@@ -37,6 +39,7 @@
 mod settings;
 mod stop;
 mod suspect;
+mod sweep;
 mod trace;
 mod upstream;
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,8 +16,9 @@
 use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    caller_api, clock, config, grant, home, log, membership, metric, observe, operator_api,
-    ownership, peer, peer_server, peer_tls, program, stop, trace, upstream,
+    admission, caller_api, clock, config, grant, home, log, membership, metric, observe,
+    operator_api, order, ownership, peer, peer_server, peer_tls, program, stop, sweep, trace,
+    upstream,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -113,7 +114,8 @@
         } = self.stage;
         let clock = clock::Source::open();
         let table = open_table(&self.settings);
-        let address = endpoint.local_addr()?;
+        let bound = endpoint.local_addr()?;
+        let address = self.settings.listen.peers_advertised.unwrap_or(bound);
         let (membership, commit, changes) =
             membership::join(&table, &self.settings, address, clock).await;
         let config = config::spawn(&table, commit.clone(), &self.settings).await;
@@ -136,12 +138,31 @@
             clock,
             self.settings.policy.cache_weight,
         );
+        let admission = admission::spawn(
+            grants.clone(),
+            config.clone(),
+            membership.clone(),
+            peers.clone(),
+            clock,
+        );
+        order::spawn(order::Parts {
+            homes: homes.clone(),
+            upstreams: upstreams.clone(),
+            grants: grants.clone(),
+            members: membership.clone(),
+            config: config.clone(),
+            commit: commit.clone(),
+            table: table.clone(),
+            clock,
+            log: self.log.clone(),
+        });
         let programs = program::spawn(program::Parts {
             table: table.clone(),
             commit: commit.clone(),
             membership: membership.clone(),
             config: config.clone(),
             grants,
+            admission: admission.clone(),
             homes: homes.clone(),
             peers: peers.clone(),
             clock,
@@ -149,6 +170,14 @@
             timing: self.settings.timing.clone(),
             limits: self.settings.limits.clone(),
         });
+        admission.follow(programs.clone());
+        sweep::spawn(sweep::Sweep {
+            homes: homes.clone(),
+            programs: programs.clone(),
+            members: membership.clone(),
+            peers: peers.clone(),
+            log: self.log.clone(),
+        });
         self.metrics.watch(metric::Watched {
             commit: commit.clone(),
             membership: membership.clone(),
@@ -175,6 +204,7 @@
             homes,
             config: config.clone(),
             membership: membership.clone(),
+            admission: admission.clone(),
         };
         let router = Router {
             local: local.clone(),
@@ -187,6 +217,7 @@
         let api = caller_api::Api {
             router: router.clone(),
             keys: Keys::open(config.clone()),
+            admission,
             body_bytes: self.settings.limits.body_bytes,
             metrics: self.metrics.clone(),
             log: self.log.clone(),
