--- /dev/null
+++ b/crates/daemon/tests/docs.rs
@@ -0,0 +1,114 @@
+//! Holds the pages equal to the code.
+
+use basilramp_wire::error::{Kind, Ran};
+
+const OPERATIONS: &str = include_str!("../../../docs/OPERATIONS.md");
+const API: &str = include_str!("../../../docs/API.md");
+const README: &str = include_str!("../../../README.md");
+const EXAMPLE: &str = include_str!("../../../examples/settings.jsonc");
+const OPERATOR_API: &str = include_str!("../src/operator_api.rs");
+const CALLER_API: &str = include_str!("../src/caller_api.rs");
+
+/// Returns the cells of the table rows that begin with a text in code style.
+fn rows<'a>(page: &'a str, heading: &str) -> Vec<Vec<&'a str>> {
+    let (_, part) = page.split_once(heading).expect("the heading");
+    let part = part.split("\n## ").next().unwrap_or(part);
+    let lines = part.lines().filter(|line| line.starts_with("| `"));
+    lines
+        .map(|line| line.trim_matches('|').split('|').map(str::trim).collect())
+        .collect()
+}
+
+#[test]
+fn every_error_kind_is_explained() {
+    let code: Vec<_> = Kind::ALL
+        .iter()
+        .map(|kind| {
+            let ran = match kind.ran() {
+                Ran::No => "no",
+                Ran::Yes => "yes",
+                Ran::Unknown => "unknown",
+            };
+            let (code, status) = (kind.code(), kind.status());
+            [format!("`{code}`"), status.to_string(), ran.to_owned()]
+        })
+        .collect();
+    let page: Vec<_> = rows(OPERATIONS, "\n## Error kinds")
+        .iter()
+        .map(|row| {
+            assert!(!row[3].is_empty(), "nothing to do for {}", row[0]);
+            [row[0], row[1], row[2]].map(str::to_owned)
+        })
+        .collect();
+    assert_eq!(page, code);
+}
+
+#[test]
+fn every_setting_of_the_example_is_explained() {
+    let mut section = String::new();
+    for line in EXAMPLE.lines() {
+        let line = line.trim();
+        let Some((name, value)) = line
+            .strip_prefix('"')
+            .and_then(|line| line.split_once("\":"))
+        else {
+            continue;
+        };
+        let setting = match value.trim() {
+            "{" => {
+                section = name.to_owned();
+                continue;
+            }
+            "[" => {
+                section = format!("{name}[]");
+                continue;
+            }
+            inline if inline.starts_with('{') => {
+                let (inner, _) = inline[1..]
+                    .trim()
+                    .trim_start_matches('"')
+                    .split_once('"')
+                    .unwrap();
+                format!("`{name}.{inner}`")
+            }
+            _ => format!("`{section}.{name}`"),
+        };
+        let table = rows(OPERATIONS, "\n## Settings");
+        let is_explained = table.iter().any(|row| row[0].contains(&setting));
+        assert!(is_explained, "{setting} is not explained");
+    }
+}
+
+#[test]
+fn the_paths_of_the_page_are_those_that_are_served() {
+    for (source, heading) in [
+        (CALLER_API, "\n## Callers"),
+        (OPERATOR_API, "\n## Operators"),
+    ] {
+        let code = source.split_whitespace().collect::<String>();
+        for row in rows(API, heading)
+            .iter()
+            .filter(|row| row[0].contains(" /"))
+        {
+            let asked = row[0].trim_matches('`');
+            let (method, path) = asked.split_once(' ').unwrap();
+            let path = path.split('?').next().unwrap().replace("{id}", ":id");
+            let route = format!(".{}(\"{path}\")", method.to_lowercase());
+            assert!(code.contains(&route), "{asked} is not served");
+        }
+        let served = source.matches("\"/").count();
+        let listed = rows(API, heading);
+        let listed = listed.iter().filter(|row| row[0].contains(" /"));
+        assert_eq!(listed.count(), served, "paths of {heading}");
+    }
+}
+
+#[test]
+fn readme_gives_both_commands() {
+    for command in [
+        "cargo run --release --example demo -p basilramp-fakes",
+        "cargo test --locked --workspace",
+    ] {
+        assert!(README.contains(command), "{command}");
+    }
+}
