--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -1,6 +1,8 @@
 //! Holds the event list and its catalogue equal.
 
 use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
 
 use basilramp_daemon::Event;
 
@@ -55,3 +57,36 @@
     assert_eq!(unique.len(), codes.len());
     assert!(codes.is_sorted());
 }
+
+/// Returns the text of all source files but the list of events itself.
+fn sources(directory: &Path) -> String {
+    let mut text = String::new();
+    for entry in fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            text.push_str(&sources(&path));
+        } else if !path.ends_with("log_event.rs") {
+            text.push_str(&fs::read_to_string(&path).unwrap());
+        }
+    }
+    text
+}
+
+#[test]
+fn every_event_is_logged_somewhere() {
+    let text = sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"));
+    let words: BTreeSet<&str> = text
+        .split(|c: char| !c.is_alphanumeric() && c != ':')
+        .collect();
+    let is_logged = |event: &&Event| {
+        let name = event.name();
+        words
+            .iter()
+            .any(|word| word.ends_with(&format!("Event::{name}")))
+    };
+    let unused: Vec<_> = Event::ALL
+        .iter()
+        .filter(|event| !is_logged(event))
+        .collect();
+    assert!(unused.is_empty(), "nothing logs {unused:?}");
+}
