--- a/crates/fakes/examples/demo/course.rs
+++ b/crates/fakes/examples/demo/course.rs
@@ -163,6 +163,8 @@
     stage: Arc<Stage>,
     start: Instant,
     last: Instant,
+    /// Why the present call was sent again last, to say so once.
+    said: Option<Failure>,
 }
 
 impl Course {
@@ -201,6 +203,7 @@
             longest_gap_ms: 0,
             start: Instant::now(),
             last: Instant::now(),
+            said: None,
             stage,
         })
     }
@@ -250,6 +253,7 @@
             .longest_gap_ms
             .max(self.last.elapsed().as_millis() as u64);
         self.last = Instant::now();
+        self.said = None;
         self.calls += 1;
         self.usage.prompt += last.usage.prompt;
         self.usage.cached += last.usage.cached;
@@ -262,7 +266,7 @@
     }
 
     /// Says why a call is sent again; has it settled first if it is in doubt.
-    async fn again(&self, id: &str, position: u32, failure: &Failure) {
+    async fn again(&mut self, id: &str, position: u32, failure: &Failure) {
         let ran = match failure {
             Failure::Refused(error) => error.ran,
             Failure::Unreached => Ran::No,
--- a/crates/fakes/examples/demo/main.rs
+++ b/crates/fakes/examples/demo/main.rs
@@ -32,7 +32,7 @@
 const PROGRAMS: usize = 4;
 
 /// Milliseconds from the programs' start until an instance is killed.
-const KILL_AFTER_MS: u64 = 1_500;
+const KILL_AFTER_MS: u64 = 400;
 
 /// Time between the starts of two programs, in milliseconds.
 const START_PAUSE_MS: u64 = 150;
@@ -84,6 +84,7 @@
 async fn show() -> Result<bool> {
     println!("starting {INSTANCES} instances, 4 engines, a registry and a storefront");
     let mut cluster = Cluster::start(deployment()?).await?;
+    story::first_call(Arc::new(Stage::open(&cluster))).await?;
     let stage = Arc::new(Stage::open(&cluster));
     let mut programs = JoinSet::new();
     for number in 0..PROGRAMS {
--- a/crates/fakes/examples/demo/story.rs
+++ b/crates/fakes/examples/demo/story.rs
@@ -16,7 +16,10 @@
 pub(crate) const PAY_PATH: &str = "/store/payment";
 
 /// Tokens of each program's budget.
-const TOKENS: u64 = 20_000;
+const TOKENS: u64 = 60_000;
+
+/// Lines of the papers that programs begin with.
+const LINES: usize = 40;
 
 /// Returns the plain service behind a configured one, and the path of its calls.
 pub(crate) fn tool<'a>(stage: &'a Stage, service: &str) -> (&'a Service, &'static str) {
@@ -29,16 +32,34 @@
     }
 }
 
+/// Returns a paper of many lines.
+fn paper(name: &str, line: &str) -> String {
+    let lines = (1..=LINES).map(|number| format!("{name} {number}: {line}\n"));
+    lines.collect()
+}
+
+/// Makes one call, which waits until the engines' homes know what runs there.
+pub(crate) async fn first_call(stage: Arc<Stage>) -> Result<()> {
+    let budget = Some(caller::budget(TOKENS));
+    let name = "first".to_owned();
+    let mut course = Course::start(stage, 0, name, budget, None).await?;
+    course
+        .call(name::MODEL, "Is anybody there?".to_owned())
+        .await?;
+    let course = course.close().await?;
+    course.end().await?;
+    Ok(())
+}
+
 /// Registers a warranty: reads paperwork, looks the product up, registers once, confirms.
 pub(crate) async fn trust(stage: Arc<Stage>, number: usize) -> Result<Course> {
     let name = format!("trust-{number}");
     let budget = Some(caller::budget(TOKENS));
     let mut course = Course::start(stage, 0, name.clone(), budget, None).await?;
-    let paper = format!(
-        "Read this installation sheet and name product, installer and date. Sheet {name}: \
-         silicone sealant, 240 m of roof seam at a school in Waco, two coats, cured 72 h."
-    );
-    let facts = course.call(name::MODEL, paper).await?;
+    let line = "silicone sealant, 240 m of roof seam at a school in Waco, two coats, cured 72 h";
+    let sheet = paper(&name, line);
+    let ask = format!("Read this installation sheet and name product, installer and date. {sheet}");
+    let facts = course.call(name::MODEL, ask).await?;
     let found = course
         .call(name::LOOKUP, format!("{name}: {facts}"))
         .await?;
@@ -58,11 +79,10 @@
     let name = format!("atlas-{number}");
     let budget = Some(caller::budget(TOKENS));
     let mut course = Course::start(Arc::clone(&stage), 1, name.clone(), budget, None).await?;
-    let question = format!(
-        "You advise owners of gemstone tumblers. Shop {name} asks: which grits, in which order \
-         and for how many days, for 3 kg of agate in a rotary barrel?"
-    );
-    course.call(name::MODEL, question).await?;
+    let line = "silicon carbide 60/90 in bags of 5 kg, for rotary barrels, seven days with agate";
+    let catalogue = paper(&name, line);
+    let ask = format!("Which grits, for how long, for 3 kg of agate in a barrel? {catalogue}");
+    course.call(name::MODEL, ask).await?;
     let child = format!("{name}-sub");
     let mut sub = Course::start(stage, 1, child, None, Some(&course.program)).await?;
     let compare = format!("Compare silicon carbide and alumina for {name}.");
