--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)] // Until the parts are wired together.
 
+mod admission;
 mod answer;
 mod auth;
 mod body;
@@ -20,9 +21,12 @@
 mod log;
 mod log_event;
 pub mod membership;
+mod meter;
 mod metric;
 mod node;
+mod observe;
 mod operator_api;
+mod order;
 mod ownership;
 mod peer;
 mod peer_server;
@@ -35,6 +39,7 @@
 mod settings;
 mod stop;
 mod suspect;
+mod sweep;
 mod trace;
 mod upstream;
 
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::membership::{self, Peer};
 use crate::trace::{self, Hop};
-use crate::{config, home, peer, program};
+use crate::{admission, config, home, metric, peer, program};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -32,6 +32,7 @@
     pub(crate) homes: home::Handle,
     pub(crate) config: config::Handle,
     pub(crate) membership: membership::Handle,
+    pub(crate) admission: admission::Handle,
 }
 
 impl Local {
@@ -93,6 +94,24 @@
                 self.homes.release(&upstream, &program);
                 Ok(Reply::Done)
             }
+            Body::Admit { account, program } => {
+                let program = parse(&program)?;
+                let account = id::Account::new(account);
+                self.admission
+                    .count(&account, program)
+                    .map(|()| Reply::Done)
+            }
+            Body::Programs { instance, accounts } => {
+                self.admission.note(&instance, accounts);
+                Ok(Reply::Done)
+            }
+            Body::Ended { programs } => {
+                let programs = programs.iter().filter_map(|program| program.parse().ok());
+                let ended = self.programs.ended(programs.collect()).await;
+                Ok(Reply::Ended(
+                    ended.iter().map(id::Program::to_string).collect(),
+                ))
+            }
             Body::Config(head) => {
                 self.config.hint(head.version);
                 Ok(Reply::Done)
@@ -112,6 +131,7 @@
     pub(crate) local: Local,
     pub(crate) membership: membership::Handle,
     pub(crate) peers: peer::Client,
+    pub(crate) metrics: metric::Handle,
 }
 
 impl Router {
@@ -139,6 +159,7 @@
         if owner.id == self.membership.own() {
             return trace::span(Hop::Owner, self.local.answer(body)).await;
         }
+        self.metrics.forward();
         trace::span(Hop::Forward, self.peers.ask(&owner, body)).await
     }
 
@@ -229,6 +250,7 @@
             program: program.to_string(),
             call: call.clone(),
         };
+        self.metrics.forward();
         let replies = trace::span(Hop::Forward, self.peers.stream(&owner, body)).await?;
         Ok(events_of(replies))
     }
