Measure the slopes of an instance's costs by one command

Cause: docs/CAPACITY.md asks for slopes from at least four sizes each, with the fit and its error, by one command. Ruled out: in-process members, which share one process's memory and time. Change: examples/capacity (fakes), with real processes; the platform stand-in counts the bytes it moves; a process tells its id.

--- /dev/null
+++ b/crates/fakes/examples/capacity/bench.rs
@@ -0,0 +1,180 @@
+//! A deployment that is measured.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use basilramp_fakes::cluster::{ACCOUNTS, Cluster, Options, key, limit, name, set};
+use basilramp_fakes::platform::Counters;
+use basilramp_fakes::{Launcher, caller, engine};
+use eyre::{Result, eyre};
+use tokio::task::JoinSet;
+
+use crate::{INSTANCE, usage};
+
+/// Requests a second, and programs, that the measured account may have.
+const UNLIMITED: u32 = 1_000_000;
+
+/// Calls under way at once.
+const WORKERS: usize = 16;
+
+/// Store operations a second that the stand-in allows, far over what is measured.
+const STORE_RATE: u32 = 100_000;
+
+/// A running deployment.
+pub(crate) struct Bench {
+    pub(crate) cluster: Cluster,
+}
+
+/// What has been used at one moment.
+#[derive(Clone, Debug)]
+pub(crate) struct Sample {
+    /// Processor time of each instance, in milliseconds.
+    pub(crate) cpu_ms: Vec<f64>,
+    /// Operations at the store.
+    pub(crate) store: Counters,
+}
+
+impl Sample {
+    /// Returns the processor time that all instances used since `before`, in milliseconds.
+    pub(crate) fn cpu_since(&self, before: &Self) -> f64 {
+        let after: f64 = self.cpu_ms.iter().sum();
+        let before: f64 = before.cpu_ms.iter().sum();
+        after - before
+    }
+
+    /// Returns the reads since `before`.
+    pub(crate) fn reads_since(&self, before: &Self) -> f64 {
+        let reads = |store: &Counters| (store.gets + store.queries) as f64;
+        reads(&self.store) - reads(&before.store)
+    }
+
+    /// Returns the writes since `before`.
+    pub(crate) fn writes_since(&self, before: &Self) -> f64 {
+        let writes = |store: &Counters| (store.transactions + store.refused) as f64;
+        writes(&self.store) - writes(&before.store)
+    }
+}
+
+impl Bench {
+    /// Starts a deployment without limits on accounts and store.
+    pub(crate) async fn start(instances: usize) -> Result<Self> {
+        let launcher = Launcher {
+            program: std::env::current_exe()?,
+            arguments: vec![INSTANCE.into()],
+        };
+        let mut options = Options::new(launcher, instances);
+        options.engines = vec![engine::Options {
+            slots: 64,
+            speed: 1_000.0,
+            ..engine::Options::default()
+        }];
+        let limits = ACCOUNTS.map(|name| set(name, limit(&key(name), UNLIMITED, UNLIMITED)));
+        options.edits = limits.to_vec();
+        options.settings = serde_json::json!({
+            "store": {"writes_per_s": 100_000, "reads_per_s": 100_000},
+        });
+        let cluster = Cluster::start(options).await?;
+        cluster.platform.rates(STORE_RATE, STORE_RATE);
+        Ok(Self { cluster })
+    }
+
+    /// Returns the process of an instance that runs.
+    pub(crate) fn process(&self, index: usize) -> Result<u32> {
+        let process = self.cluster.instances[index].process.as_ref();
+        let process = process.ok_or_else(|| eyre!("instance {index} does not run"))?;
+        Ok(process.id())
+    }
+
+    /// Returns where callers reach an instance.
+    pub(crate) fn callers(&self, index: usize) -> Result<SocketAddr> {
+        let address = self.cluster.callers(index);
+        address.ok_or_else(|| eyre!("instance {index} does not run"))
+    }
+
+    /// Looks at what has been used so far.
+    pub(crate) fn sample(&self) -> Result<Sample> {
+        let running = self
+            .cluster
+            .instances
+            .iter()
+            .filter_map(|one| one.process.as_ref());
+        let cpu_ms: Result<Vec<f64>> = running.map(|process| usage::cpu_ms(process.id())).collect();
+        Ok(Sample {
+            cpu_ms: cpu_ms?,
+            store: self.cluster.platform.counters(),
+        })
+    }
+
+    /// Waits until each partition has a live owner.
+    pub(crate) async fn settle(&self, quiet_ms: u64) {
+        tokio::time::sleep(Duration::from_millis(quiet_ms)).await;
+    }
+
+    /// Creates programs `from..to`, each with one model turn of `prompt` bytes; returns their ids.
+    pub(crate) async fn add_programs(
+        &self,
+        numbers: std::ops::Range<usize>,
+        prompt: usize,
+    ) -> Result<Vec<String>> {
+        let at = self.callers(0)?;
+        let mut workers = JoinSet::new();
+        for worker in 0..WORKERS {
+            let trust = self.cluster.caller(0);
+            let mine: Vec<usize> = numbers
+                .clone()
+                .filter(|number| number % WORKERS == worker)
+                .collect();
+            workers.spawn(async move {
+                let mut ids = Vec::new();
+                for number in mine {
+                    let mut budget = caller::budget(10_000_000);
+                    budget.turns = 1_000;
+                    let request = format!("program-{number}");
+                    let program = trust.create_root(at, &request, budget).await?;
+                    let input = "x".repeat(prompt);
+                    let mut call = caller::call("first", 0, name::LOOKUP, &input);
+                    call.max_tokens = 8;
+                    trust.call(at, &program.id, &call).await.result?;
+                    ids.push(program.id);
+                }
+                Ok::<_, caller::Failure>(ids)
+            });
+        }
+        let mut ids = Vec::new();
+        while let Some(worker) = workers.join_next().await {
+            let added = worker?.map_err(|failure| eyre!("a program failed: {failure:?}"))?;
+            ids.extend(added);
+        }
+        Ok(ids)
+    }
+
+    /// Runs `count` more turns, spread over programs, at one entry instance.
+    pub(crate) async fn run_calls(
+        &self,
+        entry: usize,
+        programs: &[String],
+        positions: std::ops::Range<u32>,
+    ) -> Result<()> {
+        let at = self.callers(entry)?;
+        let mut workers = JoinSet::new();
+        for share in programs.chunks(programs.len().div_ceil(WORKERS)) {
+            let trust = self.cluster.caller(0);
+            let share = share.to_vec();
+            let positions = positions.clone();
+            workers.spawn(async move {
+                for position in positions {
+                    for program in &share {
+                        let request = format!("c{position}");
+                        let call = caller::call(&request, position, name::LOOKUP, "roof 17");
+                        trust.call(at, program, &call).await.result?;
+                    }
+                }
+                Ok::<_, caller::Failure>(())
+            });
+        }
+        while let Some(worker) = workers.join_next().await {
+            worker?.map_err(|failure| eyre!("a call failed: {failure:?}"))?;
+        }
+        Ok(())
+    }
+}
--- a/crates/fakes/src/launcher.rs
+++ b/crates/fakes/src/launcher.rs
@@ -152,6 +152,12 @@
         self.addresses
     }
 
+    /// Returns its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the lines it has printed.
     #[must_use]
     pub fn output(&self) -> Vec<String> {
--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -52,6 +52,8 @@
     pub lost_answers: u64,
     /// Writes whose effect came after their connection was closed.
     pub delayed: u64,
+    /// Bytes of request and answer bodies.
+    pub bytes: u64,
 }
 
 /// Faults to apply.
--- a/crates/fakes/src/platform/table.rs
+++ b/crates/fakes/src/platform/table.rs
@@ -10,7 +10,9 @@
     THROTTLED, TOKEN_MISMATCH, TRANSACT, Transact, TransactItem, VERSION_IS,
 };
 use bytes::Bytes;
+use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
@@ -27,21 +29,31 @@
     store.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Answers a request to the table service or the object store.
+/// Answers a request to the table service or the object store, and counts its bytes.
 pub(super) async fn handle(store: Shared, request: Request<Incoming>) -> Answer {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Closed)?.to_bytes();
-    let slow_ms = lock(&store).faults.slow_ms;
+    let asked = body.len() as u64;
+    let answer = answer(&store, &head, body).await;
+    let answered = answer
+        .as_ref()
+        .map_or(0, |answer| answer.body().size_hint().lower());
+    lock(&store).counters.bytes += asked + answered;
+    answer
+}
+
+async fn answer(store: &Shared, head: &Parts, body: Bytes) -> Answer {
+    let slow_ms = lock(store).faults.slow_ms;
     if slow_ms > 0 {
         tokio::time::sleep(Duration::from_millis(slow_ms)).await;
     }
     let target = head.headers.get(TARGET_HEADER);
     match target.and_then(|target| target.to_str().ok()) {
-        Some(GET_ITEM) => Ok(get_item(&mut lock(&store), &body)),
-        Some(QUERY) => Ok(query(&mut lock(&store), &body)),
-        Some(TRANSACT) => transact(&store, &body),
+        Some(GET_ITEM) => Ok(get_item(&mut lock(store), &body)),
+        Some(QUERY) => Ok(query(&mut lock(store), &body)),
+        Some(TRANSACT) => transact(store, &body),
         Some(_) => Ok(fault(INVALID, "unknown operation")),
-        None => object(&store, &head.method, head.uri.path(), body),
+        None => object(store, &head.method, head.uri.path(), body),
     }
 }
 
