--- a/crates/cli/tests/suite/item.rs
+++ b/crates/cli/tests/suite/item.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 
 use crate::operator::Operator;
-use crate::server::{operate, stderr, stdout};
+use crate::server::{Server, operate, stderr, stdout};
 use basilramp_wire::config::Kind;
 use tempfile::NamedTempFile;
 
@@ -151,3 +151,29 @@
         .code(1)
         .stderr("basilramp: there is no version 9; the newest is 3\n");
 }
+
+#[test]
+fn times_are_shown_as_utc() {
+    let times = [
+        (0_u64, "1970-01-01T00:00:00Z"),
+        (951_782_400_000, "2000-02-29T00:00:00Z"),
+        (1_709_164_799_999, "2024-02-28T23:59:59Z"),
+        (4_107_542_399_000, "2100-02-28T23:59:59Z"),
+        (4_107_542_400_000, "2100-03-01T00:00:00Z"),
+    ];
+    let changes = times.iter().enumerate().map(|(index, (at_ms, _))| {
+        let change = serde_json::json!({"base": index, "at_ms": at_ms, "edits": []});
+        serde_json::json!({"version": index + 1, "change": change})
+    });
+    let log = serde_json::json!({"changes": changes.collect::<Vec<_>>()}).to_string();
+    let server = Server::bind(move |asked| match asked.path.as_str() {
+        "/v1/config/log?after=0" => (200, log.clone()),
+        _ => (200, r#"{"changes": []}"#.to_owned()),
+    });
+    let run = operate(&server, &["config", "log"]).success();
+    let shown = stdout(&run);
+    for (line, (_, time)) in shown.lines().skip(1).zip(times) {
+        assert!(line.contains(time), "{line}");
+    }
+    assert_eq!(shown.lines().count(), times.len() + 1);
+}
--- a/crates/cli/tests/suite/sheet.rs
+++ b/crates/cli/tests/suite/sheet.rs
@@ -14,9 +14,9 @@
 reorder,casa-b,00:00,24:00,2,10,,,
 ";
 
-fn file(text: &str) -> NamedTempFile {
+fn file(text: &[u8]) -> NamedTempFile {
     let mut file = NamedTempFile::new().unwrap();
-    file.write_all(text.as_bytes()).unwrap();
+    file.write_all(text).unwrap();
     file
 }
 
@@ -46,14 +46,14 @@
     operator
 }
 
-fn import(server: &Server, sheet: &str, more: &[&str]) -> assert_cmd::assert::Assert {
-    let file = file(sheet);
+fn import(server: &Server, sheet: impl AsRef<[u8]>, more: &[&str]) -> assert_cmd::assert::Assert {
+    let file = file(sheet.as_ref());
     let path = file.path().display().to_string();
     operate(server, &[&["plan", "import", path.as_str()], more].concat())
 }
 
 /// Runs a sheet that has to be refused with nothing changed, and returns its faults.
-fn faults(sheet: &str) -> Vec<String> {
+fn faults(sheet: impl AsRef<[u8]>) -> Vec<String> {
     let operator = operator();
     let server = operator.bind();
     let run = import(&server, sheet, &[]).code(3).stdout("");
@@ -210,3 +210,24 @@
                  as line 2 does";
     assert!(stderr(&run).contains(fault), "{}", stderr(&run));
 }
+
+#[test]
+fn a_sheet_saved_by_a_spreadsheet_is_read() {
+    let operator = operator();
+    let server = operator.bind();
+    let sheet = format!("\u{feff}{}", SHEET.replace('\n', "\r\n"));
+    import(&server, sheet, &[]).success();
+    assert!(
+        operator
+            .names()
+            .contains(&"grit-advice/casa-a/0600".to_owned())
+    );
+}
+
+#[test]
+fn text_that_is_not_utf_8_is_refused_with_its_place() {
+    let mut sheet = SHEET.as_bytes().to_vec();
+    let at = SHEET.find("casa-b").unwrap();
+    sheet[at] = 0xff;
+    assert_eq!(faults(sheet), ["line 4, column 2: is not UTF-8 text"]);
+}
