--- a/crates/daemon/tests/telemetry/main.rs
+++ b/crates/daemon/tests/telemetry/main.rs
@@ -238,6 +238,38 @@
     .await;
 }
 
+const OPERATIONS: &str = include_str!("../../../../docs/OPERATIONS.md");
+
+/// Returns the names that the page lists, without labels.
+fn names_of_the_page() -> BTreeSet<String> {
+    let (_, part) = OPERATIONS.split_once("Metrics at `/metrics`").unwrap();
+    let part = part.split("\n## ").next().unwrap();
+    let rows = part.lines().filter(|line| line.starts_with("| `"));
+    let cells = rows.map(|row| row.trim_matches('|').split('|').next().unwrap());
+    let names = cells.flat_map(|cell| cell.split('`').skip(1).step_by(2));
+    names
+        .map(|name| name.split('{').next().unwrap().to_owned())
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_page_lists_every_metric() {
+    let cluster = start(json!({})).await;
+    call_through_each(&cluster).await;
+    let first = cluster.callers(0).unwrap();
+    let refused = cluster.caller(0).read(first, "p00000000000000ff").await;
+    assert!(refused.is_err());
+    let mut served = BTreeSet::new();
+    for index in 0..INSTANCES {
+        let address = cluster.operators(index).unwrap();
+        let text = send(address, "GET /metrics HTTP/1.1", "").await;
+        let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+        let names = types.map(|line| line.split(' ').next().unwrap());
+        served.extend(names.map(|name| name.trim_start_matches("basilramp_").to_owned()));
+    }
+    assert_eq!(served, names_of_the_page());
+}
+
 fn all_lines(cluster: &Cluster) -> Vec<Value> {
     let processes = cluster.instances.iter();
     let processes = processes.filter_map(|instance| instance.process.as_ref());
