Drop the settings of the object store, which nothing reads

Cause: platform.objects and platform.bucket were required or taken, and never used; they hid behind allow(dead_code) in lib.rs, which is gone too. Ruled out: keeping them for later; an unknown field is a fault, so a later release can add them without a silent change of meaning.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -98,6 +98,7 @@
         .header(header::CONTENT_TYPE, "application/json")
         .header(REQUEST_HEADER, &ask.request)
         .header(HOLDER_HEADER, &ask.holder);
+    trace::set("server.address", ask.address.to_string());
     if let Some(trace) = trace::current() {
         request = request.header(trace::HEADER, trace);
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,8 +3,6 @@
 //! Lock order, first to last: programs, grants, membership, configuration, commit
 //! queue. No lock is held across an await point.
 
-#![allow(dead_code)] // Until the parts are wired together.
-
 mod admission;
 mod answer;
 mod auth;
--- a/crates/daemon/src/program/call.rs
+++ b/crates/daemon/src/program/call.rs
@@ -17,7 +17,7 @@
 use super::shelf::{Entry, TreeKey};
 use super::turn::Place;
 use super::{Shared, end, intent, model, plain, refusal, settle, view};
-use crate::clock;
+use crate::{clock, trace};
 
 /// A call that runs.
 #[derive(Debug)]
@@ -56,6 +56,7 @@
 
     /// Takes the call back and tells the caller why.
     pub(crate) async fn refuse(self, error: Error) {
+        trace::fail(&error);
         self.with(|entry| {
             entry.tree.abandon(self.member);
             end::release_late(&self.shared, entry, self.program);
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -130,6 +130,7 @@
         .header(header::CONTENT_TYPE, "application/json")
         .header(REQUEST_HEADER, &ask.request)
         .header(IDEMPOTENCY_HEADER, &ask.key);
+    trace::set("server.address", ask.address.to_string());
     if let Some(trace) = trace::current() {
         request = request.header(trace::HEADER, trace);
     }
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -110,15 +110,11 @@
 fn platform(mut section: Section<'_>) -> Option<Platform> {
     let table = section.required("table", value::remote_address);
     let table_name = section.or_default("table_name", value::name, Platform::default_name());
-    let objects = section.required("objects", value::remote_address);
-    let bucket = section.or_default("bucket", value::name, Platform::default_name());
     let list = section.required("list", value::remote_address);
     section.finish();
     Some(Platform {
         table: table?,
         table_name,
-        objects: objects?,
-        bucket,
         list: list?,
     })
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -55,16 +55,12 @@
     pub(crate) table: SocketAddr,
     /// The table's name.
     pub(crate) table_name: String,
-    /// The object store.
-    pub(crate) objects: SocketAddr,
-    /// The bucket's name.
-    pub(crate) bucket: String,
     /// The list of endpoints.
     pub(crate) list: SocketAddr,
 }
 
 impl Platform {
-    /// The table's name and the bucket's, unless the settings say otherwise.
+    /// The table's name, unless the settings say otherwise.
     fn default_name() -> String {
         "basilramp".to_owned()
     }
