--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -180,7 +180,6 @@
     let or = Store::default();
     let store = Store {
         writes_per_s: section.or_default("writes_per_s", value::rate, or.writes_per_s),
-        reads_per_s: section.or_default("reads_per_s", value::rate, or.reads_per_s),
     };
     section.finish();
     store
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -127,16 +127,11 @@
 pub(crate) struct Store {
     /// Writes a second that all instances together may send.
     pub(crate) writes_per_s: u32,
-    /// Reads a second that all instances together may send.
-    pub(crate) reads_per_s: u32,
 }
 
 impl Default for Store {
     fn default() -> Self {
-        Self {
-            writes_per_s: 300,
-            reads_per_s: 2_000,
-        }
+        Self { writes_per_s: 300 }
     }
 }
 
