--- /dev/null
+++ b/crates/core/tests/batch.rs
@@ -0,0 +1,52 @@
+//! Properties of batches: no row twice, order kept, bounds kept, nothing starves.
+
+use std::collections::BTreeSet;
+
+use basilramp_core::batch::{Bounds, Entry, assemble};
+use proptest::prelude::*;
+
+fn entries() -> impl Strategy<Value = Vec<Entry<u8>>> {
+    let keys = prop::collection::btree_set(0_u8..12, 1..4);
+    let entry = (keys, 1_usize..50).prop_map(|(keys, bytes)| Entry {
+        keys: keys.into_iter().collect(),
+        bytes,
+    });
+    prop::collection::vec(entry, 0..30)
+}
+
+fn bounds() -> impl Strategy<Value = Bounds> {
+    (1_usize..20, 1_usize..200).prop_map(|(rows, bytes)| Bounds { rows, bytes })
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn batch_touches_no_row_twice_and_keeps_bounds(entries in entries(), bounds in bounds()) {
+        let chosen = assemble(entries.iter().cloned(), bounds);
+        let keys: Vec<u8> = chosen.iter().flat_map(|at| entries[*at].keys.clone()).collect();
+        let distinct: BTreeSet<u8> = keys.iter().copied().collect();
+        prop_assert_eq!(keys.len(), distinct.len());
+        let bytes: usize = chosen.iter().map(|at| entries[*at].bytes).sum();
+        prop_assert!(chosen.len() <= 1 || (keys.len() <= bounds.rows && bytes <= bounds.bytes));
+    }
+
+    #[test]
+    fn no_entry_overtakes_one_with_a_row_in_common(entries in entries(), bounds in bounds()) {
+        let chosen = assemble(entries.iter().cloned(), bounds);
+        for at in &chosen {
+            let earlier = (0..*at).filter(|earlier| !chosen.contains(earlier));
+            for left_out in earlier {
+                let shared = entries[left_out].keys.iter().any(|key| entries[*at].keys.contains(key));
+                prop_assert!(!shared, "{at} overtook {left_out}");
+            }
+        }
+    }
+
+    #[test]
+    fn first_entry_always_goes(entries in entries(), bounds in bounds()) {
+        let chosen = assemble(entries.iter().cloned(), bounds);
+        prop_assert_eq!(chosen.first().copied(), (!entries.is_empty()).then_some(0));
+        prop_assert!(chosen.is_sorted());
+    }
+}
--- /dev/null
+++ b/crates/core/tests/partition.rs
@@ -0,0 +1,50 @@
+//! Properties of rendezvous hashing: few moves, even shares, one order for all.
+
+use std::collections::BTreeSet;
+
+use basilramp_core::id::{self, PARTITIONS, Partition};
+use basilramp_core::partition::{key, rank, wanted};
+use proptest::prelude::*;
+
+fn instances() -> impl Strategy<Value = Vec<id::Instance>> {
+    prop::collection::btree_set("[a-z0-9-]{1,12}", 2..20)
+        .prop_map(|names| names.into_iter().map(id::Instance::new).collect())
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn loss_moves_only_what_the_lost_instance_had(instances in instances(), lost in any::<prop::sample::Index>()) {
+        let lost = lost.get(&instances);
+        let rest: Vec<&id::Instance> = instances.iter().filter(|other| *other != lost).collect();
+        for partition in (0..PARTITIONS).map(Partition) {
+            let before = wanted(&key(partition), &instances).expect("some instance");
+            let after = wanted(&key(partition), rest.iter().copied()).expect("some instance");
+            prop_assert!(before == after || before == lost);
+        }
+    }
+
+    #[test]
+    fn ranks_are_a_permutation_headed_by_the_wanted(instances in instances(), partition in 0..PARTITIONS) {
+        let key = key(Partition(partition));
+        let ranks: BTreeSet<usize> = instances.iter().map(|own| rank(&key, own, &instances)).collect();
+        prop_assert_eq!(ranks, (0..instances.len()).collect());
+        let first = instances.iter().find(|own| rank(&key, own, &instances) == 0);
+        prop_assert_eq!(first, wanted(&key, &instances));
+    }
+}
+
+#[test]
+fn twelve_instances_have_even_shares() {
+    let instances: Vec<id::Instance> = (0..12)
+        .map(|n| id::Instance::new(format!("i{n}")))
+        .collect();
+    for own in &instances {
+        let all = (0..PARTITIONS).map(Partition);
+        let share = all
+            .filter(|at| wanted(&key(*at), &instances) == Some(own))
+            .count();
+        assert!((60..=115).contains(&share), "{own}: {share}");
+    }
+}
