--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -13,7 +13,7 @@
 use basilramp_wire::config::{Change, Head, Kind as ItemKind, Limit, Named, Place, Plan};
 use basilramp_wire::config::{Service, Snapshot, Value};
 use basilramp_wire::error::{Error, Kind};
-use basilramp_wire::operator::Logged;
+use basilramp_wire::operator::{Log, Logged};
 use tokio::sync::{Notify, watch};
 
 use crate::commit::{self, Backoff};
@@ -114,12 +114,14 @@
     /// # Errors
     ///
     /// Fails if the store does not answer.
-    pub async fn log(&self, after: u64) -> Result<Vec<Logged>, Error> {
+    pub async fn log(&self, after: u64) -> Result<Log, Error> {
         let logged = self.store.changes(after).await.map_err(|_| unavailable())?;
         let changes = logged
             .into_iter()
             .map(|(version, change)| Logged { version, change });
-        Ok(changes.collect())
+        Ok(Log {
+            changes: changes.collect(),
+        })
     }
 
     /// Commits a change and returns the new version.
@@ -129,7 +131,7 @@
     /// `Invalid` with one line for each fault; `StaleVersion` with one line for each change that
     /// this one did not know; `StoreUnavailable` if it was not sent.
     pub async fn apply(&self, operator: &str, change: Change) -> Result<u64, Error> {
-        self.refresh_within(self.store_wait_ms).await?;
+        self.refresh().await.map_err(|_| unavailable())?;
         let config = self.current();
         if change.base != config.version {
             return Err(self.stale(change.base, config.version).await);
@@ -182,18 +184,6 @@
         Error::new(Kind::StaleVersion, message).with_details(details.collect())
     }
 
-    async fn refresh_within(&self, wait_ms: u64) -> Result<(), Error> {
-        let refreshing = async {
-            let mut backoff = Backoff::new();
-            while self.refresh().await.is_err() {
-                backoff.wait().await;
-            }
-        };
-        let wait = Duration::from_millis(wait_ms);
-        let refreshed = tokio::time::timeout(wait, refreshing).await;
-        refreshed.map_err(|_| unavailable())
-    }
-
     /// Fetches what is newer than the configuration in force here.
     async fn refresh(&self) -> Result<(), store::Unavailable> {
         let head = self.store.head().await?;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,21 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use basilramp_platform::table;
 use eyre::{Result, WrapErr};
 use quinn::{Endpoint, VarInt};
-use slog::{Logger, info};
-use tokio::sync::{Semaphore, mpsc};
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
-use crate::auth::Keys;
 use crate::front::Listener;
-use crate::route::{Local, Router};
+use crate::log::{Event, event};
 use crate::settings::Settings;
 use crate::{
-    caller_api, clock, config, home, log, membership, operator_api, peer, peer_server, peer_tls,
-    program, stop,
+    caller_api, log, membership, metric, operator_api, parts, peer, peer_server, peer_tls, stop,
+    trace,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -36,19 +32,25 @@
         .enable_all()
         .build()
         .wrap_err("can't start the worker pool")?;
-    let log = log::open(&settings.instance.id);
-    runtime.block_on(async {
-        let node = Node::<Bound>::bind(settings, log).await?;
+    let log = log::open(&settings.instance.id, settings.log.level.into());
+    let outcome = runtime.block_on(async {
+        let node = Node::<Bound>::bind(settings, log.clone()).await?;
         let node = node.join().await?;
         node.run_until_stopped().await
-    })
+    });
+    if let Err(error) = &outcome {
+        event!(log, Event::Fatal, "error" => format!("{error:#}"));
+    }
+    outcome
 }
 
 /// An instance at one stage of its life.
 struct Node<S> {
     settings: Settings,
-    log: Logger,
+    log: log::Handle,
     stop: stop::Signal,
+    metrics: metric::Handle,
+    traces: trace::Handle,
     tasks: TaskTracker,
     stage: S,
 }
@@ -59,7 +61,6 @@
     operators: Listener,
     endpoint: Endpoint,
     peers: peer::Client,
-    keys: peer_tls::Configs,
 }
 
 /// The instance holds its lease and serves.
@@ -69,13 +70,15 @@
 }
 
 impl Node<Bound> {
-    async fn bind(settings: Settings, log: Logger) -> Result<Self> {
+    async fn bind(settings: Settings, log: log::Handle) -> Result<Self> {
+        let metrics = metric::open()?;
+        let traces = trace::open(&settings.traces, &settings.instance.id, &log)?;
         let callers = Listener::bind(settings.listen.callers).await?;
         let operators = Listener::bind(settings.listen.operators).await?;
         let keys = peer_tls::open(&settings.peers)?;
-        let endpoint = peer_server::bind(keys.server.clone(), settings.listen.peers)?;
-        let peers = peer::Client::open(endpoint.clone(), keys.client.clone());
-        info!(log, "listening";
+        let endpoint = peer_server::bind(keys.server, settings.listen.peers)?;
+        let peers = peer::Client::open(endpoint.clone(), keys.client);
+        event!(log, Event::Listening,
             "callers" => callers.address().to_string(),
             "operators" => operators.address().to_string(),
             "peers" => endpoint.local_addr()?.to_string());
@@ -84,11 +87,12 @@
             operators,
             endpoint,
             peers,
-            keys,
         };
         let node = Self {
             settings,
             log,
+            metrics,
+            traces,
             stop: stop::Signal::open(),
             tasks: TaskTracker::new(),
             stage,
@@ -102,93 +106,67 @@
             operators,
             endpoint,
             peers,
-            ..
         } = self.stage;
-        let platform = &self.settings.platform;
-        let table = table::Client::open(platform.table, platform.table_name.as_str());
-        let clock = clock::Source::open();
-        let peer_address = endpoint.local_addr()?;
-        let joining = membership::join(&table, &self.settings, peer_address, clock);
-        let (membership, commit, changes) = joining.await;
-        let config = config::spawn(&table, commit, &self.settings).await;
-        tokio::spawn(follow(changes, program::Handle));
-        let local = Local {
-            programs: program::Handle,
-            homes: home::Handle,
-            config: config.clone(),
-        };
-        let router = Router {
-            local: local.clone(),
-            membership: membership.clone(),
+        let bound = endpoint.local_addr()?;
+        let started = parts::start(parts::Frame {
+            settings: &self.settings,
+            address: self.settings.listen.peers_advertised.unwrap_or(bound),
             peers,
-        };
-        tokio::spawn(peer_server::serve(
-            endpoint.clone(),
-            local,
-            self.tasks.clone(),
-        ));
-        let api = caller_api::Api {
-            router: router.clone(),
-            keys: Keys::open(config.clone()),
-            body_bytes: self.settings.limits.body_bytes,
-            slots: Arc::new(Semaphore::new(self.settings.limits.requests)),
+            metrics: self.metrics.clone(),
+            log: self.log.clone(),
             stop: self.stop.clone(),
-        };
-        let serving = callers.serve(caller_api::paths(), Arc::new(api), self.stop.clone());
+        });
+        let parts = started.await;
+        let local = parts.router.local.clone();
+        let serving = peer_server::serve(endpoint.clone(), local, self.tasks.clone());
+        tokio::spawn(serving);
+        let api = Arc::new(parts.caller_api(&self.settings));
+        let serving = callers.serve(caller_api::paths(), api, self.stop.clone());
         self.tasks.spawn(serving);
-        let api = operator_api::Api {
-            router,
-            config,
-            membership: membership.clone(),
-            operators: self.settings.operators.clone(),
-            body_bytes: self.settings.limits.body_bytes,
-            stop: self.stop.clone(),
-        };
-        let serving = operators.serve(operator_api::paths(), Arc::new(api), self.stop.clone());
+        let api = Arc::new(parts.operator_api(&self.settings));
+        let serving = operators.serve(operator_api::paths(), api, self.stop.clone());
         self.tasks.spawn(serving);
         Ok(Node {
             settings: self.settings,
             log: self.log,
+            traces: self.traces,
+            metrics: self.metrics,
             stop: self.stop,
             tasks: self.tasks,
             stage: Joined {
                 endpoint,
-                membership,
+                membership: parts.router.membership,
             },
         })
     }
 }
 
-/// Lets go of the programs of partitions that are handed over.
-async fn follow(
-    mut changes: mpsc::UnboundedReceiver<membership::Change>,
-    programs: program::Handle,
-) {
-    while let Some(change) = changes.recv().await {
-        if let membership::Change::Losing(partition, done) = change {
-            programs.let_go(partition).await;
-            // A watcher that has gone needs no answer.
-            let _ = done.send(());
-        }
-    }
-}
-
 impl Node<Joined> {
     async fn run_until_stopped(self) -> Result<()> {
+        event!(self.log, Event::Ready);
         stop::asked().await.wrap_err("can't wait for signals")?;
-        info!(self.log, "stopping");
+        event!(self.log, Event::Stopping);
         self.stop.drain();
         tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
         self.stop.close_listeners();
         self.tasks.close();
-        let limit = Duration::from_millis(self.settings.timing.stop_ms);
-        let finished = timeout(limit, self.tasks.wait()).await;
-        if finished.is_err() {
-            info!(self.log, "stop overdue");
+        let stop_ms = self.settings.timing.stop_ms;
+        let leaving = self.stage.membership.leave(stop_ms);
+        let finishing = timeout(Duration::from_millis(stop_ms), self.tasks.wait());
+        let (left, finished) = tokio::join!(leaving, finishing);
+        if !left || finished.is_err() {
+            event!(self.log, Event::StopBoundReached);
         }
         self.stage.endpoint.close(STOPPED, b"stopped");
         self.stage.endpoint.wait_idle().await;
-        info!(self.log, "stopped"; "instance" => self.stage.membership.own().to_string());
+        self.close_traces().await;
+        event!(self.log, Event::Stopped);
         Ok(())
     }
+
+    /// Exports the last spans; a failure has been logged by then.
+    async fn close_traces(&self) {
+        let traces = self.traces.clone();
+        let _ = tokio::task::spawn_blocking(move || traces.close()).await;
+    }
 }
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use basilramp_wire::api::Program;
-use basilramp_wire::config::{Change, Named as Item, Snapshot, Value};
+use basilramp_wire::config::{Change, Head};
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::{Body as Ask, Reply, Settlement};
-use basilramp_wire::operator::{Applied, Instances, Log, Upstreams};
+use basilramp_wire::operator::{Applied, Instances, Upstreams};
 use gotham::handler::HandlerResult;
 use gotham::prelude::*;
 use gotham::router::Router as Paths;
@@ -15,17 +15,20 @@
 use http::StatusCode;
 use serde::Deserialize;
 
-use crate::config::{self, Config};
+use crate::log::{Event as LogEvent, event};
 use crate::route::{Router, parse};
 use crate::settings::Operator;
-use crate::{answer, auth, body, front, membership, stop};
+use crate::{answer, auth, body, config, front, inventory, log, membership, metric, stop};
 
 /// What the operators' paths work with.
 #[derive(Debug)]
 pub(crate) struct Api {
     pub(crate) router: Router,
     pub(crate) config: config::Handle,
+    pub(crate) metrics: metric::Handle,
+    pub(crate) log: log::Handle,
     pub(crate) membership: membership::Handle,
+    pub(crate) inventory: inventory::Handle,
     pub(crate) operators: Vec<Operator>,
     pub(crate) body_bytes: usize,
     pub(crate) stop: stop::Signal,
@@ -50,6 +53,7 @@
         front::refuse_unknown(route);
         route.get("/healthz").to_async(healthy);
         route.get("/readyz").to_async(ready);
+        route.get("/metrics").to_async(show_metrics);
         route.get("/v1/config").to_async(show_config);
         route.post("/v1/config").to_async(apply_config);
         route
@@ -85,11 +89,18 @@
     Ok((state, response))
 }
 
+async fn show_metrics(state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let response = match api.metrics.render() {
+        Ok(text) => answer::text(StatusCode::OK, text),
+        Err(fault) => answer::error(&Error::new(Kind::Internal, fault.to_string())),
+    };
+    Ok((state, response))
+}
+
 async fn show_config(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
-    let result = api
-        .operator(&state)
-        .map(|_| snapshot(&api.config.current()));
+    let result = api.operator(&state).map(|_| api.config.snapshot());
     Ok((state, answer::result(result)))
 }
 
@@ -102,7 +113,16 @@
 async fn run_apply(api: &Api, state: &mut State) -> Result<Applied, Error> {
     let operator = api.operator(state)?;
     let change: Change = body::json(state, api.body_bytes).await?;
-    let version = api.config.apply(&operator, change).await?;
+    let (base, edits) = (change.base, change.edits.len());
+    let applied = api.config.apply(&operator, change).await;
+    match &applied {
+        Ok(version) => event!(api.log, LogEvent::ConfigChanged,
+            "operator" => &*operator, "version" => version, "edits" => edits),
+        Err(error) => event!(api.log, LogEvent::ConfigRefused,
+            "operator" => &*operator, "base" => base, "kind" => error.kind.code()),
+    }
+    let version = applied?;
+    api.announce(version);
     Ok(Applied { version })
 }
 
@@ -114,7 +134,7 @@
         Ok(_) => api.config.log(after).await,
         Err(error) => Err(error),
     };
-    Ok((state, answer::result(result.map(|changes| Log { changes }))))
+    Ok((state, answer::result(result)))
 }
 
 async fn show_instances(state: State) -> HandlerResult {
@@ -127,9 +147,12 @@
 
 async fn show_upstreams(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
-    let result = api.operator(&state).map(|_| Upstreams {
-        upstreams: Vec::new(),
-    });
+    let result = match api.operator(&state) {
+        Ok(_) => Ok(Upstreams {
+            upstreams: api.inventory.upstreams().await,
+        }),
+        Err(error) => Err(error),
+    };
     Ok((state, answer::result(result)))
 }
 
@@ -154,17 +177,39 @@
     let operator = api.operator(state)?;
     let id = Named::borrow_from(state).id.clone();
     let settlement: Settlement = body::json(state, api.body_bytes).await?;
+    let (position, ran) = (settlement.position, settlement.ran);
     let body = Ask::Settle {
         operator: operator.to_string(),
         program: id.clone(),
         settlement,
     };
-    api.ask(&id, body).await
+    let program = api.ask(&id, body).await?;
+    event!(api.log, LogEvent::CallSettled,
+        "operator" => &*operator, "program" => id, "position" => position, "ran" => ran);
+    Ok(program)
 }
 
 impl Api {
     fn operator(&self, state: &State) -> Result<Arc<str>, Error> {
-        auth::operator(&self.operators, state)
+        let operator = auth::operator(&self.operators, state);
+        if operator.is_err() {
+            event!(self.log, LogEvent::OperatorRefused);
+        }
+        operator
+    }
+
+    /// Tells the other instances of a new version; one that is missed polls it.
+    fn announce(&self, version: u64) {
+        let own = self.membership.own();
+        for peer in self.membership.live() {
+            if peer.id == own {
+                continue;
+            }
+            let peers = self.router.peers.clone();
+            tokio::spawn(async move {
+                let _ = peers.ask(&peer, Ask::Config(Head { version })).await;
+            });
+        }
     }
 
     async fn read(&self, id: String) -> Result<Program, Error> {
@@ -186,32 +231,3 @@
         }
     }
 }
-
-/// Lists every item in force.
-fn snapshot(config: &Config) -> Snapshot {
-    let mut items = Vec::new();
-    for (name, value) in &config.services {
-        items.push(item(name.as_str(), Value::Service(value.clone())));
-    }
-    for (name, value) in &config.places {
-        items.push(item(name, Value::Place(value.clone())));
-    }
-    for (name, value) in &config.plans {
-        items.push(item(name, Value::Plan(value.clone())));
-    }
-    for (name, value) in &config.limits {
-        items.push(item(name.as_str(), Value::Limit(value.clone())));
-    }
-    Snapshot {
-        version: config.version,
-        items,
-    }
-}
-
-fn item(name: &str, value: Value) -> Item {
-    Item {
-        name: name.to_owned(),
-        version: 0,
-        value,
-    }
-}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -82,7 +82,8 @@
     ) -> Result<mpsc::Receiver<Reply>, Error> {
         let stream = self.send(peer, body).await?;
         let (sender, receiver) = mpsc::channel(REPLY_BUFFER);
-        tokio::spawn(pass_replies(stream, sender, interrupted(peer)));
+        let passing = pass_replies(stream, sender, interrupted(peer));
+        tokio::spawn(trace::inherit(passing));
         Ok(receiver)
     }
 
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -10,7 +10,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::membership::{self, Peer};
-use crate::{config, home, peer, program};
+use crate::trace::{self, Hop};
+use crate::{admission, config, home, metric, peer, program, stop};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -30,6 +31,9 @@
     pub(crate) programs: program::Handle,
     pub(crate) homes: home::Handle,
     pub(crate) config: config::Handle,
+    pub(crate) membership: membership::Handle,
+    pub(crate) stop: stop::Signal,
+    pub(crate) admission: admission::Handle,
 }
 
 impl Local {
@@ -44,10 +48,20 @@
         self.programs.call(&account, program, call, events).await;
     }
 
+    /// A stopping instance takes no new programs: the entry instance waits for the next owner.
+    fn takes_programs(&self) -> Result<(), Error> {
+        if self.stop.is_stopping() {
+            let message = "the owner is stopping";
+            return Err(Error::new(Kind::OwnerUnavailable, message));
+        }
+        Ok(())
+    }
+
     /// Runs any other request.
     pub(crate) async fn answer(&self, body: Body) -> Result<Reply, Error> {
         match body {
             Body::Create { account, create } => {
+                self.takes_programs()?;
                 let account = id::Account::new(account);
                 self.programs
                     .create(&account, create)
@@ -82,6 +96,7 @@
                     .map(Reply::Program)
             }
             Body::Grant(grant) => self.homes.grant(grant).await,
+            Body::Digests => Ok(Reply::Digests(self.homes.digests())),
             Body::Return(back) => {
                 self.homes.take_back(back);
                 Ok(Reply::Done)
@@ -90,11 +105,32 @@
                 self.homes.release(&upstream, &program);
                 Ok(Reply::Done)
             }
+            Body::Admit { account, program } => {
+                let program = parse(&program)?;
+                let account = id::Account::new(account);
+                self.admission
+                    .count(&account, program)
+                    .map(|()| Reply::Done)
+            }
+            Body::Programs { instance, accounts } => {
+                self.admission.note(&instance, accounts);
+                Ok(Reply::Done)
+            }
+            Body::Ended { programs } => {
+                let programs = programs.iter().filter_map(|program| program.parse().ok());
+                let ended = self.programs.ended(programs.collect()).await;
+                Ok(Reply::Ended(
+                    ended.iter().map(id::Program::to_string).collect(),
+                ))
+            }
             Body::Config(head) => {
                 self.config.hint(head.version);
                 Ok(Reply::Done)
             }
-            Body::HandOver { .. } => Ok(Reply::Done),
+            Body::HandOver { .. } => {
+                self.membership.refresh();
+                Ok(Reply::Done)
+            }
             Body::Call { .. } => Err(Error::new(Kind::Internal, "a call has no single answer")),
         }
     }
@@ -106,6 +142,7 @@
     pub(crate) local: Local,
     pub(crate) membership: membership::Handle,
     pub(crate) peers: peer::Client,
+    pub(crate) metrics: metric::Handle,
 }
 
 impl Router {
@@ -131,9 +168,10 @@
     async fn try_ask(&self, partition: id::Partition, body: Body) -> Result<Reply, Error> {
         let owner = self.owner(partition)?;
         if owner.id == self.membership.own() {
-            return self.local.answer(body).await;
+            return trace::span(Hop::Owner, self.local.answer(body)).await;
         }
-        self.peers.ask(&owner, body).await
+        self.metrics.forward();
+        trace::span(Hop::Forward, self.peers.ask(&owner, body)).await
     }
 
     /// Has a call run by its program's owner and returns its events as they come.
@@ -147,7 +185,7 @@
     ) -> mpsc::Receiver<Event> {
         let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
         let router = self.clone();
-        tokio::spawn(crate::trace::inherit(async move {
+        tokio::spawn(trace::inherit(async move {
             router.run_call(account, program, call, sender).await;
         }));
         receiver
@@ -213,7 +251,7 @@
             let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
             let local = self.local.clone();
             let (account, call) = (account.clone(), call.clone());
-            tokio::spawn(crate::trace::inherit(async move {
+            tokio::spawn(trace::span(Hop::Owner, async move {
                 local.call(account, program, call, sender).await;
             }));
             return Ok(receiver);
@@ -223,7 +261,8 @@
             program: program.to_string(),
             call: call.clone(),
         };
-        let replies = self.peers.stream(&owner, body).await?;
+        self.metrics.forward();
+        let replies = trace::span(Hop::Forward, self.peers.stream(&owner, body)).await?;
         Ok(events_of(replies))
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -65,6 +65,27 @@
     Grant(Grant),
     /// Give a slot back.
     Return(Return),
+    /// Ask what the receiver knows of the upstreams homed there.
+    Digests,
+    /// Ask the home of an account whether one more program may start.
+    Admit {
+        /// The account.
+        account: String,
+        /// The program.
+        program: String,
+    },
+    /// The programs that an instance owns, of accounts homed at the receiver.
+    Programs {
+        /// The owner.
+        instance: String,
+        /// The accounts.
+        accounts: Vec<AccountPrograms>,
+    },
+    /// Ask which of some programs, of partitions that the receiver owns, have ended.
+    Ended {
+        /// The programs.
+        programs: Vec<String>,
+    },
     /// A configuration version is in force; fetch what is missing.
     Config(config::Head),
     /// The sender stops owning these partitions.
@@ -111,6 +132,8 @@
     pub output: u64,
     /// Milliseconds that the asker waits.
     pub wait_ms: u64,
+    /// Milliseconds that the call has waited for a slot before.
+    pub waited_ms: u64,
 }
 
 /// Gives a slot back.
@@ -126,6 +149,36 @@
     pub failed: bool,
 }
 
+/// The programs of an account that one instance owns.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountPrograms {
+    /// The account.
+    pub account: String,
+    /// The programs.
+    pub programs: Vec<String>,
+}
+
+/// What the home of an upstream knows of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The upstream.
+    pub upstream: String,
+    /// What is loaded, as in [`crate::engine::Load::models`].
+    pub models: Vec<String>,
+    /// The most calls at once.
+    pub slots: u32,
+    /// Slots that are free.
+    pub free: u32,
+    /// Milliseconds until a new request would be served.
+    pub wait_ms: u64,
+    /// Tokens held in the cache.
+    pub cached_tokens: u64,
+    /// Tokens that the cache can hold.
+    pub cache_tokens: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
 /// An answer from an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
@@ -140,6 +193,10 @@
         /// Milliseconds after which an unreturned grant is void.
         valid_ms: u64,
     },
+    /// The upstreams homed at the sender.
+    Digests(Vec<Digest>),
+    /// Those of the programs asked about that have ended.
+    Ended(Vec<String>),
     /// Taken note of.
     Done,
     /// Refused.
