--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -13,6 +13,12 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
+/// Time after which an engine that does not answer is given up.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time after which an order is given up; an engine answers once it has obeyed.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(120_000);
+
 /// The longest answer that is read, in bytes.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
 
@@ -32,9 +38,6 @@
 }
 
 impl Client {
-    /// Milliseconds after which an engine that does not answer is given up.
-    pub(crate) const TIMEOUT_MS: u64 = 1_000;
-
     /// Opens a client.
     pub(crate) fn open() -> Self {
         let pool = Pool::builder(TokioExecutor::new())
@@ -76,7 +79,7 @@
         }
     }
 
-    /// Gives an engine an order under a fencing number.
+    /// Gives an engine an order under a fencing number, and waits until it is obeyed.
     pub(crate) async fn order(
         &self,
         engine: SocketAddr,
@@ -91,7 +94,8 @@
             .header(FENCING_HEADER, fencing)
             .body(Full::from(body))
             .map_err(|_| Failure::Unreached)?;
-        self.send(request).await.map(drop)
+        let answer = timeout(ORDER_TIMEOUT, self.exchange(request)).await;
+        answer.unwrap_or(Err(Failure::Unreached)).map(drop)
     }
 
     async fn get<T: DeserializeOwned>(&self, engine: SocketAddr, path: &str) -> Result<T, Failure> {
@@ -104,8 +108,7 @@
     }
 
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Bytes, Failure> {
-        let limit = Duration::from_millis(Self::TIMEOUT_MS);
-        let answer = timeout(limit, self.exchange(request)).await;
+        let answer = timeout(TIMEOUT, self.exchange(request)).await;
         answer.unwrap_or(Err(Failure::Unreached))
     }
 
--- a/crates/daemon/src/order.rs
+++ b/crates/daemon/src/order.rs
@@ -25,6 +25,7 @@
 use basilramp_platform::table::{self, Action, Check, Key, Write};
 use basilramp_wire::engine::Order;
 use basilramp_wire::record;
+use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock::Source;
@@ -38,8 +39,11 @@
 /// Milliseconds for which an order may be sent.
 const VALID_MS: u64 = 3_000;
 
-/// Milliseconds after which an order without effect is given again.
-const REPAIR_MS: u64 = 30_000;
+/// Milliseconds of that time which are left for the request to arrive.
+const ARRIVAL_MS: u64 = 1_000;
+
+/// Milliseconds after the answer within which an order's effect shows; then it is given again.
+const SHOW_MS: u64 = 3_000;
 
 /// The longest that the row's write waits for the store, in milliseconds.
 const WRITE_WAIT_MS: u64 = 2_000;
@@ -77,11 +81,27 @@
 }
 
 /// An order that this process gave.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct Given {
     version: u64,
     step: Step,
-    at: Time,
+    sending: Option<JoinHandle<()>>,
+    ended: Option<Time>,
+}
+
+impl Given {
+    /// Notes whether the order has been answered.
+    fn look(&mut self, now: Time) {
+        let answered = self.sending.as_ref().is_none_or(JoinHandle::is_finished);
+        if answered {
+            self.ended.get_or_insert(now);
+        }
+    }
+
+    /// Tells whether the order's effect may still show.
+    fn is_open(&self, now: Time) -> bool {
+        self.ended.is_none_or(|ended| now.since(ended) < SHOW_MS)
+    }
 }
 
 /// A row that another process wrote, and when this one first read it.
@@ -111,6 +131,8 @@
         let homed: BTreeSet<_> = engines.iter().map(|engine| engine.id.clone()).collect();
         self.given.retain(|engine, _| homed.contains(engine));
         self.others.retain(|engine, _| homed.contains(engine));
+        let now = self.parts.clock.now();
+        self.given.values_mut().for_each(|given| given.look(now));
         for engine in engines {
             let Some(step) = self.step(&engine, &assignment) else {
                 self.given.remove(&engine.id);
@@ -145,51 +167,38 @@
         ready as usize > wanted
     }
 
-    /// Tells whether an order has to wait: the same was given of late, or a load is under way.
+    /// Tells whether an order has to wait: one to the same engine is open, or a load elsewhere.
     fn must_wait(&self, engine: &id::Upstream, step: &Step) -> bool {
         let now = self.parts.clock.now();
-        let recent = |given: &Given| now.since(given.at) < REPAIR_MS;
-        let given = self.given.get(engine);
-        if given.is_some_and(|given| given.step == *step && recent(given)) {
-            return true;
-        }
-        let loading = |given: &Given| matches!(given.step, Step::Load(_)) && recent(given);
-        let mut others = self.given.iter().filter(|(other, _)| *other != engine);
-        matches!(step, Step::Load(_)) && others.any(|(_, given)| loading(given))
+        let mut open = self.given.iter().filter(|(_, given)| given.is_open(now));
+        let loads = matches!(step, Step::Load(_));
+        open.any(|(other, given)| other == engine || loads && matches!(given.step, Step::Load(_)))
     }
 
     async fn give(&mut self, engine: &Listing, step: Step, fencing: bool) {
         let Some(version) = self.next_version(&engine.id, fencing).await else {
             return;
         };
-        let repaired = self
-            .given
-            .get(&engine.id)
-            .is_some_and(|given| given.step == step);
         let start = self.parts.clock.now();
         let order = order(&step);
         if !self.write(&engine.id, &order, version).await {
             return;
         }
+        let known = self.given.get(&engine.id);
+        let repaired = known.is_some_and(|given| given.step == step);
+        let age_ms = self.parts.clock.now().since(start);
+        let sending = (age_ms + ARRIVAL_MS < VALID_MS).then(|| {
+            let client = self.client.clone();
+            let log = self.parts.log.clone();
+            tokio::spawn(send(client, engine.clone(), order, version, repaired, log))
+        });
         let given = Given {
             version,
             step,
-            at: start,
+            sending,
+            ended: None,
         };
         self.given.insert(engine.id.clone(), given);
-        let now = self.parts.clock.now();
-        if now.since(start) + Client::TIMEOUT_MS >= VALID_MS {
-            return;
-        }
-        let sent = self.client.order(engine.address, &order, version).await;
-        let event = match sent {
-            Ok(()) if repaired => Event::OrderRepaired,
-            Ok(()) => Event::OrderSent,
-            Err(Failure::Refused(_)) => Event::OrderRefused,
-            Err(Failure::Unreached) => return,
-        };
-        event!(self.parts.log, event,
-            "upstream" => engine.id.to_string(), "fencing" => version);
     }
 
     /// Returns the fencing number of the next order, or nothing if a former sender may still send.
@@ -243,6 +252,25 @@
     }
 }
 
+/// Sends an order and logs its outcome.
+async fn send(
+    client: Client,
+    engine: Listing,
+    order: Order,
+    version: u64,
+    repaired: bool,
+    log: log::Handle,
+) {
+    let sent = client.order(engine.address, &order, version).await;
+    let event = match sent {
+        Ok(()) if repaired => Event::OrderRepaired,
+        Ok(()) => Event::OrderSent,
+        Err(Failure::Refused(_)) => Event::OrderRefused,
+        Err(Failure::Unreached) => Event::UpstreamDown,
+    };
+    event!(log, event, "upstream" => engine.id.to_string(), "fencing" => version);
+}
+
 fn key(engine: &id::Upstream) -> Key {
     Key::new("upstream", engine.as_str())
 }
--- a/crates/daemon/tests/upstreams.rs
+++ b/crates/daemon/tests/upstreams.rs
@@ -134,7 +134,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn slots_are_respected_while_the_homes_move() {
+async fn slots_are_respected_after_an_instance_died() {
     let options = Options {
         engines: small_engines(),
         timeout_ms: 30_000,
@@ -147,6 +147,38 @@
     assert_eq!(most_waiting(&cluster.engines, work).await, 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_are_respected_while_homes_move_to_a_new_instance() {
+    let engine = engine::Options {
+        slots: 2,
+        speed: 0.5,
+        ..engine::Options::default()
+    };
+    let options = Options {
+        engines: vec![engine; 4],
+        timeout_ms: 30_000,
+        ..options(2)
+    };
+    let mut cluster = Cluster::start(options).await.unwrap();
+    cluster.kill(1).unwrap();
+    let at = cluster.callers(0).unwrap();
+    run_program(cluster.caller(0), at, "first".to_owned(), 1).await;
+    let mut running = JoinSet::new();
+    for number in 0..20 {
+        let request = format!("moved-{number}");
+        running.spawn(run_program(cluster.caller(0), at, request, 2));
+    }
+    cluster.launch(1).await.unwrap();
+    let engines = cluster.engines.clone();
+    let work = async { while running.join_next().await.is_some() {} };
+    assert_eq!(most_waiting(&engines, work).await, 0);
+    let output = cluster.instances[1].process.as_ref().unwrap().output();
+    let gained = output
+        .iter()
+        .filter(|line| line.contains("upstream home gained"));
+    assert!(gained.count() > 0, "no home moved");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_engine_gets_no_new_call() {
     let cluster = Cluster::start(options(2)).await.unwrap();
@@ -216,7 +248,7 @@
 async fn check_orders(fencing: bool) {
     let engine = engine::Options {
         fencing,
-        load_ms: 500,
+        load_ms: 30_000,
         ..engine::Options::default()
     };
     let options = Options {
