--- a/crates/daemon/tests/upstreams.rs
+++ b/crates/daemon/tests/upstreams.rs
@@ -147,6 +147,18 @@
     assert_eq!(most_waiting(&cluster.engines, work).await, 0);
 }
 
+/// Tells whether an instance has logged that it became the home of an upstream.
+fn is_home(cluster: &Cluster, instance: usize, upstream: &str) -> bool {
+    let output = cluster.instances[instance]
+        .process
+        .as_ref()
+        .unwrap()
+        .output();
+    let names = format!("\"{upstream}\"");
+    let gained = |line: &String| line.contains("upstream home gained") && line.contains(&names);
+    output.iter().any(gained)
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn slots_are_respected_while_homes_move_to_a_new_instance() {
     let engine = engine::Options {
@@ -161,8 +173,9 @@
     };
     let mut cluster = Cluster::start(options).await.unwrap();
     cluster.kill(1).unwrap();
+    let moved = || async { (0..4).all(|engine| is_home(&cluster, 0, &format!("e{engine}"))) };
+    assert!(within(30_000, moved).await, "the homes did not move");
     let at = cluster.callers(0).unwrap();
-    run_program(cluster.caller(0), at, "first".to_owned(), 1).await;
     let mut running = JoinSet::new();
     for number in 0..20 {
         let request = format!("moved-{number}");
