Cut nothing off in a rolling stop: wait for homes that move, deliver replies before closing

(1) 'no upstream is ready': a call counted its whole wait against the time that no choice was known, so a moment without a choice after 2 s of queueing at a home that moved away refused it. (2) 'the connection to instance i2 broke': closing the endpoint threw away replies that were written but not received, and requests of peers that had not read of the leave yet. Ruled out: a longer wait for all; where no upstream that may serve the call is listed, the refusal still comes after 2 s. Change: the time without a choice is counted alone, and is up to 10 s while a listed upstream that may serve has no home that tells of it; the peer server waits until a reply is received; a leaving instance lingers two heartbeats.

--- a/crates/daemon/src/grant.rs
+++ b/crates/daemon/src/grant.rs
@@ -16,6 +16,7 @@
 use basilramp_core::clock::Time;
 use basilramp_core::id;
 use basilramp_core::placement::{Board, Call, Capacity, Choice};
+use basilramp_core::upstream::{Listing, Role};
 use basilramp_wire::api::Usage;
 use basilramp_wire::config::Target;
 use basilramp_wire::error::{Error, Kind};
@@ -95,6 +96,9 @@
 /// Milliseconds for which a call waits for an upstream to appear.
 const APPEAR_MS: u64 = 2_000;
 
+/// Milliseconds within which the upstreams of a lost instance have a new home.
+const HOME_MOVE_MS: u64 = 10_000;
+
 /// Milliseconds after which a call that found no upstream is worth sending again.
 const RETRY_MS: u64 = 1_000;
 
@@ -166,13 +170,19 @@
         let offers = self.offers(&want.service)?;
         self.note_use(want);
         let start = Instant::now();
+        let mut without_choice = None;
         let mut busy = None;
         loop {
             let waited_ms = start.elapsed().as_millis() as u64;
             let left_ms = want.wait_ms.saturating_sub(waited_ms);
-            let choices = self.rank(want, &offers);
-            if choices.is_empty() && waited_ms >= APPEAR_MS.min(want.wait_ms) {
-                return Err(unavailable(&want.service));
+            let choices = self.rank(want, &offers.names);
+            if choices.is_empty() {
+                let since = *without_choice.get_or_insert(waited_ms);
+                if waited_ms - since >= self.appear_ms(want, &offers) {
+                    return Err(unavailable(&want.service));
+                }
+            } else {
+                without_choice = None;
             }
             match self.try_choices(want, &choices, waited_ms).await {
                 Ok(grant) => return Ok(grant),
@@ -186,6 +196,25 @@
         }
     }
 
+    /// Returns how long a call without any choice waits: longer if an upstream that may serve it
+    /// is listed, but has no home that tells of it, as after the loss of an instance.
+    fn appear_ms(&self, want: &Want, offers: &Offers) -> u64 {
+        let may_serve = |listing: &Listing| {
+            let offered = listing.role == Role::Engine || offers.names.contains(&listing.group);
+            listing.role == offers.role && offered
+        };
+        let listed: Vec<id::Upstream> = self.shared.upstreams.read(|view| {
+            let open = view.open().filter(|listing| may_serve(listing));
+            open.map(|listing| listing.id.clone()).collect()
+        });
+        let table = self.table();
+        let untold = listed
+            .iter()
+            .any(|upstream| table.board.state(upstream).is_none());
+        let limit = if untold { HOME_MOVE_MS } else { APPEAR_MS };
+        limit.min(want.wait_ms)
+    }
+
     /// Gives a slot back.
     pub(crate) fn give_back(&self, grant: Grant, end: End) {
         let usage = match end {
@@ -210,9 +239,11 @@
 
     /// Returns the capacity that is ready for a service.
     pub(crate) fn capacity(&self, service: &id::Service) -> Capacity {
-        let offers = self.offers(service).unwrap_or_default();
+        let Ok(offers) = self.offers(service) else {
+            return Capacity::default();
+        };
         let table = self.table();
-        let capacity = offers.iter().map(|offer| table.board.capacity(offer));
+        let capacity = offers.names.iter().map(|offer| table.board.capacity(offer));
         capacity
             .max_by_key(|capacity| capacity.slots)
             .unwrap_or_default()
@@ -245,15 +276,15 @@
         uses.insert(want.service.clone(), now);
     }
 
-    /// Returns the names under which upstreams may offer a service.
-    fn offers(&self, service: &id::Service) -> Result<Vec<String>, Error> {
+    /// Returns how upstreams may offer a service.
+    fn offers(&self, service: &id::Service) -> Result<Offers, Error> {
         let config = self.shared.config.current();
         let known = config.services.get(service);
         let known = known.ok_or_else(|| Error::new(Kind::NotFound, "no such service"))?;
         Ok(offers(service, &known.target))
     }
 
-    fn rank(&self, want: &Want, offers: &[String]) -> Vec<Choice> {
+    fn rank(&self, want: &Want, offers: &[Arc<str>]) -> Vec<Choice> {
         let table = self.table();
         let ranked = offers.iter().flat_map(|offer| {
             let call = Call {
@@ -301,16 +332,28 @@
     }
 }
 
-/// Returns the names under which upstreams may offer a service.
-fn offers(service: &id::Service, target: &Target) -> Vec<String> {
+/// How upstreams may offer a service.
+struct Offers {
+    role: Role,
+    names: Vec<Arc<str>>,
+}
+
+fn offers(service: &id::Service, target: &Target) -> Offers {
     if let Target::Plain { path, .. } = target {
         let path = path.trim_start_matches('/');
         let group = path.split('/').next().unwrap_or("");
-        let own = service.to_string();
-        let other = Some(own).filter(|own| own != group);
-        return std::iter::once(group.to_owned()).chain(other).collect();
+        let own = Some(service.as_str()).filter(|own| *own != group);
+        let names = std::iter::once(group).chain(own);
+        return Offers {
+            role: Role::Service,
+            names: names.map(Arc::from).collect(),
+        };
+    }
+    let model = model_of(target).map(Arc::from);
+    Offers {
+        role: Role::Engine,
+        names: model.into_iter().collect(),
     }
-    model_of(target).into_iter().collect()
 }
 
 /// Returns the name of a service's model as engines know it, if it has one.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -19,6 +19,9 @@
 /// Time between being not ready and closing the listeners, for the balancer to notice.
 const NOTICE_MS: u64 = 2_000;
 
+/// Heartbeats within which every peer has read that this instance has left.
+const LINGER_HEARTBEATS: u64 = 2;
+
 /// The error code of connections that a stopped instance closes.
 const STOPPED: VarInt = VarInt::from_u32(0);
 
@@ -162,6 +165,7 @@
         if !left || finished.is_err() {
             event!(self.log, Event::StopBoundReached);
         }
+        self.linger().await;
         self.stage.endpoint.close(STOPPED, b"stopped");
         self.stage.endpoint.wait_idle().await;
         self.close_traces().await;
@@ -169,6 +173,15 @@
         Ok(())
     }
 
+    /// Answers the peers that have not read yet that this instance owns nothing any more.
+    async fn linger(&self) {
+        let linger_ms = self.settings.timing.heartbeat_ms * LINGER_HEARTBEATS;
+        let linger = Duration::from_millis(linger_ms);
+        tokio::time::sleep(linger).await;
+        // What is still under way has outlasted the bound of the stop.
+        let _ = timeout(linger, self.tasks.wait()).await;
+    }
+
     /// Exports the last spans; a failure has been logged by then.
     async fn close_traces(&self) {
         let traces = self.traces.clone();
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -64,6 +64,8 @@
     }
     // A peer that stopped reading needs no end of stream.
     let _ = sending.finish();
+    // Closing the endpoint throws away what the peer has not received yet.
+    let _ = sending.stopped().await;
 }
 
 async fn answer(sending: &mut SendStream, body: Body, local: &Local) {
