--- a/crates/daemon/tests/docs.rs
+++ b/crates/daemon/tests/docs.rs
@@ -1,11 +1,14 @@
 //! Holds the pages equal to the code.
 
+use std::collections::BTreeSet;
+
 use basilramp_wire::error::{Kind, Ran};
 
 const OPERATIONS: &str = include_str!("../../../docs/OPERATIONS.md");
 const API: &str = include_str!("../../../docs/API.md");
 const README: &str = include_str!("../../../README.md");
 const EXAMPLE: &str = include_str!("../../../examples/settings.jsonc");
+const SETTINGS_READER: &str = include_str!("../src/settings/file.rs");
 const OPERATOR_API: &str = include_str!("../src/operator_api.rs");
 const CALLER_API: &str = include_str!("../src/caller_api.rs");
 
@@ -79,6 +82,34 @@
     }
 }
 
+/// Names of settings stand in the reader as whole texts of small letters.
+#[test]
+fn every_setting_that_is_read_is_in_the_example_and_explained() {
+    let is_name = |text: &&str| {
+        let is_letter = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '_';
+        !text.is_empty() && text.chars().all(is_letter)
+    };
+    let names = SETTINGS_READER
+        .split('"')
+        .skip(1)
+        .step_by(2)
+        .filter(is_name);
+    let names: BTreeSet<_> = names.collect();
+    assert!(names.len() > 30, "{names:?}");
+    let table = rows(OPERATIONS, "\n## Settings");
+    let page: String = table.iter().map(|row| row[0]).collect();
+    for name in names {
+        assert!(
+            EXAMPLE.contains(&format!("\"{name}\":")),
+            "{name} is not in the example"
+        );
+        let is_explained = page.contains(&format!(".{name}`"))
+            || page.contains(&format!("`{name}."))
+            || page.contains(&format!("`{name}[]."));
+        assert!(is_explained, "{name} is not explained");
+    }
+}
+
 #[test]
 fn the_paths_of_the_page_are_those_that_are_served() {
     for (source, heading) in [
