Let operators give orders by hand

Cause: wire::operator and the client had orders, and no instance served them. Ruled out: an order written by the instance that was asked, beside the home's own sender; both would write the same row. Change: POST /v1/upstreams/{id}/orders is sent on to the upstream's home, whose sender records it in the engine's row like an order of the plan and sends it (order/by_hand, frame Order). The plan goes on and undoes what it has no use for.

--- a/crates/daemon/src/inventory.rs
+++ b/crates/daemon/src/inventory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use basilramp_core::id;
 use basilramp_core::upstream::{Listing, Role};
 use basilramp_wire::frame::{Body, Digest, Reply};
 use basilramp_wire::operator::Upstream;
@@ -34,6 +35,11 @@
         described.collect()
     }
 
+    /// Tells whether an upstream is on the list.
+    pub(crate) fn is_listed(&self, upstream: &id::Upstream) -> bool {
+        self.view.get(upstream).is_some()
+    }
+
     /// Asks every live instance for the digests of its homes.
     async fn digests(&self) -> BTreeMap<String, Digest> {
         let own = self.membership.own();
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -155,6 +155,8 @@
     CacheViewStale = "E0612", Info, "cache view stale";
     /// An upstream holds memory for a program that has ended.
     OrphanFound = "E0613", Info, "orphaned upstream memory found";
+    /// An operator gave an upstream an order by hand.
+    OrderedByHand = "E0615", Info, "order by operator";
 
     /// A caller's request other than a call was refused; `kind` is the error kind.
     CallerRefused = "E0801", Debug, "caller request refused";
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use basilramp_core::id;
 use basilramp_wire::api::Program;
 use basilramp_wire::config::{Change, Head};
+use basilramp_wire::engine::Order;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::{Body as Ask, Reply, Settlement};
-use basilramp_wire::operator::{Applied, Instances, Upstreams};
+use basilramp_wire::operator::{Applied, Instances, Ordered, Upstreams};
 use gotham::handler::HandlerResult;
 use gotham::prelude::*;
 use gotham::router::Router as Paths;
@@ -62,6 +64,10 @@
             .to_async(show_log);
         route.get("/v1/instances").to_async(show_instances);
         route.get("/v1/upstreams").to_async(show_upstreams);
+        route
+            .post("/v1/upstreams/:id/orders")
+            .with_path_extractor::<Named>()
+            .to_async(give_order);
         route
             .get("/v1/programs/:id")
             .with_path_extractor::<Named>()
@@ -156,6 +162,22 @@
     Ok((state, answer::result(result)))
 }
 
+async fn give_order(mut state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let result = run_order(&api, &mut state).await;
+    Ok((state, answer::result(result)))
+}
+
+async fn run_order(api: &Api, state: &mut State) -> Result<Ordered, Error> {
+    let operator = api.operator(state)?;
+    let id = Named::borrow_from(state).id.clone();
+    let order: Order = body::json(state, api.body_bytes).await?;
+    let fencing = api.order(&id, order).await?;
+    event!(api.log, LogEvent::OrderedByHand,
+        "operator" => &*operator, "upstream" => id, "fencing" => fencing);
+    Ok(Ordered { fencing })
+}
+
 async fn show_program(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
     let operator = api.operator(&state);
@@ -212,6 +234,31 @@
         }
     }
 
+    /// Has an upstream's home give it an order.
+    async fn order(&self, id: &str, order: Order) -> Result<u64, Error> {
+        let upstream = id::Upstream::new(id);
+        if !self.inventory.is_listed(&upstream) {
+            return Err(Error::new(Kind::NotFound, "no such upstream"));
+        }
+        let home = self.membership.home(&upstream).ok_or_else(|| {
+            let message = "the upstream has no home now";
+            Error::new(Kind::UpstreamUnavailable, message)
+        })?;
+        let body = Ask::Order {
+            upstream: id.to_owned(),
+            order,
+        };
+        let reply = if home.id == self.membership.own() {
+            self.router.local.answer(body).await?
+        } else {
+            self.router.peers.ask(&home, body).await?
+        };
+        match reply {
+            Reply::Ordered(fencing) => Ok(fencing),
+            _ => Err(wrong_answer()),
+        }
+    }
+
     async fn read(&self, id: String) -> Result<Program, Error> {
         let body = Ask::Read {
             account: None,
@@ -224,10 +271,11 @@
         let partition = parse(id)?.partition();
         match self.router.ask(partition, body).await? {
             Reply::Program(program) => Ok(program),
-            _ => Err(Error::new(
-                Kind::Internal,
-                "an instance gave a wrong answer",
-            )),
+            _ => Err(wrong_answer()),
         }
     }
 }
+
+fn wrong_answer() -> Error {
+    Error::new(Kind::Internal, "an instance gave a wrong answer")
+}
--- a/crates/daemon/src/order.rs
+++ b/crates/daemon/src/order.rs
@@ -12,6 +12,7 @@
 //! A home has one load under way at a time, so that the weight store never
 //! serves more loads at once than there are instances.
 
+mod by_hand;
 mod demand;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +26,7 @@
 use basilramp_platform::table::{self, Action, Check, Key, Write};
 use basilramp_wire::engine::Order;
 use basilramp_wire::record;
+use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock::Source;
@@ -32,6 +34,9 @@
 use crate::log::{self, Event, event};
 use crate::{commit, config, grant, home, membership, upstream};
 
+use by_hand::Asked;
+pub(crate) use by_hand::Handle;
+
 /// Time between two rounds.
 const PERIOD: Duration = Duration::from_millis(1_000);
 
@@ -58,15 +63,17 @@
     pub(crate) log: log::Handle,
 }
 
-/// Starts to give orders.
-pub(crate) fn spawn(parts: Parts) {
+/// Starts to give orders, those of the plan and those by hand.
+pub(crate) fn spawn(parts: Parts) -> Handle {
+    let (handle, asked) = by_hand::open();
     let sender = Sender {
         parts,
         client: Client::open(),
         given: BTreeMap::new(),
         others: BTreeMap::new(),
     };
-    tokio::spawn(sender.run());
+    tokio::spawn(sender.run(asked));
+    handle
 }
 
 struct Sender {
@@ -92,12 +99,14 @@
 }
 
 impl Sender {
-    async fn run(mut self) {
+    async fn run(mut self, mut asked: mpsc::Receiver<Asked>) {
         let mut ticks = interval(PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
-            self.round().await;
+            tokio::select! {
+                _ = ticks.tick() => self.round().await,
+                Some(asked) = asked.recv() => self.give_by_hand(asked).await,
+            }
         }
     }
 
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -49,6 +49,7 @@
     homes: home::Handle,
     grants: grant::Handle,
     admission: admission::Handle,
+    orders: order::Handle,
 }
 
 /// Takes the lease, however long that takes, and starts the parts.
@@ -70,6 +71,7 @@
         membership: base.membership.clone(),
         admission: upstreams.admission.clone(),
         stop: frame.stop,
+        orders: upstreams.orders,
     };
     let inventory = inventory::Handle {
         view: upstreams.view,
@@ -135,7 +137,7 @@
         frame.peers.clone(),
         base.clock,
     );
-    order::spawn(order::Parts {
+    let orders = order::spawn(order::Parts {
         homes: homes.clone(),
         upstreams: view.clone(),
         grants: grants.clone(),
@@ -151,6 +153,7 @@
         homes,
         grants,
         admission,
+        orders,
     }
 }
 
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::membership::{self, Peer};
 use crate::trace::{self, Hop};
-use crate::{admission, config, home, metric, peer, program, stop};
+use crate::{admission, config, home, metric, order, peer, program, stop};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -34,6 +34,7 @@
     pub(crate) membership: membership::Handle,
     pub(crate) stop: stop::Signal,
     pub(crate) admission: admission::Handle,
+    pub(crate) orders: order::Handle,
 }
 
 impl Local {
@@ -127,6 +128,10 @@
                 self.config.hint(head.version);
                 Ok(Reply::Done)
             }
+            Body::Order { upstream, order } => {
+                let upstream = id::Upstream::new(upstream);
+                self.orders.give(upstream, order).await.map(Reply::Ordered)
+            }
             Body::HandOver { .. } => {
                 self.membership.refresh();
                 Ok(Reply::Done)
--- a/crates/daemon/tests/operate.rs
+++ b/crates/daemon/tests/operate.rs
@@ -14,6 +14,7 @@
 use basilramp_fakes::service::Fault;
 use basilramp_wire::api::Budget;
 use basilramp_wire::config::Kind;
+use basilramp_wire::engine::Order;
 use basilramp_wire::error::Kind as ErrorKind;
 use tempfile::NamedTempFile;
 use tokio::time::{Instant, sleep};
@@ -193,6 +194,51 @@
     assert_eq!(cluster.store.effects().len(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_by_hand_reaches_its_engine_once() {
+    let cluster = start().await;
+    let order = || Command::Order {
+        upstream: "e1".to_owned(),
+        order: Order::Load {
+            model: "extra@1".to_owned(),
+        },
+    };
+    shows(&cluster, 1, || Command::Upstreams, &["e0", "e1", "ready"]).await;
+    let limit = Instant::now() + WAIT;
+    let text = loop {
+        // The engine's home may still be changing.
+        match at(&cluster, 1, order()).await {
+            (Ok(()), text) => break text,
+            (Err(error), _) => assert!(Instant::now() < limit, "{error}"),
+        }
+        sleep(Duration::from_millis(50)).await;
+    };
+    let number = text.trim().rsplit(' ').next().unwrap();
+    let fencing: u64 = number.parse().unwrap();
+    let until = Instant::now() + WAIT;
+    while cluster.engines[1].orders().is_empty() {
+        assert!(Instant::now() < until, "no order came");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let orders = cluster.engines[1].orders();
+    assert_eq!(orders[0].fencing, fencing);
+    let loads = orders
+        .iter()
+        .filter(|given| matches!(given.order, Order::Load { .. }));
+    assert_eq!(loads.count(), 1);
+    assert_eq!(cluster.engines[0].orders().len(), 0);
+
+    let unknown = Command::Order {
+        upstream: "e9".to_owned(),
+        order: Order::Unload {
+            model: "extra@1".to_owned(),
+        },
+    };
+    let (outcome, _) = at(&cluster, 0, unknown).await;
+    let refused = assert_matches!(outcome, Err(Error::Refused(refused)) => refused);
+    assert_eq!(refused.kind, ErrorKind::NotFound);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn instances_and_the_configuration_are_shown() {
     let cluster = start().await;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{api, config, error};
+use crate::{api, config, engine, error};
 
 /// The longest frame, in bytes.
 pub const MAX_LEN: usize = 8 * 1024 * 1024;
@@ -88,6 +88,13 @@
     },
     /// A configuration version is in force; fetch what is missing.
     Config(config::Head),
+    /// Give an upstream homed at the receiver an order, by an operator's hand.
+    Order {
+        /// The upstream.
+        upstream: String,
+        /// The order.
+        order: engine::Order,
+    },
     /// The sender stops owning these partitions.
     HandOver {
         /// The partitions' numbers.
@@ -197,6 +204,8 @@
     Digests(Vec<Digest>),
     /// Those of the programs asked about that have ended.
     Ended(Vec<String>),
+    /// The fencing number of an order, for [`Body::Order`].
+    Ordered(u64),
     /// Taken note of.
     Done,
     /// Refused.
