--- a/crates/daemon/src/order/by_hand.rs
+++ b/crates/daemon/src/order/by_hand.rs
@@ -9,16 +9,11 @@
 use basilramp_wire::error::{Error, Kind};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Sender, VALID_MS};
-use crate::control::{Client, Failure};
-use crate::log::{self, Event, event};
+use super::{ARRIVAL_MS, Sender, VALID_MS, send};
 
 /// Orders that wait for the sender.
 const QUEUED: usize = 16;
 
-/// Milliseconds of an order's time that are left for it to arrive.
-const ARRIVAL_MS: u64 = 1_000;
-
 /// Gives orders to the engines homed here.
 #[derive(Clone, Debug)]
 pub(crate) struct Handle {
@@ -67,7 +62,7 @@
         let outcome = outcome.map(|(engine, version)| {
             let client = self.client.clone();
             let log = self.parts.log.clone();
-            tokio::spawn(send(client, engine, asked.order, version, log));
+            tokio::spawn(send(client, engine, asked.order, version, false, log));
             version
         });
         // An asker that has gone finds the order in the log.
@@ -103,12 +98,3 @@
         Ok((listing, version))
     }
 }
-
-async fn send(client: Client, engine: Listing, order: Order, version: u64, log: log::Handle) {
-    let event = match client.order(engine.address, &order, version).await {
-        Ok(()) => Event::OrderSent,
-        Err(Failure::Refused(_)) => Event::OrderRefused,
-        Err(Failure::Unreached) => Event::UpstreamDown,
-    };
-    event!(log, event, "upstream" => %engine.id, "fencing" => version);
-}
