Let a call in doubt turn out not to have run; look for effects in no history

The trace shows that it never was sent, and the intent is the owner's own record; the history is right. Change: a line without an answer may be withdrawn; an answered one may not (a bad history more).

--- a/crates/fakes/tests/checkers.rs
+++ b/crates/fakes/tests/checkers.rs
@@ -136,6 +136,25 @@
     assert!(holds(&entries, check_program));
 }
 
+#[test]
+fn program_call_in_doubt_may_turn_out_not_to_have_run() {
+    let b = book();
+    let entries = [
+        b.call(0, 10, "r0", 0, refused(Kind::StoreUnavailable)),
+        b.read(11, 12, &[("r0", "in_doubt", "")], 0),
+        b.read(13, 14, &[], 0),
+        b.call(15, 16, "r1", 0, answer(0, "a", 1)),
+        b.read(17, 18, &[("r1", "done", "a")], 0),
+    ];
+    assert!(holds(&entries, check_program));
+    let answered = [
+        b.call(0, 10, "r0", 0, answer(0, "a", 1)),
+        b.read(2, 3, &[("r0", "in_doubt", "")], 0),
+        b.read(13, 14, &[], 0),
+    ];
+    assert!(!holds(&answered, check_program), "answered, then gone");
+}
+
 #[test]
 fn program_bad_histories_are_refused() {
     let b = book();
