--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -110,15 +110,11 @@
 fn platform(mut section: Section<'_>) -> Option<Platform> {
     let table = section.required("table", value::remote_address);
     let table_name = section.or_default("table_name", value::name, Platform::default_name());
-    let objects = section.required("objects", value::remote_address);
-    let bucket = section.or_default("bucket", value::name, Platform::default_name());
     let list = section.required("list", value::remote_address);
     section.finish();
     Some(Platform {
         table: table?,
         table_name,
-        objects: objects?,
-        bucket,
         list: list?,
     })
 }
@@ -184,7 +180,6 @@
     let or = Store::default();
     let store = Store {
         writes_per_s: section.or_default("writes_per_s", value::rate, or.writes_per_s),
-        reads_per_s: section.or_default("reads_per_s", value::rate, or.reads_per_s),
     };
     section.finish();
     store
