Count requests of unknown outcome with one id once; bound the search

Change: those of one request id and position are one open operation from the first of them on. A lapsed lease that nobody could take away, because the store was down, counts by the operations met.

--- a/crates/fakes/src/check/program.rs
+++ b/crates/fakes/src/check/program.rs
@@ -193,9 +193,13 @@
 }
 
 /// Checks the entries of one program.
+///
+/// Requests of unknown outcome with one id and position count once, from the first of them on:
+/// each adds its line at most once, and the number of open operations stays small.
 #[must_use]
 pub fn check_program(entries: &[&Entry]) -> bool {
     let doubted = seen_in_doubt(entries);
+    let mut open = BTreeSet::new();
     let mut operations = Vec::new();
     for entry in entries {
         let timed = |operation, ended| Timed {
@@ -205,14 +209,23 @@
         };
         if let Operation::Call { call, .. } = &entry.operation
             && doubted.contains(&call.request_id)
+            && open.insert((call.position, call.request_id.as_str()))
         {
             let request = call.request_id.as_str().into();
             let steps = doubt(call.position as usize, &request);
             operations.extend(steps.map(|step| timed(step, None)));
         }
-        if let Some(operation) = operation(entry) {
-            let known = !matches!(operation, Turns::Unknown { .. });
-            operations.push(timed(operation, known.then_some(entry.ended)));
+        match operation(entry) {
+            Some(Turns::Unknown { position, request }) => {
+                if let Operation::Call { call, .. } = &entry.operation
+                    && open.insert((call.position, call.request_id.as_str()))
+                {
+                    let unknown = Turns::Unknown { position, request };
+                    operations.push(timed(unknown, None));
+                }
+            }
+            Some(operation) => operations.push(timed(operation, Some(entry.ended))),
+            None => {}
         }
     }
     is_linearizable::<AppendList>(&operations)
--- a/crates/fakes/src/trial/scene.rs
+++ b/crates/fakes/src/trial/scene.rs
@@ -237,11 +237,16 @@
     /// Ends the faults and returns how often each hit.
     pub(crate) async fn end(&mut self) -> Result<BTreeMap<Fault, u64>> {
         let mut hits = BTreeMap::new();
+        let down = self.active.iter().any(|one| one.fault == Fault::StoreDown);
         for mut active in std::mem::take(&mut self.active) {
             let counted = match active.task.take() {
                 Some(task) => task
                     .await
                     .map_err(|error| eyre!("a fault failed: {error}"))?,
+                // While the store is down nobody can take a lapsed lease away.
+                None if active.fault == Fault::Freeze && !down => {
+                    u64::from(self.was_fenced(active.target))
+                }
                 None => self.hits(&active),
             };
             *hits.entry(active.fault).or_default() += counted;
@@ -277,9 +282,6 @@
 
     /// Returns how often a fault hit: what the stand-ins counted, else the operations under way.
     fn hits(&self, active: &Active) -> u64 {
-        if active.fault == Fault::Freeze {
-            return u64::from(self.was_fenced(active.target));
-        }
         let counted = self.count(active.fault);
         if counted > 0 {
             return counted - active.counted;
