--- a/crates/daemon/tests/ownership/outage.rs
+++ b/crates/daemon/tests/ownership/outage.rs
@@ -104,3 +104,23 @@
     let (instance, ()) = tokio::join!(joining, back);
     until("every partition", || instance.membership.count() == 1024).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lease_is_counted_from_the_send_of_its_renewal() {
+    let platform = platform::spawn();
+    let instance = join(&platform, "i0", &short_leases()).await;
+    until("every partition", || instance.membership.count() == 1024).await;
+    // Each renewal takes most of the lease to be answered, and the next is sent at once.
+    platform.slow_ms(1_300);
+    let renewed = platform.counters().transactions + 2;
+    until("slow renewals", || {
+        platform.counters().transactions > renewed
+    })
+    .await;
+    until("a time without the lease", || {
+        !instance.membership.is_valid()
+    })
+    .await;
+    until("the lease again", || instance.membership.is_valid()).await;
+    assert_eq!(instance.seen.lock().expect("unpoisoned").fenced, 0);
+}
