--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,8 +3,7 @@
 //! Lock order, first to last: programs, grants, membership, configuration, commit
 //! queue. No lock is held across an await point.
 
-#![allow(dead_code)] // Until the parts are wired together.
-
+mod admission;
 mod answer;
 mod auth;
 mod body;
@@ -17,23 +16,30 @@
 mod front;
 mod grant;
 mod home;
+mod inventory;
 mod log;
 mod log_event;
 pub mod membership;
+mod meter;
 mod metric;
 mod node;
+mod observe;
 mod operator_api;
+mod order;
 mod ownership;
+mod parts;
 mod peer;
 mod peer_server;
 mod peer_stream;
 mod peer_tls;
 mod program;
+mod release;
 mod route;
 mod service;
 mod settings;
 mod stop;
 mod suspect;
+mod sweep;
 mod trace;
 mod upstream;
 
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -5,6 +5,7 @@
 pub(crate) mod state;
 mod watch;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -120,6 +121,12 @@
         self.state.wanted(upstream.as_str().as_bytes())
     }
 
+    /// Returns the instance that anything else with a key belongs with.
+    #[must_use]
+    pub fn wanted(&self, key: &[u8]) -> Option<Peer> {
+        self.state.wanted(key)
+    }
+
     /// Returns the instances that live, this one among them.
     #[must_use]
     pub fn live(&self) -> Vec<Peer> {
@@ -147,22 +154,29 @@
     /// Returns every instance that has a lease row, for operators.
     #[must_use]
     pub fn instances(&self) -> Vec<operator::Instance> {
+        let mut owned: BTreeMap<(&str, u64), u32> = BTreeMap::new();
         let partitions = self.state.partitions();
-        let owned = |instance: &id::Instance, record: &Instance| {
-            let owned = partitions.values().filter(|known| {
-                known.record.owner == instance.as_str()
-                    && known.record.incarnation == record.incarnation
-            });
-            owned.count() as u32
-        };
+        for known in partitions.values() {
+            let record = &known.record;
+            *owned
+                .entry((record.owner.as_str(), record.incarnation))
+                .or_default() += 1;
+        }
         let members = self.state.members();
         let described = members.iter().map(|(instance, member)| {
-            let partitions = owned(instance, &member.record);
+            let start = (instance.as_str(), member.record.incarnation);
+            let partitions = owned.get(&start).copied().unwrap_or(0);
             describe(instance, &member.record, partitions)
         });
         described.collect()
     }
 
+    /// Returns once this instance has written its own end, or a later start of the same instance
+    /// has taken its place. It owns nothing any more and does not join again.
+    pub async fn ended(&self) {
+        self.state.retired().await;
+    }
+
     /// Has the watcher read the rows again at once.
     pub fn refresh(&self) {
         self.refresh.notify_one();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,21 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use basilramp_platform::{list, table};
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use quinn::{Endpoint, VarInt};
-use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
-use crate::auth::Keys;
 use crate::front::Listener;
 use crate::log::{Event, event};
-use crate::route::{Local, Router};
 use crate::settings::Settings;
 use crate::{
-    caller_api, clock, config, grant, home, log, membership, metric, operator_api, ownership, peer,
-    peer_server, peer_tls, program, stop, trace, upstream,
+    caller_api, log, membership, metric, operator_api, parts, peer, peer_server, peer_tls, stop,
+    trace,
 };
 
 /// Time between being not ready and closing the listeners, for the balancer to notice.
@@ -37,11 +33,15 @@
         .build()
         .wrap_err("can't start the worker pool")?;
     let log = log::open(&settings.instance.id, settings.log.level.into());
-    runtime.block_on(async {
-        let node = Node::<Bound>::bind(settings, log).await?;
+    let outcome = runtime.block_on(async {
+        let node = Node::<Bound>::bind(settings, log.clone()).await?;
         let node = node.join().await?;
         node.run_until_stopped().await
-    })
+    });
+    if let Err(error) = &outcome {
+        event!(log, Event::Fatal, "error" => format!("{error:#}"));
+    }
+    outcome
 }
 
 /// An instance at one stage of its life.
@@ -107,99 +107,49 @@
             endpoint,
             peers,
         } = self.stage;
-        let clock = clock::Source::open();
-        let table = open_table(&self.settings);
-        let address = endpoint.local_addr()?;
-        let (membership, commit, changes) =
-            membership::join(&table, &self.settings, address, clock).await;
-        let config = config::spawn(&table, commit.clone(), &self.settings).await;
-        let list = list::Client::open(self.settings.platform.list);
-        let poll_ms = self.settings.timing.upstream_poll_ms;
-        let upstreams = upstream::spawn(list, poll_ms, self.log.clone());
-        let homes = home::spawn(
-            upstreams.clone(),
-            membership.clone(),
-            poll_ms,
-            clock,
-            self.log.clone(),
-        );
-        let grants = grant::open(
-            homes.clone(),
-            upstreams,
-            membership.clone(),
-            config.clone(),
-            peers.clone(),
-        );
-        let programs = program::spawn(program::Parts {
-            table,
-            commit,
-            membership: membership.clone(),
-            config: config.clone(),
-            grants,
-            homes: homes.clone(),
-            peers: peers.clone(),
-            clock,
+        let bound = endpoint.local_addr()?;
+        let started = parts::start(parts::Frame {
+            settings: &self.settings,
+            address: self.settings.listen.peers_advertised.unwrap_or(bound),
+            peers,
+            metrics: self.metrics.clone(),
             log: self.log.clone(),
-            timing: self.settings.timing.clone(),
-            limits: self.settings.limits.clone(),
+            stop: self.stop.clone(),
         });
-        tokio::spawn(ownership::follow(changes, programs.clone(), peers.clone()));
-        let local = Local {
-            programs,
-            homes,
-            config: config.clone(),
-            membership: membership.clone(),
-        };
-        let router = Router {
-            local: local.clone(),
-            membership: membership.clone(),
-            peers,
-        };
+        let parts = started.await;
+        let local = parts.router.local.clone();
         let serving = peer_server::serve(endpoint.clone(), local, self.tasks.clone());
         tokio::spawn(serving);
-        let api = caller_api::Api {
-            router: router.clone(),
-            keys: Keys::open(config.clone()),
-            body_bytes: self.settings.limits.body_bytes,
-            slots: Arc::new(Semaphore::new(self.settings.limits.requests)),
-            stop: self.stop.clone(),
-        };
-        let serving = callers.serve(caller_api::paths(), Arc::new(api), self.stop.clone());
+        let api = Arc::new(parts.caller_api(&self.settings));
+        let serving = callers.serve(caller_api::paths(), api, self.stop.clone());
         self.tasks.spawn(serving);
-        let api = operator_api::Api {
-            router,
-            config,
-            metrics: self.metrics.clone(),
-            membership: membership.clone(),
-            operators: self.settings.operators.clone(),
-            body_bytes: self.settings.limits.body_bytes,
-            stop: self.stop.clone(),
-        };
-        let serving = operators.serve(operator_api::paths(), Arc::new(api), self.stop.clone());
+        let api = Arc::new(parts.operator_api(&self.settings));
+        let serving = operators.serve(operator_api::paths(), api, self.stop.clone());
         self.tasks.spawn(serving);
         Ok(Node {
             settings: self.settings,
             log: self.log,
-            metrics: self.metrics,
             traces: self.traces,
+            metrics: self.metrics,
             stop: self.stop,
             tasks: self.tasks,
             stage: Joined {
                 endpoint,
-                membership,
+                membership: parts.router.membership,
             },
         })
     }
 }
 
-fn open_table(settings: &Settings) -> table::Client {
-    let platform = &settings.platform;
-    table::Client::open(platform.table, platform.table_name.as_str())
-}
-
 impl Node<Joined> {
     async fn run_until_stopped(self) -> Result<()> {
-        stop::asked().await.wrap_err("can't wait for signals")?;
+        event!(self.log, Event::Ready);
+        tokio::select! {
+            asked = stop::asked() => asked.wrap_err("can't wait for signals")?,
+            () = self.stage.membership.ended() => {
+                return Err(eyre!("a later start of this instance has taken its place"));
+            }
+        }
         event!(self.log, Event::Stopping);
         self.stop.drain();
         tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::membership::{self, Peer};
 use crate::trace::{self, Hop};
-use crate::{config, home, peer, program};
+use crate::{admission, config, home, metric, peer, program, stop};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -32,6 +32,8 @@
     pub(crate) homes: home::Handle,
     pub(crate) config: config::Handle,
     pub(crate) membership: membership::Handle,
+    pub(crate) stop: stop::Signal,
+    pub(crate) admission: admission::Handle,
 }
 
 impl Local {
@@ -46,10 +48,20 @@
         self.programs.call(&account, program, call, events).await;
     }
 
+    /// A stopping instance takes no new programs: the entry instance waits for the next owner.
+    fn takes_programs(&self) -> Result<(), Error> {
+        if self.stop.is_stopping() {
+            let message = "the owner is stopping";
+            return Err(Error::new(Kind::OwnerUnavailable, message));
+        }
+        Ok(())
+    }
+
     /// Runs any other request.
     pub(crate) async fn answer(&self, body: Body) -> Result<Reply, Error> {
         match body {
             Body::Create { account, create } => {
+                self.takes_programs()?;
                 let account = id::Account::new(account);
                 self.programs
                     .create(&account, create)
@@ -93,6 +105,24 @@
                 self.homes.release(&upstream, &program);
                 Ok(Reply::Done)
             }
+            Body::Admit { account, program } => {
+                let program = parse(&program)?;
+                let account = id::Account::new(account);
+                self.admission
+                    .count(&account, program)
+                    .map(|()| Reply::Done)
+            }
+            Body::Programs { instance, accounts } => {
+                self.admission.note(&instance, accounts);
+                Ok(Reply::Done)
+            }
+            Body::Ended { programs } => {
+                let programs = programs.iter().filter_map(|program| program.parse().ok());
+                let ended = self.programs.ended(programs.collect()).await;
+                Ok(Reply::Ended(
+                    ended.iter().map(id::Program::to_string).collect(),
+                ))
+            }
             Body::Config(head) => {
                 self.config.hint(head.version);
                 Ok(Reply::Done)
@@ -112,6 +142,7 @@
     pub(crate) local: Local,
     pub(crate) membership: membership::Handle,
     pub(crate) peers: peer::Client,
+    pub(crate) metrics: metric::Handle,
 }
 
 impl Router {
@@ -139,6 +170,7 @@
         if owner.id == self.membership.own() {
             return trace::span(Hop::Owner, self.local.answer(body)).await;
         }
+        self.metrics.forward();
         trace::span(Hop::Forward, self.peers.ask(&owner, body)).await
     }
 
@@ -229,6 +261,7 @@
             program: program.to_string(),
             call: call.clone(),
         };
+        self.metrics.forward();
         let replies = trace::span(Hop::Forward, self.peers.stream(&owner, body)).await?;
         Ok(events_of(replies))
     }
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -89,7 +89,9 @@
     let callers = section.required("callers", value::address);
     let operators = section.required("operators", value::address);
     let peers = section.required("peers", value::address);
-    if peers.is_some_and(|address| address.ip().is_unspecified()) {
+    let peers_advertised = section.optional("peers_advertised", value::remote_address);
+    let unspecified = peers.is_some_and(|address| address.ip().is_unspecified());
+    if unspecified && peers_advertised.is_none() {
         let message = "has to be the IP number at which other instances reach this one";
         section.fault("peers", message);
     }
@@ -101,21 +103,18 @@
         callers: callers?,
         operators: operators?,
         peers: peers?,
+        peers_advertised,
     })
 }
 
 fn platform(mut section: Section<'_>) -> Option<Platform> {
     let table = section.required("table", value::remote_address);
     let table_name = section.or_default("table_name", value::name, Platform::default_name());
-    let objects = section.required("objects", value::remote_address);
-    let bucket = section.or_default("bucket", value::name, Platform::default_name());
     let list = section.required("list", value::remote_address);
     section.finish();
     Some(Platform {
         table: table?,
         table_name,
-        objects: objects?,
-        bucket,
         list: list?,
     })
 }
@@ -181,7 +180,6 @@
     let or = Store::default();
     let store = Store {
         writes_per_s: section.or_default("writes_per_s", value::rate, or.writes_per_s),
-        reads_per_s: section.or_default("reads_per_s", value::rate, or.reads_per_s),
     };
     section.finish();
     store
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,7 +1,5 @@
 //! The upstreams that the platform's list names.
 
-use crate::log;
-use crate::log::{Event, event};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,6 +10,8 @@
 use basilramp_wire::list::{Endpoint, GROUP_LABEL, PLACE_LABEL, ROLE_LABEL, Slice, SliceList};
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::log::{self, Event, event};
+
 /// Answers questions about upstreams.
 #[derive(Clone, Debug)]
 pub(crate) struct Handle {
@@ -36,7 +36,9 @@
         ticks.tick().await;
         match list.fetch().await {
             Ok(list) => handle.apply(&list),
-            Err(error) => event!(log, Event::ListUnavailable, "error" => %error),
+            Err(error) => {
+                event!(log, Event::ListUnavailable, "error" => error.to_string());
+            }
         }
     }
 }
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -1,10 +1,12 @@
 //! A deployment on loopback: platform, upstreams and instances as separate processes.
 
 mod deployment;
+mod instance;
 mod keys;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use basilramp_wire::config::Edit;
@@ -14,8 +16,9 @@
 use tokio::time::Instant;
 
 use crate::engine::{self, Engine};
-use crate::launcher::{Addresses, Launcher, Process};
+use crate::launcher::Launcher;
 use crate::platform::{self, Entry, Platform, Role, State};
+use crate::relay::{self, Relay};
 use crate::service::{self, Service};
 use crate::{caller, operator};
 
@@ -23,6 +26,7 @@
     MODEL, ORDER_PATH, REGISTER_PATH, STATUS_PATH, limit, model, name, place, plain, services, set,
     sha256_hex,
 };
+pub use instance::Instance;
 
 use keys::Authority;
 
@@ -38,6 +42,9 @@
 /// Operators of every deployment; the token of an operator is `token-` and its name.
 pub const OPERATORS: [&str; 2] = ["ada", "ben"];
 
+/// Groups of the plain services, in the order of the list.
+const GROUPS: [&str; 2] = ["registry", "store"];
+
 /// What a deployment is made of.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -53,6 +60,8 @@
     pub edits: Vec<Edit>,
     /// Settings that are merged over the generated ones, as a JSON object.
     pub settings: Value,
+    /// Whether relays that can be cut stand before the upstreams and the store.
+    pub relays: bool,
 }
 
 impl Options {
@@ -66,44 +75,26 @@
             timeout_ms: 5_000,
             edits: Vec::new(),
             settings: json!({}),
+            relays: false,
         }
     }
 }
 
-/// An instance of the deployment.
-#[derive(Debug)]
-pub struct Instance {
-    /// Its id.
-    pub id: String,
-    /// Its failure domain.
-    pub failure_domain: String,
-    /// Its settings.
-    pub settings: Value,
-    /// Its process, unless it was killed or has stopped.
-    pub process: Option<Process>,
-}
-
-impl Instance {
-    /// Returns where it listens, if it runs.
-    #[must_use]
-    pub fn addresses(&self) -> Option<Addresses> {
-        self.process.as_ref().map(Process::addresses)
-    }
-}
-
 /// A running deployment. Dropping it ends everything.
 #[derive(Debug)]
 pub struct Cluster {
     /// The instances.
     pub instances: Vec<Instance>,
     /// The platform.
-    pub platform: Platform,
+    pub platform: Arc<Platform>,
     /// The engines.
-    pub engines: Vec<Engine>,
+    pub engines: Vec<Arc<Engine>>,
     /// The registry, named `s0`, with a status look-up.
-    pub registry: Service,
+    pub registry: Arc<Service>,
     /// The storefront, named `s1`, without a status look-up.
-    pub store: Service,
+    pub store: Arc<Service>,
+    /// A relay before each engine and service, in the order of the list, if there are any.
+    pub upstream_relays: Vec<Relay>,
     launcher: Launcher,
     authority: Authority,
     directory: TempDir,
@@ -123,7 +114,7 @@
     pub async fn start(options: Options) -> Result<Self> {
         let mut cluster = Self::prepare(&options)?;
         for index in 0..options.instances {
-            let instance = cluster.make_instance(index, &options.settings)?;
+            let instance = cluster.add_instance(index, &options)?;
             cluster.instances.push(instance);
             cluster.launch(index).await?;
         }
@@ -139,81 +130,64 @@
             status_path: Some(STATUS_PATH.to_owned()),
             ..service::Options::default()
         });
-        let engines = options.engines.iter().cloned().map(engine::spawn);
-        let cluster = Self {
+        let engines = options.engines.iter().cloned();
+        let mut cluster = Self {
             instances: Vec::new(),
-            platform: platform::spawn(),
-            engines: engines.collect(),
-            registry,
-            store: service::spawn(service::Options::default()),
+            platform: Arc::new(platform::spawn()),
+            engines: engines.map(engine::spawn).map(Arc::new).collect(),
+            registry: Arc::new(registry),
+            store: Arc::new(service::spawn(service::Options::default())),
+            upstream_relays: Vec::new(),
             launcher: options.launcher.clone(),
             authority,
             directory,
         };
-        cluster.list_upstreams();
+        cluster.list_upstreams(options.relays);
         deployment::write(&cluster.platform, first_edits(options));
         Ok(cluster)
     }
 
-    fn list_upstreams(&self) {
-        for (index, engine) in self.engines.iter().enumerate() {
-            self.platform.list(Entry {
-                name: format!("e{index}"),
-                role: Role::Engine,
-                address: engine.address(),
-                failure_domain: domain(index),
-                place: format!("place-{}", domain(index)),
-                group: String::new(),
-                state: State::Ready,
-            });
+    fn list_upstreams(&mut self, relays: bool) {
+        for index in 0..self.engines.len() {
+            let address = self.engines[index].address();
+            let address = self.relayed(address, relays);
+            self.list_upstream(&format!("e{index}"), Role::Engine, address, index, "");
         }
-        let groups = [("registry", &self.registry), ("store", &self.store)];
-        for (index, (group, service)) in groups.into_iter().enumerate() {
-            self.platform.list(Entry {
-                name: format!("s{index}"),
-                role: Role::Service,
-                address: service.address(),
-                failure_domain: domain(index),
-                place: format!("place-{}", domain(index)),
-                group: group.to_owned(),
-                state: State::Ready,
-            });
+        let services = [self.registry.address(), self.store.address()];
+        for (index, (address, group)) in services.into_iter().zip(GROUPS).enumerate() {
+            let address = self.relayed(address, relays);
+            self.list_upstream(&format!("s{index}"), Role::Service, address, index, group);
         }
     }
 
-    fn make_instance(&self, index: usize, overrides: &Value) -> Result<Instance> {
-        let id = format!("i{index}");
-        let files = self.authority.sign(&id)?;
-        let operators: Vec<Value> = OPERATORS
-            .iter()
-            .map(|name| json!({"name": name, "token_sha256": sha256_hex(&token(name))}))
-            .collect();
-        let mut settings = json!({
-            "instance": {"id": id, "failure_domain": domain(index)},
-            "listen": {
-                "callers": "127.0.0.1:0",
-                "operators": "127.0.0.1:0",
-                "peers": "127.0.0.1:0",
-            },
-            "platform": {
-                "table": self.platform.table_address(),
-                "objects": self.platform.objects_address(),
-                "list": self.platform.list_address(),
-            },
-            "peers": {
-                "certificate": files.certificate,
-                "key": files.key,
-                "authority": files.authority,
-            },
-            "operators": operators,
-        });
-        merge(&mut settings, overrides);
-        Ok(Instance {
-            id,
+    /// Returns the address by which instances reach an upstream.
+    fn relayed(&mut self, address: SocketAddr, relays: bool) -> SocketAddr {
+        if !relays {
+            return address;
+        }
+        let relay = relay::spawn(address);
+        let address = relay.address();
+        self.upstream_relays.push(relay);
+        address
+    }
+
+    fn list_upstream(
+        &self,
+        name: &str,
+        role: Role,
+        address: SocketAddr,
+        index: usize,
+        group: &str,
+    ) {
+        self.platform.list(Entry {
+            name: name.to_owned(),
+            role,
+            address,
             failure_domain: domain(index),
-            settings,
-            process: None,
-        })
+            place: format!("place-{}", domain(index)),
+            group: group.to_owned(),
+            state: State::Ready,
+        });
     }
 
     /// Starts the process of an instance, or starts it anew.
@@ -227,6 +201,9 @@
         std::fs::write(&path, serde_json::to_vec_pretty(&instance.settings)?)?;
         instance.process = None;
         let process = self.launcher.start(&path).await?;
+        if let Some(relay) = &instance.peer_relay {
+            relay.lead_to(process.addresses().peers);
+        }
         self.platform.list(Entry {
             name: instance.id.clone(),
             role: Role::Instance,
@@ -312,8 +289,10 @@
     ///
     /// Fails if the system refuses.
     pub fn kill(&mut self, index: usize) -> Result<()> {
-        if let Some(mut process) = self.instances[index].process.take() {
+        let instance = &mut self.instances[index];
+        if let Some(mut process) = instance.process.take() {
             process.kill()?;
+            instance.past_output.extend(process.output());
         }
         Ok(())
     }
@@ -345,15 +324,3 @@
     edits.extend(options.edits.iter().cloned());
     edits
 }
-
-/// Sets the fields of `changes` in `value`, objects within objects.
-fn merge(value: &mut Value, changes: &Value) {
-    match (value, changes) {
-        (Value::Object(fields), Value::Object(changes)) => {
-            for (name, change) in changes {
-                merge(fields.entry(name.clone()).or_insert(Value::Null), change);
-            }
-        }
-        (value, changes) => *value = changes.clone(),
-    }
-}
--- a/crates/fakes/src/platform/store.rs
+++ b/crates/fakes/src/platform/store.rs
@@ -52,6 +52,8 @@
     pub lost_answers: u64,
     /// Writes whose effect came after their connection was closed.
     pub delayed: u64,
+    /// Bytes of request and answer bodies.
+    pub bytes: u64,
 }
 
 /// Faults to apply.
@@ -61,6 +63,7 @@
     pub(crate) lose_next: u32,
     pub(crate) delay_next: u32,
     pub(crate) delay_ms: u64,
+    pub(crate) forget_tokens: bool,
     random: Option<(f64, ChaCha8Rng)>,
 }
 
