--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod peer_server;
 mod peer_stream;
 mod peer_tls;
+mod probe;
 mod program;
 mod release;
 mod route;
--- a/crates/daemon/src/program/attempt.rs
+++ b/crates/daemon/src/program/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a call at an upstream, and when there is another.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use basilramp_core::fingerprint;
@@ -10,6 +11,7 @@
 use super::call::Run;
 use crate::engine::Failure;
 use crate::grant::{End, Grant, Want};
+use crate::probe;
 use crate::suspect::{Crash, Pass};
 use crate::trace::{self, Hop};
 
@@ -101,12 +103,10 @@
 }
 
 /// Judges a failed attempt, and records a crash durably before there is another.
-pub(crate) async fn failed(
-    run: &Run,
-    pass: Pass,
-    upstream: id::Upstream,
-    failure: Failure,
-) -> Fault {
+pub(crate) async fn failed(run: &Run, pass: Pass, grant: Grant, failure: Failure) -> Fault {
+    let upstream = grant.upstream.clone();
+    let address = grant.address;
+    run.shared.parts.grants.give_back(grant, End::Failed);
     match failure {
         Failure::Unsent => {
             pass.abandoned();
@@ -132,7 +132,7 @@
             Fault::last(error, true)
         }
         Failure::Broken => {
-            let crash = pass.crashed(&run.shared.parts.log).await;
+            let crash = broken(run, pass, address).await;
             let message = "the upstream failed while it ran the request";
             Fault {
                 error: Error::new(Kind::UpstreamFailed, message),
@@ -143,6 +143,15 @@
     }
 }
 
+/// Tells a crash of the upstream from a connection that broke, and records a crash.
+pub(crate) async fn broken(run: &Run, pass: Pass, address: SocketAddr) -> Crash {
+    if !probe::is_down(address).await {
+        pass.abandoned();
+        return Crash::Recorded;
+    }
+    pass.crashed(&run.shared.parts.log).await
+}
+
 /// Counts the attempts of one call.
 #[derive(Debug)]
 pub(crate) struct Tries {
--- a/crates/daemon/src/program/intent.rs
+++ b/crates/daemon/src/program/intent.rs
@@ -70,9 +70,10 @@
             let _ = run.events.send(Answered::Error(error)).await;
         }
         Err(failure) => {
+            let address = grant.address;
             grants.give_back(grant, End::Failed);
             if failure == engine::Failure::Broken {
-                pass.crashed(&run.shared.parts.log).await;
+                attempt::broken(&run, pass, address).await;
             } else {
                 pass.abandoned();
             }
--- a/crates/daemon/src/program/model.rs
+++ b/crates/daemon/src/program/model.rs
@@ -122,11 +122,7 @@
             let message = "the upstream failed part-way and its replacement answered differently";
             Err(Fault::last(Error::new(Kind::UpstreamFailed, message), true))
         }
-        Err(Broken::Upstream(failure)) => {
-            let upstream = grant.upstream.clone();
-            grants.give_back(grant, End::Failed);
-            Err(attempt::failed(run, pass, upstream, failure).await)
-        }
+        Err(Broken::Upstream(failure)) => Err(attempt::failed(run, pass, grant, failure).await),
     }
 }
 
--- a/crates/daemon/src/program/plain.rs
+++ b/crates/daemon/src/program/plain.rs
@@ -67,11 +67,7 @@
             pass.completed();
             Ok(answer)
         }
-        Err(failure) => {
-            let upstream = grant.upstream.clone();
-            grants.give_back(grant, End::Failed);
-            Err(attempt::failed(run, pass, upstream, failure).await)
-        }
+        Err(failure) => Err(attempt::failed(run, pass, grant, failure).await),
     }
 }
 
--- a/crates/daemon/tests/calls/main.rs
+++ b/crates/daemon/tests/calls/main.rs
@@ -4,3 +4,4 @@
 mod once;
 mod order;
 mod support;
+mod suspect;
--- /dev/null
+++ b/crates/daemon/tests/calls/suspect.rs
@@ -0,0 +1,86 @@
+//! A request that crashes engines costs two of them at most, whoever sends it again.
+
+use basilramp_fakes::caller;
+use basilramp_fakes::cluster::{Cluster, name};
+use basilramp_fakes::engine;
+use basilramp_wire::error::{Kind, Ran};
+
+use crate::support::{assert_refused, create, options, refusal, until};
+
+const POISON: &str = "tell me about POISON ivy";
+
+fn crashes(cluster: &Cluster) -> u64 {
+    let engines = cluster.engines.iter();
+    engines.map(|engine| engine.crashes()).sum()
+}
+
+async fn deployment(engines: usize) -> Cluster {
+    let mut options = options(3);
+    options.engines = vec![engine::Options::default(); engines];
+    let cluster = Cluster::start(options).await;
+    cluster.expect("the deployment starts")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_costs_two_engines_whoever_sends_it_again() {
+    let cluster = deployment(4).await;
+    for round in 0..4u32 {
+        for index in 0..3 {
+            let program = create(&cluster, &format!("p{round} {index}")).await;
+            let at = cluster.callers(index).expect("it runs");
+            let mut call = caller::call(&format!("r{round}"), 0, name::MODEL, POISON);
+            call.max_tokens = 10 + round;
+            let answer = cluster.caller(0).call(at, &program.id, &call).await;
+            assert!(answer.result.is_err());
+        }
+    }
+    assert_eq!(crashes(&cluster), 2);
+    let program = create(&cluster, "another").await;
+    let at = crate::support::any(&cluster);
+    let call = caller::call("r", 0, name::MODEL, POISON);
+    let answer = cluster.caller(0).call(at, &program.id, &call).await;
+    assert_refused(&answer, Kind::Quarantined, Ran::No);
+    let good = caller::call("r", 0, name::MODEL, "tell me about poison ivy");
+    let answer = cluster.caller(0).call(at, &program.id, &good).await;
+    assert!(answer.result.is_ok(), "{:?}", answer.result);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_outlives_every_instance() {
+    let mut cluster = deployment(3).await;
+    let program = create(&cluster, "p").await;
+    let at = crate::support::any(&cluster);
+    let call = caller::call("r", 0, name::MODEL, POISON);
+    let answer = cluster.caller(0).call(at, &program.id, &call).await;
+    assert_eq!(refusal(&answer).kind, Kind::UpstreamFailed);
+    until("two engines crash", || crashes(&cluster) == 2).await;
+    for index in 0..3 {
+        cluster.kill(index).expect("it is killed");
+    }
+    for index in 0..3 {
+        cluster.launch(index).await.expect("it starts");
+    }
+    cluster.ready().await.expect("they are ready");
+    let at = crate::support::any(&cluster);
+    let answer = crate::support::call_until_settled(&cluster, at, &program.id, &call).await;
+    assert_refused(&answer, Kind::Quarantined, Ran::No);
+    assert_eq!(crashes(&cluster), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_makes_no_suspect() {
+    let cluster = deployment(2).await;
+    for engine in &cluster.engines {
+        engine.fault_next(engine::Fault::Break);
+    }
+    let program = create(&cluster, "p").await;
+    let at = crate::support::any(&cluster);
+    let call = caller::call("r", 0, name::MODEL, "which grit comes first?");
+    let answer = cluster.caller(0).call(at, &program.id, &call).await;
+    let answer = match answer.result {
+        Ok(_) => answer,
+        Err(_) => cluster.caller(0).call(at, &program.id, &call).await,
+    };
+    assert!(answer.result.is_ok(), "{:?}", answer.result);
+    assert!(cluster.platform.rows("suspect").is_empty());
+}
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -131,10 +131,12 @@
     }
 }
 
-/// Binds a socket without listening, so that connections are refused.
+/// Binds a socket without listening, so that connections are refused; another socket of the
+/// server may be bound to the same address.
 fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
     socket.bind(address)?;
     Ok(socket)
 }
@@ -151,8 +153,8 @@
 {
     loop {
         accept(&listener, &gate, &handler).await;
-        drop(listener);
         let socket = reserve(address).expect("the port stays ours");
+        drop(listener);
         if gate.wait_for(|gate| gate.open).await.is_err() {
             return;
         }
