--- a/crates/daemon/tests/calls/budget.rs
+++ b/crates/daemon/tests/calls/budget.rs
@@ -6,7 +6,9 @@
 use basilramp_wire::api::{Create, Program};
 use basilramp_wire::error::{Kind, Ran};
 
-use crate::support::{any, assert_refused, call_until_settled, create_with, owner, start, until};
+use crate::support::{
+    any, assert_refused, call_until_settled, create_with, options, owner, start, until,
+};
 
 const TOKENS: u64 = 4_000;
 
