--- a/crates/daemon/tests/calls/main.rs
+++ b/crates/daemon/tests/calls/main.rs
@@ -1,4 +1,7 @@
 //! Promises on calls, with real instances against the stand-ins.
 
+mod budget;
 mod once;
+mod order;
 mod support;
+mod suspect;
