--- /dev/null
+++ b/crates/fakes/examples/policy/engine.rs
@@ -0,0 +1,186 @@
+//! A small stand-in for an engine: continuous batches, and a prefix cache of limited memory.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use basilramp_core::id;
+
+/// The most calls in the batch.
+pub(crate) const SLOTS: usize = 16;
+
+/// Tokens that the cache holds.
+pub(crate) const CACHE_TOKENS: u64 = 200_000;
+
+/// Prompt tokens computed in a millisecond.
+const PREFILL_TOKENS_PER_MS: f64 = 4.0;
+
+/// Milliseconds for a token of a batch of one.
+const DECODE_MS: f64 = 15.0;
+
+/// Milliseconds that each call in the batch adds to a token.
+const DECODE_CALL_MS: f64 = 1.0;
+
+/// Part of the decoding speed that is left while a prompt is computed.
+const DECODE_SHARE: f64 = 0.5;
+
+/// A call at the engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Job {
+    /// Which call.
+    pub(crate) call: usize,
+    /// Whose prefix.
+    pub(crate) program: id::Program,
+    /// Tokens of the prompt.
+    pub(crate) prompt: u64,
+    /// Tokens to generate.
+    pub(crate) output: u64,
+    /// Tokens of the prompt that were computed for the program before.
+    pub(crate) known: u64,
+}
+
+#[derive(Debug)]
+struct Active {
+    job: Job,
+    prefill: f64,
+    decode: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Prefix {
+    tokens: u64,
+    used: u64,
+}
+
+/// A stand-in engine.
+#[derive(Debug, Default)]
+pub(crate) struct Engine {
+    batch: Vec<Active>,
+    waiting: VecDeque<Job>,
+    cache: BTreeMap<id::Program, Prefix>,
+    cached: u64,
+    uses: u64,
+    /// Divides its speed.
+    pub(crate) slowness: f64,
+    /// Cache events since the last poll: whose prefix, and how long it is.
+    pub(crate) events: Vec<(id::Program, u64)>,
+    /// Tokens that were computed again.
+    pub(crate) refilled: u64,
+    /// Slot-milliseconds in use.
+    pub(crate) busy_ms: u64,
+}
+
+impl Engine {
+    pub(crate) fn new() -> Self {
+        Self {
+            slowness: 1.0,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the calls here, running or waiting.
+    pub(crate) fn calls(&self) -> usize {
+        self.batch.len() + self.waiting.len()
+    }
+
+    /// Returns the tokens held.
+    pub(crate) const fn cached_tokens(&self) -> u64 {
+        self.cached
+    }
+
+    /// Returns everything held.
+    pub(crate) fn holdings(&self) -> Vec<(id::Program, u64)> {
+        let held = self.cache.iter();
+        held.map(|(program, prefix)| (*program, prefix.tokens))
+            .collect()
+    }
+
+    /// Takes a call.
+    pub(crate) fn submit(&mut self, job: Job) {
+        self.waiting.push_back(job);
+        self.fill();
+    }
+
+    /// Lets go of a program's prefix.
+    pub(crate) fn release(&mut self, program: id::Program) {
+        if let Some(prefix) = self.cache.remove(&program) {
+            self.cached -= prefix.tokens;
+            self.events.push((program, 0));
+        }
+    }
+
+    /// Works for `ms` milliseconds and returns the calls that are done.
+    pub(crate) fn step(&mut self, ms: u64) -> Vec<Job> {
+        self.busy_ms += ms * self.batch.len() as u64;
+        let work_ms = ms as f64 / self.slowness;
+        let computes = self.batch.iter_mut().find(|active| active.prefill > 0.0);
+        let share = match computes {
+            Some(active) => {
+                active.prefill -= work_ms * PREFILL_TOKENS_PER_MS;
+                DECODE_SHARE
+            }
+            None => 1.0,
+        };
+        let token_ms = DECODE_MS + DECODE_CALL_MS * self.batch.len() as f64;
+        let tokens = work_ms * share / token_ms;
+        for active in self.batch.iter_mut().filter(|active| active.prefill <= 0.0) {
+            active.decode -= tokens;
+        }
+        let is_done = |active: &mut Active| active.prefill <= 0.0 && active.decode <= 0.0;
+        let done: Vec<_> = self.batch.extract_if(.., is_done).collect();
+        for active in &done {
+            self.hold(active.job.program, active.job.prompt + active.job.output);
+        }
+        self.fill();
+        done.into_iter().map(|active| active.job).collect()
+    }
+
+    fn fill(&mut self) {
+        while self.batch.len() < SLOTS {
+            let Some(job) = self.waiting.pop_front() else {
+                return;
+            };
+            let held = self
+                .cache
+                .get(&job.program)
+                .map_or(0, |prefix| prefix.tokens);
+            let cached = held.min(job.prompt);
+            self.refilled += job.known.saturating_sub(cached);
+            self.batch.push(Active {
+                job,
+                prefill: (job.prompt - cached) as f64,
+                decode: job.output as f64,
+            });
+            self.hold(job.program, job.prompt);
+        }
+    }
+
+    fn hold(&mut self, program: id::Program, tokens: u64) {
+        self.uses += 1;
+        let prefix = Prefix {
+            tokens,
+            used: self.uses,
+        };
+        let old = self.cache.insert(program, prefix);
+        self.cached += tokens;
+        self.cached -= old.map_or(0, |old| old.tokens);
+        self.events.push((program, tokens));
+        while self.cached > CACHE_TOKENS {
+            let Some(oldest) = self.oldest(program) else {
+                return;
+            };
+            self.release(oldest);
+        }
+    }
+
+    /// Returns the prefix least recently used that no call in the batch needs.
+    fn oldest(&self, except: id::Program) -> Option<id::Program> {
+        let in_use = |program| {
+            self.batch
+                .iter()
+                .any(|active| active.job.program == program)
+        };
+        let free = self.cache.iter();
+        let free = free.filter(|(program, _)| **program != except && !in_use(**program));
+        let oldest = free.min_by_key(|(_, prefix)| prefix.used);
+        oldest.map(|(program, _)| *program)
+    }
+}
