Place calls by the pace that upstreams show

Change: homes keep the mean time of calls over their work; placement scales a call's run time by it.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -48,6 +48,7 @@
         wait_ms: 0,
         cached_tokens: u64::from(number % 100) * 2_000,
         cache_tokens: 200_000,
+        pace_permille: 1_000,
     }
 }
 
@@ -93,6 +94,7 @@
             program: ask.program,
             offer: MODEL,
             prompt: 7_000,
+            output: 200,
             avoid: &[],
         };
         let choices = self.board.rank(&call);
@@ -101,7 +103,7 @@
             panic!("no free slot");
         };
         self.board.note_served(ask.program, chosen, 7_000);
-        black_box(self.home.give_back(self.now, chosen, ticket));
+        black_box(self.home.give_back(self.now, chosen, ticket, Some(1_000)));
     }
 
     /// Lets all programs ask one upstream, so that those beyond its slots wait.
@@ -120,7 +122,9 @@
     fn turn(&mut self, held: &mut Vec<Ticket>, number: usize) {
         self.now = self.now.after(1);
         let ticket = held.pop().expect("a held ticket");
-        let effects = self.home.give_back(self.now, &self.upstreams[0], ticket);
+        let effects = self
+            .home
+            .give_back(self.now, &self.upstreams[0], ticket, Some(1_000));
         for effect in effects {
             if let basilramp_core::home::Effect::Granted(_, ticket) = effect {
                 held.push(ticket);
--- a/crates/core/src/home/entry.rs
+++ b/crates/core/src/home/entry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::pace::Pace;
 use super::{
     Answer, Ask, Digest, Effect, GRANT_MS, LAG_MS, LOST_MS, Office, Refusal, Report, SHARE_DIVISOR,
     Ticket, Waiter,
@@ -25,6 +26,7 @@
     counted: bool,
     leaving: bool,
     hold_ms: u64,
+    pace: Pace,
     grants: BTreeMap<Ticket, Time>,
     granted: BTreeSet<(Time, Ticket)>,
     missing: Option<Missing>,
@@ -58,6 +60,7 @@
             counted: true,
             leaving: false,
             hold_ms: FIRST_HOLD_MS,
+            pace: Pace::default(),
             grants: BTreeMap::new(),
             granted: BTreeSet::new(),
             missing: None,
@@ -214,7 +217,7 @@
         self.waiting.insert(waiter, wait);
     }
 
-    pub(super) fn give_back(&mut self, now: Time, ticket: Ticket) {
+    pub(super) fn give_back(&mut self, now: Time, ticket: Ticket, work_ms: Option<u64>) {
         let Some(since) = self.grants.remove(&ticket) else {
             self.foreign = self.foreign.saturating_sub(1);
             return;
@@ -222,6 +225,9 @@
         self.granted.remove(&(since, ticket));
         let sample = now.since(since);
         self.hold_ms = (self.hold_ms * (MEAN_DIVISOR - 1) + sample) / MEAN_DIVISOR;
+        if let Some(work_ms) = work_ms {
+            self.pace.note(now, sample, work_ms);
+        }
     }
 
     pub(super) fn withdraw(&mut self, waiter: Waiter) -> bool {
@@ -301,13 +307,14 @@
         effects
     }
 
-    pub(super) fn digest(&self) -> Digest {
+    pub(super) fn digest(&self, now: Time) -> Digest {
         Digest {
             slots: self.slots,
             taken: self.taken(),
             waiting: self.queue.len(),
             wait_ms: self.wait_ms(),
             leaving: self.leaving,
+            pace_permille: self.pace.permille(now),
         }
     }
 }
--- a/crates/daemon/src/grant.rs
+++ b/crates/daemon/src/grant.rs
@@ -260,6 +260,7 @@
                 program: want.program,
                 offer,
                 prompt: want.prompt,
+                output: want.output,
                 avoid: &want.avoid,
             };
             table.board.rank(&call)
