Write and read a call's events in one place

Cause: the daemon wrote server-sent events, and the client and the stand-ins' caller each read them in their own way. The reader is as strict as the stand-ins' was: an unknown event is malformed.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -5,6 +5,7 @@
 
 use basilramp_wire::api::Event;
 use basilramp_wire::error::{Error, Kind};
+use basilramp_wire::sse;
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
@@ -102,21 +103,10 @@
         None => rest.receiver.recv().await?,
     };
     rest.meter.note(&event);
-    let frame = Frame::data(encode(&event));
+    let frame = Frame::data(Bytes::from(sse::encode(&event)));
     Some((Ok(frame), rest))
 }
 
-/// Writes one server-sent event.
-fn encode(event: &Event) -> Bytes {
-    let (name, data) = match event {
-        Event::Token(token) => ("token", serde_json::to_string(token)),
-        Event::Final(last) => ("final", serde_json::to_string(last)),
-        Event::Error(error) => ("error", serde_json::to_string(error)),
-    };
-    let data = data.unwrap_or_default();
-    Bytes::from(format!("event: {name}\ndata: {data}\n\n"))
-}
-
 fn whole(status: StatusCode, content_type: &'static str, bytes: Vec<u8>) -> Response<Body> {
     let body = Full::new(Bytes::from(bytes)).map_err(io::Error::other);
     let mut response = Response::new(UnsyncBoxBody::new(body));
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use basilramp_wire::api::{Budget, Call, Create, Event, Final, Program};
+use basilramp_wire::sse::Decoder;
 use bytes::Bytes;
 use http::Method;
 use http_body_util::BodyExt;
@@ -198,61 +199,33 @@
     Failure::Malformed(why.to_string().into())
 }
 
-/// Reads server-sent events from a body.
+/// Reads the events of a call's answer.
 struct Events {
     body: Incoming,
-    text: Vec<u8>,
+    decoder: Decoder,
 }
 
 impl Events {
-    const fn new(body: Incoming) -> Self {
+    fn new(body: Incoming) -> Self {
         Self {
             body,
-            text: Vec::new(),
+            decoder: Decoder::default(),
         }
     }
 
     async fn next(&mut self) -> Result<Event, Failure> {
         loop {
-            if let Some(block) = self.take_block() {
-                match parse(&block)? {
-                    Some(event) => return Ok(event),
-                    None => continue,
-                }
+            let event = self.decoder.take().map_err(|error| malformed(&error))?;
+            if let Some(event) = event {
+                return Ok(event);
             }
             let frame = self.body.frame().await;
             let frame =
                 frame.ok_or_else(|| Failure::Broken("ended without a last event".into()))?;
             let frame = frame.map_err(|error| Failure::Broken(error.to_string().into()))?;
             if let Some(data) = frame.data_ref() {
-                self.text.extend_from_slice(data);
+                self.decoder.push(data);
             }
         }
     }
-
-    /// Takes the text up to the next empty line.
-    fn take_block(&mut self) -> Option<String> {
-        let end = self.text.windows(2).position(|pair| pair == b"\n\n")?;
-        let rest = self.text.split_off(end + 2);
-        let block = std::mem::replace(&mut self.text, rest);
-        Some(String::from_utf8_lossy(&block).into_owned())
-    }
-}
-
-/// Reads one event; a block without data is none.
-fn parse(block: &str) -> Result<Option<Event>, Failure> {
-    let field = |name: &str| {
-        let line = block.lines().find_map(|line| line.strip_prefix(name));
-        line.map(str::trim_start)
-    };
-    let Some(data) = field("data:") else {
-        return Ok(None);
-    };
-    let event = match field("event:").unwrap_or_default() {
-        "token" => serde_json::from_str(data).map(Event::Token),
-        "final" => serde_json::from_str(data).map(Event::Final),
-        "error" => serde_json::from_str(data).map(Event::Error),
-        other => return Err(malformed(&format!("unknown event {other:?}: {data}"))),
-    };
-    event.map(Some).map_err(|error| malformed(&error))
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod list;
 pub mod operator;
 pub mod record;
+pub mod sse;
 pub mod table;
--- /dev/null
+++ b/crates/wire/tests/sse.rs
@@ -0,0 +1,70 @@
+//! Events of a call, encoded and decoded.
+
+use basilramp_wire::api::{Event, Final, Token, Usage};
+use basilramp_wire::error::{Error, Kind};
+use basilramp_wire::sse::{Decoder, Malformed, encode};
+
+fn events() -> Vec<Event> {
+    let token = |text: &str| {
+        Event::Token(Token {
+            text: text.to_owned(),
+        })
+    };
+    vec![
+        token("Start coarse,\n\ndata: and \"slow\"\r\n"),
+        token(""),
+        token("ü €"),
+        Event::Final(Final {
+            program: "p00000000000000aa".to_owned(),
+            position: 3,
+            output: "a\n\nb".to_owned(),
+            usage: Usage::default(),
+            hash: "ab".to_owned(),
+            provisional: true,
+            recorded: false,
+        }),
+        Event::Error(Error::new(Kind::InDoubt, "sent, no answer").retry_after(7)),
+    ]
+}
+
+fn decode_all(decoder: &mut Decoder) -> Vec<Event> {
+    std::iter::from_fn(|| decoder.take().unwrap()).collect()
+}
+
+#[test]
+fn events_come_back_however_their_bytes_are_cut() {
+    let text: String = events().iter().map(encode).collect();
+    for size in 1..=text.len() {
+        let mut decoder = Decoder::default();
+        let mut decoded = Vec::new();
+        for part in text.as_bytes().chunks(size) {
+            decoder.push(part);
+            decoded.extend(decode_all(&mut decoder));
+        }
+        assert_eq!(decoded, events(), "in parts of {size} bytes");
+    }
+}
+
+#[test]
+fn comments_are_left_out() {
+    let mut decoder = Decoder::default();
+    decoder.push(b": still here\n\nevent: token\ndata: {\"text\": \"x\"}\n\n: and here\n\n");
+    assert_eq!(decode_all(&mut decoder).len(), 1);
+}
+
+#[test]
+fn foreign_events_are_malformed() {
+    for text in [
+        "event: progress\ndata: {}\n\n",
+        "data: {\"text\": \"x\"}\n\n",
+        "event: token\ndata: {\"text\": 7}\n\n",
+        "event: final\ndata: \n\n",
+    ] {
+        let mut decoder = Decoder::default();
+        decoder.push(text.as_bytes());
+        assert_eq!(decoder.take(), Err(Malformed), "{text}");
+    }
+    let mut decoder = Decoder::default();
+    decoder.push(b"event: token\ndata: {\"text\": \"\xff\"}\n\n");
+    assert_eq!(decoder.take(), Err(Malformed));
+}
