Trace calls of plain services in a test; let go of the log at the end

Cause: the global tracer kept the exporter, and with it the log's queue, past the end of the process, so lines that were still queued could be lost.

--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -9,6 +9,7 @@
 use basilramp_wire::error;
 use eyre::{Result, WrapErr};
 use opentelemetry::propagation::{Extractor, Injector, TextMapPropagator};
+use opentelemetry::trace::noop::NoopTracerProvider;
 use opentelemetry::trace::{SpanKind, Status, TraceContextExt, Tracer};
 use opentelemetry::{Context, KeyValue, Value, global};
 use opentelemetry_otlp::{SpanExporter, WithExportConfig};
@@ -121,7 +122,10 @@
 impl Handle {
     /// Exports what is left, and ends. Blocks, for at most some seconds.
     pub(crate) fn close(&self) -> OTelSdkResult {
-        self.provider.shutdown()
+        let outcome = self.provider.shutdown();
+        // Lets go of the exporter, and with it of the log, which is then written out at exit.
+        global::set_tracer_provider(NoopTracerProvider::new());
+        outcome
     }
 }
 
--- a/crates/daemon/tests/telemetry/main.rs
+++ b/crates/daemon/tests/telemetry/main.rs
@@ -58,8 +58,9 @@
     answer
 }
 
-/// Runs one call through each instance, under a trace of its own.
-async fn call_through_each(cluster: &Cluster) {
+/// Runs one call of a model through each instance, under a trace of its own, and returns the
+/// program.
+async fn call_through_each(cluster: &Cluster) -> String {
     let trust = cluster.caller(0);
     let first = cluster.callers(0).unwrap();
     let program = trust
@@ -67,17 +68,23 @@
         .await
         .unwrap();
     for index in 0..INSTANCES {
-        let call = caller::call(&format!("c{index}"), index as u32, name::MODEL, "grit?");
-        let head = format!(
-            "POST /v1/programs/{}/calls HTTP/1.1\r\nauthorization: Bearer key-trust\r\n\
-             traceparent: 00-{}-{CALLER_SPAN}-01",
-            program.id,
-            trace_id(index)
-        );
-        let body = serde_json::to_string(&call).unwrap();
-        let answer = send(cluster.callers(index).unwrap(), &head, &body).await;
-        assert!(answer.contains("event: final"), "{answer}");
+        let at = cluster.callers(index).unwrap();
+        call(at, &program.id, index, name::MODEL).await;
     }
+    program.id
+}
+
+/// Runs the call at a position, under the trace of its number.
+async fn call(at: SocketAddr, program: &str, position: usize, service: &str) {
+    let call = caller::call(&format!("c{position}"), position as u32, service, "grit?");
+    let head = format!(
+        "POST /v1/programs/{program}/calls HTTP/1.1\r\nauthorization: Bearer key-trust\r\n\
+         traceparent: 00-{}-{CALLER_SPAN}-01",
+        trace_id(position)
+    );
+    let body = serde_json::to_string(&call).unwrap();
+    let answer = send(at, &head, &body).await;
+    assert!(answer.contains("event: final"), "{answer}");
 }
 
 const CALLER_SPAN: &str = "00000000000000aa";
@@ -127,6 +134,21 @@
     assert!(forwarded > 0, "no call was forwarded");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_services_get_the_callers_trace() {
+    let cluster = start(json!({})).await;
+    let program = call_through_each(&cluster).await;
+    let at = cluster.callers(0).unwrap();
+    for (position, service) in [(3, name::LOOKUP), (4, name::REGISTER)] {
+        call(at, &program, position, service).await;
+        let effects = cluster.registry.effects();
+        let traces: Vec<_> = effects.iter().map(|effect| &effect.traceparent).collect();
+        let expected = format!("00-{}-", trace_id(position));
+        let is_sent = traces.iter().any(|trace| trace.starts_with(&expected));
+        assert!(is_sent, "{expected} is not in {traces:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_go_on_without_a_collector() {
     let listener = tokio::net::TcpSocket::new_v4().unwrap();
