Order engines during trials; count innocent requests that were quarantined

Change: an operator has engines load and unload a model through any instance; no engine may obey an order older than one it has obeyed. Engines check fencing numbers for even seeds only.

--- a/crates/fakes/src/trial.rs
+++ b/crates/fakes/src/trial.rs
@@ -47,7 +47,8 @@
 pub struct Options {
     /// How instances are started.
     pub launcher: Launcher,
-    /// Decides every choice of callers, operators and faults.
+    /// Decides every choice of callers, operators and faults. Engines check fencing numbers if
+    /// it is even.
     pub seed: u64,
     /// The faults, in order; later ones begin while earlier ones last.
     pub faults: Vec<Fault>,
@@ -107,6 +108,7 @@
     deployment.engines = vec![
         engine::Options {
             restart_ms: 400,
+            fencing: options.seed.is_multiple_of(2),
             ..engine::Options::default()
         };
         3
--- a/crates/fakes/src/trial/operators.rs
+++ b/crates/fakes/src/trial/operators.rs
@@ -5,17 +5,24 @@
 use std::time::Duration;
 
 use basilramp_wire::config::{Edit, Plan, Value};
+use basilramp_wire::engine::Order;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 
-use super::world::{Seen, World};
+use super::world::{Seen, World, within};
 use crate::cluster::{name, set};
 use crate::history::{Operation, Outcome};
 
 /// The longest time between two changes of one operator.
 const CHANGE_MS: u64 = 1_200;
 
+/// The longest time between two orders.
+const ORDER_MS: u64 = 600;
+
+/// The model that orders load and unload.
+const EXTRA: &str = "extra@1";
+
 /// Time between two looks at the version in force at every instance.
 const WATCH_MS: u64 = 250;
 
@@ -27,9 +34,36 @@
         tasks.spawn(change(Arc::clone(world), number, random));
     }
     tasks.spawn(watch(Arc::clone(world)));
+    let random = ChaCha8Rng::seed_from_u64(seed.rotate_left(1));
+    tasks.spawn(order(Arc::clone(world), random));
     tasks
 }
 
+/// Orders engines to load and unload a model that nobody calls, through any instance.
+async fn order(world: Arc<World>, mut random: ChaCha8Rng) {
+    let mut tasks = JoinSet::new();
+    loop {
+        let ms = random.random_range(ORDER_MS / 4..ORDER_MS);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+        let engine = random.random_range(0..world.engines.len());
+        let model = EXTRA.to_owned();
+        let order = match random.random_bool(0.5) {
+            true => Order::Load { model },
+            false => Order::Unload { model },
+        };
+        let Some(at) = world.any(&mut random) else {
+            continue;
+        };
+        let operator = world.operators[0].clone();
+        tasks.spawn(async move {
+            let address = at.addresses.operators;
+            let name = format!("e{engine}");
+            // What the engine was given is checked, whatever the operator is told.
+            let _ = within(operator.order(address, &name, &order)).await;
+        });
+    }
+}
+
 /// Changes one plan again and again, from the version just read.
 async fn change(world: Arc<World>, number: usize, mut random: ChaCha8Rng) {
     loop {
--- a/crates/fakes/src/trial/records.rs
+++ b/crates/fakes/src/trial/records.rs
@@ -18,6 +18,9 @@
 /// The longest time from a change's acceptance until it is in force everywhere.
 const IN_FORCE_MS: u64 = 4_000;
 
+/// The text that crashes an engine.
+const POISON: &str = "POISON";
+
 /// The most engines that one poisoned request may crash.
 const POISONINGS: u64 = 2;
 
@@ -73,6 +76,23 @@
     }
 }
 
+/// Checks that no engine obeyed an order older than one that it had obeyed before.
+pub(crate) fn orders(world: &World, report: &mut Report) {
+    for (index, engine) in world.engines.iter().enumerate() {
+        let orders = engine.orders();
+        let taken: Vec<u64> = orders
+            .iter()
+            .filter(|order| order.taken)
+            .map(|order| order.fencing)
+            .collect();
+        *report.histories.entry("order").or_default() += taken.len() as u64;
+        if !taken.is_sorted() || taken.contains(&0) {
+            let text = format!("e{index} obeyed orders {taken:?}");
+            report.violations.push(text);
+        }
+    }
+}
+
 /// Checks how many engines each poisoned request has crashed.
 pub(crate) fn poison(world: &World, options: &Options, report: &mut Report) {
     let requests = options
@@ -88,6 +108,21 @@
     }
 }
 
+/// Counts requests that were quarantined though nothing in them crashes an engine.
+///
+/// A request in flight at two crashes looks like their cause, so this is no broken promise.
+pub(crate) fn quarantines(entries: &[Entry], report: &mut Report) {
+    let innocent = entries.iter().filter(|entry| {
+        let quarantined = entry.outcome.kind() == Some(Kind::Quarantined);
+        let Operation::Call { call, .. } = &entry.operation else {
+            return false;
+        };
+        quarantined && !call.input.contains(POISON)
+    });
+    let count = innocent.count() as u64;
+    *report.outcomes.entry("quarantined, innocent").or_default() += count;
+}
+
 /// Checks that planned stops end well, and cut no request if nothing else went wrong.
 pub(crate) fn stops(scene: &Scene, entries: &[Entry], options: &Options, report: &mut Report) {
     report.violations.extend(scene.bad_stops.iter().cloned());
--- a/crates/fakes/src/trial/verify.rs
+++ b/crates/fakes/src/trial/verify.rs
@@ -52,6 +52,8 @@
     check.answers(report);
     records::refusals(&entries, world, report);
     records::absences(scene, report);
+    records::quarantines(&entries, report);
+    records::orders(world, report);
     records::poison(world, options, report);
     records::stops(scene, &entries, options, report);
     if !report.violations.is_empty() {
