--- a/crates/daemon/tests/histories.rs
+++ b/crates/daemon/tests/histories.rs
@@ -4,12 +4,17 @@
 
 use basilramp_fakes::Launcher;
 use basilramp_fakes::trial::{self, Fault, Options};
+use tokio::sync::Semaphore;
 
 /// Decides every choice of callers, operators and faults.
 const SEED: u64 = 1;
 
+/// Trials that run at the same time.
+static PLACES: Semaphore = Semaphore::const_new(2);
+
 /// Runs a trial, and fails if a promise broke or a fault never hit.
 async fn check(faults: &[Fault]) {
+    let _place = PLACES.acquire().await.unwrap();
     let launcher = Launcher {
         program: env!("CARGO_BIN_EXE_basilrampd").into(),
         arguments: Vec::new(),
@@ -42,3 +47,13 @@
 async fn promises_hold_when_every_instance_is_stopped_in_turn() {
     check(&[Fault::RollingStop]).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_when_the_store_is_down_while_an_engine_leaves() {
+    check(&[Fault::StoreDown, Fault::Leaving]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_engines_crashes_two_at_most() {
+    check(&[Fault::Poison]).await;
+}
