--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,8 +3,6 @@
 //! Lock order, first to last: programs, grants, membership, configuration, commit
 //! queue. No lock is held across an await point.
 
-#![allow(dead_code)] // Until the parts are wired together.
-
 mod admission;
 mod answer;
 mod auth;
@@ -34,6 +32,7 @@
 mod peer_server;
 mod peer_stream;
 mod peer_tls;
+mod probe;
 mod program;
 mod release;
 mod route;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -55,16 +55,12 @@
     pub(crate) table: SocketAddr,
     /// The table's name.
     pub(crate) table_name: String,
-    /// The object store.
-    pub(crate) objects: SocketAddr,
-    /// The bucket's name.
-    pub(crate) bucket: String,
     /// The list of endpoints.
     pub(crate) list: SocketAddr,
 }
 
 impl Platform {
-    /// The table's name and the bucket's, unless the settings say otherwise.
+    /// The table's name, unless the settings say otherwise.
     fn default_name() -> String {
         "basilramp".to_owned()
     }
@@ -131,16 +127,11 @@
 pub(crate) struct Store {
     /// Writes a second that all instances together may send.
     pub(crate) writes_per_s: u32,
-    /// Reads a second that all instances together may send.
-    pub(crate) reads_per_s: u32,
 }
 
 impl Default for Store {
     fn default() -> Self {
-        Self {
-            writes_per_s: 300,
-            reads_per_s: 2_000,
-        }
+        Self { writes_per_s: 300 }
     }
 }
 
