--- a/crates/daemon/tests/ownership/main.rs
+++ b/crates/daemon/tests/ownership/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod handover;
 mod outage;
+mod process;
 mod settle;
 mod support;
 mod takeover;
