Keep a leaving instance until it owns nothing by a late read

Cause: leaving_instance_hands_everything_to_the_wanted_owners failed once in 7 runs of the suite under load: leave() ended as soon as the instance knew of no partition, while rows that peers had just handed to it were not read yet; it wrote its end over them, and they stood without a living owner until the others' next round. Change: it ends only after a read of the partition rows that began a heartbeat after its row was seen as leaving and that left it nothing. A new test gives it a partition late.

--- a/crates/daemon/src/commit/run.rs
+++ b/crates/daemon/src/commit/run.rs
@@ -11,7 +11,7 @@
 use super::queue::{Entry, Queue};
 use super::settle::Outcome;
 use super::{Failure, MAX_WRITES, guard};
-use crate::membership::state::Shared;
+use crate::membership::state::{Shared, Stage};
 use crate::settings::Settings;
 
 /// The partition key of lease rows.
@@ -92,7 +92,7 @@
             let stays = end == End::Fenced && self.state.target() == InstanceState::Live;
             if !stays || self.is_superseded(incarnation).await {
                 self.queue.close();
-                self.state.retire();
+                self.state.reach(Stage::Ended);
                 return;
             }
             lease = self.acquire().await.0;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{clock, commit, settings::Settings};
-use state::Shared;
+use state::{Shared, Stage};
 use watch::Watcher;
 
 /// An instance that can be reached.
@@ -174,7 +174,7 @@
     /// Returns once this instance has written its own end, or a later start of the same instance
     /// has taken its place. It owns nothing any more and does not join again.
     pub async fn ended(&self) {
-        self.state.retired().await;
+        self.state.reached(Stage::Ended).await;
     }
 
     /// Has the watcher read the rows again at once.
@@ -191,23 +191,18 @@
         self.commit.wake();
         self.refresh();
         let wait = Duration::from_millis(wait_ms);
-        let emptied = tokio::time::timeout(wait, self.emptied()).await.is_ok();
+        let emptied = tokio::time::timeout(wait, self.state.reached(Stage::Emptied))
+            .await
+            .is_ok();
         self.state.set_target(InstanceState::Fenced);
         self.commit.wake();
         let last_write = Duration::from_millis(LAST_WRITE_WAIT_MS);
-        let written = tokio::time::timeout(last_write, self.state.retired()).await;
+        let written = tokio::time::timeout(last_write, self.state.reached(Stage::Ended)).await;
         emptied && written.is_ok()
     }
-
-    async fn emptied(&self) {
-        while self.state.count() > 0 {
-            tokio::time::sleep(Duration::from_millis(EMPTIED_POLL_MS)).await;
-        }
-    }
 }
 
 const LAST_WRITE_WAIT_MS: u64 = 3_000;
-const EMPTIED_POLL_MS: u64 = 20;
 
 /// The longest gap between reads that still counts as continuous watching, in heartbeats.
 const GAP_HEARTBEATS: u64 = 2;
--- a/crates/daemon/src/membership/state.rs
+++ b/crates/daemon/src/membership/state.rs
@@ -54,6 +54,17 @@
     changes: mpsc::UnboundedSender<Change>,
 }
 
+/// How far an instance's life has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stage {
+    /// It joins and takes partitions.
+    Member,
+    /// It is leaving and owns nothing any more.
+    Emptied,
+    /// It does not join again.
+    Ended,
+}
+
 /// The state, shared by the commit loop, the watcher and the handles.
 #[derive(Clone, Debug)]
 pub(crate) struct Shared {
@@ -61,7 +72,7 @@
     clock: clock::Source,
     terms: Terms,
     state: Arc<Mutex<State>>,
-    retired: watch::Sender<bool>,
+    stage: watch::Sender<Stage>,
 }
 
 /// What is owned here at one moment.
@@ -105,7 +116,7 @@
             clock,
             terms,
             state: Arc::new(Mutex::new(state)),
-            retired: watch::Sender::new(false),
+            stage: watch::Sender::new(Stage::Member),
         }
     }
 
@@ -174,16 +185,20 @@
         let _ = state.changes.send(Change::Fenced);
     }
 
-    /// Notes that this instance does not join again.
-    pub(crate) fn retire(&self) {
-        self.retired.send_replace(true);
+    /// Notes how far the instance's life has come.
+    pub(crate) fn reach(&self, stage: Stage) {
+        self.stage.send_if_modified(|reached| {
+            let is_later = stage > *reached;
+            *reached = stage.max(*reached);
+            is_later
+        });
     }
 
-    /// Returns once this instance does not join again.
-    pub(super) async fn retired(&self) {
-        let mut retired = self.retired.subscribe();
+    /// Returns once the instance's life has come as far as `stage`.
+    pub(super) async fn reached(&self, stage: Stage) {
+        let mut reached = self.stage.subscribe();
         // The sender lives as long as this state.
-        let _ = retired.wait_for(|retired| *retired).await;
+        let _ = reached.wait_for(|reached| *reached >= stage).await;
     }
 
     /// Tells whether the lease is held now.
--- a/crates/daemon/src/membership/watch.rs
+++ b/crates/daemon/src/membership/watch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use basilramp_core::clock::Time;
 use basilramp_core::lease::{Reading, Watch};
 use basilramp_core::{id, partition};
 use basilramp_platform::table::{Action, Check, Client, Key, Row, Write};
@@ -14,7 +15,7 @@
 
 use super::claim;
 use super::handover;
-use super::state::{Known, Member, Shared};
+use super::state::{Known, Member, Shared, Stage};
 use crate::commit::{self, INSTANCES};
 use crate::settings::Settings;
 
@@ -48,6 +49,8 @@
     live: BTreeSet<(id::Instance, u64)>,
     rounds_to_read: u32,
     unsettled_rounds: u32,
+    /// When this instance's own row was first read as leaving.
+    leaving_since: Option<Time>,
 }
 
 impl Watcher {
@@ -68,6 +71,7 @@
             live: BTreeSet::new(),
             rounds_to_read: 0,
             unsettled_rounds: UNSETTLED_ROUNDS,
+            leaving_since: None,
         }
     }
 
@@ -75,7 +79,7 @@
     pub(super) async fn run(mut self) {
         let state = self.state.clone();
         tokio::select! {
-            () = state.retired() => {}
+            () = state.reached(Stage::Ended) => {}
             () = self.rounds() => {}
         }
     }
@@ -109,13 +113,16 @@
         self.fence_lapsed().await;
         self.note_live();
         self.unsettled_rounds = self.unsettled_rounds.saturating_sub(1);
-        if self.rounds_to_read > 0 && self.unsettled_rounds == 0 {
+        let quiet = self.unsettled_rounds == 0 && self.leaving_since.is_none();
+        if self.rounds_to_read > 0 && quiet {
             self.rounds_to_read -= 1;
             return;
         }
+        let started = self.state.now();
         if self.read_partitions().await {
             self.rounds_to_read = QUIET_ROUNDS;
             self.place().await;
+            self.note_emptied(started);
         }
     }
 
@@ -199,12 +206,27 @@
             .filter(|(_, member)| member.record.state == InstanceState::Live);
         let live = live.map(|(instance, member)| (instance.clone(), member.record.incarnation));
         let live: BTreeSet<_> = live.collect();
+        let own = members.get(self.state.own());
+        if own.is_some_and(|own| own.record.state == InstanceState::Leaving) {
+            self.leaving_since.get_or_insert(self.state.now());
+        }
         if live != self.live {
             self.live = live;
             self.unsettled_rounds = UNSETTLED_ROUNDS;
         }
     }
 
+    /// Notes that nothing is owned any more, by a read of the partitions that began once the others
+    /// had had a heartbeat's time to see that this instance leaves.
+    fn note_emptied(&mut self, read_started: Time) {
+        let Some(since) = self.leaving_since else {
+            return;
+        };
+        if read_started >= since.after(self.heartbeat_ms) && self.state.count() == 0 {
+            self.state.reach(Stage::Emptied);
+        }
+    }
+
     async fn read_partitions(&self) -> bool {
         let Ok(rows) = self.client.query_all(PARTITIONS, "").await else {
             return false;
--- a/crates/daemon/tests/ownership/handover.rs
+++ b/crates/daemon/tests/ownership/handover.rs
@@ -3,7 +3,7 @@
 use basilramp_core::id;
 use basilramp_fakes::platform;
 use basilramp_platform::table::Check;
-use basilramp_wire::record::InstanceState;
+use basilramp_wire::record::{self, InstanceState};
 use serde_json::json;
 
 use crate::support::{Seen, join, lease, owners, put, settled, until};
@@ -104,3 +104,31 @@
     until("every partition again", || next.membership.count() == 1024).await;
     assert_eq!(lease(&platform, "i0").incarnation, 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_instance_passes_on_what_it_is_still_given() {
+    let platform = platform::spawn();
+    let timing = json!({
+        "timing": {"lease_ms": 12_000, "lease_margin_ms": 3_000, "heartbeat_ms": 3_000},
+    });
+    let _first = join(&platform, "i0", &timing).await;
+    let second = join(&platform, "i1", &timing).await;
+    until("a half each", || settled(&platform, &["i0", "i1"])).await;
+    let given = owners(&platform).expect("all owned");
+    let given = given.iter().find(|(_, row)| row.owner == "i1");
+    let sort = format!("{:04}", given.expect("some partition").0);
+    let leaving = second.membership.clone();
+    let leaving = tokio::spawn(async move { leaving.leave(60_000).await });
+    until("the hand-over of all it had", || {
+        settled(&platform, &["i0"])
+    })
+    .await;
+    // A peer that has not seen it leave gives it a partition.
+    let row = platform.row("partition", &sort).expect("a row");
+    let mut record: record::Partition = serde_json::from_str(&row.body).expect("a record");
+    record.owner = "i1".to_owned();
+    record.term += 1;
+    platform.put("partition", &sort, row.version + 1, &record);
+    assert!(leaving.await.expect("no panic"));
+    assert!(settled(&platform, &["i0"]));
+}
