--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{api, config, error};
+use crate::{api, config, engine, error};
 
 /// The longest frame, in bytes.
 pub const MAX_LEN: usize = 8 * 1024 * 1024;
@@ -88,6 +88,13 @@
     },
     /// A configuration version is in force; fetch what is missing.
     Config(config::Head),
+    /// Give an upstream homed at the receiver an order, by an operator's hand.
+    Order {
+        /// The upstream.
+        upstream: String,
+        /// The order.
+        order: engine::Order,
+    },
     /// The sender stops owning these partitions.
     HandOver {
         /// The partitions' numbers.
@@ -175,6 +182,8 @@
     pub cached_tokens: u64,
     /// Tokens that the cache can hold.
     pub cache_tokens: u64,
+    /// Time that calls take there, in thousandths of the time at a reference engine.
+    pub pace_permille: u64,
     /// Whether it is leaving.
     pub leaving: bool,
 }
@@ -197,6 +206,8 @@
     Digests(Vec<Digest>),
     /// Those of the programs asked about that have ended.
     Ended(Vec<String>),
+    /// The fencing number of an order, for [`Body::Order`].
+    Ordered(u64),
     /// Taken note of.
     Done,
     /// Refused.
