--- a/crates/daemon/tests/calls/support.rs
+++ b/crates/daemon/tests/calls/support.rs
@@ -12,6 +12,7 @@
 use basilramp_wire::error::{Error, Kind, Ran};
 use basilramp_wire::record;
 use serde_json::json;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 /// The longest that a test waits for a condition.
@@ -129,6 +130,29 @@
     }
 }
 
+/// Starts a call, and sends it again while it is refused without having run.
+pub(crate) fn spawn_call(
+    cluster: &Cluster,
+    at: SocketAddr,
+    program: &str,
+    call: &Call,
+) -> JoinHandle<Answer> {
+    let (caller, program, call) = (cluster.caller(0), program.to_owned(), call.clone());
+    tokio::spawn(async move {
+        loop {
+            let answer = caller.call(at, &program, &call).await;
+            let again = match &answer.result {
+                Err(Failure::Refused(error)) => passes(error.kind) && error.ran == Ran::No,
+                _ => false,
+            };
+            if !again {
+                return answer;
+            }
+            sleep(POLL).await;
+        }
+    })
+}
+
 fn passes(kind: Kind) -> bool {
     matches!(
         kind,
