--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -128,6 +128,12 @@
         self.spent.saturating_add(self.held)
     }
 
+    /// Tells whether no write of the reservation is under way.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.writes == 0
+    }
+
     /// Returns the tokens spent.
     #[must_use]
     pub fn spent(&self) -> u64 {
--- a/crates/daemon/src/program/end.rs
+++ b/crates/daemon/src/program/end.rs
@@ -200,6 +200,7 @@
             for root in exhausted(&shared) {
                 spawn(&shared, root);
             }
+            evict(&shared);
         }
     });
 }
@@ -216,6 +217,17 @@
     over.map(|entry| entry.tree.root()).collect()
 }
 
+/// Takes ended trees off the shelf once all of them is durable.
+fn evict(shared: &Shared) {
+    let mut shelf = shared.lock();
+    for key in shelf.all() {
+        let entry = shelf.get(key);
+        if entry.is_some_and(|entry| entry.ends == 0 && entry.tree.is_settled()) {
+            shelf.remove(key);
+        }
+    }
+}
+
 /// Loads the programs under way in a partition, so that they end in time.
 pub(crate) fn watch(shared: &Arc<Shared>, partition: id::Partition) {
     let shared = Arc::clone(shared);
