--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -10,7 +10,6 @@
 //! so both together never grant more than the upstream has.
 
 mod entry;
-mod pace;
 
 use std::collections::BTreeMap;
 
@@ -118,9 +117,6 @@
     pub wait_ms: u64,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Time that calls take there, in thousandths of the time that their work takes at a
-    /// reference engine.
-    pub pace_permille: u64,
 }
 
 /// The upstreams homed here, and those that this instance is the deputy of.
@@ -181,19 +177,12 @@
 
     /// Takes a slot back and serves who waits next.
     ///
-    /// `work_ms` is what the call's work takes at a reference engine, if it was done. A ticket
-    /// that was not granted here is a former home's.
-    pub fn give_back(
-        &mut self,
-        now: Time,
-        upstream: &id::Upstream,
-        ticket: Ticket,
-        work_ms: Option<u64>,
-    ) -> Vec<Effect> {
+    /// A ticket that was not granted here is a former home's.
+    pub fn give_back(&mut self, now: Time, upstream: &id::Upstream, ticket: Ticket) -> Vec<Effect> {
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return Vec::new();
         };
-        entry.give_back(now, ticket, work_ms);
+        entry.give_back(now, ticket);
         entry.serve(now, &mut self.last)
     }
 
@@ -218,9 +207,8 @@
 
     /// Returns what is known of an upstream homed here.
     #[must_use]
-    pub fn digest(&self, now: Time, upstream: &id::Upstream) -> Option<Digest> {
-        let entry = self.upstreams.get(upstream)?;
-        Some(entry.digest(now))
+    pub fn digest(&self, upstream: &id::Upstream) -> Option<Digest> {
+        self.upstreams.get(upstream).map(Entry::digest)
     }
 
     /// Returns the upstreams known here, with the office held.
--- a/crates/core/src/home/entry.rs
+++ b/crates/core/src/home/entry.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::pace::Pace;
 use super::{
     Answer, Ask, Digest, Effect, GRANT_MS, LAG_MS, LOST_MS, Office, Refusal, Report, SHARE_DIVISOR,
     Ticket, Waiter,
@@ -26,7 +25,6 @@
     counted: bool,
     leaving: bool,
     hold_ms: u64,
-    pace: Pace,
     grants: BTreeMap<Ticket, Time>,
     granted: BTreeSet<(Time, Ticket)>,
     missing: Option<Missing>,
@@ -60,7 +58,6 @@
             counted: true,
             leaving: false,
             hold_ms: FIRST_HOLD_MS,
-            pace: Pace::default(),
             grants: BTreeMap::new(),
             granted: BTreeSet::new(),
             missing: None,
@@ -217,7 +214,7 @@
         self.waiting.insert(waiter, wait);
     }
 
-    pub(super) fn give_back(&mut self, now: Time, ticket: Ticket, work_ms: Option<u64>) {
+    pub(super) fn give_back(&mut self, now: Time, ticket: Ticket) {
         let Some(since) = self.grants.remove(&ticket) else {
             self.foreign = self.foreign.saturating_sub(1);
             return;
@@ -225,9 +222,6 @@
         self.granted.remove(&(since, ticket));
         let sample = now.since(since);
         self.hold_ms = (self.hold_ms * (MEAN_DIVISOR - 1) + sample) / MEAN_DIVISOR;
-        if let Some(work_ms) = work_ms {
-            self.pace.note(now, sample, work_ms);
-        }
     }
 
     pub(super) fn withdraw(&mut self, waiter: Waiter) -> bool {
@@ -307,14 +301,13 @@
         effects
     }
 
-    pub(super) fn digest(&self, now: Time) -> Digest {
+    pub(super) fn digest(&self) -> Digest {
         Digest {
             slots: self.slots,
             taken: self.taken(),
             waiting: self.queue.len(),
             wait_ms: self.wait_ms(),
             leaving: self.leaving,
-            pace_permille: self.pace.permille(now),
         }
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,9 +1,8 @@
 //! Which upstream a call is placed on.
 //!
 //! The cost of an upstream, in milliseconds, is the expected wait, a share for
-//! the load that slows a batch down, the call's work at the pace that the
-//! upstream showed of late, with the prefill of what is not cached there, and
-//! the cache weight times the prefill that the choice wastes: what it
+//! the load that slows a batch down, the prefill of what is not cached there,
+//! and the cache weight times the prefill that the choice wastes: what it
 //! evicts, and what it leaves behind at the upstream that served the program
 //! last. Only the upstream that served the program last and a few of the least
 //! loaded ones are compared, so a decision's cost grows with the logarithm of
@@ -20,9 +19,6 @@
 /// Prompt tokens that an engine prefills in a millisecond.
 pub const PREFILL_TOKENS_PER_MS: u64 = 4;
 
-/// Milliseconds that an engine takes for an output token.
-pub const DECODE_MS_PER_TOKEN: u64 = 20;
-
 /// What a full batch adds to a call's time against an empty one, in milliseconds.
 pub const LOAD_MS: u64 = 400;
 
@@ -52,9 +48,6 @@
     pub cached_tokens: u64,
     /// Tokens that the cache can hold; zero if it has none.
     pub cache_tokens: u64,
-    /// Time that calls take there, in thousandths of the time that their work takes at a
-    /// reference engine.
-    pub pace_permille: u64,
 }
 
 /// A call to place.
@@ -66,8 +59,6 @@
     pub offer: &'a str,
     /// Prompt tokens.
     pub prompt: u64,
-    /// Output tokens, at most.
-    pub output: u64,
     /// Upstreams that must not be chosen.
     pub avoid: &'a [id::Upstream],
 }
@@ -312,10 +303,9 @@
         let wasted = state.evicted(added) + left;
         let weighted = self.cache_weight * prefill_ms(wasted) as f64;
         let load_ms = u64::from(state.load_permille()) * LOAD_MS / 1_000;
-        let run_ms = work_ms(added, call.output) * state.pace_permille / 1_000;
         Choice {
             upstream: known.id.clone(),
-            cost_ms: state.wait_ms + load_ms + run_ms + weighted as u64,
+            cost_ms: state.wait_ms + load_ms + prefill_ms(added) + weighted as u64,
             saved_ms: prefill_ms(cached),
             wait_ms: state.wait_ms,
         }
@@ -347,12 +337,6 @@
     }
 }
 
-/// Returns the milliseconds that a call takes at a reference engine.
-#[must_use]
-pub const fn work_ms(prefilled: u64, output: u64) -> u64 {
-    prefill_ms(prefilled) + output * DECODE_MS_PER_TOKEN
-}
-
 /// Returns the milliseconds that the prefill of some tokens takes.
 const fn prefill_ms(tokens: u64) -> u64 {
     tokens / PREFILL_TOKENS_PER_MS
--- a/crates/daemon/src/grant.rs
+++ b/crates/daemon/src/grant.rs
@@ -260,7 +260,6 @@
                 program: want.program,
                 offer,
                 prompt: want.prompt,
-                output: want.output,
                 avoid: &want.avoid,
             };
             table.board.rank(&call)
--- a/crates/daemon/src/grant/digest.rs
+++ b/crates/daemon/src/grant/digest.rs
@@ -127,6 +127,5 @@
         wait_ms: digest.wait_ms,
         cached_tokens: digest.cached_tokens,
         cache_tokens: digest.cache_tokens,
-        pace_permille: digest.pace_permille,
     }
 }
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -7,8 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use basilramp_core::home::{Answer, Ask, GRANT_MS, Office, Refusal, Ticket, Waiter};
+use basilramp_core::id;
 use basilramp_core::upstream::{Listing, Role};
-use basilramp_core::{id, placement};
 use basilramp_wire::engine::Load;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame;
@@ -91,16 +91,12 @@
     /// Takes a slot back.
     pub(crate) fn take_back(&self, back: frame::Return) {
         let upstream = id::Upstream::new(back.upstream);
-        let work_ms = back.usage.map(|usage| {
-            let computed = usage.prompt.saturating_sub(usage.cached);
-            placement::work_ms(computed, usage.output)
-        });
-        self.give_back(&upstream, Ticket(back.ticket), work_ms);
+        self.give_back(&upstream, Ticket(back.ticket));
     }
 
     /// Returns what is known of the upstreams homed here.
     pub(crate) fn digests(&self) -> Vec<frame::Digest> {
-        self.table().digests(self.shared.clock.now())
+        self.table().digests()
     }
 
     /// Returns the engines homed here.
@@ -151,10 +147,10 @@
         }
     }
 
-    fn give_back(&self, upstream: &id::Upstream, ticket: Ticket, work_ms: Option<u64>) {
+    fn give_back(&self, upstream: &id::Upstream, ticket: Ticket) {
         let now = self.shared.clock.now();
         let mut table = self.table();
-        let effects = table.home.give_back(now, upstream, ticket, work_ms);
+        let effects = table.home.give_back(now, upstream, ticket);
         table.tell(effects);
     }
 }
@@ -185,7 +181,7 @@
     fn drop(&mut self) {
         self.handle.table().withdraw(&self.upstream, self.waiter);
         if let Ok(Ok(ticket)) = self.receiver.try_recv() {
-            self.handle.give_back(&self.upstream, ticket, None);
+            self.handle.give_back(&self.upstream, ticket);
         }
     }
 }
--- a/crates/daemon/src/home/table.rs
+++ b/crates/daemon/src/home/table.rs
@@ -163,16 +163,16 @@
     }
 
     /// Returns what is known of the upstreams homed here.
-    pub(super) fn digests(&self, now: Time) -> Vec<frame::Digest> {
+    pub(super) fn digests(&self) -> Vec<frame::Digest> {
         let homed = self.home.upstreams();
         let homed = homed.filter(|(_, office)| *office == Office::Home);
         homed
-            .filter_map(|(upstream, _)| self.digest(now, upstream))
+            .filter_map(|(upstream, _)| self.digest(upstream))
             .collect()
     }
 
-    fn digest(&self, now: Time, upstream: &id::Upstream) -> Option<frame::Digest> {
-        let known = self.home.digest(now, upstream)?;
+    fn digest(&self, upstream: &id::Upstream) -> Option<frame::Digest> {
+        let known = self.home.digest(upstream)?;
         let load = self.engines.get(upstream).map(|engine| &engine.load);
         Some(frame::Digest {
             upstream: upstream.to_string(),
@@ -182,7 +182,6 @@
             wait_ms: known.wait_ms,
             cached_tokens: load.map_or(0, |load| load.cached_tokens),
             cache_tokens: load.map_or(0, |load| load.cache_tokens),
-            pace_permille: known.pace_permille,
             leaving: known.leaving,
         })
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -175,8 +175,6 @@
     pub cached_tokens: u64,
     /// Tokens that the cache can hold.
     pub cache_tokens: u64,
-    /// Time that calls take there, in thousandths of the time at a reference engine.
-    pub pace_permille: u64,
     /// Whether it is leaving.
     pub leaving: bool,
 }
