--- a/crates/fakes/examples/policy/core_policy.rs
+++ b/crates/fakes/examples/policy/core_policy.rs
@@ -110,7 +110,7 @@
 
     /// Takes on a program, or tells when to come back.
     pub(crate) fn admit(&mut self, now: u64) -> Result<(), u64> {
-        if !self.policy.has(Off::Admission) {
+        if !self.policy.admits() {
             return Ok(());
         }
         self.gate.admit(at(now), HEADROOM_PERCENT, 1)
--- a/crates/fakes/examples/policy/policy.rs
+++ b/crates/fakes/examples/policy/policy.rs
@@ -11,6 +11,8 @@
     Sticky,
     /// The core's decisions, with a rule switched off or none.
     Core(Off),
+    /// The same, but all programs are taken on.
+    Open(Off),
 }
 
 /// A rule of the core that is switched off.
@@ -28,12 +30,10 @@
     CachedStep,
     /// Every program counts as an account of its own.
     Backlog,
-    /// All programs are taken on.
-    Admission,
 }
 
 impl Policy {
-    pub(crate) const ALL: [Self; 10] = [
+    pub(crate) const ALL: [Self; 13] = [
         Self::RoundRobin,
         Self::LeastLoaded,
         Self::Sticky,
@@ -43,7 +43,10 @@
         Self::Core(Off::Levels),
         Self::Core(Off::CachedStep),
         Self::Core(Off::Backlog),
-        Self::Core(Off::Admission),
+        Self::Open(Off::Nothing),
+        Self::Open(Off::Levels),
+        Self::Open(Off::CachedStep),
+        Self::Open(Off::Backlog),
     ];
 
     pub(crate) const fn name(self) -> &'static str {
@@ -52,17 +55,27 @@
             Self::LeastLoaded => "least loaded",
             Self::Sticky => "sticky session",
             Self::Core(Off::Nothing) => "basilramp",
-            Self::Core(Off::Prefix) => "without prefix",
-            Self::Core(Off::Weight) => "without cache weight",
-            Self::Core(Off::Levels) => "without levels",
-            Self::Core(Off::CachedStep) => "without cached step",
-            Self::Core(Off::Backlog) => "without backlog step",
-            Self::Core(Off::Admission) => "without admission",
+            Self::Core(Off::Prefix) => "- prefix",
+            Self::Core(Off::Weight) => "- cache weight",
+            Self::Core(Off::Levels) => "- levels",
+            Self::Core(Off::CachedStep) => "- cached step",
+            Self::Core(Off::Backlog) => "- backlog step",
+            Self::Open(Off::Nothing) => "- admission",
+            Self::Open(Off::Prefix) => "- admission, prefix",
+            Self::Open(Off::Weight) => "- admission, cache weight",
+            Self::Open(Off::Levels) => "- admission, levels",
+            Self::Open(Off::CachedStep) => "- admission, cached step",
+            Self::Open(Off::Backlog) => "- admission, backlog step",
         }
     }
 
     /// Tells whether a rule of the core is in force.
     pub(crate) fn has(self, rule: Off) -> bool {
-        matches!(self, Self::Core(off) if off != rule)
+        matches!(self, Self::Core(off) | Self::Open(off) if off != rule)
+    }
+
+    /// Tells whether new programs are refused when the load is high.
+    pub(crate) const fn admits(self) -> bool {
+        matches!(self, Self::Core(_))
     }
 }
--- a/crates/fakes/examples/policy/run.rs
+++ b/crates/fakes/examples/policy/run.rs
@@ -27,6 +27,9 @@
 /// When the peak begins and ends, in milliseconds after the first program.
 const PEAK_MS: std::ops::Range<u64> = 120_000..360_000;
 
+/// The account that floods.
+const FLOODER: u32 = 1_000;
+
 /// Times that a refused caller tries again.
 const RETRIES: u32 = 5;
 
@@ -39,16 +42,20 @@
     Peak,
     /// A third of the engines slow to a fifth for four minutes.
     Slow,
+    /// One account sends twice the planned load on top, for four minutes; the others' programs
+    /// are measured.
+    Flood,
 }
 
 impl Situation {
-    pub(crate) const ALL: [Self; 3] = [Self::Ordinary, Self::Peak, Self::Slow];
+    pub(crate) const ALL: [Self; 4] = [Self::Ordinary, Self::Peak, Self::Slow, Self::Flood];
 
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Ordinary => "ordinary",
             Self::Peak => "peak",
             Self::Slow => "slow",
+            Self::Flood => "flood",
         }
     }
 }
@@ -128,7 +135,7 @@
         Policy::RoundRobin => Scheduler::RoundRobin(0),
         Policy::LeastLoaded => Scheduler::LeastLoaded(0),
         Policy::Sticky => Scheduler::Sticky(Vec::new()),
-        Policy::Core(_) => {
+        Policy::Core(_) | Policy::Open(_) => {
             let weight = deployment.cache_weight();
             Scheduler::Core(Box::new(Core::new(policy, ENGINES, weight, seed)))
         }
@@ -225,7 +232,8 @@
     }
 
     fn next_arrival(&mut self, arrival: u64) {
-        let peak = self.situation == Situation::Peak && self.is_peak();
+        let more = matches!(self.situation, Situation::Peak | Situation::Flood);
+        let peak = more && self.is_peak();
         let rate = self.deployment.planned_per_s() * if peak { 3.0 } else { 1.0 };
         let uniform: f64 = self.arrivals.random_range(0.000_001..1.0);
         let gap_ms = (-uniform.ln() / rate * 1_000.0) as u64;
@@ -251,6 +259,12 @@
             return;
         }
         let (account, turns) = self.deployment.program(self.seed, arrival);
+        let floods = self.situation == Situation::Flood && self.is_peak();
+        let account = if floods && arrival % 3 != 0 {
+            FLOODER
+        } else {
+            account
+        };
         self.begin(arrival, turns, account, None);
     }
 
@@ -337,6 +351,7 @@
         }
         match program.parent {
             Some(parent) => self.schedule(self.now, Event::Call(parent)),
+            None if program.account == FLOODER => {}
             None => {
                 self.outcome.finished += 1;
                 let latency_ms = self.now - program.began;
