Take a broken stream for a crash unless the engine tells the same epoch

Change: a grant carries the engine's epoch as its home last read it; after a break only an engine that tells that same epoch clears the request. Plain services have no epoch and are judged by the connection as before.

--- a/crates/daemon/src/grant.rs
+++ b/crates/daemon/src/grant.rs
@@ -58,6 +58,8 @@
     pub(crate) address: SocketAddr,
     /// Names the grant at the upstream's home.
     pub(crate) ticket: u64,
+    /// The engine's epoch as its home last read it.
+    pub(crate) epoch: Option<u64>,
     /// Who granted it.
     pub(crate) from: From,
 }
--- a/crates/daemon/src/grant/ask.rs
+++ b/crates/daemon/src/grant/ask.rs
@@ -109,8 +109,8 @@
         from: From,
         reply: Reply,
     ) -> Result<Grant, Error> {
-        let ticket = match reply {
-            Reply::Granted { ticket, .. } => ticket,
+        let (ticket, epoch) = match reply {
+            Reply::Granted { ticket, epoch, .. } => (ticket, epoch),
             Reply::Error(error) => return Err(error),
             _ => return Err(unreached()),
         };
@@ -121,6 +121,7 @@
             upstream: upstream.clone(),
             address: address.ok_or_else(unreached)?,
             ticket,
+            epoch,
             from,
         })
     }
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -76,16 +76,25 @@
             waited_ms: grant.waited_ms,
         };
         let waiting = match self.ask(&upstream, ask) {
-            Pending::Granted(ticket) => return Ok(granted(ticket)),
+            Pending::Granted(ticket) => return Ok(self.granted(&upstream, ticket)),
             Pending::Refused(refusal) => return Err(refused(refusal)),
             Pending::Queued(waiter, receiver) => Waiting {
                 handle: self,
-                upstream,
+                upstream: upstream.clone(),
                 waiter,
                 receiver,
             },
         };
-        waiting.outcome().await.map(granted).map_err(refused)
+        let ticket = waiting.outcome().await.map_err(refused)?;
+        Ok(self.granted(&upstream, ticket))
+    }
+
+    fn granted(&self, upstream: &id::Upstream, ticket: Ticket) -> frame::Reply {
+        frame::Reply::Granted {
+            ticket: ticket.0,
+            valid_ms: GRANT_MS,
+            epoch: self.load(upstream).map(|load| load.epoch),
+        }
     }
 
     /// Takes a slot back.
@@ -186,13 +195,6 @@
     }
 }
 
-fn granted(ticket: Ticket) -> frame::Reply {
-    frame::Reply::Granted {
-        ticket: ticket.0,
-        valid_ms: GRANT_MS,
-    }
-}
-
 fn refused(refusal: Refusal) -> Error {
     match refusal {
         Refusal::Closed => Error::new(Kind::UpstreamUnavailable, "the upstream takes no new work"),
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -6,7 +6,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// Looks at an upstream; it is down if any of them fails.
+use crate::control::Client;
+
+/// Looks at an upstream; it counts as crashed if any of them says so.
 const LOOKS: u32 = 3;
 
 /// Time between two looks, within which a process that crashed has closed its listener.
@@ -14,14 +16,47 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Tells whether an upstream takes no connections shortly after one of them broke.
-pub(crate) async fn is_down(address: SocketAddr) -> bool {
-    for _ in 0..LOOKS {
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        if !matches!(connected, Ok(Ok(_))) {
-            return true;
+/// What tells whether an upstream crashed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Probe {
+    /// An engine tells its epoch, which is raised at each start.
+    Engine {
+        /// Where it listens.
+        address: SocketAddr,
+        /// The epoch under which the call was sent, if known.
+        epoch: Option<u64>,
+    },
+    /// A plain service takes connections or does not.
+    Service {
+        /// Where it listens.
+        address: SocketAddr,
+    },
+}
+
+impl Probe {
+    /// Tells whether the upstream may have crashed.
+    ///
+    /// Only an engine that tells the same epoch as before has certainly not.
+    pub(crate) async fn may_have_crashed(self, engines: &Client) -> bool {
+        for _ in 0..LOOKS {
+            if self.looks_crashed(engines).await {
+                return true;
+            }
+            sleep(PAUSE).await;
+        }
+        false
+    }
+
+    async fn looks_crashed(self, engines: &Client) -> bool {
+        match self {
+            Self::Engine { address, epoch } => {
+                let load = engines.load(address).await;
+                !load.is_ok_and(|load| Some(load.epoch) == epoch)
+            }
+            Self::Service { address } => {
+                let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+                !matches!(connected, Ok(Ok(_)))
+            }
         }
-        sleep(PAUSE).await;
     }
-    false
 }
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -32,7 +32,8 @@
 use crate::clock::Source;
 use crate::settings::{Limits, Timing};
 use crate::{
-    admission, commit, config, engine, grant, home, log, membership, peer, service, suspect,
+    admission, commit, config, control, engine, grant, home, log, membership, peer, service,
+    suspect,
 };
 use busy::Busy;
 use load::Lease;
@@ -59,6 +60,7 @@
 struct Shared {
     parts: Parts,
     engines: engine::Client,
+    control: control::Client,
     services: service::Client,
     suspects: suspect::Handle,
     shelf: Mutex<Shelf>,
@@ -85,6 +87,7 @@
     let shared = Arc::new(Shared {
         parts,
         engines: engine::Client::open(),
+        control: control::Client::open(),
         services: service::Client::open(),
         suspects,
         shelf: Mutex::default(),
--- a/crates/daemon/src/program/attempt.rs
+++ b/crates/daemon/src/program/attempt.rs
@@ -1,17 +1,17 @@
 //! One attempt of a call at an upstream, and when there is another.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use basilramp_core::fingerprint;
 use basilramp_core::id;
+use basilramp_wire::config::Target;
 use basilramp_wire::error::{Error, Kind, Ran};
 
 use super::Shared;
 use super::call::Run;
 use crate::engine::Failure;
 use crate::grant::{End, Grant, Want};
-use crate::probe;
+use crate::probe::Probe;
 use crate::suspect::{Crash, Pass};
 use crate::trace::{self, Hop};
 
@@ -105,7 +105,7 @@
 /// Judges a failed attempt, and records a crash durably before there is another.
 pub(crate) async fn failed(run: &Run, pass: Pass, grant: Grant, failure: Failure) -> Fault {
     let upstream = grant.upstream.clone();
-    let address = grant.address;
+    let probe = probe(run, &grant);
     run.shared.parts.grants.give_back(grant, End::Failed);
     match failure {
         Failure::Unsent => {
@@ -132,7 +132,7 @@
             Fault::last(error, true)
         }
         Failure::Broken => {
-            let crash = broken(run, pass, address).await;
+            let crash = broken(run, pass, probe).await;
             let message = "the upstream failed while it ran the request";
             Fault {
                 error: Error::new(Kind::UpstreamFailed, message),
@@ -143,9 +143,21 @@
     }
 }
 
+/// Returns what tells whether the upstream of a grant crashed.
+pub(crate) fn probe(run: &Run, grant: &Grant) -> Probe {
+    let address = grant.address;
+    match run.service.target {
+        Target::Model { .. } => Probe::Engine {
+            address,
+            epoch: grant.epoch,
+        },
+        Target::Plain { .. } => Probe::Service { address },
+    }
+}
+
 /// Tells a crash of the upstream from a connection that broke, and records a crash.
-pub(crate) async fn broken(run: &Run, pass: Pass, address: SocketAddr) -> Crash {
-    if !probe::is_down(address).await {
+pub(crate) async fn broken(run: &Run, pass: Pass, probe: Probe) -> Crash {
+    if !probe.may_have_crashed(&run.shared.control).await {
         pass.abandoned();
         return Crash::Recorded;
     }
--- a/crates/daemon/src/program/intent.rs
+++ b/crates/daemon/src/program/intent.rs
@@ -70,10 +70,10 @@
             let _ = run.events.send(Answered::Error(error)).await;
         }
         Err(failure) => {
-            let address = grant.address;
+            let probe = attempt::probe(&run, &grant);
             grants.give_back(grant, End::Failed);
             if failure == engine::Failure::Broken {
-                attempt::broken(&run, pass, address).await;
+                attempt::broken(&run, pass, probe).await;
             } else {
                 pass.abandoned();
             }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -199,6 +199,8 @@
         ticket: u64,
         /// Milliseconds after which an unreturned grant is void.
         valid_ms: u64,
+        /// The engine's epoch as its home last read it; nothing for plain services.
+        epoch: Option<u64>,
     },
     /// The upstreams homed at the sender.
     Digests(Vec<Digest>),
