--- a/crates/daemon/tests/operate.rs
+++ b/crates/daemon/tests/operate.rs
@@ -125,6 +125,27 @@
     assert!(again.ends_with("nothing to change\n"), "{again}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sheet_of_many_rows_is_one_change() {
+    const ROWS: u32 = 250;
+    let cluster = start().await;
+    let mut sheet = NamedTempFile::new().unwrap();
+    writeln!(sheet, "service,place,from,until,ready,headroom_percent").unwrap();
+    for row in 0..ROWS {
+        let [from, until] =
+            [row * 5, row * 5 + 5].map(|at| format!("{:02}:{:02}", at / 60, at % 60));
+        writeln!(sheet, "assistant,floor,{from},{until},1,10").unwrap();
+    }
+    let text = done(&cluster, 0, import(&sheet, None)).await;
+    assert!(text.ends_with("accepted as version 2\n"), "{text}");
+    for index in [0, 1] {
+        let list = || Command::Item(Kind::Plan, Item::List);
+        shows(&cluster, index, list, &["floor/0000", "floor/2045"]).await;
+        let plans = done(&cluster, index, list()).await;
+        assert_eq!(plans.lines().count(), 1 + ROWS as usize);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stale_sheet_is_told_what_the_other_change_did() {
     let cluster = start().await;
