--- a/crates/fakes/src/trial.rs
+++ b/crates/fakes/src/trial.rs
@@ -4,6 +4,7 @@
 //! waits until every caller has finished. Then it checks what callers were told against the
 //! promises, and against what the stand-ins recorded.
 
+mod closing;
 mod fault;
 mod operators;
 mod poison;
