--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -5,6 +5,7 @@
 
 use basilramp_wire::api::Event;
 use basilramp_wire::error::{Error, Kind};
+use basilramp_wire::sse;
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
@@ -16,6 +17,8 @@
 use serde::Serialize;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
+use crate::meter::Meter;
+
 /// Makes an answer with a JSON body.
 pub(crate) fn json(status: StatusCode, body: &impl Serialize) -> Response<Body> {
     match serde_json::to_vec(body) {
@@ -60,15 +63,20 @@
 pub(crate) async fn events(
     mut receiver: mpsc::Receiver<Event>,
     slot: OwnedSemaphorePermit,
+    mut meter: Meter,
 ) -> Response<Body> {
     let first = match receiver.recv().await {
-        Some(Event::Error(refusal)) => return error(&refusal),
         Some(event) => event,
-        None => return error(&Error::new(Kind::Interrupted, "the call gave no answer")),
+        None => Event::Error(Error::new(Kind::Interrupted, "the call gave no answer")),
     };
+    if let Event::Error(refusal) = &first {
+        meter.refused(refusal);
+        return error(refusal);
+    }
     let rest = Rest {
         first: Some(first),
         receiver,
+        meter,
         _slot: slot,
     };
     let frames = stream::unfold(rest, next_frame);
@@ -85,6 +93,7 @@
     /// The first event, until it is sent.
     first: Option<Event>,
     receiver: mpsc::Receiver<Event>,
+    meter: Meter,
     _slot: OwnedSemaphorePermit,
 }
 
@@ -93,21 +102,11 @@
         Some(event) => event,
         None => rest.receiver.recv().await?,
     };
-    let frame = Frame::data(encode(&event));
+    rest.meter.note(&event);
+    let frame = Frame::data(Bytes::from(sse::encode(&event)));
     Some((Ok(frame), rest))
 }
 
-/// Writes one server-sent event.
-fn encode(event: &Event) -> Bytes {
-    let (name, data) = match event {
-        Event::Token(token) => ("token", serde_json::to_string(token)),
-        Event::Final(last) => ("final", serde_json::to_string(last)),
-        Event::Error(error) => ("error", serde_json::to_string(error)),
-    };
-    let data = data.unwrap_or_default();
-    Bytes::from(format!("event: {name}\ndata: {data}\n\n"))
-}
-
 fn whole(status: StatusCode, content_type: &'static str, bytes: Vec<u8>) -> Response<Body> {
     let body = Full::new(Bytes::from(bytes)).map_err(io::Error::other);
     let mut response = Response::new(UnsyncBoxBody::new(body));
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -5,6 +5,7 @@
 pub(crate) mod state;
 mod watch;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{clock, commit, settings::Settings};
-use state::Shared;
+use state::{Shared, Stage};
 use watch::Watcher;
 
 /// An instance that can be reached.
@@ -153,22 +154,29 @@
     /// Returns every instance that has a lease row, for operators.
     #[must_use]
     pub fn instances(&self) -> Vec<operator::Instance> {
+        let mut owned: BTreeMap<(&str, u64), u32> = BTreeMap::new();
         let partitions = self.state.partitions();
-        let owned = |instance: &id::Instance, record: &Instance| {
-            let owned = partitions.values().filter(|known| {
-                known.record.owner == instance.as_str()
-                    && known.record.incarnation == record.incarnation
-            });
-            owned.count() as u32
-        };
+        for known in partitions.values() {
+            let record = &known.record;
+            *owned
+                .entry((record.owner.as_str(), record.incarnation))
+                .or_default() += 1;
+        }
         let members = self.state.members();
         let described = members.iter().map(|(instance, member)| {
-            let partitions = owned(instance, &member.record);
+            let start = (instance.as_str(), member.record.incarnation);
+            let partitions = owned.get(&start).copied().unwrap_or(0);
             describe(instance, &member.record, partitions)
         });
         described.collect()
     }
 
+    /// Returns once this instance has written its own end, or a later start of the same instance
+    /// has taken its place. It owns nothing any more and does not join again.
+    pub async fn ended(&self) {
+        self.state.reached(Stage::Ended).await;
+    }
+
     /// Has the watcher read the rows again at once.
     pub fn refresh(&self) {
         self.refresh.notify_one();
@@ -183,23 +191,18 @@
         self.commit.wake();
         self.refresh();
         let wait = Duration::from_millis(wait_ms);
-        let emptied = tokio::time::timeout(wait, self.emptied()).await.is_ok();
+        let emptied = tokio::time::timeout(wait, self.state.reached(Stage::Emptied))
+            .await
+            .is_ok();
         self.state.set_target(InstanceState::Fenced);
         self.commit.wake();
         let last_write = Duration::from_millis(LAST_WRITE_WAIT_MS);
-        let written = tokio::time::timeout(last_write, self.state.retired()).await;
+        let written = tokio::time::timeout(last_write, self.state.reached(Stage::Ended)).await;
         emptied && written.is_ok()
     }
-
-    async fn emptied(&self) {
-        while self.state.count() > 0 {
-            tokio::time::sleep(Duration::from_millis(EMPTIED_POLL_MS)).await;
-        }
-    }
 }
 
 const LAST_WRITE_WAIT_MS: u64 = 3_000;
-const EMPTIED_POLL_MS: u64 = 20;
 
 /// The longest gap between reads that still counts as continuous watching, in heartbeats.
 const GAP_HEARTBEATS: u64 = 2;
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use basilramp_core::id;
 use basilramp_wire::api::Program;
 use basilramp_wire::config::{Change, Head};
+use basilramp_wire::engine::Order;
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::frame::{Body as Ask, Reply, Settlement};
-use basilramp_wire::operator::{Applied, Instances, Upstreams};
+use basilramp_wire::operator::{Applied, Instances, Ordered, Upstreams};
 use gotham::handler::HandlerResult;
 use gotham::prelude::*;
 use gotham::router::Router as Paths;
@@ -15,9 +17,10 @@
 use http::StatusCode;
 use serde::Deserialize;
 
+use crate::log::{Event as LogEvent, event};
 use crate::route::{Router, parse};
 use crate::settings::Operator;
-use crate::{answer, auth, body, config, front, membership, metric, stop};
+use crate::{answer, auth, body, config, front, inventory, log, membership, metric, stop};
 
 /// What the operators' paths work with.
 #[derive(Debug)]
@@ -25,7 +28,9 @@
     pub(crate) router: Router,
     pub(crate) config: config::Handle,
     pub(crate) metrics: metric::Handle,
+    pub(crate) log: log::Handle,
     pub(crate) membership: membership::Handle,
+    pub(crate) inventory: inventory::Handle,
     pub(crate) operators: Vec<Operator>,
     pub(crate) body_bytes: usize,
     pub(crate) stop: stop::Signal,
@@ -59,6 +64,10 @@
             .to_async(show_log);
         route.get("/v1/instances").to_async(show_instances);
         route.get("/v1/upstreams").to_async(show_upstreams);
+        route
+            .post("/v1/upstreams/:id/orders")
+            .with_path_extractor::<Named>()
+            .to_async(give_order);
         route
             .get("/v1/programs/:id")
             .with_path_extractor::<Named>()
@@ -110,7 +119,15 @@
 async fn run_apply(api: &Api, state: &mut State) -> Result<Applied, Error> {
     let operator = api.operator(state)?;
     let change: Change = body::json(state, api.body_bytes).await?;
-    let version = api.config.apply(&operator, change).await?;
+    let (base, edits) = (change.base, change.edits.len());
+    let applied = api.config.apply(&operator, change).await;
+    match &applied {
+        Ok(version) => event!(api.log, LogEvent::ConfigChanged,
+            "operator" => &*operator, "version" => version, "edits" => edits),
+        Err(error) => event!(api.log, LogEvent::ConfigRefused,
+            "operator" => &*operator, "base" => base, "kind" => error.kind.code()),
+    }
+    let version = applied?;
     api.announce(version);
     Ok(Applied { version })
 }
@@ -136,12 +153,31 @@
 
 async fn show_upstreams(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
-    let result = api.operator(&state).map(|_| Upstreams {
-        upstreams: Vec::new(),
-    });
+    let result = match api.operator(&state) {
+        Ok(_) => Ok(Upstreams {
+            upstreams: api.inventory.upstreams().await,
+        }),
+        Err(error) => Err(error),
+    };
     Ok((state, answer::result(result)))
 }
 
+async fn give_order(mut state: State) -> HandlerResult {
+    let api = front::shared::<Api>(&state);
+    let result = run_order(&api, &mut state).await;
+    Ok((state, answer::result(result)))
+}
+
+async fn run_order(api: &Api, state: &mut State) -> Result<Ordered, Error> {
+    let operator = api.operator(state)?;
+    let id = Named::borrow_from(state).id.clone();
+    let order: Order = body::json(state, api.body_bytes).await?;
+    let fencing = api.order(&id, order).await?;
+    event!(api.log, LogEvent::OrderedByHand,
+        "operator" => &*operator, "upstream" => id, "fencing" => fencing);
+    Ok(Ordered { fencing })
+}
+
 async fn show_program(state: State) -> HandlerResult {
     let api = front::shared::<Api>(&state);
     let operator = api.operator(&state);
@@ -163,17 +199,25 @@
     let operator = api.operator(state)?;
     let id = Named::borrow_from(state).id.clone();
     let settlement: Settlement = body::json(state, api.body_bytes).await?;
+    let (position, ran) = (settlement.position, settlement.ran);
     let body = Ask::Settle {
         operator: operator.to_string(),
         program: id.clone(),
         settlement,
     };
-    api.ask(&id, body).await
+    let program = api.ask(&id, body).await?;
+    event!(api.log, LogEvent::CallSettled,
+        "operator" => &*operator, "program" => id, "position" => position, "ran" => ran);
+    Ok(program)
 }
 
 impl Api {
     fn operator(&self, state: &State) -> Result<Arc<str>, Error> {
-        auth::operator(&self.operators, state)
+        let operator = auth::operator(&self.operators, state);
+        if operator.is_err() {
+            event!(self.log, LogEvent::OperatorRefused);
+        }
+        operator
     }
 
     /// Tells the other instances of a new version; one that is missed polls it.
@@ -190,6 +234,31 @@
         }
     }
 
+    /// Has an upstream's home give it an order.
+    async fn order(&self, id: &str, order: Order) -> Result<u64, Error> {
+        let upstream = id::Upstream::new(id);
+        if !self.inventory.is_listed(&upstream) {
+            return Err(Error::new(Kind::NotFound, "no such upstream"));
+        }
+        let home = self.membership.home(&upstream).ok_or_else(|| {
+            let message = "the upstream has no home now";
+            Error::new(Kind::UpstreamUnavailable, message)
+        })?;
+        let body = Ask::Order {
+            upstream: id.to_owned(),
+            order,
+        };
+        let reply = if home.id == self.membership.own() {
+            self.router.local.answer(body).await?
+        } else {
+            self.router.peers.ask(&home, body).await?
+        };
+        match reply {
+            Reply::Ordered(fencing) => Ok(fencing),
+            _ => Err(wrong_answer()),
+        }
+    }
+
     async fn read(&self, id: String) -> Result<Program, Error> {
         let body = Ask::Read {
             account: None,
@@ -202,10 +271,11 @@
         let partition = parse(id)?.partition();
         match self.router.ask(partition, body).await? {
             Reply::Program(program) => Ok(program),
-            _ => Err(Error::new(
-                Kind::Internal,
-                "an instance gave a wrong answer",
-            )),
+            _ => Err(wrong_answer()),
         }
     }
 }
+
+fn wrong_answer() -> Error {
+    Error::new(Kind::Internal, "an instance gave a wrong answer")
+}
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::membership::{self, Peer};
 use crate::trace::{self, Hop};
-use crate::{admission, config, home, peer, program};
+use crate::{admission, config, home, metric, order, peer, program, stop};
 
 /// The longest that a request waits for its partition to have a reachable owner.
 const OWNER_WAIT_MS: u64 = 8_000;
@@ -32,7 +32,9 @@
     pub(crate) homes: home::Handle,
     pub(crate) config: config::Handle,
     pub(crate) membership: membership::Handle,
+    pub(crate) stop: stop::Signal,
     pub(crate) admission: admission::Handle,
+    pub(crate) orders: order::Handle,
 }
 
 impl Local {
@@ -47,10 +49,20 @@
         self.programs.call(&account, program, call, events).await;
     }
 
+    /// A stopping instance takes no new programs: the entry instance waits for the next owner.
+    fn takes_programs(&self) -> Result<(), Error> {
+        if self.stop.is_stopping() {
+            let message = "the owner is stopping";
+            return Err(Error::new(Kind::OwnerUnavailable, message));
+        }
+        Ok(())
+    }
+
     /// Runs any other request.
     pub(crate) async fn answer(&self, body: Body) -> Result<Reply, Error> {
         match body {
             Body::Create { account, create } => {
+                self.takes_programs()?;
                 let account = id::Account::new(account);
                 self.programs
                     .create(&account, create)
@@ -116,6 +128,10 @@
                 self.config.hint(head.version);
                 Ok(Reply::Done)
             }
+            Body::Order { upstream, order } => {
+                let upstream = id::Upstream::new(upstream);
+                self.orders.give(upstream, order).await.map(Reply::Ordered)
+            }
             Body::HandOver { .. } => {
                 self.membership.refresh();
                 Ok(Reply::Done)
@@ -131,6 +147,7 @@
     pub(crate) local: Local,
     pub(crate) membership: membership::Handle,
     pub(crate) peers: peer::Client,
+    pub(crate) metrics: metric::Handle,
 }
 
 impl Router {
@@ -158,6 +175,7 @@
         if owner.id == self.membership.own() {
             return trace::span(Hop::Owner, self.local.answer(body)).await;
         }
+        self.metrics.forward();
         trace::span(Hop::Forward, self.peers.ask(&owner, body)).await
     }
 
@@ -248,6 +266,7 @@
             program: program.to_string(),
             call: call.clone(),
         };
+        self.metrics.forward();
         let replies = trace::span(Hop::Forward, self.peers.stream(&owner, body)).await?;
         Ok(events_of(replies))
     }
--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -4,17 +4,21 @@
 //! [`inherit`], and ends once the last future within it does.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use basilramp_wire::error;
 use eyre::{Result, WrapErr};
 use opentelemetry::propagation::{Extractor, Injector, TextMapPropagator};
+use opentelemetry::trace::noop::NoopTracerProvider;
 use opentelemetry::trace::{SpanKind, Status, TraceContextExt, Tracer};
 use opentelemetry::{Context, KeyValue, Value, global};
 use opentelemetry_otlp::{SpanExporter, WithExportConfig};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::propagation::TraceContextPropagator;
-use opentelemetry_sdk::trace::{Sampler, SdkTracerProvider, SpanData};
+use opentelemetry_sdk::trace::{
+    BatchConfigBuilder, BatchSpanProcessor, Sampler, SdkTracerProvider, SpanData,
+};
 use tokio::runtime;
 use tokio_util::context::TokioContext;
 
@@ -24,6 +28,9 @@
 /// The header that carries the trace context over HTTP.
 pub(crate) const HEADER: &str = "traceparent";
 
+/// The longest that a span waits for others to be exported with.
+const EXPORT_DELAY_MS: u64 = 1_000;
+
 /// A hop on a request's way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hop {
@@ -33,8 +40,10 @@
     Forward,
     /// The owner.
     Owner,
-    /// The wait for a slot.
+    /// The wait for a slot, at the owner.
     Grant,
+    /// The wait for a slot, at the home of an upstream on another instance.
+    Home,
     /// The call of the upstream.
     Upstream,
     /// The commit of a turn.
@@ -48,6 +57,7 @@
             Self::Forward => "forward",
             Self::Owner => "owner",
             Self::Grant => "grant",
+            Self::Home => "home",
             Self::Upstream => "upstream",
             Self::Commit => "commit",
         }
@@ -55,7 +65,7 @@
 
     const fn kind(self) -> SpanKind {
         match self {
-            Self::Front | Self::Owner => SpanKind::Server,
+            Self::Front | Self::Owner | Self::Home => SpanKind::Server,
             Self::Forward | Self::Grant | Self::Upstream => SpanKind::Client,
             Self::Commit => SpanKind::Internal,
         }
@@ -91,7 +101,7 @@
             let sampler = Sampler::TraceIdRatioBased(traces.sample_ratio);
             builder
                 .with_sampler(Sampler::ParentBased(Box::new(sampler)))
-                .with_batch_exporter(Exporter::open(address, log.clone())?)
+                .with_span_processor(batches(Exporter::open(address, log.clone())?))
         }
     };
     let provider = builder.build();
@@ -99,10 +109,23 @@
     Ok(Handle { provider })
 }
 
+/// Gathers spans and exports them together.
+fn batches(exporter: Exporter) -> BatchSpanProcessor {
+    let config = BatchConfigBuilder::default()
+        .with_scheduled_delay(Duration::from_millis(EXPORT_DELAY_MS))
+        .build();
+    BatchSpanProcessor::builder(exporter)
+        .with_batch_config(config)
+        .build()
+}
+
 impl Handle {
     /// Exports what is left, and ends. Blocks, for at most some seconds.
     pub(crate) fn close(&self) -> OTelSdkResult {
-        self.provider.shutdown()
+        let outcome = self.provider.shutdown();
+        // Lets go of the exporter, and with it of the log, which is then written out at exit.
+        global::set_tracer_provider(NoopTracerProvider::new());
+        outcome
     }
 }
 
--- a/crates/daemon/tests/ownership/support.rs
+++ b/crates/daemon/tests/ownership/support.rs
@@ -28,10 +28,9 @@
         },
         "platform": {
             "table": platform.table_address(),
-            "objects": platform.objects_address(),
             "list": platform.list_address(),
         },
-        "peers": {"certificate": "", "key": "", "authority": ""},
+        "peers": {"certificate": "unused", "key": "unused", "authority": "unused"},
     });
     for (name, section) in overrides.as_object().into_iter().flatten() {
         settings[name] = section.clone();
--- a/crates/fakes/src/trial/script.rs
+++ b/crates/fakes/src/trial/script.rs
@@ -24,12 +24,18 @@
 /// Every so many callers one has a tight budget.
 const TIGHT_EVERY: usize = 4;
 
+/// The share of calls whose caller takes provisional answers.
+const PROVISIONAL: f64 = 0.15;
+
 /// Calls of each sub-agent.
 const CHILD_TURNS: u32 = 2;
 
 /// Time before a refused request is sent again.
 const RETRY_MS: u64 = 150;
 
+/// The longest time between two calls of a program.
+const THINK_MS: u64 = 400;
+
 /// Time that an operator waits before looking what became of a call in doubt.
 const SETTLE_WAIT_MS: u64 = 1_500;
 
@@ -85,6 +91,7 @@
                 Step::Next(next) => position = next,
                 Step::Over => break,
             }
+            self.think().await;
         }
     }
 
@@ -112,6 +119,11 @@
         tokio::time::sleep(Duration::from_millis(ms)).await;
     }
 
+    async fn think(&mut self) {
+        let ms = self.random.random_range(0..THINK_MS);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+
     /// Creates a program; nothing if its budget does not allow it.
     async fn create(&mut self, budget: Option<Budget>, parent: Option<&str>) -> Option<String> {
         let create = Create {
@@ -154,7 +166,7 @@
             }
             if is_unsure(&outcome)
                 && let Some(read) = self.settle(program).await
-                && read.next_position > position
+                && read.next_position != position
             {
                 return Step::Next(read.next_position);
             }
@@ -172,7 +184,9 @@
         };
         let request = self.request_id();
         let input = format!("{request} of {program} at {position} asks {service}");
-        caller::call(&request, position, service, &input)
+        let mut call = caller::call(&request, position, service, &input);
+        call.provisional = self.random.random_bool(PROVISIONAL);
+        call
     }
 
     /// Sends a call: mostly once, sometimes through two instances, sometimes against a rival.
@@ -249,10 +263,12 @@
     }
 }
 
-/// Tells whether a call with this outcome may have moved its program on.
+/// Tells whether a call with this outcome may stand elsewhere than its caller thinks.
 fn is_unsure(outcome: &Outcome) -> bool {
     match outcome {
-        Outcome::Refused(error) => error.ran != Ran::No || error.kind == Kind::OutOfOrder,
+        Outcome::Refused(error) => {
+            error.ran != Ran::No || matches!(error.kind, Kind::OutOfOrder | Kind::HistoryBehind)
+        }
         Outcome::Lost(_) => true,
         _ => false,
     }
