--- a/crates/daemon/src/program/attempt.rs
+++ b/crates/daemon/src/program/attempt.rs
@@ -74,14 +74,18 @@
         wait_ms: run.shared.parts.timing.grant_wait_ms,
         avoid: avoid.to_vec(),
     };
+    let fingerprint = fingerprint::of(&run.service_id(), &run.call.input);
+    let suspects = &run.shared.suspects;
+    let flight = tokio::select! {
+        flight = suspects.enter(fingerprint, want.wait_ms) => flight?,
+        () = run.events.closed() => return Err(gone()),
+    };
     let grants = &run.shared.parts.grants;
     let grant = tokio::select! {
         grant = trace::span(Hop::Grant, grants.acquire(&want)) => grant?,
         () = run.events.closed() => return Err(gone()),
     };
-    let fingerprint = fingerprint::of(&run.service_id(), &run.call.input);
-    let suspects = &run.shared.suspects;
-    let pass = suspects.admit(fingerprint, &grant.upstream).await;
+    let pass = suspects.admit(flight, &grant.upstream).await;
     let pass = match pass {
         Ok(pass) => pass,
         Err(error) => {
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -1,5 +1,7 @@
 //! Requests that crash upstreams: marked durably, tried alone, and then quarantined.
 
+mod flight;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -14,6 +16,7 @@
 use crate::clock::Source;
 use crate::log::{Event, event};
 use crate::{commit, log};
+use flight::{Flight, Flights};
 
 const PARTITION_KEY: &str = "suspect";
 
@@ -41,6 +44,7 @@
     clock: Source,
     wait_ms: u64,
     local: Mutex<Local>,
+    flights: Flights,
 }
 
 /// What this instance alone knows.
@@ -80,6 +84,7 @@
         clock,
         wait_ms,
         local: Mutex::default(),
+        flights: Flights::default(),
     };
     Handle {
         shared: Arc::new(shared),
@@ -92,6 +97,7 @@
     shared: Arc<Shared>,
     fingerprint: Digest,
     upstream: id::Upstream,
+    flight: Flight,
     /// The suspect's row while it is tried alone.
     trial: Option<Known>,
 }
@@ -103,6 +109,19 @@
 }
 
 impl Handle {
+    /// Waits until another copy of a request may be under way.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` after `wait_ms` milliseconds.
+    pub(crate) async fn enter(&self, fingerprint: Digest, wait_ms: u64) -> Result<Flight, Error> {
+        let entered = self.shared.flights.enter(fingerprint, wait_ms).await;
+        entered.ok_or_else(|| {
+            let message = "copies of the request are under way and none was answered yet";
+            Error::new(Kind::Overloaded, message).retry_after(RETRY_MS)
+        })
+    }
+
     /// Checks that a request may be sent to an upstream.
     ///
     /// While the store is out of reach, only what this instance knows counts.
@@ -112,9 +131,10 @@
     /// `Quarantined` if it crashed upstreams twice; `Overloaded` if it is being tried alone.
     pub(crate) async fn admit(
         &self,
-        fingerprint: Digest,
+        flight: Flight,
         upstream: &id::Upstream,
     ) -> Result<Pass, Error> {
+        let fingerprint = flight.fingerprint();
         let shared = &self.shared;
         if shared.lock().unrecorded.contains(&fingerprint) {
             return Err(busy());
@@ -123,6 +143,7 @@
             shared: Arc::clone(shared),
             fingerprint,
             upstream: upstream.clone(),
+            flight,
             trial: None,
         };
         let Ok(Some(row)) = shared.table.get(&key(fingerprint)).await else {
@@ -220,6 +241,7 @@
 impl Pass {
     /// Notes that the request was answered whole; a suspect is cleared.
     pub(crate) fn completed(self) {
+        self.flight.answered();
         let Some(trial) = self.trial else {
             return;
         };
@@ -251,9 +273,11 @@
     /// Unless the crash is durable this instance does not send the request again; it goes on
     /// trying to record the crash.
     pub(crate) async fn crashed(self, log: &log::Handle) -> Crash {
-        let (shared, fingerprint) = (self.shared, self.fingerprint);
+        let shared = Arc::clone(&self.shared);
+        let fingerprint = self.fingerprint;
         event!(log, Event::RequestSuspected,
             "upstream" => %self.upstream, "fingerprint" => %fingerprint);
+        self.flight.crashed();
         shared.lock().unrecorded.insert(fingerprint);
         if let Some(suspect) = shared.record(fingerprint, &self.upstream).await {
             shared.lock().unrecorded.remove(&fingerprint);
--- a/crates/daemon/tests/calls/suspect.rs
+++ b/crates/daemon/tests/calls/suspect.rs
@@ -84,3 +84,30 @@
     assert!(answer.result.is_ok(), "{:?}", answer.result);
     assert!(cluster.platform.rows("suspect").is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_in_flight_at_the_first_crash_are_few() {
+    /// Copies that each instance lets out before one was answered whole.
+    const COPIES: u64 = 2;
+    const INSTANCES: u64 = 3;
+    const CALLERS: usize = 30;
+    let cluster = deployment(12).await;
+    let mut programs = Vec::new();
+    for number in 0..CALLERS {
+        programs.push(create(&cluster, &format!("p{number}")).await);
+    }
+    let mut calls = Vec::new();
+    for (number, program) in programs.iter().enumerate() {
+        let at = cluster.callers(number % 3).expect("it runs");
+        let call = caller::call("r", 0, name::MODEL, POISON);
+        let caller = cluster.caller(0);
+        calls.push(async move { caller.call(at, &program.id, &call).await });
+    }
+    let answers = futures_util::future::join_all(calls).await;
+    assert!(answers.iter().all(|answer| answer.result.is_err()));
+    let crashes = crashes(&cluster);
+    assert!(crashes >= 2, "{crashes} crashes");
+    // The first crash, the trial's, and those of the copies in flight at the first one.
+    let bound = 2 + COPIES * INSTANCES - 1;
+    assert!(crashes <= bound, "{crashes} crashes of at most {bound}");
+}
