--- a/crates/daemon/tests/calls/ends.rs
+++ b/crates/daemon/tests/calls/ends.rs
@@ -83,14 +83,12 @@
         .call(any(&cluster), &program.id, &late)
         .await;
     assert_refused(&late, Kind::Ended, Ran::No);
-    let row = cluster
-        .platform
-        .row(&format!("program/{}", program.id), "head");
-    assert!(
-        row.expect("the head is kept")
-            .body
-            .contains("\"ended\":true")
-    );
+    until("the end is durable", || {
+        let partition = format!("program/{}", program.id);
+        let row = cluster.platform.row(&partition, "head");
+        row.is_some_and(|row| row.body.contains("\"ended\":true"))
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
