--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use basilramp_core::clock::Time;
 use basilramp_core::history::Digest;
@@ -31,6 +32,11 @@
 
 const READ_TIMEOUT_MS: u64 = 500;
 
+/// Tries to read a row before the store is taken to be out of reach.
+const READ_TRIES: u32 = 4;
+
+const READ_PAUSE: Duration = Duration::from_millis(20);
+
 /// Decides whether requests may be sent.
 #[derive(Clone, Debug)]
 pub(crate) struct Handle {
@@ -146,7 +152,7 @@
             flight,
             trial: None,
         };
-        let Ok(Some(row)) = shared.table.get(&key(fingerprint)).await else {
+        let Some(row) = shared.read(fingerprint).await else {
             return Ok(pass);
         };
         let known = known(&row);
@@ -168,6 +174,17 @@
         self.local.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Reads the row of a request; a store that answers no try is taken to be out of reach.
+    async fn read(&self, fingerprint: Digest) -> Option<Row> {
+        for _ in 0..READ_TRIES {
+            if let Ok(row) = self.table.get(&key(fingerprint)).await {
+                return row;
+            }
+            tokio::time::sleep(READ_PAUSE).await;
+        }
+        None
+    }
+
     /// Tells whether a trial's row has not changed for longer than any trial takes.
     fn is_stale(&self, fingerprint: Digest, version: u64) -> bool {
         let now = self.clock.now();
@@ -291,7 +308,7 @@
         }
         tokio::spawn(async move {
             while shared.record(fingerprint, &self.upstream).await.is_none() {
-                tokio::time::sleep(std::time::Duration::from_millis(RETRY_MS)).await;
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
             }
             shared.lock().unrecorded.remove(&fingerprint);
         });
