Hold each refused attempt against what ran in its time

Change: nothing may run between an attempt refused as not run and the next one, where no other attempt overlaps it or may still run. Stricter than before.

--- a/crates/fakes/src/trial/records.rs
+++ b/crates/fakes/src/trial/records.rs
@@ -1,6 +1,6 @@
 //! Checks against what the stand-ins recorded, and checks with a time bound.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use basilramp_wire::error::Kind;
@@ -24,36 +24,64 @@
 /// The most engines that one poisoned request may crash.
 const POISONINGS: u64 = 2;
 
-/// Checks that no request ran of which every word was that it was not run.
+/// Checks that no request ran while an attempt of it was under way that was refused as not run.
+///
+/// An attempt is left out if another one overlaps it, or an earlier one may still run.
 pub(crate) fn refusals(entries: &[Entry], world: &World, report: &mut Report) {
-    let mut told: BTreeMap<&str, bool> = BTreeMap::new();
+    let mut attempts: BTreeMap<&str, Vec<&Entry>> = BTreeMap::new();
     for entry in entries {
         if let Operation::Call { call, .. } = &entry.operation {
-            let not_run = told.entry(&call.input).or_insert(true);
-            *not_run &= entry.outcome.is_not_run();
+            attempts.entry(&call.input).or_default().push(entry);
         }
     }
     let ran = ran(world);
-    for (input, _) in told.iter().filter(|(_, not_run)| **not_run) {
-        *report.histories.entry("refusal").or_default() += 1;
-        if ran.contains(*input) {
-            let text = format!("refused as not run, and ran: {input:?}");
-            report.violations.push(text);
+    for (input, attempts) in attempts {
+        let runs = ran.get(input).map_or(&[][..], Vec::as_slice);
+        for (index, entry) in attempts.iter().enumerate() {
+            let alone = attempts[..index]
+                .iter()
+                .all(|earlier| earlier.ended < entry.began && !may_run_on(earlier));
+            let next = attempts.get(index + 1);
+            let alone = alone && next.is_none_or(|later| later.began > entry.ended);
+            if !alone || !entry.outcome.is_not_run() {
+                continue;
+            }
+            *report.histories.entry("refusal").or_default() += 1;
+            let until = next.map(|later| later.began);
+            let lie = runs
+                .iter()
+                .any(|at| *at >= entry.began && until.is_none_or(|until| *at < until));
+            if lie {
+                let text = format!(
+                    "refused as not run, and ran: {input:?}: {:?}",
+                    entry.outcome
+                );
+                report.violations.push(text);
+            }
         }
     }
 }
 
-/// Returns the inputs of everything that upstreams have run or read.
-fn ran(world: &World) -> BTreeSet<String> {
+/// Tells whether an attempt may be run after its end.
+fn may_run_on(entry: &Entry) -> bool {
+    !entry.outcome.is_not_run() && !matches!(entry.outcome, Outcome::Final(_))
+}
+
+/// Returns when each input was run or read by an upstream.
+fn ran(world: &World) -> BTreeMap<String, Vec<Instant>> {
+    let mut ran: BTreeMap<String, Vec<Instant>> = BTreeMap::new();
     let runs = world.engines.iter().flat_map(|engine| engine.runs());
-    let prompts = runs
-        .filter(|run| run.started)
-        .filter_map(|run| run.contents.last().cloned());
-    let services = [&world.registry, &world.store].into_iter();
-    let bodies = services
-        .flat_map(|service| service.receipts())
-        .map(|receipt| receipt.body);
-    prompts.chain(bodies).collect()
+    for mut run in runs.filter(|run| run.started) {
+        if let Some(input) = run.contents.pop() {
+            ran.entry(input).or_default().push(run.at);
+        }
+    }
+    for service in [&world.registry, &world.store] {
+        for receipt in service.receipts() {
+            ran.entry(receipt.body).or_default().push(receipt.at);
+        }
+    }
+    ran
 }
 
 /// Checks that no engine got new work too long after the list named it as leaving.
