--- a/crates/daemon/tests/calls/once.rs
+++ b/crates/daemon/tests/calls/once.rs
@@ -278,3 +278,23 @@
     }
     assert!(caught, "no intent was written without its answer");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_that_is_not_reached_leaves_no_doubt() {
+    let cluster = start(1).await;
+    let program = create(&cluster, "p").await;
+    let at = support::any(&cluster);
+    cluster.store.down(true);
+    let order = caller::call("a", 0, name::ORDER, "one bag of grit");
+    let refused = spawn_call(&cluster, at, &program.id, &order).await;
+    let refused = refused.expect("the caller is answered");
+    assert_refused(&refused, Kind::UpstreamUnavailable, Ran::No);
+    cluster.store.down(false);
+    until("the intent is withdrawn", || {
+        turn_row(&cluster, &program.id, 0).is_none()
+    })
+    .await;
+    let again = call_until_settled(&cluster, at, &program.id, &order).await;
+    assert_matches!(again.result, Ok(_));
+    assert_eq!(cluster.store.receipts().len(), 1);
+}
