--- a/crates/fakes/examples/policy/run.rs
+++ b/crates/fakes/examples/policy/run.rs
@@ -260,7 +260,7 @@
         }
         let (account, turns) = self.deployment.program(self.seed, arrival);
         let floods = self.situation == Situation::Flood && self.is_peak();
-        let account = if floods && arrival % 3 != 0 {
+        let account = if floods && !arrival.is_multiple_of(3) {
             FLOODER
         } else {
             account
