Read partition rows only when an instance tells of a change of owner

Cause: one run of 'capacity' (release, 06:53 to 06:55): each instance at rest moves 33 to 44 KB/s to and from the store, against the aim's 16 KB/s, since it reads all 1,024 partition rows every six heartbeats. Ruled out: reading them less often alone; a takeover or a hand-over would then be seen late. Change: the lease row counts the transactions that change an owner ('moves'); watchers, who read the lease rows each heartbeat anyway, read the partition rows when a count or an incarnation changed, else every sixty rounds.

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -221,6 +221,7 @@
         peer_address: peer_address.to_string(),
         failure_domain: settings.instance.failure_domain.clone(),
         state: InstanceState::Live,
+        moves: 0,
     }
 }
 
--- a/crates/daemon/src/membership/claim.rs
+++ b/crates/daemon/src/membership/claim.rs
@@ -91,6 +91,7 @@
     known: Known,
 ) {
     let write = write(partition, before.as_ref(), &known);
+    state.note_move();
     match commit.submit(vec![write]).await {
         Ok(()) => state.learn([(partition, known)]),
         Err(_) => state.forget(partition),
--- a/crates/daemon/src/membership/handover.rs
+++ b/crates/daemon/src/membership/handover.rs
@@ -106,6 +106,7 @@
         },
     };
     let write = claim::write(partition, Some(&before), &after);
+    state.note_move();
     match commit.submit(vec![write]).await {
         Ok(()) => state.hand_over(partition, after, to.peer()),
         Err(_) => state.forget(partition),
--- a/crates/daemon/src/membership/state.rs
+++ b/crates/daemon/src/membership/state.rs
@@ -158,6 +158,11 @@
         self.lock().record.state = target;
     }
 
+    /// Has the transactions from now on tell the others that partitions change owners.
+    pub(super) fn note_move(&self) {
+        self.lock().record.moves += 1;
+    }
+
     /// Returns the current incarnation, unless the lease is lost.
     pub(crate) fn incarnation(&self) -> Option<id::Incarnation> {
         self.lock().incarnation
--- a/crates/daemon/src/membership/watch.rs
+++ b/crates/daemon/src/membership/watch.rs
@@ -22,8 +22,8 @@
 /// The partition key of partition rows.
 pub(super) const PARTITIONS: &str = "partition";
 
-/// Rounds after which partition rows are read again though nothing points to a change.
-const QUIET_ROUNDS: u32 = 5;
+/// Rounds after which partition rows are read again though no instance tells of a change.
+const QUIET_ROUNDS: u32 = 60;
 
 /// Rounds for which partition rows are read each time after the instances have changed.
 const UNSETTLED_ROUNDS: u32 = 20;
@@ -49,10 +49,15 @@
     live: BTreeSet<(id::Instance, u64)>,
     rounds_to_read: u32,
     unsettled_rounds: u32,
+    /// What the lease rows told of changes before the partition rows were last read.
+    moves: Moves,
     /// When this instance's own row was first read as leaving.
     leaving_since: Option<Time>,
 }
 
+/// For each instance its incarnation and [`record::Instance::moves`].
+type Moves = BTreeMap<id::Instance, (u64, u64)>;
+
 impl Watcher {
     pub(super) fn new(
         client: Client,
@@ -71,6 +76,7 @@
             live: BTreeSet::new(),
             rounds_to_read: 0,
             unsettled_rounds: UNSETTLED_ROUNDS,
+            moves: Moves::new(),
             leaving_since: None,
         }
     }
@@ -114,18 +120,30 @@
         self.note_live();
         self.unsettled_rounds = self.unsettled_rounds.saturating_sub(1);
         let quiet = self.unsettled_rounds == 0 && self.leaving_since.is_none();
-        if self.rounds_to_read > 0 && quiet {
+        let moves = self.moves();
+        if self.rounds_to_read > 0 && quiet && moves == self.moves {
             self.rounds_to_read -= 1;
             return;
         }
         let started = self.state.now();
         if self.read_partitions().await {
             self.rounds_to_read = QUIET_ROUNDS;
+            self.moves = moves;
             self.place().await;
             self.note_emptied(started);
         }
     }
 
+    /// Returns what the lease rows tell of changes of ownership.
+    fn moves(&self) -> Moves {
+        let members = self.state.members().into_iter();
+        let told = members.map(|(instance, member)| {
+            let record = member.record;
+            (instance, (record.incarnation, record.moves))
+        });
+        told.collect()
+    }
+
     async fn read_members(&mut self) -> bool {
         let able = self.state.is_valid();
         let started = self.state.now();
--- a/crates/fakes/examples/capacity/bench.rs
+++ b/crates/fakes/examples/capacity/bench.rs
@@ -5,11 +5,11 @@
 
 use basilramp_fakes::cluster::{ACCOUNTS, Cluster, Options, key, limit, name, set};
 use basilramp_fakes::platform::Counters;
-use basilramp_fakes::{Launcher, caller, engine};
+use basilramp_fakes::{caller, engine};
 use eyre::{Result, eyre};
 use tokio::task::JoinSet;
 
-use crate::{INSTANCE, usage};
+use crate::{instance, usage};
 
 /// Requests a second, and programs, that the measured account may have.
 const UNLIMITED: u32 = 1_000_000;
@@ -58,11 +58,7 @@
 impl Bench {
     /// Starts a deployment without limits on accounts and store.
     pub(crate) async fn start(instances: usize) -> Result<Self> {
-        let launcher = Launcher {
-            program: std::env::current_exe()?,
-            arguments: vec![INSTANCE.into()],
-        };
-        let mut options = Options::new(launcher, instances);
+        let mut options = Options::new(instance::launcher()?, instances);
         options.engines = vec![engine::Options {
             slots: 64,
             speed: 1_000.0,
--- a/crates/fakes/examples/capacity/main.rs
+++ b/crates/fakes/examples/capacity/main.rs
@@ -7,23 +7,20 @@
 
 mod bench;
 mod fit;
+#[path = "../shared/instance.rs"]
+mod instance;
+mod latency;
 mod measure;
 mod usage;
 
-use std::ffi::OsString;
 use std::process::ExitCode;
 
-use basilramp_daemon::{Settings, run_daemon};
 use eyre::Result;
 
 use fit::Series;
 
-/// The argument that makes this program an instance of the daemon.
-pub(crate) const INSTANCE: &str = "--instance";
-
 fn main() -> ExitCode {
-    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
-    match run(&arguments) {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("capacity: {report:#}");
@@ -32,18 +29,15 @@
     }
 }
 
-fn run(arguments: &[OsString]) -> Result<()> {
-    if let [first, settings] = arguments
-        && first == INSTANCE
-    {
-        let text = std::fs::read_to_string(settings)?;
-        return run_daemon(Settings::parse(&text)?);
+fn run() -> Result<()> {
+    if instance::run_if_asked()? {
+        return Ok(());
     }
-    let only = arguments.first().and_then(|name| name.to_str());
+    let only = std::env::args().nth(1);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(measure_all(only))
+    runtime.block_on(measure_all(only.as_deref()))
 }
 
 /// Runs every measurement, or the one that was named.
@@ -64,6 +58,9 @@
     if wanted("changes") {
         print(&measure::changes().await?);
     }
+    if wanted("latency") {
+        latency::compare().await?;
+    }
     if wanted("takeover") {
         print(&measure::takeover().await?);
     }
--- a/crates/fakes/examples/capacity/measure.rs
+++ b/crates/fakes/examples/capacity/measure.rs
@@ -111,7 +111,7 @@
 }
 
 /// Returns the programs whose partition the second instance owns, by the table's rows.
-async fn owned_elsewhere(bench: &Bench, programs: &[String]) -> Result<Vec<String>> {
+pub(crate) async fn owned_elsewhere(bench: &Bench, programs: &[String]) -> Result<Vec<String>> {
     bench.settle(SETTLE_MS).await;
     let rows = bench.cluster.platform.rows("partition");
     let second = &bench.cluster.instances[1].id;
--- a/crates/fakes/examples/demo/main.rs
+++ b/crates/fakes/examples/demo/main.rs
@@ -6,25 +6,22 @@
 //! programs that are under way. Exits with 1 if a promise broke.
 
 mod course;
+#[path = "../shared/instance.rs"]
+mod instance;
 mod promise;
 mod story;
 
-use std::ffi::OsString;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
-use basilramp_daemon::{Settings, run_daemon};
 use basilramp_fakes::cluster::{Cluster, Options, plain, set};
-use basilramp_fakes::{Launcher, engine};
+use basilramp_fakes::engine;
 use eyre::Result;
 use tokio::task::JoinSet;
 
 use course::{Course, Stage};
 
-/// The argument that makes this program an instance of the daemon.
-const INSTANCE: &str = "--instance";
-
 /// Instances of the daemon.
 const INSTANCES: usize = 3;
 
@@ -38,8 +35,7 @@
 const START_PAUSE_MS: u64 = 150;
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    match run(&arguments) {
+    match run() {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(report) => {
@@ -49,12 +45,8 @@
     }
 }
 
-fn run(arguments: &[String]) -> Result<bool> {
-    if let [first, settings] = arguments
-        && first == INSTANCE
-    {
-        let text = std::fs::read_to_string(settings)?;
-        run_daemon(Settings::parse(&text)?)?;
+fn run() -> Result<bool> {
+    if instance::run_if_asked()? {
         return Ok(true);
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -64,11 +56,7 @@
 }
 
 fn deployment() -> Result<Options> {
-    let launcher = Launcher {
-        program: std::env::current_exe()?,
-        arguments: vec![OsString::from(INSTANCE)],
-    };
-    let mut options = Options::new(launcher, INSTANCES);
+    let mut options = Options::new(instance::launcher()?, INSTANCES);
     options.engines = vec![
         engine::Options {
             speed: 1.0,
--- a/crates/fakes/examples/histories.rs
+++ b/crates/fakes/examples/histories.rs
@@ -5,18 +5,15 @@
 //! A round applies every fault alone, twice over, and in pairs. `--faults Kill,StoreDown` runs
 //! one trial a round with just these. Exits with 1 if a promise broke or a fault never hit.
 
-use std::ffi::OsString;
+#[path = "shared/instance.rs"]
+mod instance;
+
 use std::process::ExitCode;
 use std::str::FromStr;
 
-use basilramp_daemon::{Settings, run_daemon};
-use basilramp_fakes::Launcher;
 use basilramp_fakes::trial::{self, Fault, Options, Report};
 use eyre::{Result, eyre};
 
-/// The argument that makes this program an instance of the daemon.
-const INSTANCE: &str = "--instance";
-
 /// Pairs of faults in a round.
 const PAIRS: usize = 12;
 
@@ -41,11 +38,7 @@
 }
 
 fn run(arguments: &[String]) -> Result<bool> {
-    if let [first, settings] = arguments
-        && first == INSTANCE
-    {
-        let text = std::fs::read_to_string(settings)?;
-        run_daemon(Settings::parse(&text)?)?;
+    if instance::run_if_asked()? {
         return Ok(true);
     }
     let arguments = parse(arguments)?;
@@ -101,10 +94,7 @@
 }
 
 async fn rounds(arguments: &Arguments) -> Result<bool> {
-    let launcher = Launcher {
-        program: std::env::current_exe()?,
-        arguments: vec![OsString::from(INSTANCE)],
-    };
+    let launcher = instance::launcher()?;
     let mut total = Report::default();
     for round in 0..arguments.rounds {
         let seed = arguments.seed + round;
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -30,6 +30,9 @@
     pub failure_domain: String,
     /// Whether it holds the lease.
     pub state: InstanceState,
+    /// Raised with each transaction that changes who owns a partition.
+    #[serde(default)]
+    pub moves: u64,
 }
 
 /// The state of an instance's lease.
