--- a/crates/fakes/examples/capacity/bench.rs
+++ b/crates/fakes/examples/capacity/bench.rs
@@ -173,4 +173,38 @@
         }
         Ok(())
     }
+
+    /// Runs model calls at the first instance and returns how many tokens were streamed.
+    pub(crate) async fn run_models(
+        &self,
+        programs: &[String],
+        positions: std::ops::Range<u32>,
+        max_tokens: u32,
+    ) -> Result<usize> {
+        let at = self.callers(0)?;
+        let mut workers = JoinSet::new();
+        for share in programs.chunks(programs.len().div_ceil(WORKERS)) {
+            let trust = self.cluster.caller(0);
+            let share = share.to_vec();
+            let positions = positions.clone();
+            workers.spawn(async move {
+                let mut tokens = 0;
+                for position in positions {
+                    for program in &share {
+                        let request = format!("c{position}");
+                        let mut call = caller::call(&request, position, name::MODEL, "go on");
+                        call.max_tokens = max_tokens;
+                        let done = trust.call(at, program, &call).await.result?;
+                        tokens += done.usage.output as usize;
+                    }
+                }
+                Ok::<_, caller::Failure>(tokens)
+            });
+        }
+        let mut tokens = 0;
+        while let Some(worker) = workers.join_next().await {
+            tokens += worker?.map_err(|failure| eyre!("a call failed: {failure:?}"))?;
+        }
+        Ok(tokens)
+    }
 }
--- a/crates/fakes/examples/capacity/main.rs
+++ b/crates/fakes/examples/capacity/main.rs
@@ -52,6 +52,9 @@
     if wanted("calls") {
         print(&measure::calls().await?);
     }
+    if wanted("tokens") {
+        print(&measure::tokens().await?);
+    }
     if wanted("upstreams") {
         print(&measure::upstreams().await?);
     }
--- a/crates/fakes/examples/capacity/measure.rs
+++ b/crates/fakes/examples/capacity/measure.rs
@@ -110,6 +110,30 @@
     Ok(vec![own, writes, entry, owner])
 }
 
+/// Tokens streamed through an entry instance and an owner.
+pub(crate) async fn tokens() -> Result<Vec<Series>> {
+    let mut entry = Series::new("ms of processor time, the entry", "tokens of 256 calls");
+    let mut owner = Series::new("ms of processor time, the owner", "tokens of 256 calls");
+    let bench = Bench::start(2).await?;
+    let all = bench.add_programs(0..256, 100).await?;
+    let programs = owned_elsewhere(&bench, &all).await?;
+    let programs = programs
+        .get(..64)
+        .ok_or_else(|| eyre!("too few programs"))?;
+    let mut position = 1;
+    for max_tokens in [8, 32, 64, 128, 256] {
+        let before = bench.sample()?;
+        let streamed = bench
+            .run_models(programs, position..position + 4, max_tokens)
+            .await?;
+        position += 4;
+        let after = bench.sample()?;
+        entry.add(streamed, after.cpu_ms[0] - before.cpu_ms[0]);
+        owner.add(streamed, after.cpu_ms[1] - before.cpu_ms[1]);
+    }
+    Ok(vec![entry, owner])
+}
+
 /// Returns the programs whose partition the second instance owns, by the table's rows.
 pub(crate) async fn owned_elsewhere(bench: &Bench, programs: &[String]) -> Result<Vec<String>> {
     bench.settle(SETTLE_MS).await;
