--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,5 +2,4 @@
 
 mod http;
 pub mod list;
-pub mod object;
 pub mod table;
