Ask the stand-by of a home whose answer broke off

Cause: in the demo, calls of services whose home was the killed instance went on after 7 to 8 s though their owners lived: an ask that broke off at the QUIC idle timeout (3 s, 'interrupted') was not passed on to the upstream's deputy, only one that could not be sent. Ruled out: a shorter idle timeout, which a loaded machine would miss. Change: both count as out of reach; what the home may have granted lapses.

--- a/crates/daemon/src/grant/ask.rs
+++ b/crates/daemon/src/grant/ask.rs
@@ -10,6 +10,11 @@
 use crate::home::office;
 use crate::membership::Peer;
 
+/// Tells whether a home gave no answer. What it may have granted lapses by itself.
+fn is_unreachable(error: &Error) -> bool {
+    matches!(error.kind, Kind::OwnerUnavailable | Kind::Interrupted)
+}
+
 /// Milliseconds added to the wait that a home was asked for, to let another call go first.
 const REFUSED_MS: u64 = 50;
 
@@ -43,7 +48,7 @@
                 .ask_peer(want.program, &choice.upstream, From::Home(home), &body)
                 .await;
             match outcome {
-                Err(error) if error.kind == Kind::OwnerUnavailable => {
+                Err(error) if is_unreachable(&error) => {
                     self.ask_deputy(want.program, &choice.upstream, body).await
                 }
                 outcome => outcome,
