Call the second granter of an upstream its standby

Cause: read as a newcomer, 'office' and 'deputy' were words of our own for what the field calls an authority and a standby. Ruled out: 'replica', which would promise a copy of the home's state. Change: names only.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use basilramp_core::clock::Time;
-use basilramp_core::home::{Answer, Ask, Home, Office, Report, Ticket};
+use basilramp_core::home::{Answer, Ask, Authority, Home, Report, Ticket};
 use basilramp_core::id;
 use basilramp_core::placement::{Board, Call, State};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
@@ -76,7 +76,7 @@
         };
         for (number, upstream) in world.upstreams.iter().enumerate() {
             world.board.set(upstream, state(number as u32));
-            world.home.adopt(Time::ZERO, upstream, Office::Home);
+            world.home.adopt(Time::ZERO, upstream, Authority::Home);
             world.home.report(world.now, upstream, report);
         }
         for (number, ask) in world.asks.iter().enumerate() {
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -5,7 +5,7 @@
 //! until reports or the holders themselves say that it is gone; until it had
 //! time to show, the home grants nothing.
 //!
-//! Each upstream also has a deputy, which grants a small fixed share of the
+//! Each upstream also has a standby, which grants a small fixed share of the
 //! slots to those who can't reach the home. The home leaves that share alone,
 //! so both together never grant more than the upstream has.
 
@@ -27,7 +27,7 @@
 /// Milliseconds after which a grant that no report shows is void.
 pub const LOST_MS: u64 = 8_000;
 
-/// One slot in this many is the deputy's.
+/// One slot in this many is the standby's.
 pub const SHARE_DIVISOR: u32 = 16;
 
 /// Names a grant.
@@ -40,11 +40,11 @@
 
 /// What this instance is to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Office {
-    /// It grants all slots but the deputy's share.
+pub enum Authority {
+    /// It grants all slots but the standby's share.
     Home,
-    /// It grants the deputy's share.
-    Deputy,
+    /// It grants the standby's share.
+    Standby,
 }
 
 /// A request for a slot.
@@ -119,7 +119,7 @@
     pub leaving: bool,
 }
 
-/// The upstreams homed here, and those that this instance is the deputy of.
+/// The upstreams homed here, and those that this instance is the standby of.
 #[derive(Debug)]
 pub struct Home {
     upstreams: BTreeMap<id::Upstream, Entry>,
@@ -139,20 +139,20 @@
         }
     }
 
-    /// Takes an office for an upstream, with no slots until it reports.
+    /// Takes an authority for an upstream, with no slots until it reports.
     ///
-    /// A deputy that becomes the home, or the reverse, keeps the grants that it made. Returns
-    /// whether the office is new.
-    pub fn adopt(&mut self, now: Time, upstream: &id::Upstream, office: Office) -> bool {
+    /// A standby that becomes the home, or the reverse, keeps the grants that it made. Returns
+    /// whether the authority is new.
+    pub fn adopt(&mut self, now: Time, upstream: &id::Upstream, authority: Authority) -> bool {
         if let Some(entry) = self.upstreams.get_mut(upstream) {
-            return entry.change(now, office);
+            return entry.change(now, authority);
         }
-        let entry = Entry::new(now, office);
+        let entry = Entry::new(now, authority);
         self.upstreams.insert(upstream.clone(), entry);
         true
     }
 
-    /// Gives the office up; those who wait there are refused.
+    /// Gives the authority up; those who wait there are refused.
     pub fn abandon(&mut self, upstream: &id::Upstream) -> Vec<Effect> {
         let gone = self.upstreams.remove(upstream);
         gone.map_or_else(Vec::new, Entry::close)
@@ -211,9 +211,9 @@
         self.upstreams.get(upstream).map(Entry::digest)
     }
 
-    /// Returns the upstreams known here, with the office held.
-    pub fn upstreams(&self) -> impl Iterator<Item = (&id::Upstream, Office)> {
+    /// Returns the upstreams known here, with the authority held.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&id::Upstream, Authority)> {
         let entries = self.upstreams.iter();
-        entries.map(|(upstream, entry)| (upstream, entry.office()))
+        entries.map(|(upstream, entry)| (upstream, entry.authority()))
     }
 }
--- a/crates/core/src/home/entry.rs
+++ b/crates/core/src/home/entry.rs
@@ -1,10 +1,10 @@
-//! One upstream at its home or deputy.
+//! One upstream at its home or standby.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    Answer, Ask, Digest, Effect, GRANT_MS, LAG_MS, LOST_MS, Office, Refusal, Report, SHARE_DIVISOR,
-    Ticket, Waiter,
+    Answer, Ask, Authority, Digest, Effect, GRANT_MS, LAG_MS, LOST_MS, Refusal, Report,
+    SHARE_DIVISOR, Ticket, Waiter,
 };
 use crate::clock::Time;
 use crate::id;
@@ -18,7 +18,7 @@
 
 #[derive(Debug)]
 pub(super) struct Entry {
-    office: Office,
+    authority: Authority,
     since: Time,
     slots: u32,
     foreign: u32,
@@ -49,9 +49,9 @@
 }
 
 impl Entry {
-    pub(super) fn new(now: Time, office: Office) -> Self {
+    pub(super) fn new(now: Time, authority: Authority) -> Self {
         Self {
-            office,
+            authority,
             since: now,
             slots: 0,
             foreign: 0,
@@ -68,18 +68,18 @@
         }
     }
 
-    pub(super) const fn office(&self) -> Office {
-        self.office
+    pub(super) const fn authority(&self) -> Authority {
+        self.authority
     }
 
-    /// Changes the office; what others granted meanwhile has to show again.
+    /// Changes the authority; what others granted meanwhile has to show again.
     ///
     /// Returns whether it did change.
-    pub(super) fn change(&mut self, now: Time, office: Office) -> bool {
-        if self.office == office {
+    pub(super) fn change(&mut self, now: Time, authority: Authority) -> bool {
+        if self.authority == authority {
             return false;
         }
-        self.office = office;
+        self.authority = authority;
         self.since = now;
         self.slots = 0;
         self.foreign = 0;
@@ -88,15 +88,15 @@
 
     pub(super) fn report(&mut self, now: Time, report: Report) {
         let share = report.slots / SHARE_DIVISOR;
-        self.slots = match self.office {
-            Office::Home => report.slots - share,
-            Office::Deputy => share,
+        self.slots = match self.authority {
+            Authority::Home => report.slots - share,
+            Authority::Standby => share,
         };
         self.leaving = report.leaving;
         self.counted = report.calls.is_some();
-        let calls = match self.office {
-            Office::Home => report.calls.unwrap_or(0),
-            Office::Deputy => 0,
+        let calls = match self.authority {
+            Authority::Home => report.calls.unwrap_or(0),
+            Authority::Standby => 0,
         };
         self.foreign = self.foreign_calls(now, calls);
         if let Some(calls) = report.calls {
@@ -149,7 +149,7 @@
 
     /// Tells whether calls that a former home granted may not have shown yet.
     fn is_settling(&self, now: Time) -> bool {
-        self.counted && self.office == Office::Home && now.since(self.since) < LAG_MS
+        self.counted && self.authority == Authority::Home && now.since(self.since) < LAG_MS
     }
 
     fn taken(&self) -> u32 {
@@ -173,7 +173,7 @@
     }
 
     pub(super) fn ask(&mut self, now: Time, ask: &Ask, last: &mut u64) -> Answer {
-        if self.leaving || (self.office == Office::Deputy && self.slots == 0) {
+        if self.leaving || (self.authority == Authority::Standby && self.slots == 0) {
             return Answer::Refused(Refusal::Closed);
         }
         *last += 1;
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -5,8 +5,8 @@
 use assert_matches::assert_matches;
 use basilramp_core::clock::Time;
 use basilramp_core::home::{
-    Answer, Ask, Effect, GRANT_MS, Home, LAG_MS, LOST_MS, Office, Refusal, Report, SHARE_DIVISOR,
-    Ticket, Waiter,
+    Answer, Ask, Authority, Effect, GRANT_MS, Home, LAG_MS, LOST_MS, Refusal, Report,
+    SHARE_DIVISOR, Ticket, Waiter,
 };
 use basilramp_core::id;
 use proptest::prelude::*;
@@ -45,7 +45,7 @@
 /// Returns a home that has settled, with no calls under way.
 fn settled() -> (Home, Time) {
     let mut home = Home::new(0);
-    home.adopt(Time::ZERO, &upstream(), Office::Home);
+    home.adopt(Time::ZERO, &upstream(), Authority::Home);
     home.report(Time::ZERO, &upstream(), report(0));
     let now = Time::from_ms(LAG_MS);
     home.report(now, &upstream(), report(0));
@@ -194,7 +194,7 @@
 #[test]
 fn a_new_home_grants_nothing_until_former_grants_had_time_to_show() {
     let mut home = Home::new(0);
-    home.adopt(Time::ZERO, &upstream(), Office::Home);
+    home.adopt(Time::ZERO, &upstream(), Authority::Home);
     home.report(Time::ZERO, &upstream(), report(0));
     let early = home.ask(Time::from_ms(10), &upstream(), &ask(1, 0));
     assert_matches!(early, Answer::Refused(Refusal::Busy(_)));
@@ -206,7 +206,7 @@
 #[test]
 fn a_former_home_s_grant_is_freed_by_its_return() {
     let mut home = Home::new(1_000);
-    home.adopt(Time::ZERO, &upstream(), Office::Home);
+    home.adopt(Time::ZERO, &upstream(), Authority::Home);
     home.report(Time::ZERO, &upstream(), report(SLOTS));
     let now = Time::from_ms(LAG_MS);
     home.report(now, &upstream(), report(SLOTS));
@@ -217,7 +217,7 @@
 }
 
 #[test]
-fn a_deputy_and_the_home_together_grant_no_more_than_the_slots() {
+fn a_standby_and_the_home_together_grant_no_more_than_the_slots() {
     let slots = 2 * SHARE_DIVISOR;
     let report = Report {
         slots,
@@ -225,9 +225,9 @@
         leaving: false,
     };
     let mut granted = 0;
-    for office in [Office::Home, Office::Deputy] {
+    for authority in [Authority::Home, Authority::Standby] {
         let mut home = Home::new(0);
-        home.adopt(Time::ZERO, &upstream(), office);
+        home.adopt(Time::ZERO, &upstream(), authority);
         let now = Time::from_ms(LAG_MS);
         home.report(now, &upstream(), report);
         for number in 0..slots {
--- a/crates/daemon/src/grant.rs
+++ b/crates/daemon/src/grant.rs
@@ -71,8 +71,8 @@
     Here,
     /// The home, another instance.
     Home(membership::Peer),
-    /// The deputy, another instance, since the home was out of reach.
-    Deputy(membership::Peer),
+    /// The standby, another instance, since the home was out of reach.
+    Standby(membership::Peer),
 }
 
 /// How a call ended at its upstream.
--- a/crates/daemon/src/grant/ask.rs
+++ b/crates/daemon/src/grant/ask.rs
@@ -1,4 +1,4 @@
-//! Asks one home or deputy for a slot, and tells them when it is given back.
+//! Asks one home or standby for a slot, and tells them when it is given back.
 
 use basilramp_core::id;
 use basilramp_core::placement::Choice;
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::{End, From, Grant, Handle, Want, unavailable};
-use crate::home::office;
+use crate::home::authority;
 use crate::membership::Peer;
 
 /// Tells whether a home gave no answer. What it may have granted lapses by itself.
@@ -19,7 +19,7 @@
 const REFUSED_MS: u64 = 50;
 
 impl Handle {
-    /// Asks the home of an upstream for a slot, or the deputy if the home is out of reach.
+    /// Asks the home of an upstream for a slot, or the standby if the home is out of reach.
     pub(super) async fn ask(
         &self,
         want: &Want,
@@ -49,7 +49,7 @@
                 .await;
             match outcome {
                 Err(error) if is_unreachable(&error) => {
-                    self.ask_deputy(want.program, &choice.upstream, body).await
+                    self.ask_standby(want.program, &choice.upstream, body).await
                 }
                 outcome => outcome,
             }
@@ -68,18 +68,18 @@
         self.granted(program, upstream, From::Here, reply)
     }
 
-    async fn ask_deputy(
+    async fn ask_standby(
         &self,
         program: id::Program,
         upstream: &id::Upstream,
         body: frame::Grant,
     ) -> Result<Grant, Error> {
-        let deputy = office::deputy(&self.shared.members, upstream);
-        let deputy = deputy.ok_or_else(unreached)?;
-        if deputy.id == self.shared.members.own() {
+        let standby = authority::standby(&self.shared.members, upstream);
+        let standby = standby.ok_or_else(unreached)?;
+        if standby.id == self.shared.members.own() {
             return self.ask_here(program, upstream, body).await;
         }
-        self.ask_peer(program, upstream, From::Deputy(deputy), &body)
+        self.ask_peer(program, upstream, From::Standby(standby), &body)
             .await
     }
 
@@ -91,7 +91,7 @@
         from: From,
         body: &frame::Grant,
     ) -> Result<Grant, Error> {
-        let (From::Home(peer) | From::Deputy(peer)) = &from else {
+        let (From::Home(peer) | From::Standby(peer)) = &from else {
             return Err(unreached());
         };
         let (handle, peer, body) = (self.clone(), peer.clone(), body.clone());
@@ -158,11 +158,11 @@
         let home = self.shared.members.home(&grant.upstream);
         let granter = match &grant.from {
             From::Here => None,
-            From::Home(peer) | From::Deputy(peer) => Some(peer.clone()),
+            From::Home(peer) | From::Standby(peer) => Some(peer.clone()),
         };
         let granter_id = granter.as_ref().map_or(&own, |peer| &peer.id);
-        let by_deputy = matches!(grant.from, From::Deputy(_));
-        let moved = home.filter(|home| home.id != *granter_id && !by_deputy);
+        let by_standby = matches!(grant.from, From::Standby(_));
+        let moved = home.filter(|home| home.id != *granter_id && !by_standby);
         for peer in granter.iter().chain(moved.iter()) {
             if peer.id != own {
                 self.tell(peer.clone(), back.clone());
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -1,12 +1,12 @@
 //! Homes of upstreams: grants and queues, loads and caches, for those homed here.
 
-pub(crate) mod office;
+pub(crate) mod authority;
 mod poll;
 mod table;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use basilramp_core::home::{Answer, Ask, GRANT_MS, Office, Refusal, Ticket, Waiter};
+use basilramp_core::home::{Answer, Ask, Authority, GRANT_MS, Refusal, Ticket, Waiter};
 use basilramp_core::id;
 use basilramp_core::upstream::{Listing, Role};
 use basilramp_wire::engine::Load;
@@ -113,7 +113,7 @@
         let homed: Vec<_> = {
             let table = self.table();
             let homed = table.home.upstreams();
-            let homed = homed.filter(|(_, office)| *office == Office::Home);
+            let homed = homed.filter(|(_, authority)| *authority == Authority::Home);
             homed.map(|(upstream, _)| upstream.clone()).collect()
         };
         let listings = homed.iter().filter_map(|id| self.shared.upstreams.get(id));
--- a/crates/daemon/src/home/office.rs
+++ b/crates/daemon/src/home/authority.rs
@@ -1,22 +1,22 @@
-//! Which instance is the home of an upstream, and which its deputy.
+//! Which instance is the home of an upstream, and which its standby.
 
-use basilramp_core::home::Office;
+use basilramp_core::home::Authority;
 use basilramp_core::{id, partition};
 
 use crate::membership::{Handle, Peer};
 
-/// Returns the office that this instance holds for an upstream, if any.
-pub(super) fn own(members: &Handle, upstream: &id::Upstream) -> Option<Office> {
+/// Returns the authority that this instance holds for an upstream, if any.
+pub(super) fn own(members: &Handle, upstream: &id::Upstream) -> Option<Authority> {
     let own = members.own();
     if members.home(upstream)?.id == own {
-        return Some(Office::Home);
+        return Some(Authority::Home);
     }
-    let deputy = deputy(members, upstream)?;
-    (deputy.id == own).then_some(Office::Deputy)
+    let standby = standby(members, upstream)?;
+    (standby.id == own).then_some(Authority::Standby)
 }
 
-/// Returns the deputy of an upstream: who would be its home if the home were gone.
-pub(crate) fn deputy(members: &Handle, upstream: &id::Upstream) -> Option<Peer> {
+/// Returns the standby of an upstream: who would be its home if the home were gone.
+pub(crate) fn standby(members: &Handle, upstream: &id::Upstream) -> Option<Peer> {
     let home = members.home(upstream)?;
     let mut others = members.live();
     others.retain(|peer| peer.id != home.id);
--- a/crates/daemon/src/home/poll.rs
+++ b/crates/daemon/src/home/poll.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use basilramp_core::home::Office;
+use basilramp_core::home::Authority;
 use basilramp_core::id;
 use basilramp_core::upstream::{Listing, Role};
 use tokio::sync::Semaphore;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::{Handle, office};
+use super::{Handle, authority};
 use crate::log::{Event, event};
 
 /// Engines that are polled at once.
@@ -18,7 +18,7 @@
 /// Time between two looks at waits and grants that have run out.
 const EXPIRY: Duration = Duration::from_millis(50);
 
-/// Takes and gives up offices, and polls the engines, every `poll_ms` milliseconds.
+/// Takes and gives up authorities, and polls the engines, every `poll_ms` milliseconds.
 pub(super) async fn run(handle: Handle, poll_ms: u64) {
     let permits = Arc::new(Semaphore::new(POLLS_AT_ONCE));
     let mut ticks = interval(Duration::from_millis(poll_ms));
@@ -55,7 +55,7 @@
 }
 
 impl Handle {
-    /// Takes the offices that fell to this instance, gives up the others, and returns the engines
+    /// Takes the authorities that fell to this instance, gives up the others, and returns the engines
     /// that it holds one for.
     fn adopt(&self) -> Vec<Listing> {
         let listed = self.shared.upstreams.read(|view| {
@@ -65,16 +65,16 @@
         });
         let members = &self.shared.members;
         let held = listed.into_iter().filter_map(|(listing, open)| {
-            let office = office::own(members, &listing.id)?;
-            Some((listing, open, office))
+            let authority = authority::own(members, &listing.id)?;
+            Some((listing, open, authority))
         });
         let held: Vec<_> = held.collect();
         self.give_up(&held.iter().map(|(listing, ..)| &listing.id).collect());
         let now = self.shared.clock.now();
         let mut table = self.table();
-        for (listing, open, office) in &held {
-            if table.home.adopt(now, &listing.id, *office) {
-                self.gained(listing, *office);
+        for (listing, open, authority) in &held {
+            if table.home.adopt(now, &listing.id, *authority) {
+                self.gained(listing, *authority);
             }
             table.report(now, listing, *open);
         }
@@ -85,10 +85,10 @@
             .collect()
     }
 
-    /// Takes note of a new office. What a former home said of a plain service is forgotten, since
+    /// Takes note of a new authority. What a former home said of a plain service is forgotten, since
     /// the service itself says nothing.
-    fn gained(&self, listing: &Listing, office: Office) {
-        if office != Office::Home {
+    fn gained(&self, listing: &Listing, authority: Authority) {
+        if authority != Authority::Home {
             return;
         }
         if listing.role == Role::Service {
--- a/crates/daemon/src/home/table.rs
+++ b/crates/daemon/src/home/table.rs
@@ -4,7 +4,7 @@
 
 use basilramp_core::cache;
 use basilramp_core::clock::Time;
-use basilramp_core::home::{Effect, Home, Office, Refusal, Report, Ticket, Waiter};
+use basilramp_core::home::{Authority, Effect, Home, Refusal, Report, Ticket, Waiter};
 use basilramp_core::id;
 use basilramp_core::upstream::{Listing, Role};
 use basilramp_wire::engine::{CacheEvent, Holders, Load};
@@ -74,7 +74,7 @@
         }
     }
 
-    /// Gives an office up.
+    /// Gives an authority up.
     pub(super) fn abandon(&mut self, upstream: &id::Upstream) {
         self.engines.remove(upstream);
         let effects = self.home.abandon(upstream);
@@ -165,7 +165,7 @@
     /// Returns what is known of the upstreams homed here.
     pub(super) fn digests(&self) -> Vec<frame::Digest> {
         let homed = self.home.upstreams();
-        let homed = homed.filter(|(_, office)| *office == Office::Home);
+        let homed = homed.filter(|(_, authority)| *authority == Authority::Home);
         homed
             .filter_map(|(upstream, _)| self.digest(upstream))
             .collect()
--- a/crates/fakes/examples/policy/core_policy.rs
+++ b/crates/fakes/examples/policy/core_policy.rs
@@ -6,7 +6,7 @@
 use basilramp_core::admission::{Gate, Load};
 use basilramp_core::cache;
 use basilramp_core::clock::Time;
-use basilramp_core::home::{Answer, Ask, Effect, Home, Office, Refusal, Report, Ticket, Waiter};
+use basilramp_core::home::{Answer, Ask, Authority, Effect, Home, Refusal, Report, Ticket, Waiter};
 use basilramp_core::id;
 use basilramp_core::placement::{Board, Call, Choice, State};
 use rand::{Rng, SeedableRng};
@@ -103,7 +103,7 @@
             starts: Vec::new(),
         };
         for upstream in &core.ids {
-            core.home.adopt(Time::ZERO, upstream, Office::Home);
+            core.home.adopt(Time::ZERO, upstream, Authority::Home);
         }
         core
     }
