Ask for a program in one place; run the measured rounds of calls by one loop

Cause: read as a whole, the callers' and the operators' paths each turned the owner's reply into a program, and the capacity measurement held the same loop of call rounds twice. Ruled out: the pairs in metric/watch.rs, log_event.rs ~ error.rs and the tests, whose likeness is of shape only; the generated completions. Change: Router::ask_program and route::wrong_answer serve both paths; call_rounds serves both measurements. Behaviour stays.

--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -5,7 +5,7 @@
 use basilramp_core::id;
 use basilramp_wire::api::{Call, Create, Event, Program};
 use basilramp_wire::error::{Error, Kind};
-use basilramp_wire::frame::{Body as Ask, Reply};
+use basilramp_wire::frame::Body as Ask;
 use gotham::handler::HandlerResult;
 use gotham::prelude::*;
 use gotham::router::Router as Paths;
@@ -114,7 +114,7 @@
         let program = named?;
         let _slot = api.slot()?;
         let body = ask(account.to_string(), program.to_string());
-        api.ask(program, body).await
+        api.router.ask_program(program, body).await
     };
     let result = trace::scope(Hop::Front, context.as_deref(), work).await;
     api.count(request, &result);
@@ -159,17 +159,7 @@
             account: account.to_string(),
             create,
         };
-        self.ask(program, body).await
-    }
-
-    async fn ask(&self, program: id::Program, body: Ask) -> Result<Program, Error> {
-        match self.router.ask(program.partition(), body).await? {
-            Reply::Program(program) => Ok(program),
-            _ => Err(Error::new(
-                Kind::Internal,
-                "an instance gave a wrong answer",
-            )),
-        }
+        self.router.ask_program(program, body).await
     }
 
     /// Counts a request that has been worked on, and logs its refusal.
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -18,7 +18,7 @@
 use serde::Deserialize;
 
 use crate::log::{Event as LogEvent, event};
-use crate::route::{Router, parse};
+use crate::route::{Router, parse, wrong_answer};
 use crate::settings::Operator;
 use crate::{answer, auth, body, config, front, inventory, log, membership, metric, stop};
 
@@ -268,14 +268,7 @@
     }
 
     async fn ask(&self, id: &str, body: Ask) -> Result<Program, Error> {
-        let partition = parse(id)?.partition();
-        match self.router.ask(partition, body).await? {
-            Reply::Program(program) => Ok(program),
-            _ => Err(wrong_answer()),
-        }
+        let program = parse(id)?;
+        self.router.ask_program(program, body).await
     }
 }
-
-fn wrong_answer() -> Error {
-    Error::new(Kind::Internal, "an instance gave a wrong answer")
-}
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -151,6 +151,22 @@
 }
 
 impl Router {
+    /// Has a request that is answered by a program run by the program's owner.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Router::ask`].
+    pub(crate) async fn ask_program(
+        &self,
+        program: id::Program,
+        body: Body,
+    ) -> Result<api::Program, Error> {
+        match self.ask(program.partition(), body).await? {
+            Reply::Program(program) => Ok(program),
+            _ => Err(wrong_answer()),
+        }
+    }
+
     /// Has a request run by the owner of `partition` and returns its one answer.
     ///
     /// # Errors
@@ -324,6 +340,11 @@
     Error::new(Kind::Interrupted, "the answer broke off")
 }
 
+/// Returns what is said if an instance gave an answer of another kind than was asked for.
+pub(crate) fn wrong_answer() -> Error {
+    Error::new(Kind::Internal, "an instance gave a wrong answer")
+}
+
 /// Reads a program id that a peer sent.
 pub(crate) fn parse(text: &str) -> Result<id::Program, Error> {
     text.parse()
--- a/crates/fakes/examples/capacity/measure.rs
+++ b/crates/fakes/examples/capacity/measure.rs
@@ -6,7 +6,7 @@
 use basilramp_fakes::platform::{Entry, Role, State};
 use eyre::{Result, eyre};
 
-use crate::bench::Bench;
+use crate::bench::{Bench, Sample};
 use crate::fit::Series;
 use crate::usage;
 
@@ -76,16 +76,7 @@
     let mut writes = Series::new("store writes, one instance", "calls");
     let bench = Bench::start(1).await?;
     let programs = bench.add_programs(0..64, 100).await?;
-    bench.run_calls(0, &programs, 1..3).await?;
-    let mut position = 3;
-    for turns in [8, 16, 32, 64] {
-        let before = bench.sample()?;
-        bench
-            .run_calls(0, &programs, position..position + turns)
-            .await?;
-        position += turns;
-        let after = bench.sample()?;
-        let count = programs.len() * turns as usize;
+    for (count, before, after) in call_rounds(&bench, &programs).await? {
         own.add(count, after.cpu_since(&before));
         writes.add(count, after.writes_since(&before));
     }
@@ -94,20 +85,28 @@
     let bench = Bench::start(2).await?;
     let all = bench.add_programs(0..128, 100).await?;
     let programs = owned_elsewhere(&bench, &all).await?;
-    bench.run_calls(0, &programs, 1..3).await?;
+    for (count, before, after) in call_rounds(&bench, &programs).await? {
+        entry.add(count, after.cpu_ms[0] - before.cpu_ms[0]);
+        owner.add(count, after.cpu_ms[1] - before.cpu_ms[1]);
+    }
+    Ok(vec![own, writes, entry, owner])
+}
+
+/// Runs rounds of calls at the first instance; returns each round's calls, and what had been used
+/// before and after it.
+async fn call_rounds(bench: &Bench, programs: &[String]) -> Result<Vec<(usize, Sample, Sample)>> {
+    bench.run_calls(0, programs, 1..3).await?;
     let mut position = 3;
+    let mut rounds = Vec::new();
     for turns in [8, 16, 32, 64] {
         let before = bench.sample()?;
-        bench
-            .run_calls(0, &programs, position..position + turns)
-            .await?;
+        let positions = position..position + turns;
+        bench.run_calls(0, programs, positions).await?;
         position += turns;
-        let after = bench.sample()?;
         let count = programs.len() * turns as usize;
-        entry.add(count, after.cpu_ms[0] - before.cpu_ms[0]);
-        owner.add(count, after.cpu_ms[1] - before.cpu_ms[1]);
+        rounds.push((count, before, bench.sample()?));
     }
-    Ok(vec![own, writes, entry, owner])
+    Ok(rounds)
 }
 
 /// Tokens streamed through an entry instance and an owner.
