--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,21 @@
+//! Where the requests of callers go: routes, placement, retries, budgets and histories.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`route`] | the route and service of a request |
+//! | [`fleet`] | which upstreams take work, and what is known of each |
+//! | [`place`] | the upstream of one attempt |
+//! | [`attempt`] | what follows an attempt that failed |
+//! | [`allowance`] | whether a program's budget holds one more turn |
+//! | [`transcript`] | what a turn's upstream has to read |
+//! | [`event`] | where the events of a stream end |
+
+pub mod allowance;
+pub mod attempt;
+pub mod call;
+pub mod config;
+pub mod event;
+pub mod fleet;
+pub mod place;
+pub mod route;
+pub mod transcript;
--- /dev/null
+++ b/crates/core/src/dispatch/event.rs
@@ -0,0 +1,90 @@
+//! Where the events of a stream end.
+
+/// Splits the bytes of an event stream into whole events.
+///
+/// An event ends with an empty line, as the HTML standard defines `text/event-stream`.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    pending: Vec<u8>,
+    /// Bytes of `pending` that were searched already.
+    searched: usize,
+}
+
+/// What one event holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes, the empty line included.
+    pub bytes: Vec<u8>,
+    /// Its id, if it is a number.
+    pub id: Option<u64>,
+    /// Its data lines, joined by line feeds.
+    pub data: Option<Vec<u8>>,
+}
+
+impl Splitter {
+    /// Takes bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.pending.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let end = self.end()?;
+        let rest = self.pending.split_off(end);
+        let bytes = std::mem::replace(&mut self.pending, rest);
+        self.searched = 0;
+        Some(Event::read(bytes))
+    }
+
+    /// Tells whether bytes of an unfinished event are left.
+    #[must_use]
+    pub fn is_amid(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    fn end(&mut self) -> Option<usize> {
+        // Three bytes back, an empty line may have been cut by the last read.
+        let from = self.searched.saturating_sub(3);
+        let window = &self.pending[from..];
+        let found = window.iter().enumerate().find_map(|(at, byte)| {
+            let rest = &window[at..];
+            match byte {
+                b'\n' if rest.starts_with(b"\n\n") => Some(at + 2),
+                b'\n' if rest.starts_with(b"\n\r\n") => Some(at + 3),
+                _ => None,
+            }
+        });
+        self.searched = self.pending.len();
+        found.map(|end| from + end)
+    }
+}
+
+impl Event {
+    fn read(bytes: Vec<u8>) -> Self {
+        let mut id = None;
+        let mut data: Option<Vec<u8>> = None;
+        for line in bytes.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if let Some(value) = field(line, b"id") {
+                id = std::str::from_utf8(value)
+                    .ok()
+                    .and_then(|text| text.parse().ok());
+            } else if let Some(value) = field(line, b"data") {
+                match &mut data {
+                    None => data = Some(value.to_vec()),
+                    Some(data) => {
+                        data.push(b'\n');
+                        data.extend_from_slice(value);
+                    }
+                }
+            }
+        }
+        Self { bytes, id, data }
+    }
+}
+
+/// Returns the value of a line that sets `name`, without the space after the colon.
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let value = line.strip_prefix(name)?.strip_prefix(b":")?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
--- /dev/null
+++ b/crates/core/src/dispatch/fleet.rs
@@ -0,0 +1,344 @@
+//! Which upstreams take work, and what this instance knows of each.
+
+mod prefix;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::call::Part;
+use crate::clock::Time;
+
+new_key_type! {
+    /// An upstream of a fleet.
+    pub struct Key;
+}
+
+/// An upstream, as its entry describes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Its id, which is new at most starts.
+    pub id: Arc<str>,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: Arc<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// It leaves: it takes no new work.
+    pub is_draining: bool,
+    /// Wall-clock milliseconds of its start; another value is another start.
+    pub started_ms: u64,
+}
+
+/// How long an upstream whose entry was removed may still get work: well under the shortest
+/// drain time, and long enough for an entry that is back at once.
+const REMOVAL_GRACE_MS: u64 = 700;
+
+/// How long after an outage of the store entries may still come back, by the platform's word
+/// (about two seconds), with a margin.
+const RETURN_GRACE_MS: u64 = 2_300;
+
+/// Weight of one more observation in a running mean: the last twenty or so count.
+const SMOOTHING: f64 = 0.1;
+
+/// First pause after a failure in which other upstreams are preferred, in milliseconds.
+const AVOID_MS: u64 = 300;
+
+/// The longest such pause: crashed upstreams are back after some seconds.
+const MAX_AVOID_MS: u64 = 3_000;
+
+/// An upstream and what is known of it.
+#[derive(Debug)]
+pub struct Entry {
+    /// What its entry says.
+    pub upstream: Upstream,
+    /// When its entry was seen to be removed.
+    removed: Option<Time>,
+    /// Another upstream answered at its address.
+    is_displaced: bool,
+    /// What this instance has under way there.
+    pub load: Load,
+    /// What other instances have under way there.
+    pub foreign: Load,
+    /// When they said so.
+    pub foreign_at: Time,
+    /// Parts of prompts that it has read lately.
+    pub prefixes: prefix::Set,
+    failures: u32,
+    avoid_until: Time,
+    /// How its answers' times compare with what was expected; 1 is as expected.
+    pub slowness: f64,
+}
+
+/// Work under way at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens that are not read yet.
+    pub unread_tokens: u64,
+}
+
+impl Load {
+    /// Returns both loads together.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+        }
+    }
+}
+
+/// Every upstream that is known.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    entries: SlotMap<Key, Entry>,
+    by_id: BTreeMap<Arc<str>, Key>,
+    by_service: BTreeMap<Arc<str>, Vec<Key>>,
+    /// When the store answered again after an outage.
+    store_back: Option<Time>,
+}
+
+/// How an attempt at an upstream went.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// It answered; `ratio` compares the time with what was expected.
+    Answered {
+        /// Time taken, as a multiple of what was expected.
+        ratio: Option<f64>,
+    },
+    /// It refused the request as it is full.
+    Full,
+    /// It broke off, was silent, or could not be reached.
+    Failed,
+    /// Another upstream has its address.
+    Displaced,
+    /// The caller went away first.
+    Abandoned,
+}
+
+impl Fleet {
+    /// Takes in what an entry says.
+    pub fn observe(&mut self, upstream: Upstream, now: Time) -> Change {
+        let Some(&key) = self.by_id.get(&upstream.id) else {
+            self.add(upstream, now);
+            return Change::Joined;
+        };
+        let entry = &mut self.entries[key];
+        let known = &entry.upstream;
+        if known.started_ms != upstream.started_ms
+            || known.address != upstream.address
+            || known.service != upstream.service
+        {
+            self.drop_entry(key);
+            self.add(upstream, now);
+            return Change::Joined;
+        }
+        entry.removed = None;
+        let leaves = upstream.is_draining && !known.is_draining;
+        entry.upstream = upstream;
+        if leaves {
+            Change::Leaving
+        } else {
+            Change::None
+        }
+    }
+
+    /// Takes in that an entry was removed, or names no upstream any more.
+    pub fn remove(&mut self, id: &str, now: Time) -> Change {
+        let Some(&key) = self.by_id.get(id) else {
+            return Change::None;
+        };
+        let entry = &mut self.entries[key];
+        if entry.removed.is_some() {
+            return Change::None;
+        }
+        entry.removed = Some(now);
+        Change::Leaving
+    }
+
+    /// Takes in all entries there are.
+    pub fn replace(&mut self, upstreams: Vec<Upstream>, now: Time) {
+        let ids: Vec<_> = self.by_id.keys().cloned().collect();
+        for id in ids {
+            if !upstreams.iter().any(|upstream| upstream.id == id) {
+                self.remove(&id, now);
+            }
+        }
+        for upstream in upstreams {
+            self.observe(upstream, now);
+        }
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn store_returned(&mut self, now: Time) {
+        self.store_back = Some(now);
+    }
+
+    /// Forgets upstreams that left and have no work of this instance any more.
+    pub fn expire(&mut self, now: Time) {
+        let gone: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.removed.is_some() && entry.load.requests == 0)
+            .filter(|(_, entry)| !self.takes_work(entry, now))
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.drop_entry(key);
+        }
+    }
+
+    /// Returns the upstreams of a service that take work.
+    pub fn serving(&self, service: &str, now: Time) -> impl Iterator<Item = (Key, &Entry)> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter()
+            .map(|key| (*key, &self.entries[*key]))
+            .filter(move |(_, entry)| self.takes_work(entry, now))
+    }
+
+    /// Returns an upstream.
+    #[must_use]
+    pub fn get(&self, key: Key) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Returns the upstream with an id.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<Key> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns every upstream.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Notes an attempt with a prompt of which `unread` tokens are not in the cache.
+    pub fn begin(&mut self, key: Key, prompt: &[Part], unread: u64, now: Time) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.load.requests += 1;
+            entry.load.unread_tokens += unread;
+            entry.prefixes.insert(prompt, now);
+        }
+    }
+
+    /// Notes that the prompt of an attempt has been read.
+    pub fn prompt_read(&mut self, key: Key, unread: u64) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.load.unread_tokens = entry.load.unread_tokens.saturating_sub(unread);
+        }
+    }
+
+    /// Notes the end of an attempt.
+    pub fn end(&mut self, key: Key, outcome: Outcome, now: Time) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.load.requests = entry.load.requests.saturating_sub(1);
+        match outcome {
+            Outcome::Answered { ratio } => {
+                entry.failures = 0;
+                if let Some(ratio) = ratio {
+                    entry.slowness += (ratio.clamp(0.1, 10.0) - entry.slowness) * SMOOTHING;
+                }
+            }
+            Outcome::Full | Outcome::Failed => {
+                let pause = AVOID_MS << entry.failures.min(4);
+                entry.avoid_until = now.after(pause.min(MAX_AVOID_MS));
+                entry.failures += 1;
+            }
+            Outcome::Displaced => entry.is_displaced = true,
+            Outcome::Abandoned => {}
+        }
+    }
+
+    /// Takes in what another view says of the work that other instances have there.
+    pub fn set_foreign(&mut self, key: Key, load: Load, now: Time) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.foreign = load;
+            entry.foreign_at = now;
+        }
+    }
+
+    fn takes_work(&self, entry: &Entry, now: Time) -> bool {
+        if entry.upstream.is_draining || entry.is_displaced {
+            return false;
+        }
+        let Some(removed) = entry.removed else {
+            return true;
+        };
+        let may_return = self.store_back.is_some_and(|back| {
+            now.since(back) < RETURN_GRACE_MS && removed.after(RETURN_GRACE_MS) >= back
+        });
+        may_return || now.since(removed) < REMOVAL_GRACE_MS
+    }
+
+    fn add(&mut self, upstream: Upstream, now: Time) {
+        let id = Arc::clone(&upstream.id);
+        let service = Arc::clone(&upstream.service);
+        let key = self.entries.insert(Entry {
+            upstream,
+            removed: None,
+            is_displaced: false,
+            load: Load::default(),
+            foreign: Load::default(),
+            foreign_at: Time::ZERO,
+            prefixes: prefix::Set::default(),
+            failures: 0,
+            avoid_until: now,
+            slowness: 1.0,
+        });
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    fn drop_entry(&mut self, key: Key) {
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&entry.upstream.id);
+        if let Some(keys) = self.by_service.get_mut(&entry.upstream.service) {
+            keys.retain(|other| *other != key);
+        }
+    }
+}
+
+impl Entry {
+    /// Returns all work under way that is known; what others said fades as it ages.
+    #[must_use]
+    pub fn known_load(&self, now: Time) -> Load {
+        /// What others have under way is over after about so long.
+        const FADES_MS: u64 = 2_000;
+        let age = now.since(self.foreign_at);
+        let share = FADES_MS.saturating_sub(age);
+        let faded = Load {
+            requests: (u64::from(self.foreign.requests) * share / FADES_MS) as u32,
+            unread_tokens: self.foreign.unread_tokens * share / FADES_MS,
+        };
+        self.load.plus(faded)
+    }
+
+    /// Returns how much longer other upstreams are preferred, in milliseconds.
+    #[must_use]
+    pub const fn avoided_ms(&self, now: Time) -> u64 {
+        self.avoid_until.since(now)
+    }
+}
+
+/// What an entry changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that matters for placement.
+    None,
+    /// An upstream takes work that did not before.
+    Joined,
+    /// An upstream takes no more work, at once or soon.
+    Leaving,
+}
--- /dev/null
+++ b/crates/core/src/dispatch/route.rs
@@ -0,0 +1,72 @@
+//! The route and service of a request.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::config::{Config, Route};
+
+/// A route of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key(usize);
+
+/// The routes in force.
+#[derive(Debug)]
+pub struct Table {
+    config: Config,
+    /// By host, the longest prefix first.
+    hosts: BTreeMap<Arc<str>, Vec<Key>>,
+}
+
+impl Table {
+    /// Makes a table of a configuration.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        let mut hosts = BTreeMap::<_, Vec<_>>::new();
+        for (index, route) in config.routes.iter().enumerate() {
+            let host: Arc<str> = route.host.to_ascii_lowercase().into();
+            hosts.entry(host).or_default().push(Key(index));
+        }
+        for keys in hosts.values_mut() {
+            keys.sort_by_key(|key| std::cmp::Reverse(config.routes[key.0].prefix.len()));
+        }
+        Self { config, hosts }
+    }
+
+    /// Returns the configuration.
+    #[must_use]
+    pub const fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Returns the route with the longest prefix that begins the path.
+    #[must_use]
+    pub fn select(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let keys = self.hosts.get(name.to_ascii_lowercase().as_str())?;
+        let mut routes = keys.iter().map(|key| &self.config.routes[key.0]);
+        routes.find(|route| path.starts_with(&*route.prefix))
+    }
+}
+
+/// Returns the service of a request: the same one for the same `subject`, by the weights.
+#[must_use]
+pub fn service<'a>(route: &'a Route, subject: &str) -> Option<&'a Arc<str>> {
+    let total: u64 = route
+        .targets
+        .iter()
+        .map(|(_, weight)| u64::from(*weight))
+        .sum();
+    if total == 0 {
+        return None;
+    }
+    let mut point = xxh3_64(subject.as_bytes()) % total;
+    for (service, weight) in &route.targets {
+        match point.checked_sub(u64::from(*weight)) {
+            None => return Some(service),
+            Some(rest) => point = rest,
+        }
+    }
+    None
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod cache;
 pub mod clock;
+pub mod dispatch;
 pub mod fingerprint;
 pub mod history;
 pub mod home;
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 
 use basilramp_daemon::{Settings, run_daemon};
+use basilramp_ingress as ingress;
+use basilramp_settings::has_section;
 use clap::ArgMatches;
 use eyre::{Report, WrapErr, eyre};
 
@@ -22,19 +24,36 @@
 ///
 /// Fails if the settings are faulty or the daemon can't start.
 pub(crate) fn run(matches: &ArgMatches) -> Result<(), Failure> {
-    let settings = read(matches).map_err(Failure::Settings)?;
+    let deployment = read(matches).map_err(Failure::Settings)?;
     if matches.get_flag("check") {
         println!("settings are in order");
         return Ok(());
     }
-    run_daemon(settings).map_err(Failure::Run)
+    match deployment {
+        Deployment::Own(settings) => run_daemon(*settings),
+        Deployment::Platform(settings) => ingress::run(settings),
+    }
+    .map_err(Failure::Run)
+}
+
+/// Which interface the settings describe.
+enum Deployment {
+    /// The project's own.
+    Own(Box<Settings>),
+    /// The users' platform.
+    Platform(ingress::Settings),
 }
 
-fn read(matches: &ArgMatches) -> Result<Settings, Report> {
+fn read(matches: &ArgMatches) -> Result<Deployment, Report> {
     let path = matches
         .get_one::<PathBuf>("settings")
         .ok_or_else(|| eyre!("no settings file given"))?;
     let text =
         fs::read_to_string(path).wrap_err_with(|| format!("can't read {}", path.display()))?;
-    Settings::parse(&text).wrap_err_with(|| path.display().to_string())
+    let deployment = if has_section(&text, "ingress") {
+        ingress::Settings::parse(&text).map(Deployment::Platform)
+    } else {
+        Settings::parse(&text).map(|settings| Deployment::Own(Box::new(settings)))
+    };
+    deployment.wrap_err_with(|| path.display().to_string())
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,7 +8,7 @@
 mod auth;
 mod body;
 mod caller_api;
-pub mod clock;
+pub use basilramp_process::clock;
 pub mod commit;
 pub mod config;
 mod control;
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -12,56 +12,7 @@
 //!
 //! A number is never given to another event.
 
-use slog::Level;
-
-macro_rules! events {
-    ($($(#[$doc:meta])* $variant:ident = $code:literal, $level:ident, $message:literal;)+) => {
-        /// Every event that is logged.
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-        pub enum Event {
-            $($(#[$doc])* $variant,)+
-        }
-
-        impl Event {
-            /// All events, by number.
-            pub const ALL: &[Self] = &[$(Self::$variant,)+];
-
-            /// Returns the event's number, as in `E0101`.
-            #[must_use]
-            pub const fn code(self) -> &'static str {
-                match self {
-                    $(Self::$variant => $code,)+
-                }
-            }
-
-            /// Returns the event's name in the code.
-            #[must_use]
-            pub const fn name(self) -> &'static str {
-                match self {
-                    $(Self::$variant => stringify!($variant),)+
-                }
-            }
-
-            /// Returns how severe it is.
-            #[must_use]
-            pub const fn level(self) -> Level {
-                match self {
-                    $(Self::$variant => Level::$level,)+
-                }
-            }
-
-            /// Returns the text of `msg`.
-            #[must_use]
-            pub const fn message(self) -> &'static str {
-                match self {
-                    $(Self::$variant => $message,)+
-                }
-            }
-        }
-    };
-}
-
-events! {
+basilramp_process::events! {
     /// The listeners are bound; `callers`, `operators` and `peers` are their addresses.
     Listening = "E0101", Info, "listening";
     /// The instance takes requests.
@@ -88,8 +39,6 @@
 
     /// The instance's own lease is held, after a start or again.
     LeaseAcquired = "E0301", Info, "lease acquired";
-    /// The instance's own lease was renewed.
-    LeaseRenewed = "E0302", Debug, "lease renewed";
     /// The instance's own lease ran out; it owns nothing until it is renewed.
     LeaseLapsed = "E0303", Warning, "own lease lapsed";
     /// Another instance fenced this one.
@@ -166,10 +115,8 @@
     InternalError = "E0806", Error, "internal error";
 }
 
-impl Event {
-    /// Tells whether its line is written before the code that logs it goes on.
-    #[must_use]
-    pub const fn is_synchronous(self) -> bool {
+impl basilramp_process::log::Numbered for Event {
+    fn is_synchronous(self) -> bool {
         matches!(
             self,
             Self::Listening | Self::Stopping | Self::StopBoundReached | Self::Stopped | Self::Fatal
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -2,49 +2,16 @@
 
 use std::collections::BTreeSet;
 
-use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use basilramp_settings::{Faults, Section, value};
 
-use super::fault::Faults;
-use super::reader::{Section, Source};
 use super::{
     Instance, Limits, Listen, Log, Operator, Peers, Platform, Policy, Settings, Store, Timing,
-    Traces, value,
-};
-
-/// Standard JSON, but for comments and commas after the last entry.
-const SYNTAX: ParseOptions = ParseOptions {
-    allow_comments: true,
-    allow_loose_object_property_names: false,
-    allow_trailing_commas: true,
-    allow_missing_commas: false,
-    allow_single_quoted_strings: false,
-    allow_hexadecimal_numbers: false,
-    allow_unary_plus_numbers: false,
-    allow_bare_decimal_point_numbers: false,
-    allow_non_finite_numbers: false,
-    allow_extended_string_escapes: false,
+    Traces,
 };
 
 /// Reads a settings file whole.
 pub(super) fn read(text: &str) -> Result<Settings, Faults> {
-    let source = Source::new(text);
-    let parsed = match parse_to_ast(text, &CollectOptions::default(), &SYNTAX) {
-        Ok(parsed) => parsed.value,
-        Err(error) => {
-            source.fault(error.range().start, "", error.kind().to_string());
-            return Err(source.into_faults());
-        }
-    };
-    let Some(value) = parsed else {
-        source.fault(0, "", "the file is empty");
-        return Err(source.into_faults());
-    };
-    let settings = settings(Section::new(&source, &value, String::new()));
-    let faults = source.into_faults();
-    match settings {
-        Some(settings) if faults.0.is_empty() => Ok(settings),
-        _ => Err(faults),
-    }
+    basilramp_settings::read(text, settings)
 }
 
 fn settings(mut root: Section<'_>) -> Option<Settings> {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,14 +1,12 @@
 //! The settings file: JSON with comments.
 
-mod fault;
 mod file;
-mod reader;
-mod value;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-pub use fault::{Fault, Faults};
+pub(crate) use basilramp_settings::Level;
+pub use basilramp_settings::{Fault, Faults};
 
 /// Everything that an instance is told at its start.
 #[derive(Clone, Debug)]
@@ -176,31 +174,6 @@
     pub(crate) level: Level,
 }
 
-/// How severe an event is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Level {
-    /// Something is wrong that the system can't mend.
-    Error,
-    /// Something is wrong that the system copes with.
-    Warn,
-    /// What an operator wants to know.
-    #[default]
-    Info,
-    /// What a developer wants to know.
-    Debug,
-}
-
-impl From<Level> for slog::Level {
-    fn from(level: Level) -> Self {
-        match level {
-            Level::Error => Self::Error,
-            Level::Warn => Self::Warning,
-            Level::Info => Self::Info,
-            Level::Debug => Self::Debug,
-        }
-    }
-}
-
 /// Where spans go.
 #[derive(Clone, Debug)]
 pub(crate) struct Traces {
--- /dev/null
+++ b/crates/ingress/src/budget.rs
@@ -0,0 +1,264 @@
+//! Budgets of programs, through the store: one row for each program.
+//!
+//! The row also says where the program's lines ran last, so that any instance can send the next
+//! turn to the upstream that has its prompt.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use basilramp_adapter::store::{Change, Error, Place};
+use basilramp_core::clock::Time;
+use basilramp_core::dispatch::allowance::{Grant, Ledger, grant};
+use basilramp_core::dispatch::call::Refusal;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::serve::STORE_RETRY_MS;
+use crate::state::{State, lock};
+
+/// The table of programs.
+const TABLE: &str = "program";
+
+/// The longest wait for one call of the store; it answers within some 10 ms when it is well.
+const CALL_MS: u64 = 400;
+
+/// How long a turn waits to learn of its budget before it is refused, so that another instance,
+/// which may reach the store, can still serve it in time.
+const READ_PATIENCE_MS: u64 = 500;
+
+/// How long a turn that runs waits for its grant before it is given up: below the pause after
+/// which callers leave a stream.
+const GRANT_PATIENCE_MS: u64 = 1_800;
+
+/// Time between tries.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Lines of a program that its row remembers.
+const MAX_LINES: usize = 12;
+
+/// A program's row.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Row {
+    /// Tokens granted to all turns.
+    granted: u64,
+    /// The grant that wrote it; tells its writer that a lost answer was a success.
+    grant: u64,
+    /// Where its lines ran, the latest last.
+    lines: Vec<Line>,
+}
+
+/// Where a line of turns ran last.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Line {
+    /// Hash of the line's id.
+    id: u64,
+    /// The upstream.
+    upstream: Arc<str>,
+}
+
+/// Budgets as this instance knows them.
+#[derive(Debug, Default)]
+pub(crate) struct Book {
+    ledger: Mutex<Ledger>,
+}
+
+impl Book {
+    /// Forgets programs that had no turn for long.
+    pub(crate) fn expire(&self, now: Time) {
+        lock(&self.ledger).expire(now);
+    }
+}
+
+/// A turn whose budget was looked up.
+#[derive(Debug)]
+pub(crate) struct Account {
+    taken: Taken,
+    /// Tokens that still have to be granted.
+    missing: u64,
+    budget: u64,
+    row: Row,
+    version: u64,
+}
+
+/// Tokens of one turn; what it did not hand out goes back when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Taken {
+    state: Arc<State>,
+    program: Arc<str>,
+    tokens: u64,
+}
+
+impl Taken {
+    /// Notes tokens that are handed out.
+    pub(crate) fn spend(&mut self, tokens: u64) {
+        self.tokens = self.tokens.saturating_sub(tokens);
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        lock(&self.state.book.ledger).put(&self.program, self.tokens, now);
+    }
+}
+
+/// Looks up a program's budget for a turn of at most `most` tokens.
+///
+/// # Errors
+///
+/// Refuses the turn if the budget is spent, or the store can't say in time.
+pub(crate) async fn look_up(
+    state: &Arc<State>,
+    program: &Arc<str>,
+    budget: u64,
+    most: u64,
+    ends: Time,
+) -> Result<Account, Refusal> {
+    let held = lock(&state.book.ledger).take(program, most, state.now());
+    let taken = Taken {
+        state: Arc::clone(state),
+        program: Arc::clone(program),
+        tokens: held,
+    };
+    let missing = most - held;
+    let gives_up = ends.min(state.now().after(READ_PATIENCE_MS));
+    let (row, version) = loop {
+        match read(state, program).await {
+            Ok(found) => break found,
+            // What is held needs no grant; only the last upstream isn't known.
+            Err(_) if missing == 0 => break (Row::default(), 0),
+            Err(_) if state.now() >= gives_up || state.is_store_down() => {
+                return Err(Refusal::NotRun(STORE_RETRY_MS));
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    };
+    if missing > 0 && grant(row.granted, budget, missing) == Grant::Spent {
+        return Err(Refusal::BudgetSpent);
+    }
+    Ok(Account {
+        taken,
+        missing,
+        budget,
+        row,
+        version,
+    })
+}
+
+impl Account {
+    /// Returns the upstream where a line ran last, or else the program's latest one.
+    pub(crate) fn last(&self, line: &str) -> Option<&Arc<str>> {
+        let id = xxh3_64(line.as_bytes());
+        let lines = &self.row.lines;
+        let found = lines.iter().find(|line| line.id == id);
+        found.or(lines.last()).map(|line| &line.upstream)
+    }
+
+    /// Has the turn's tokens granted, and notes where its line runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the budget is spent by now or the store does not take the grant in time.
+    pub(crate) async fn grant(
+        mut self,
+        line: Arc<str>,
+        upstream: Arc<str>,
+    ) -> Result<Taken, Error> {
+        if self.missing == 0 {
+            return Ok(self.taken);
+        }
+        let state = Arc::clone(&self.taken.state);
+        let gives_up = state.now().after(GRANT_PATIENCE_MS);
+        let nonce = rand::random();
+        loop {
+            let Grant::Sum(sum) = grant(self.row.granted, self.budget, self.missing) else {
+                return Err(Error::Conflict);
+            };
+            let row = self.row.clone().next(sum, nonce, &line, &upstream);
+            let error = match write(&state, &self.taken.program, &row, self.version).await {
+                Ok(()) => return Ok(self.granted()),
+                Err(error) => error,
+            };
+            if error != Error::Conflict {
+                if state.now() >= gives_up {
+                    return Err(error);
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+            if let Ok((row, version)) = read(&state, &self.taken.program).await {
+                if row.grant == nonce {
+                    return Ok(self.granted());
+                }
+                self.row = row;
+                self.version = version;
+            }
+        }
+    }
+
+    fn granted(mut self) -> Taken {
+        self.taken.tokens += self.missing;
+        self.taken
+    }
+}
+
+impl Row {
+    fn next(mut self, granted: u64, grant: u64, line: &str, upstream: &Arc<str>) -> Self {
+        let id = xxh3_64(line.as_bytes());
+        self.lines.retain(|line| line.id != id);
+        if self.lines.len() >= MAX_LINES {
+            self.lines.remove(0);
+        }
+        self.lines.push(Line {
+            id,
+            upstream: Arc::clone(upstream),
+        });
+        Self {
+            granted,
+            grant,
+            lines: self.lines,
+        }
+    }
+}
+
+async fn write(state: &State, program: &str, row: &Row, version: u64) -> Result<(), Error> {
+    let part = part(program);
+    let place = Place {
+        table: TABLE,
+        part: &part,
+    };
+    let value = postcard::to_stdvec(row).map_err(|error| Error::Malformed(error.to_string()))?;
+    let change = Change::default()
+        .if_version(place, program, version)
+        .write(place, program, &value);
+    let result = state.store.change(&change, CALL_MS).await;
+    state.note_call(&result);
+    result.map(|_| ())
+}
+
+/// Reads a program's row and its version.
+async fn read(state: &State, program: &str) -> Result<(Row, u64), Error> {
+    let part = part(program);
+    let place = Place {
+        table: TABLE,
+        part: &part,
+    };
+    let end = format!("{program}\u{1}");
+    let result = state
+        .store
+        .read(place, Some(program), Some(&end), CALL_MS)
+        .await;
+    state.note_call(&result);
+    let page = result?;
+    let Some(row) = page.rows.into_iter().find(|row| &*row.key == program) else {
+        return Ok((Row::default(), 0));
+    };
+    let value = row.value.unwrap_or_default();
+    let content =
+        postcard::from_bytes(&value).map_err(|error| Error::Malformed(error.to_string()))?;
+    Ok((content, row.version))
+}
+
+/// Returns the part of a program's row: enough parts that none is near its rate.
+fn part(program: &str) -> String {
+    format!("p{:02x}", xxh3_64(program.as_bytes()) % 256)
+}
--- /dev/null
+++ b/crates/ingress/src/history.rs
@@ -0,0 +1,183 @@
+//! Transcripts of turns, through the store.
+
+use std::sync::{Arc, Mutex};
+
+use basilramp_adapter::store::{Change, Error, MAX_VALUE_BYTES, Place};
+use basilramp_core::clock::Time;
+use basilramp_core::dispatch::call::Refusal;
+use basilramp_core::dispatch::transcript::Cache;
+use serde::{Deserialize, Serialize};
+
+use crate::state::{State, lock};
+
+/// The table of turns.
+const TABLE: &str = "turn";
+
+/// The longest wait for one call of the store.
+const CALL_MS: u64 = 400;
+
+/// How long a turn waits for its history before it is refused, so that another instance can
+/// still serve it in time.
+const PATIENCE_MS: u64 = 600;
+
+/// Time between tries.
+const PAUSE_MS: u64 = 60;
+
+/// A turn as it is stored: this head in its first row, before the first bytes.
+#[derive(Debug, Serialize, Deserialize)]
+struct Head {
+    /// Bytes of the transcript, over all rows.
+    len: u64,
+    /// The upstream that ran the turn, whose cache has its prompt.
+    upstream: Arc<str>,
+}
+
+/// A turn that can be continued.
+#[derive(Clone, Debug)]
+pub(crate) struct Turn {
+    /// What an upstream has to read before the next input.
+    pub(crate) transcript: Arc<[u8]>,
+    /// The upstream that ran it.
+    pub(crate) upstream: Arc<str>,
+}
+
+/// Turns that are kept in memory.
+#[derive(Debug)]
+pub(crate) struct Shelf {
+    cache: Mutex<Cache<Turn>>,
+}
+
+impl Shelf {
+    /// Opens a shelf that holds `bytes` bytes of transcripts.
+    pub(crate) fn open(bytes: usize) -> Self {
+        Self {
+            cache: Mutex::new(Cache::new(bytes)),
+        }
+    }
+}
+
+/// Returns the turn of an attempt.
+///
+/// # Errors
+///
+/// Refuses if there is no such turn, or the store can't say in time.
+pub(crate) async fn load(state: &State, turn: &Arc<str>, ends: Time) -> Result<Turn, Refusal> {
+    if let Some(known) = lock(&state.shelf.cache).get(turn) {
+        return Ok(known);
+    }
+    let gives_up = ends.min(state.now().after(PATIENCE_MS));
+    loop {
+        let result = read(state, turn).await;
+        state.note_call(&result);
+        match result {
+            Ok(Some(found)) => {
+                keep(state, Arc::clone(turn), found.clone());
+                return Ok(found);
+            }
+            Ok(None) => return Err(Refusal::NoTurn),
+            Err(_) if state.now() >= gives_up => {
+                return Err(Refusal::NotRun(crate::serve::STORE_RETRY_MS));
+            }
+            Err(_) => pause().await,
+        }
+    }
+}
+
+/// Stores a turn; tries until the store has it or the time is over.
+///
+/// Writing it twice does no harm: the rows of an attempt never hold anything else.
+///
+/// # Errors
+///
+/// Returns the store's last error at the end of the time.
+pub(crate) async fn commit(
+    state: &State,
+    turn: &Arc<str>,
+    content: Turn,
+    ends: Time,
+) -> Result<(), Error> {
+    let change = encode(turn, &content)?;
+    loop {
+        let result = state.store.change(&change, CALL_MS).await;
+        state.note_call(&result);
+        match result {
+            Ok(_) => {
+                keep(state, Arc::clone(turn), content);
+                return Ok(());
+            }
+            Err(error) if state.now() >= ends => return Err(error),
+            Err(_) => pause().await,
+        }
+    }
+}
+
+fn keep(state: &State, turn: Arc<str>, content: Turn) {
+    let bytes = content.transcript.len();
+    lock(&state.shelf.cache).insert(turn, content, bytes);
+}
+
+async fn pause() {
+    tokio::time::sleep(std::time::Duration::from_millis(PAUSE_MS)).await;
+}
+
+/// Returns the part of a turn's rows: enough parts that none is near its rate.
+fn part(turn: &str) -> String {
+    format!("p{:02x}", xxhash_rust::xxh3::xxh3_64(turn.as_bytes()) % 256)
+}
+
+fn encode(turn: &str, content: &Turn) -> Result<Change, Error> {
+    let head = Head {
+        len: content.transcript.len() as u64,
+        upstream: Arc::clone(&content.upstream),
+    };
+    let mut bytes =
+        postcard::to_stdvec(&head).map_err(|error| Error::Malformed(error.to_string()))?;
+    bytes.extend_from_slice(&content.transcript);
+    let part = part(turn);
+    let place = Place {
+        table: TABLE,
+        part: &part,
+    };
+    let rows = bytes.chunks(MAX_VALUE_BYTES).enumerate();
+    Ok(rows.fold(Change::default(), |change, (index, chunk)| {
+        change.write(place, &row_key(turn, index), chunk)
+    }))
+}
+
+/// Returns the key of one of a turn's rows; they sort by their index.
+fn row_key(turn: &str, index: usize) -> String {
+    format!("{turn}/{index:03}")
+}
+
+async fn read(state: &State, turn: &str) -> Result<Option<Turn>, Error> {
+    let part = part(turn);
+    let place = Place {
+        table: TABLE,
+        part: &part,
+    };
+    let from = row_key(turn, 0);
+    let end = format!("{turn}0");
+    let page = state
+        .store
+        .read(place, Some(&from), Some(&end), CALL_MS)
+        .await?;
+    if page.rows.is_empty() {
+        return Ok(None);
+    }
+    let bytes: Vec<u8> = page
+        .rows
+        .into_iter()
+        .filter_map(|row| row.value)
+        .flatten()
+        .collect();
+    let (head, transcript): (Head, _) =
+        postcard::take_from_bytes(&bytes).map_err(|error| Error::Malformed(error.to_string()))?;
+    if head.len != transcript.len() as u64 {
+        let text = format!("turn {turn} has {} of {} bytes", transcript.len(), head.len);
+        return Err(Error::Malformed(text));
+    }
+    Ok(Some(Turn {
+        transcript: transcript.into(),
+        upstream: head.upstream,
+    }))
+}
--- /dev/null
+++ b/crates/ingress/src/lib.rs
@@ -0,0 +1,34 @@
+//! Serves callers on the users' platform. Any instance serves any request: what has to last
+//! lies in the platform's store, and each instance decides for itself.
+//!
+//! | module | does |
+//! |---|---|
+//! | [`settings`] | the settings of an instance |
+//! | `run` | starts the parts and stops them |
+//! | `server` | listeners and connections of callers |
+//! | `serve` | one request, from its head to its answer |
+//! | `exchange` | one attempt at an upstream |
+//! | `stream` | answers that are event streams |
+//! | `history`, `budget` | what the store keeps of programs |
+//! | `feed` | configuration and upstreams, as the store tells of them |
+//! | `pool` | connections to upstreams |
+//!
+//! Lock order: no lock of the shared [`state`] is held while another one is taken, nor across
+//! an await point.
+
+mod budget;
+mod exchange;
+mod feed;
+mod history;
+mod log_event;
+mod pool;
+mod run;
+mod serve;
+mod server;
+mod settings;
+mod state;
+mod stream;
+
+pub use log_event::Event;
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/ingress/src/log_event.rs
@@ -0,0 +1,48 @@
+//! The log events of the ingress; `docs/EVENTS.md` is their catalogue.
+
+basilramp_process::events! {
+    /// The listeners are bound.
+    Listening = "E0701", Info, "listening";
+    /// A configuration is in force, so requests are taken.
+    Ready = "E0702", Info, "ready";
+    /// A stop was asked for.
+    Stopping = "E0703", Info, "stopping";
+    /// The process ends; `connections` were still open.
+    Stopped = "E0704", Info, "stopped";
+    /// The settings file changed; what differs takes effect at the next start.
+    SettingsReloaded = "E0705", Info, "settings read again";
+    /// A listener failed in a way that ends the process.
+    Fatal = "E0706", Error, "fatal error";
+    /// The store does not answer.
+    StoreDown = "E0711", Warning, "store unavailable";
+    /// The store answers again; `ms` is how long it did not.
+    StoreUp = "E0712", Info, "store available";
+    /// The history of a feed is gone; the table is read whole.
+    FeedReset = "E0713", Info, "feed reset";
+    /// A row is not in its form and is passed over.
+    RowUnreadable = "E0714", Warning, "row unreadable";
+    /// A configuration version is in force here.
+    ConfigInForce = "E0721", Info, "configuration in force";
+    /// An upstream takes work.
+    UpstreamJoined = "E0731", Info, "upstream joined";
+    /// An upstream takes no more work.
+    UpstreamLeaving = "E0732", Info, "upstream leaving";
+    /// A request was answered by an upstream.
+    Answered = "E0741", Debug, "request answered";
+    /// A request was refused or failed.
+    Refused = "E0742", Info, "request refused";
+    /// An attempt at an upstream failed.
+    AttemptFailed = "E0743", Info, "attempt failed";
+    /// The answer to a request broke off.
+    Broken = "E0744", Info, "answer broken off";
+    /// The caller left before the end of its answer.
+    CallerLeft = "E0745", Debug, "caller left";
+    /// A turn that ran is given up, as its tokens could not be granted.
+    GrantFailed = "E0746", Warning, "grant failed";
+}
+
+impl basilramp_process::log::Numbered for Event {
+    fn is_synchronous(self) -> bool {
+        matches!(self, Self::Stopped | Self::Fatal)
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/server.rs
@@ -0,0 +1,165 @@
+//! Listeners and connections of callers.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::serve;
+use crate::state::State;
+
+/// Idle time of a caller's connection until a configuration says otherwise.
+const IDLE_MS: u64 = 15_000;
+
+/// Bytes of a head, and of a body that is read ahead.
+const BUFFER_BYTES: usize = 64 * 1_024;
+
+/// Connections that wait to be taken.
+const BACKLOG: u32 = 1_024;
+
+/// Pause after a connection could not be taken, for want of descriptors mostly.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Connections of callers that are open.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    /// Returns how many there are.
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn enter(&self) -> Guard {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Guard(self.clone())
+    }
+}
+
+struct Guard(Open);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        tokio::net::TcpSocket::new_v4()
+    } else {
+        tokio::net::TcpSocket::new_v6()
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket
+        .bind(address)
+        .wrap_err_with(|| format!("can't bind {address}"))?;
+    socket
+        .listen(BACKLOG)
+        .wrap_err_with(|| format!("can't listen at {address}"))
+}
+
+/// Takes connections of callers, forever.
+pub(crate) async fn take_callers(
+    state: Arc<State>,
+    listener: TcpListener,
+    open: Open,
+    stopping: watch::Receiver<bool>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let guard = open.enter();
+        let state = Arc::clone(&state);
+        let stopping = stopping.clone();
+        tokio::spawn(async move {
+            let _guard = guard;
+            serve_caller(state, stream, stopping).await;
+        });
+    }
+}
+
+async fn serve_caller(state: Arc<State>, stream: TcpStream, mut stopping: watch::Receiver<bool>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let idle_ms = state
+        .table()
+        .map_or(IDLE_MS, |table| table.config().limits.idle_ms);
+    let is_stopping = *stopping.borrow();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(serve::serve(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // It also bounds the time between two requests.
+        .header_read_timeout(Duration::from_millis(idle_ms))
+        .max_buf_size(BUFFER_BYTES)
+        .keep_alive(!is_stopping)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut told = is_stopping;
+    loop {
+        tokio::select! {
+            // Errors are the caller's: it left, or sent no HTTP.
+            _ = connection.as_mut() => return,
+            changed = stopping.changed(), if !told => {
+                told = true;
+                if changed.is_ok() {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+/// Answers whether the instance is ready, forever.
+pub(crate) async fn take_probes(state: Arc<State>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = probe(&state, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // Errors are the prober's: it left, or sent no HTTP.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn probe(state: &State, path: &str) -> Response<Full<Bytes>> {
+    let status = match path {
+        "/readyz" if state.is_ready() => StatusCode::OK,
+        "/readyz" => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/ingress/src/state.rs
@@ -0,0 +1,153 @@
+//! What the requests of an instance share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use basilramp_adapter::store;
+use basilramp_core::clock::Time;
+use basilramp_core::dispatch::fleet::Fleet;
+use basilramp_core::dispatch::route::Table;
+use basilramp_process::clock::Source;
+use basilramp_process::event;
+use basilramp_process::log::Handle;
+
+use crate::budget::Book;
+use crate::history::Shelf;
+use crate::log_event::Event;
+use crate::pool::Pool;
+use crate::settings::Settings;
+
+/// What the requests of an instance share.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Source,
+    pub(crate) log: Handle,
+    pub(crate) store: store::Client,
+    pub(crate) pool: Pool,
+    pub(crate) shelf: Shelf,
+    pub(crate) book: Book,
+    fleet: Mutex<Fleet>,
+    table: RwLock<Option<Arc<Table>>>,
+    stopping: AtomicBool,
+    /// When the store stopped answering, in milliseconds plus one; 0 while it answers.
+    store_down: AtomicU64,
+}
+
+impl State {
+    /// Opens the state of an instance that knows nothing yet.
+    pub(crate) fn open(settings: Settings, log: Handle) -> Arc<Self> {
+        let cache_bytes = settings.memory_mb * 1_024 * 1_024 / CACHE_SHARE;
+        Arc::new(Self {
+            clock: Source::open(),
+            log,
+            store: store::Client::open(settings.store),
+            pool: Pool::default(),
+            shelf: Shelf::open(cache_bytes),
+            book: Book::default(),
+            fleet: Mutex::default(),
+            table: RwLock::default(),
+            stopping: AtomicBool::new(false),
+            store_down: AtomicU64::new(0),
+            settings,
+        })
+    }
+
+    /// Returns the time now.
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Locks the fleet.
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Returns the routes in force.
+    pub(crate) fn table(&self) -> Option<Arc<Table>> {
+        self.table
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a configuration in force, if it is newer than the one in force.
+    pub(crate) fn put_in_force(&self, table: Table) -> bool {
+        let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        let is_newer = current
+            .as_ref()
+            .is_none_or(|known| known.config().version < table.config().version);
+        if is_newer {
+            *current = Some(Arc::new(table));
+        }
+        is_newer
+    }
+
+    /// Starts the stop.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether a stop was asked for.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether new connections of callers are welcome.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.table().is_some() && !self.is_store_down()
+    }
+
+    /// Notes whether the store did what a call asked.
+    pub(crate) fn note_store(&self, result: Result<(), &str>) {
+        let now = self.now();
+        match result {
+            Ok(()) => {
+                let since = self.store_down.swap(0, Ordering::Relaxed);
+                if since > 0 {
+                    let ms = now.since(Time::from_ms(since - 1));
+                    event!(self.log, Event::StoreUp, "ms" => ms);
+                    self.fleet().store_returned(now);
+                }
+            }
+            Err(error) => {
+                let mark = now.as_ms() + 1;
+                let was_up =
+                    self.store_down
+                        .compare_exchange(0, mark, Ordering::Relaxed, Ordering::Relaxed);
+                if was_up.is_ok() {
+                    event!(self.log, Event::StoreDown, "error" => error.to_owned());
+                }
+            }
+        }
+    }
+
+    /// Tells whether the store has not answered for a while, so that waiting for it is idle.
+    pub(crate) fn is_store_down(&self) -> bool {
+        let since = self.store_down.load(Ordering::Relaxed);
+        since > 0 && self.now().since(Time::from_ms(since - 1)) >= DOWN_MS
+    }
+
+    /// Notes what a call of the store came to.
+    pub(crate) fn note_call<T>(&self, result: &Result<T, store::Error>) {
+        match result {
+            Err(store::Error::NotDone(error) | store::Error::Unknown(error)) => {
+                self.note_store(Err(error));
+            }
+            _ => self.note_store(Ok(())),
+        }
+    }
+}
+
+/// Time without an answer of the store after which it counts as down: several times what its
+/// slowest usual answer takes.
+const DOWN_MS: u64 = 250;
+
+/// One part in so many of the memory holds transcripts: the rest is for connections, bodies and
+/// the program itself.
+const CACHE_SHARE: usize = 6;
+
+/// Locks a mutex; a panic of another holder leaves the value as it was.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/process/src/clock.rs
@@ -28,7 +28,8 @@
 }
 
 /// Returns wall-clock milliseconds, for people to read and for budgets of wall-clock time.
-pub(crate) fn wall_ms() -> u64 {
+#[must_use]
+pub fn wall_ms() -> u64 {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |elapsed| elapsed.as_millis() as u64)
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -6,18 +6,18 @@
 use jsonc_parser::ast::{Object, Value};
 use jsonc_parser::common::Ranged;
 
-use super::fault::{Fault, Faults};
+use crate::fault::{Fault, Faults};
 
 /// The text of a file, and the faults found in it so far.
 #[derive(Debug)]
-pub(super) struct Source<'a> {
+pub struct Source<'a> {
     text: &'a str,
     faults: RefCell<Vec<Fault>>,
 }
 
 impl<'a> Source<'a> {
     /// Makes a source without faults.
-    pub(super) const fn new(text: &'a str) -> Self {
+    pub const fn new(text: &'a str) -> Self {
         Self {
             text,
             faults: RefCell::new(Vec::new()),
@@ -25,7 +25,7 @@
     }
 
     /// Notes a fault at a byte of the text.
-    pub(super) fn fault(&self, at: usize, path: impl Into<String>, message: impl Into<String>) {
+    pub fn fault(&self, at: usize, path: impl Into<String>, message: impl Into<String>) {
         let before = &self.text[..at];
         let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
         self.faults.borrow_mut().push(Fault {
@@ -37,7 +37,7 @@
     }
 
     /// Returns every fault, by place.
-    pub(super) fn into_faults(self) -> Faults {
+    pub fn into_faults(self) -> Faults {
         let mut faults = self.faults.into_inner();
         faults.sort_by_key(|fault| (fault.line, fault.column));
         Faults(faults)
@@ -46,7 +46,7 @@
 
 /// An object in the file; reading a field marks it as known.
 #[derive(Debug)]
-pub(super) struct Section<'a> {
+pub struct Section<'a> {
     source: &'a Source<'a>,
     /// Nothing when the section is absent or no object.
     object: Option<&'a Object<'a>>,
@@ -58,7 +58,7 @@
 
 impl<'a> Section<'a> {
     /// Makes a section of a value that has to be an object.
-    pub(super) fn new(source: &'a Source<'a>, value: &'a Value<'a>, path: String) -> Self {
+    pub fn new(source: &'a Source<'a>, value: &'a Value<'a>, path: String) -> Self {
         let object = value.as_object();
         if object.is_none() {
             source.fault(value.start(), path.as_str(), "has to be an object");
@@ -73,13 +73,13 @@
     }
 
     /// Reads a section that has to be there.
-    pub(super) fn section(&mut self, name: &'static str) -> Self {
+    pub fn section(&mut self, name: &'static str) -> Self {
         self.require(name);
         self.section_or_default(name)
     }
 
     /// Reads a section that may be left out.
-    pub(super) fn section_or_default(&mut self, name: &'static str) -> Self {
+    pub fn section_or_default(&mut self, name: &'static str) -> Self {
         let path = self.path_of(name);
         match self.value(name) {
             Some(value) => Section::new(self.source, value, path),
@@ -94,7 +94,7 @@
     }
 
     /// Reads a list of sections that may be left out.
-    pub(super) fn sections(&mut self, name: &'static str) -> Vec<Self> {
+    pub fn sections(&mut self, name: &'static str) -> Vec<Self> {
         let path = self.path_of(name);
         let Some(value) = self.value(name) else {
             return Vec::new();
@@ -110,18 +110,18 @@
     }
 
     /// Reads a value that has to be there. Returns nothing after a fault.
-    pub(super) fn required<T>(&mut self, name: &'static str, read: Read<T>) -> Option<T> {
+    pub fn required<T>(&mut self, name: &'static str, read: Read<T>) -> Option<T> {
         self.require(name);
         self.optional(name, read)
     }
 
     /// Reads a value that may be left out, or returns the default, also after a fault.
-    pub(super) fn or_default<T>(&mut self, name: &'static str, read: Read<T>, default: T) -> T {
+    pub fn or_default<T>(&mut self, name: &'static str, read: Read<T>, default: T) -> T {
         self.optional(name, read).unwrap_or(default)
     }
 
     /// Reads a value that may be left out. Returns nothing then, or after a fault.
-    pub(super) fn optional<T>(&mut self, name: &'static str, read: Read<T>) -> Option<T> {
+    pub fn optional<T>(&mut self, name: &'static str, read: Read<T>) -> Option<T> {
         let value = self.value(name)?;
         match read(value) {
             Ok(read) => Some(read),
@@ -134,13 +134,13 @@
     }
 
     /// Notes a fault of a field's value.
-    pub(super) fn fault(&mut self, name: &'static str, message: impl Into<String>) {
+    pub fn fault(&mut self, name: &'static str, message: impl Into<String>) {
         let at = self.value(name).map_or(self.at, Ranged::start);
         self.source.fault(at, self.path_of(name), message);
     }
 
     /// Notes a fault for each field that is not known, or given twice.
-    pub(super) fn finish(self) {
+    pub fn finish(self) {
         let Some(object) = self.object else {
             return;
         };
@@ -181,4 +181,4 @@
 }
 
 /// Reads one value, or says what it has to be.
-pub(super) type Read<T> = fn(&Value<'_>) -> Result<T, String>;
+pub type Read<T> = fn(&Value<'_>) -> Result<T, String>;
--- a/crates/daemon/src/settings/value.rs
+++ b/crates/settings/src/value.rs
@@ -6,7 +6,7 @@
 
 use jsonc_parser::ast::Value;
 
-use super::Level;
+use crate::Level;
 
 /// The longest name, in bytes.
 const MAX_NAME_LEN: usize = 64;
@@ -15,7 +15,7 @@
 const MAX_SPAN_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// Reads a name: letters, digits, `-`, `_` and `.`.
-pub(super) fn name(value: &Value<'_>) -> Result<String, String> {
+pub fn name(value: &Value<'_>) -> Result<String, String> {
     let fault = || {
         format!("has to be a name of 1 to {MAX_NAME_LEN} letters, digits, \"-\", \"_\" and \".\"")
     };
@@ -28,12 +28,12 @@
 }
 
 /// Reads an address of an IP number and a port.
-pub(super) fn address(value: &Value<'_>) -> Result<SocketAddr, String> {
+pub fn address(value: &Value<'_>) -> Result<SocketAddr, String> {
     parse(value).ok_or_else(|| "has to be an IP number and a port, as in \"10.0.0.7:8080\"".into())
 }
 
 /// Reads an address that something listens at, so its port is not zero.
-pub(super) fn remote_address(value: &Value<'_>) -> Result<SocketAddr, String> {
+pub fn remote_address(value: &Value<'_>) -> Result<SocketAddr, String> {
     let address = address(value)?;
     if address.port() == 0 || address.ip().is_unspecified() {
         return Err("has to be an address that can be connected to".into());
@@ -42,7 +42,7 @@
 }
 
 /// Reads the path of a file.
-pub(super) fn file(value: &Value<'_>) -> Result<PathBuf, String> {
+pub fn file(value: &Value<'_>) -> Result<PathBuf, String> {
     match string(value) {
         Some(text) if !text.is_empty() => Ok(PathBuf::from(text)),
         _ => Err("has to be the path of a file".into()),
@@ -50,7 +50,7 @@
 }
 
 /// Reads a SHA-256 digest in hexadecimal, and makes its letters small.
-pub(super) fn digest(value: &Value<'_>) -> Result<String, String> {
+pub fn digest(value: &Value<'_>) -> Result<String, String> {
     match string(value) {
         Some(text) if text.len() == 64 && text.chars().all(|c| c.is_ascii_hexdigit()) => {
             Ok(text.to_ascii_lowercase())
@@ -60,7 +60,7 @@
 }
 
 /// Reads a time in milliseconds, of at least one.
-pub(super) fn span_ms(value: &Value<'_>) -> Result<u64, String> {
+pub fn span_ms(value: &Value<'_>) -> Result<u64, String> {
     match number(value) {
         Some(ms) if (1..=MAX_SPAN_MS).contains(&ms) => Ok(ms),
         _ => Err(format!(
@@ -70,7 +70,7 @@
 }
 
 /// Reads a rate a second, of at least one.
-pub(super) fn rate(value: &Value<'_>) -> Result<u32, String> {
+pub fn rate(value: &Value<'_>) -> Result<u32, String> {
     match number(value) {
         Some(rate) if rate > 0 => Ok(rate),
         _ => Err("has to be a whole number a second, of at least 1".into()),
@@ -78,7 +78,7 @@
 }
 
 /// Reads a count, of at least one.
-pub(super) fn count(value: &Value<'_>) -> Result<usize, String> {
+pub fn count(value: &Value<'_>) -> Result<usize, String> {
     match number(value) {
         Some(count) if count > 0 => Ok(count),
         _ => Err("has to be a whole number of at least 1".into()),
@@ -86,7 +86,7 @@
 }
 
 /// Reads a weight, of at least zero.
-pub(super) fn weight(value: &Value<'_>) -> Result<f64, String> {
+pub fn weight(value: &Value<'_>) -> Result<f64, String> {
     match number::<f64>(value) {
         Some(weight) if weight.is_finite() && weight >= 0.0 => Ok(weight),
         _ => Err("has to be a number of at least 0".into()),
@@ -94,7 +94,7 @@
 }
 
 /// Reads a share from 0 to 1.
-pub(super) fn share(value: &Value<'_>) -> Result<f64, String> {
+pub fn share(value: &Value<'_>) -> Result<f64, String> {
     match number(value) {
         Some(share) if (0.0..=1.0).contains(&share) => Ok(share),
         _ => Err("has to be a number from 0 to 1".into()),
@@ -102,7 +102,7 @@
 }
 
 /// Reads a log level.
-pub(super) fn level(value: &Value<'_>) -> Result<Level, String> {
+pub fn level(value: &Value<'_>) -> Result<Level, String> {
     match string(value) {
         Some("error") => Ok(Level::Error),
         Some("warn") => Ok(Level::Warn),
