Grant first where a program's budget is near its end

Change: with less than eight turns of the largest size left, the grant is waited for before anything is sent, and a spent budget is 402.

--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -30,6 +30,10 @@
 /// which callers leave a stream.
 const GRANT_PATIENCE_MS: u64 = 1_800;
 
+/// Turns that a program may have begun elsewhere since its row was read: the sub-agents that it
+/// starts at once.
+const NEAR_END_TURNS: u64 = 8;
+
 /// Time between tries.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -75,6 +79,8 @@
     taken: Taken,
     /// Tokens that still have to be granted.
     missing: u64,
+    /// The most tokens of the turn.
+    most: u64,
     budget: u64,
     row: Row,
     version: u64,
@@ -139,6 +145,7 @@
     Ok(Account {
         taken,
         missing,
+        most,
         budget,
         row,
         version,
@@ -154,6 +161,11 @@
         found.or(lines.last()).map(|line| &line.upstream)
     }
 
+    /// Tells whether other turns under way may use up what is left of the budget.
+    pub(crate) const fn is_near_end(&self) -> bool {
+        self.missing > 0 && self.row.granted + NEAR_END_TURNS * self.most >= self.budget
+    }
+
     /// Has the turn's tokens granted, and notes where its line runs.
     ///
     /// # Errors
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -343,15 +343,21 @@
     draft: Option<Draft>,
 ) -> Result<Response<Body>, Refusal> {
     let mut granting = None;
+    let mut taken = None;
     loop {
         let Some(choice) = job.pick() else {
             return Err(job.tries.refusal(FULL_RETRY_MS));
         };
         // The upstream reads the prompt while the store takes the grant.
         if let Some(account) = account.take() {
-            granting = Some(tokio::spawn(
-                account.grant(job.line(), Arc::clone(&choice.id)),
-            ));
+            let is_near_end = account.is_near_end();
+            let grant = account.grant(job.line(), Arc::clone(&choice.id));
+            if is_near_end {
+                // It may find the budget spent, and a turn that is told so must not have run.
+                taken = Some(grant.await.map_err(|error| ungranted(&job, &error, 0))?);
+            } else {
+                granting = Some(tokio::spawn(grant));
+            }
         }
         let failure = match attempt(&job, &choice).await {
             Ok(Attempt::Whole(response)) => {
@@ -360,11 +366,10 @@
             }
             Ok(Attempt::Begun(stream)) => {
                 job.times.first = job.elapsed_ms();
-                let taken = match granting {
+                if let Some(granting) = granting {
                     // No event goes out before its tokens are granted.
-                    Some(granting) => Some(granted(&job, granting).await?),
-                    None => None,
-                };
+                    taken = Some(granted(&job, granting).await?);
+                }
                 return Ok(stream.respond(job, choice, taken, draft));
             }
             Err(failure) => failure,
@@ -384,16 +389,15 @@
     /// A whole answer.
     Whole(Response<Bytes>),
     /// A stream whose first event has come.
-    Begun(Stream),
+    Begun(Box<Stream>),
 }
 
 async fn attempt(job: &Job, choice: &Choice) -> Result<Attempt, Failure> {
     let patience_ms = job.patience_ms(choice);
     let reply = exchange::send(job, choice, None, patience_ms).await?;
     if job.kind.is_stream() && reply.head.status.is_success() {
-        return Stream::first(job, reply, patience_ms)
-            .await
-            .map(Attempt::Begun);
+        let stream = Stream::first(job, reply, patience_ms).await?;
+        return Ok(Attempt::Begun(Box::new(stream)));
     }
     reply.collect(job, patience_ms).await.map(Attempt::Whole)
 }
@@ -403,17 +407,27 @@
     job: &Job,
     granting: JoinHandle<Result<budget::Taken, Error>>,
 ) -> Result<budget::Taken, Refusal> {
-    let cause = match granting.await {
+    let error = match granting.await {
         Ok(Ok(taken)) => return Ok(taken),
-        Ok(Err(error)) => format!("{error:?}"),
-        Err(error) => error.to_string(),
+        Ok(Err(error)) => error,
+        Err(error) => Error::Unknown(error.to_string()),
     };
+    Err(ungranted(job, &error, 1))
+}
+
+/// Returns the answer to a turn without a grant that was sent to `sent` upstreams.
+fn ungranted(job: &Job, error: &Error, sent: u32) -> Refusal {
     event!(
         job.state.log,
         Event::GrantFailed,
         "request" => &*job.attempt,
-        "error" => cause,
+        "error" => format!("{error:?}"),
+        "sent" => sent,
         "ms" => job.elapsed_ms()
     );
-    Err(Refusal::Unknown)
+    match error {
+        _ if sent > 0 => Refusal::Unknown,
+        Error::Conflict => Refusal::BudgetSpent,
+        _ => Refusal::NotRun(STORE_RETRY_MS),
+    }
 }
