Hold requests while no instance reaches the store, and pace its calls

The fixed limit of 400 ms a call also took a slow store (x60: 720 ms a write) for one that is away.

Ruled out: tokens without a grant during an outage. Nothing bounds them over all instances and over their loss, and the budget's rule has no exception. Letting each request call the store while it is away: with a silent store each call costs its whole limit.

Change: core::dispatch::outage. For the first two seconds of an outage a request is refused with 0.4 s to come back, as the balancer is about to send callers to instances that reach the store; later it is held for 60% of its time and goes on as soon as a feed hears from the store. Limits of calls follow what calls take, reads and writes apart. The end of a turn waits 1.5 s for its commit. Answers close their connection while the store is away.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 //! | [`attempt`] | what follows an attempt that failed |
 //! | [`allowance`] | whether a program's budget holds one more turn |
 //! | [`transcript`] | what a turn's upstream has to read |
+//! | [`outage`] | how long work waits for the store |
 //! | [`event`] | where the events of a stream end |
 
 pub mod allowance;
@@ -16,6 +17,7 @@
 pub mod config;
 pub mod event;
 pub mod fleet;
+pub mod outage;
 pub mod place;
 pub mod route;
 pub mod transcript;
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -6,26 +6,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use basilramp_adapter::store::{Change, Error, Place};
+use basilramp_adapter::store::{Change, Client, Error, Place};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::allowance::{Grant, Ledger, grant};
 use basilramp_core::dispatch::call::Refusal;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::serve::STORE_RETRY_MS;
-use crate::state::{State, lock};
+use crate::state::{Call, State, lock};
 
 /// The table of programs.
 const TABLE: &str = "program";
 
-/// The longest wait for one call of the store; it answers within some 10 ms when it is well.
-const CALL_MS: u64 = 400;
-
-/// How long a turn waits to learn of its budget before it is refused, so that another instance,
-/// which may reach the store, can still serve it in time.
-const READ_PATIENCE_MS: u64 = 500;
-
 /// How long a turn that runs waits for its grant before it is given up: below the pause after
 /// which callers leave a stream.
 const GRANT_PATIENCE_MS: u64 = 1_800;
@@ -127,15 +119,15 @@
         tokens: held,
     };
     let missing = most - held;
-    let gives_up = ends.min(state.now().after(READ_PATIENCE_MS));
+    let began = state.now();
     let (row, version) = loop {
-        match read(state, program).await {
-            Ok(found) => break found,
+        match state.store_up(began, ends).await {
             // What is held needs no grant; only the last upstream isn't known.
             Err(_) if missing == 0 => break (Row::default(), 0),
-            Err(_) if state.now() >= gives_up || state.is_store_down() => {
-                return Err(Refusal::NotRun(STORE_RETRY_MS));
-            }
+            up => up?,
+        }
+        match read(state, program).await {
+            Ok(found) => break found,
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
     };
@@ -242,9 +234,8 @@
     let change = Change::default()
         .if_version(place, program, version)
         .write(place, program, &value);
-    let result = state.store.change(&change, CALL_MS).await;
-    state.note_call(&result);
-    result.map(|_| ())
+    let call = async |store: &Client, limit_ms| store.change(&change, limit_ms).await;
+    state.call(Call::Write, call).await.map(|_| ())
 }
 
 /// Reads a program's row and its version.
@@ -255,12 +246,10 @@
         part: &part,
     };
     let end = format!("{program}\u{1}");
-    let result = state
-        .store
-        .read(place, Some(program), Some(&end), CALL_MS)
-        .await;
-    state.note_call(&result);
-    let page = result?;
+    let call = async |store: &Client, limit_ms| {
+        store.read(place, Some(program), Some(&end), limit_ms).await
+    };
+    let page = state.call(Call::Read, call).await?;
     let Some(row) = page.rows.into_iter().find(|row| &*row.key == program) else {
         return Ok((Row::default(), 0));
     };
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -132,9 +132,7 @@
         let mut from: Option<String> = None;
         loop {
             let store = &state.store;
-            let page = store
-                .read(place, from.as_deref(), None, 2 * ANSWER_MS)
-                .await?;
+            let page = store.read(place, from.as_deref(), None, ANSWER_MS).await?;
             if whole.version == 0 {
                 // Changes between the pages are told again by the feed.
                 whole.version = page.version;
--- a/crates/ingress/src/history.rs
+++ b/crates/ingress/src/history.rs
@@ -1,27 +1,25 @@
 //! Transcripts of turns, through the store.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use basilramp_adapter::store::{Change, Error, MAX_VALUE_BYTES, Place};
+use basilramp_adapter::store::{Change, Client, Error, MAX_VALUE_BYTES, Place};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::call::Refusal;
 use basilramp_core::dispatch::transcript::Cache;
 use serde::{Deserialize, Serialize};
 
-use crate::state::{State, lock};
+use crate::state::{Call, State, lock};
 
 /// The table of turns.
 const TABLE: &str = "turn";
 
-/// The longest wait for one call of the store.
-const CALL_MS: u64 = 400;
-
-/// How long a turn waits for its history before it is refused, so that another instance can
-/// still serve it in time.
-const PATIENCE_MS: u64 = 600;
+/// How long the end of an answer waits for a store that is away. A caller whose answer is cut
+/// then sends the turn again, which mostly meets an instance that reaches the store.
+const COMMIT_PATIENCE_MS: u64 = 1_500;
 
 /// Time between tries.
-const PAUSE_MS: u64 = 60;
+const PAUSE: Duration = Duration::from_millis(60);
 
 /// A turn as it is stored: this head in its first row, before the first bytes.
 #[derive(Debug, Serialize, Deserialize)]
@@ -65,20 +63,16 @@
     if let Some(known) = lock(&state.shelf.cache).get(turn) {
         return Ok(known);
     }
-    let gives_up = ends.min(state.now().after(PATIENCE_MS));
+    let began = state.now();
     loop {
-        let result = read(state, turn).await;
-        state.note_call(&result);
-        match result {
+        state.store_up(began, ends).await?;
+        match read(state, turn).await {
             Ok(Some(found)) => {
                 keep(state, Arc::clone(turn), found.clone());
                 return Ok(found);
             }
             Ok(None) => return Err(Refusal::NoTurn),
-            Err(_) if state.now() >= gives_up => {
-                return Err(Refusal::NotRun(crate::serve::STORE_RETRY_MS));
-            }
-            Err(_) => pause().await,
+            Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
 }
@@ -97,16 +91,16 @@
     ends: Time,
 ) -> Result<(), Error> {
     let change = encode(turn, &content)?;
+    let gives_up = ends.min(state.now().after(COMMIT_PATIENCE_MS));
     loop {
-        let result = state.store.change(&change, CALL_MS).await;
-        state.note_call(&result);
-        match result {
+        let call = async |store: &Client, limit_ms| store.change(&change, limit_ms).await;
+        match state.call(Call::Write, call).await {
             Ok(_) => {
                 keep(state, Arc::clone(turn), content);
                 return Ok(());
             }
-            Err(error) if state.now() >= ends => return Err(error),
-            Err(_) => pause().await,
+            Err(error) if state.now() >= gives_up => return Err(error),
+            Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
 }
@@ -116,10 +110,6 @@
     lock(&state.shelf.cache).insert(turn, content, bytes);
 }
 
-async fn pause() {
-    tokio::time::sleep(std::time::Duration::from_millis(PAUSE_MS)).await;
-}
-
 /// Returns the part of a turn's rows: enough parts that none is near its rate.
 fn part(turn: &str) -> String {
     format!("p{:02x}", xxhash_rust::xxh3::xxh3_64(turn.as_bytes()) % 256)
@@ -157,10 +147,9 @@
     };
     let from = row_key(turn, 0);
     let end = format!("{turn}0");
-    let page = state
-        .store
-        .read(place, Some(&from), Some(&end), CALL_MS)
-        .await?;
+    let call =
+        async |store: &Client, limit_ms| store.read(place, Some(&from), Some(&end), limit_ms).await;
+    let page = state.call(Call::Read, call).await?;
     if page.rows.is_empty() {
         return Ok(None);
     }
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -10,6 +10,7 @@
 use basilramp_core::dispatch::call::{Head, Refusal};
 use basilramp_core::dispatch::config::{Engine, Kind, Route};
 use basilramp_core::dispatch::fleet::Key;
+use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::place::{self, Ask, Choice, Prompt};
 use basilramp_core::dispatch::route;
 use basilramp_core::dispatch::transcript::Draft;
@@ -27,10 +28,6 @@
 use crate::stream::Stream;
 use crate::{budget, exchange, history};
 
-/// When a caller may come back that was refused since the store can't be reached from here:
-/// soon, as its next try mostly meets another instance.
-pub(crate) const STORE_RETRY_MS: u64 = 150;
-
 /// When a caller may come back that was refused since no upstream took its request.
 const FULL_RETRY_MS: u64 = 250;
 
@@ -204,7 +201,8 @@
             ingress::answer(refusal, id).map(whole)
         }
     };
-    if is_chunked {
+    // Without the store, the caller's next connection mostly leads to a better instance.
+    if is_chunked || state.is_store_down() {
         let close = HeaderValue::from_static("close");
         response
             .headers_mut()
@@ -428,6 +426,6 @@
     match error {
         _ if sent > 0 => Refusal::Unknown,
         Error::Conflict => Refusal::BudgetSpent,
-        _ => Refusal::NotRun(STORE_RETRY_MS),
+        _ => Refusal::NotRun(outage::retry_after_hold_ms()),
     }
 }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -2,10 +2,13 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
 
 use basilramp_adapter::store;
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::call::Refusal;
 use basilramp_core::dispatch::fleet::Fleet;
+use basilramp_core::dispatch::outage::{self, Pace, Wait};
 use basilramp_core::dispatch::route::Table;
 use basilramp_process::clock::Source;
 use basilramp_process::event;
@@ -28,6 +31,8 @@
     pub(crate) shelf: Shelf,
     pub(crate) book: Book,
     fleet: Mutex<Fleet>,
+    read_pace: Mutex<Pace>,
+    write_pace: Mutex<Pace>,
     table: RwLock<Option<Arc<Table>>>,
     stopping: AtomicBool,
     /// When the store stopped answering, in milliseconds plus one; 0 while it answers.
@@ -46,6 +51,8 @@
             shelf: Shelf::open(cache_bytes),
             book: Book::default(),
             fleet: Mutex::default(),
+            read_pace: Mutex::default(),
+            write_pace: Mutex::default(),
             table: RwLock::default(),
             stopping: AtomicBool::new(false),
             store_down: AtomicU64::new(0),
@@ -124,8 +131,64 @@
 
     /// Tells whether the store has not answered for a while, so that waiting for it is idle.
     pub(crate) fn is_store_down(&self) -> bool {
-        let since = self.store_down.load(Ordering::Relaxed);
-        since > 0 && self.now().since(Time::from_ms(since - 1)) >= DOWN_MS
+        self.store_down_ms() >= DOWN_MS
+    }
+
+    /// Returns for how many milliseconds the store has not answered; 0 if it does.
+    pub(crate) fn store_down_ms(&self) -> u64 {
+        match self.store_down.load(Ordering::Relaxed) {
+            0 => 0,
+            since => self.now().since(Time::from_ms(since - 1)),
+        }
+    }
+
+    /// Makes a call of the store within the time that it usually takes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the call's error.
+    pub(crate) async fn call<T>(
+        &self,
+        kind: Call,
+        call: impl AsyncFnOnce(&store::Client, u64) -> Result<T, store::Error>,
+    ) -> Result<T, store::Error> {
+        let pace = match kind {
+            Call::Read => &self.read_pace,
+            Call::Write => &self.write_pace,
+        };
+        let limit_ms = lock(pace).limit_ms();
+        let began = self.now();
+        let result = call(&self.store, limit_ms).await;
+        let ms = self.now().since(began);
+        if ms >= limit_ms {
+            lock(pace).give_up(ms);
+        } else if !is_failure(&result) {
+            lock(pace).note(ms);
+        }
+        self.note_call(&result);
+        result
+    }
+
+    /// Waits until the store answers, for a request that ends at `ends` and has waited since
+    /// `began`. The feeds find out.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if it should wait no longer.
+    pub(crate) async fn store_up(&self, began: Time, ends: Time) -> Result<(), Refusal> {
+        loop {
+            let now = self.now();
+            if !self.is_store_down() && now < ends {
+                return Ok(());
+            }
+            match outage::wait(self.store_down_ms(), ends.since(began)) {
+                Wait::Refuse(retry_ms) => return Err(Refusal::NotRun(retry_ms)),
+                Wait::Hold(ms) if now.since(began) >= ms => {
+                    return Err(Refusal::NotRun(outage::retry_after_hold_ms()));
+                }
+                Wait::Hold(_) => tokio::time::sleep(STORE_PAUSE).await,
+            }
+        }
     }
 
     /// Notes what a call of the store came to.
@@ -143,10 +206,30 @@
 /// slowest usual answer takes.
 const DOWN_MS: u64 = 250;
 
+/// Time between two looks of a request that waits for the store.
+const STORE_PAUSE: Duration = Duration::from_millis(30);
+
+/// What a call of the store does: a write takes several times as long as a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Call {
+    /// It reads rows.
+    Read,
+    /// It changes rows.
+    Write,
+}
+
 /// One part in so many of the memory holds transcripts: the rest is for connections, bodies and
 /// the program itself.
 const CACHE_SHARE: usize = 6;
 
+/// Tells whether the store did not do what a call asked, or did not say.
+const fn is_failure<T>(result: &Result<T, store::Error>) -> bool {
+    matches!(
+        result,
+        Err(store::Error::NotDone(_) | store::Error::Unknown(_))
+    )
+}
+
 /// Locks a mutex; a panic of another holder leaves the value as it was.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
