Test the ingress as a process before stand-ins of the platform

The first run of these tests found two faults: a caller that left wrote no line (E0745 was listed and never logged), and a long poll that was answered from before an outage made the store count as back, so that the wait for the balancer began again.

Change: fakes::site has the platform's store (busy, silent, slow, losing answers, without history) and upstreams that register there; 41 tests run the binary. A request logs its end once, also when its caller leaves. Only a call that began after the store stopped answering shows that it is back. Three checks of the new tests were wrong at first: a store left silent for the next start, a wait counted from the wrong line, and a resumption that may follow either of the two events sent before the reset (the ids that reach the caller are checked whole).

--- /dev/null
+++ b/crates/daemon/tests/ingress/history.rs
@@ -0,0 +1,153 @@
+//! Turns are kept: whole, in order, and found by any instance.
+
+use basilramp_fakes::site::{Mode, Store};
+use http::StatusCode;
+
+use crate::support::{ANSWERS, Instance, Turn, site};
+
+fn chat<'a>(attempt: &'a str, previous: Option<&'a str>, input: &'a str) -> Turn<'a> {
+    Turn {
+        route: "chat",
+        attempt,
+        program: "p1",
+        previous,
+        budget: 10_000,
+        most: 100,
+        input,
+    }
+}
+
+async fn run(instance: &Instance, turn: Turn<'_>) -> StatusCode {
+    let reply = instance.send(turn.request()).await.unwrap();
+    assert!(reply.is_whole);
+    reply.status
+}
+
+#[tokio::test]
+async fn a_turn_gets_every_turn_before_it_at_any_instance() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let first = Instance::spawn(&store, "a").await;
+    let second = Instance::spawn(&store, "b").await;
+    assert_eq!(run(&first, chat("t1", None, "one,")).await, StatusCode::OK);
+    assert_eq!(
+        run(&second, chat("t2", Some("t1"), "two,")).await,
+        StatusCode::OK
+    );
+    assert_eq!(
+        run(&first, chat("t3", Some("t2"), "three,")).await,
+        StatusCode::OK
+    );
+    let bodies: Vec<_> = upstream.runs().into_iter().map(|run| run.body).collect();
+    assert_eq!(&bodies[0][..], b"one,");
+    assert_eq!(&bodies[1][..], b"one,t1\nt2\nt3\ntwo,");
+    assert_eq!(&bodies[2][..], b"one,t1\nt2\nt3\ntwo,t1\nt2\nt3\nthree,");
+}
+
+#[tokio::test]
+async fn two_turns_may_go_on_from_the_same_one() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    run(&instance, chat("t1", None, "one,")).await;
+    run(&instance, chat("t2", Some("t1"), "left,")).await;
+    run(&instance, chat("t3", Some("t1"), "right,")).await;
+    let bodies: Vec<_> = upstream.runs().into_iter().map(|run| run.body).collect();
+    assert_eq!(&bodies[1][..], b"one,t1\nt2\nt3\nleft,");
+    assert_eq!(&bodies[2][..], b"one,t1\nt2\nt3\nright,");
+}
+
+#[tokio::test]
+async fn turns_outlive_every_instance() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    run(&instance, chat("t1", None, "one,")).await;
+    drop(instance);
+    let instance = Instance::spawn(&store, "a").await;
+    let next = Turn {
+        program: "p2",
+        ..chat("t2", Some("t1"), "two,")
+    };
+    assert_eq!(run(&instance, next).await, StatusCode::OK);
+    assert_eq!(&upstream.runs()[1].body[..], b"one,t1\nt2\nt3\ntwo,");
+}
+
+#[tokio::test]
+async fn a_chain_longer_than_a_row_is_kept() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let first = Instance::spawn(&store, "a").await;
+    let second = Instance::spawn(&store, "b").await;
+    let long = "x".repeat(90_000);
+    run(&first, chat("t1", None, &long)).await;
+    assert_eq!(
+        run(&second, chat("t2", Some("t1"), "two,")).await,
+        StatusCode::OK
+    );
+    assert_eq!(
+        upstream.runs()[1].body.len(),
+        90_000 + "t1\nt2\nt3\ntwo,".len()
+    );
+}
+
+#[tokio::test]
+async fn a_turn_that_never_was_is_not_found() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    assert_eq!(
+        run(&instance, chat("t2", Some("t1"), "two,")).await,
+        StatusCode::NOT_FOUND
+    );
+    assert!(upstream.runs().is_empty());
+}
+
+/// Not finding a turn is no proof that it never was, unless the store said so.
+async fn doubt(store: &Store, mode: Mode) {
+    store.set_mode(Mode::Up);
+    let instance = Instance::spawn(store, "a").await;
+    store.set_mode(mode);
+    let turn = chat("t2", Some("t1"), "two,");
+    assert_eq!(
+        run(&instance, turn).await,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "{mode:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_turn_in_doubt_is_refused_as_not_run() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    doubt(&store, Mode::Busy).await;
+    doubt(&store, Mode::Silent).await;
+    assert!(upstream.runs().is_empty());
+}
+
+#[tokio::test]
+async fn an_answer_ends_only_once_its_turn_is_stored() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    // Grants and turns are written, but the store never says so.
+    store.set_mode(Mode::LosesAnswers);
+    let reply = instance
+        .send(chat("t1", None, "one,").request())
+        .await
+        .unwrap();
+    assert!(
+        !reply.is_whole,
+        "the answer ended before its turn was known to be stored"
+    );
+    assert_eq!(upstream.runs().len(), 1);
+}
+
+#[tokio::test]
+async fn a_store_that_answers_again_is_used_at_once() {
+    let (store, _upstreams) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_mode(Mode::Slow(300));
+    assert_eq!(
+        run(&instance, chat("t1", None, "one,")).await,
+        StatusCode::OK
+    );
+    store.set_mode(Mode::Up);
+    assert_eq!(
+        run(&instance, chat("t2", Some("t1"), "two,")).await,
+        StatusCode::OK
+    );
+}
--- /dev/null
+++ b/crates/daemon/tests/ingress/main.rs
@@ -0,0 +1,10 @@
+//! The ingress as a process, before stand-ins of the users' platform.
+
+mod budget;
+mod discovery;
+mod faults;
+mod history;
+mod outage;
+mod process;
+mod promises;
+mod support;
--- /dev/null
+++ b/crates/daemon/tests/ingress/outage.rs
@@ -0,0 +1,125 @@
+//! The store is away, slow, or loses answers.
+
+use std::time::{Duration, Instant};
+
+use basilramp_fakes::site::Mode;
+use http::StatusCode;
+
+use crate::support::{ANSWERS, Instance, Turn, plain, site, until};
+
+fn turn(attempt: &str) -> Turn<'_> {
+    Turn {
+        route: "advice",
+        attempt,
+        program: attempt,
+        previous: None,
+        budget: 1_000,
+        most: 100,
+        input: "question",
+    }
+}
+
+/// Waits until the balancer would have sent callers to other instances.
+async fn outlast_balancer(instance: &Instance) {
+    until("the outage is noticed", || async {
+        (!instance.events("E0711").is_empty()).then_some(())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+}
+
+#[tokio::test]
+async fn plain_calls_need_no_store() {
+    let (store, _upstreams) = site("app", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_mode(Mode::Busy);
+    for index in 0..5 {
+        let reply = instance
+            .send(plain("pay", &format!("t{index}")))
+            .await
+            .unwrap();
+        assert_eq!(reply.status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn callers_are_sent_elsewhere_while_the_store_is_away() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_mode(Mode::Busy);
+    until("the instance is not ready", || async {
+        (!instance.is_ready().await).then_some(())
+    })
+    .await;
+    let reply = instance.send(turn("t1").request()).await.unwrap();
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(reply.header("connection"), Some("close"));
+    assert!(upstream.runs().is_empty());
+    store.set_mode(Mode::Up);
+    until("the instance is ready", || async {
+        instance.is_ready().await.then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_long_outage_is_waited_for() {
+    let (store, _upstreams) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_mode(Mode::Busy);
+    outlast_balancer(&instance).await;
+    let request = turn("t1").request();
+    let back = async {
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        store.set_mode(Mode::Up);
+    };
+    let (reply, ()) = tokio::join!(instance.send(request), back);
+    assert_eq!(reply.unwrap().status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn what_is_held_in_vain_is_refused_before_its_deadline() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_mode(Mode::Silent);
+    until("the instance is not ready", || async {
+        (!instance.is_ready().await).then_some(())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(2_200)).await;
+    let began = Instant::now();
+    let reply = instance.send(turn("t1").request()).await.unwrap();
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(reply.retry_after().is_some());
+    assert!(
+        began.elapsed() < Duration::from_millis(3_000),
+        "{:?}",
+        began.elapsed()
+    );
+    assert!(upstream.runs().is_empty());
+}
+
+#[tokio::test]
+async fn a_slow_store_is_no_store_that_is_away() {
+    let (store, _upstreams) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_mode(Mode::Slow(250));
+    for index in 0..4 {
+        let name = format!("t{index}");
+        let reply = instance.send(turn(&name).request()).await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK);
+        assert!(reply.is_whole);
+    }
+}
+
+#[tokio::test]
+async fn a_grant_whose_answer_is_lost_is_found_again() {
+    let (store, [upstream]) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_mode(Mode::LosesAnswers);
+    let reply = instance.send(turn("t1").request()).await.unwrap();
+    assert_eq!(reply.status, StatusCode::OK);
+    assert!(reply.is_whole);
+    assert_eq!(upstream.runs().len(), 1);
+    assert_eq!(store.count("program"), 1);
+}
--- /dev/null
+++ b/crates/daemon/tests/ingress/support.rs
@@ -0,0 +1,302 @@
+//! Starts instances, and calls them.
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use basilramp_fakes::site::{Behaviour, Store, Upstream};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+
+/// The longest that anything which has to happen may take on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Tokens in an event of the stand-in's streams.
+pub(crate) const EVENT_TOKENS: u64 = 4;
+
+/// A running instance.
+pub(crate) struct Instance {
+    child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    lines: Arc<Mutex<Vec<Value>>>,
+    _folder: TempDir,
+}
+
+/// An answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: String,
+    /// The answer came to its proper end.
+    pub(crate) is_whole: bool,
+}
+
+impl Reply {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    pub(crate) fn retry_after(&self) -> Option<f64> {
+        self.header("retry-after")?.parse().ok()
+    }
+}
+
+impl Instance {
+    /// Starts an instance, and waits until it takes requests.
+    pub(crate) async fn spawn(store: &Store, name: &str) -> Self {
+        let instance = Self::spawn_unready(store, name).await;
+        instance.wait_ready().await;
+        instance
+    }
+
+    /// Starts an instance, and waits until it listens.
+    pub(crate) async fn spawn_unready(store: &Store, name: &str) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let settings = json!({
+            "instance": {"id": name, "failure_domain": "z1"},
+            "ingress": {
+                "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
+                "store": store.address().to_string(), "memory_mb": 130, "stop_ms": 8000,
+            },
+            "log": {"level": "debug"},
+        });
+        let path = folder.path().join("settings.jsonc");
+        fs::write(&path, settings.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_basilrampd"))
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stdout = child.stdout.take().unwrap();
+        let lines = Arc::new(Mutex::new(Vec::<Value>::new()));
+        let sink = Arc::clone(&lines);
+        std::thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                if let Ok(line) = serde_json::from_str(&line) {
+                    sink.lock().unwrap().push(line);
+                }
+            }
+        });
+        let find = || {
+            let lines = lines.lock().unwrap();
+            let line: &Value = lines.iter().find(|line| line["event"] == "E0701")?;
+            let address = |name: &str| line[name].as_str()?.parse::<SocketAddr>().ok();
+            Some((address("callers")?, address("ready")?))
+        };
+        let (callers, ready) = until("the instance listens", || async { find() }).await;
+        Self {
+            child,
+            callers,
+            ready,
+            lines,
+            _folder: folder,
+        }
+    }
+
+    async fn wait_ready(&self) {
+        until("the instance is ready", || async {
+            self.is_ready().await.then_some(())
+        })
+        .await;
+    }
+
+    /// Asks whether it is ready.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let request = Request::get("/readyz")
+            .header("host", "probe")
+            .body(Full::default());
+        let reply = send(self.ready, request.unwrap()).await;
+        reply.is_some_and(|reply| reply.status == StatusCode::OK)
+    }
+
+    /// Returns the log lines of an event.
+    pub(crate) fn events(&self, code: &str) -> Vec<Value> {
+        let lines = self.lines.lock().unwrap();
+        lines
+            .iter()
+            .filter(|line| line["event"] == code)
+            .cloned()
+            .collect()
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args(["-s", name, &id])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for its end.
+    pub(crate) async fn wait_end(&mut self) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < PATIENCE {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the instance still runs");
+    }
+
+    /// Sends a request, and reads its answer; none if the connection ends without one.
+    pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Option<Reply> {
+        send(self.callers, request).await
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until something is there.
+pub(crate) async fn until<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    mut look: impl FnMut() -> F,
+) -> T {
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        if let Some(found) = look().await {
+            return found;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("waited in vain: {what}");
+}
+
+async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Reply> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.ok()?;
+    let driver = tokio::spawn(connection);
+    let response = sender.send_request(request).await.ok();
+    let Some(response) = response else {
+        driver.abort();
+        return None;
+    };
+    let (head, mut body) = response.into_parts();
+    let mut text = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => text.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    Some(Reply {
+        status: head.status,
+        headers: head.headers,
+        body: String::from_utf8_lossy(&text).into_owned(),
+        is_whole,
+    })
+}
+
+/// Puts a configuration in the store: a plain safe route, a plain unsafe one, a stream that may
+/// be resumed, and one whose turns are kept.
+pub(crate) fn configure(store: &Store, version: u64) {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool, retained: bool| {
+        json!({
+            "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": kind,
+            "service": service, "timeout_ms": 4000, "slo_ms": 200, "priority": 1,
+            "max_attempts": 2, "retained": retained, "retention_s": 60.0, "sticky": true,
+            "resumable": resumable, "gap_target_ms": 400,
+        })
+    };
+    let config = json!({
+        "version": version,
+        "routes": [
+            route("read", "safe", "app", false, false),
+            route("pay", "unsafe", "app", false, false),
+            route("advice", "stream", "engine", true, false),
+            route("chat", "stream", "engine", false, true),
+        ],
+        "services": [
+            {"name": "app", "health_path": "/healthz", "max_conns": 9, "protocol": "h1"},
+            {"name": "engine", "health_path": "/healthz", "max_conns": 9, "protocol": "h1",
+             "engine": {"slots": 8, "kv_capacity": 9000, "chunk_tokens": EVENT_TOKENS}},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    });
+    store.put("op", "config", config.to_string().as_bytes());
+}
+
+/// A store with a configuration, and upstreams of a service.
+pub(crate) fn site<const N: usize>(
+    service: &str,
+    behaviours: [Behaviour; N],
+) -> (Store, [Upstream; N]) {
+    let store = Store::spawn();
+    configure(&store, 3);
+    let mut index = 0;
+    let upstreams = behaviours.map(|behaviour| {
+        index += 1;
+        Upstream::spawn(&store, &format!("i-{index}"), service, behaviour)
+    });
+    (store, upstreams)
+}
+
+/// An upstream that answers at once, streams with three events.
+pub(crate) const ANSWERS: Behaviour = Behaviour::Answer {
+    events: 3,
+    pause_ms: 0,
+};
+
+/// Makes a request on a plain route.
+pub(crate) fn plain(route: &str, attempt: &str) -> Request<Full<Bytes>> {
+    Request::post(format!("/{route}/x"))
+        .header("host", "a.example")
+        .header("attempt-id", attempt)
+        .header("deadline-ms", "3000")
+        .body(Full::from("order"))
+        .unwrap()
+}
+
+/// A turn of a program.
+pub(crate) struct Turn<'a> {
+    pub(crate) route: &'a str,
+    pub(crate) attempt: &'a str,
+    pub(crate) program: &'a str,
+    pub(crate) previous: Option<&'a str>,
+    pub(crate) budget: u64,
+    pub(crate) most: u64,
+    pub(crate) input: &'a str,
+}
+
+impl Turn<'_> {
+    /// Makes the request of the turn.
+    pub(crate) fn request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::post(format!("/{}/x", self.route))
+            .header("host", "a.example")
+            .header("attempt-id", self.attempt)
+            .header("program-id", self.program)
+            .header("session-id", self.program)
+            .header("program-deadline-ms", "5000")
+            .header("token-budget", self.budget)
+            .header("token-usage", format!("900,{}", self.most))
+            .header("prompt-prefix", "aa:800,bb:100")
+            .header("deadline-ms", "3500");
+        if let Some(previous) = self.previous {
+            request = request.header("previous-turn", previous);
+        }
+        request.body(Full::from(self.input.to_owned())).unwrap()
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod platform;
 pub mod relay;
 pub mod service;
+pub mod site;
 pub mod trial;
 
 pub use cluster::Cluster;
--- /dev/null
+++ b/crates/fakes/src/site.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for the users' platform: its store, and upstreams that register there.
+
+mod store;
+mod upstream;
+
+pub use store::{Mode, Store};
+pub use upstream::{Behaviour, Run, Upstream};
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -87,10 +87,13 @@
     /// Returns what changed, or the table whole; nothing after a failure.
     async fn next(&mut self, state: &State) -> Option<(Page, bool)> {
         let after = self.after;
+        if after.is_some() {
+            tokio::time::sleep(Duration::from_millis(self.pause_ms)).await;
+        }
+        let began = state.now();
         let result = match after {
             None => self.read_whole(state).await,
             Some(after) => {
-                tokio::time::sleep(Duration::from_millis(self.pause_ms)).await;
                 let limit_ms = self.wait_ms + ANSWER_MS;
                 let store = &state.store;
                 store
@@ -98,7 +101,7 @@
                     .await
             }
         };
-        state.note_call(&result);
+        state.note_call(&result, began);
         match result {
             Ok(page) => {
                 self.failures = 0;
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -49,8 +49,8 @@
     event!(
         log,
         Event::Listening,
-        "callers" => settings.callers.to_string(),
-        "ready" => settings.ready.to_string(),
+        "callers" => callers.local_addr()?.to_string(),
+        "ready" => probes.local_addr()?.to_string(),
         "store" => settings.store.to_string()
     );
     let state = State::open(settings, log);
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -1,6 +1,7 @@
 //! One request, from its head to its answer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use basilramp_adapter::store::Error;
@@ -80,6 +81,22 @@
     /// The upstream of the turn before.
     last: Option<Arc<str>>,
     pub(crate) times: Times,
+    /// Its end is in the log.
+    is_told: AtomicBool,
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        if !self.is_told.load(Ordering::Relaxed) {
+            event!(
+                self.state.log,
+                Event::CallerLeft,
+                "request" => &*self.attempt,
+                "attempts" => self.tried.len(),
+                "ms" => self.elapsed_ms()
+            );
+        }
+    }
 }
 
 /// When the steps of a request were done, in milliseconds from its arrival.
@@ -115,8 +132,14 @@
         self.state.now().since(self.arrived)
     }
 
+    /// Notes that the log says how the request ended.
+    pub(crate) fn told(&self) {
+        self.is_told.store(true, Ordering::Relaxed);
+    }
+
     /// Logs that the caller has its whole answer.
     pub(crate) fn answered(&self, choice: &Choice, status: u16, events: u64) {
+        self.told();
         let program = self.call.program.as_ref();
         event!(
             self.state.log,
@@ -268,10 +291,12 @@
         tried: Vec::new(),
         last: None,
         times: Times::default(),
+        is_told: AtomicBool::new(false),
         rank: route.rank,
         call,
     };
-    let (account, draft) = tokio::try_join!(look_up_budget(&job), load_history(&job, route))?;
+    let prepared = tokio::try_join!(look_up_budget(&job), load_history(&job, route));
+    let (account, draft) = prepared.inspect_err(|_| job.told())?;
     job.times.loaded = job.elapsed_ms();
     let line = job.call.program.as_ref().map(|program| &*program.line);
     let last = account
@@ -344,6 +369,7 @@
     let mut taken = None;
     loop {
         let Some(choice) = job.pick() else {
+            job.told();
             return Err(job.tries.refusal(FULL_RETRY_MS));
         };
         // The upstream reads the prompt while the store takes the grant.
@@ -372,12 +398,10 @@
             }
             Err(failure) => failure,
         };
-        match job.after(failure) {
-            Next::Retry => {}
-            Next::Give(refusal) if refusal == Refusal::Unknown && job.left_ms() == 0 => {
-                return Err(Refusal::TimedOut);
-            }
-            Next::Give(refusal) => return Err(refusal),
+        if let Next::Give(refusal) = job.after(failure) {
+            job.told();
+            let is_late = refusal == Refusal::Unknown && job.left_ms() == 0;
+            return Err(if is_late { Refusal::TimedOut } else { refusal });
         }
     }
 }
@@ -415,6 +439,7 @@
 
 /// Returns the answer to a turn without a grant that was sent to `sent` upstreams.
 fn ungranted(job: &Job, error: &Error, sent: u32) -> Refusal {
+    job.told();
     event!(
         job.state.log,
         Event::GrantFailed,
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -105,13 +105,15 @@
         !self.is_stopping() && self.table().is_some() && !self.is_store_down()
     }
 
-    /// Notes whether the store did what a call asked.
-    pub(crate) fn note_store(&self, result: Result<(), &str>) {
+    /// Notes whether the store did what a call that began at `began` asked.
+    fn note_store(&self, result: Result<(), &str>, began: Time) {
         let now = self.now();
         match result {
             Ok(()) => {
-                let since = self.store_down.swap(0, Ordering::Relaxed);
-                if since > 0 {
+                let since = self.store_down.load(Ordering::Relaxed);
+                // A call from before the outage may be answered within it.
+                if since > 0 && began.as_ms() + 1 >= since {
+                    self.store_down.store(0, Ordering::Relaxed);
                     let ms = now.since(Time::from_ms(since - 1));
                     event!(self.log, Event::StoreUp, "ms" => ms);
                     self.fleet().store_returned(now);
@@ -165,7 +167,7 @@
         } else if !is_failure(&result) {
             lock(pace).note(ms);
         }
-        self.note_call(&result);
+        self.note_call(&result, began);
         result
     }
 
@@ -191,13 +193,13 @@
         }
     }
 
-    /// Notes what a call of the store came to.
-    pub(crate) fn note_call<T>(&self, result: &Result<T, store::Error>) {
+    /// Notes what a call of the store that began at `began` came to.
+    pub(crate) fn note_call<T>(&self, result: &Result<T, store::Error>, began: Time) {
         match result {
             Err(store::Error::NotDone(error) | store::Error::Unknown(error)) => {
-                self.note_store(Err(error));
+                self.note_store(Err(error), began);
             }
-            _ => self.note_store(Ok(())),
+            _ => self.note_store(Ok(()), began),
         }
     }
 }
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -248,6 +248,7 @@
     }
 
     fn broken(&self, cause: &'static str) -> Broken {
+        self.job.told();
         event!(
             self.job.state.log,
             Event::Broken,
