Hold for under half of a caller's time; a silent feed is no outage

Change: 45% instead of 60%; only calls with an answer of their own tell whether the store is there; a spent budget is the refusal that it is.

--- a/crates/core/src/dispatch/outage.rs
+++ b/crates/core/src/dispatch/outage.rs
@@ -10,8 +10,8 @@
 const RETRY_MS: u64 = 400;
 
 /// Share of a caller's time, in percent, for which its request is held once no instance seems
-/// to reach the store. The rest is for its next try.
-const HOLD_PERCENT: u64 = 60;
+/// to reach the store. More than half is left for its next try at another instance.
+const HOLD_PERCENT: u64 = 45;
 
 /// The shortest limit of a call: many times what the store takes when it is well.
 const LEAST_LIMIT_MS: u64 = 400;
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -78,6 +78,15 @@
     version: u64,
 }
 
+/// Why a turn got no tokens.
+#[derive(Debug)]
+pub(crate) enum Denied {
+    /// Other turns have used up the budget meanwhile.
+    Spent,
+    /// The store did not take the grant in time.
+    Store(Error),
+}
+
 /// Tokens of one turn; what it did not hand out goes back when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Taken {
@@ -167,7 +176,7 @@
         mut self,
         line: Arc<str>,
         upstream: Arc<str>,
-    ) -> Result<Taken, Error> {
+    ) -> Result<Taken, Denied> {
         if self.missing == 0 {
             return Ok(self.taken);
         }
@@ -176,7 +185,7 @@
         let nonce = rand::random();
         loop {
             let Grant::Sum(sum) = grant(self.row.granted, self.budget, self.missing) else {
-                return Err(Error::Conflict);
+                return Err(Denied::Spent);
             };
             let row = self.row.clone().next(sum, nonce, &line, &upstream);
             let error = match write(&state, &self.taken.program, &row, self.version).await {
@@ -185,7 +194,7 @@
             };
             if error != Error::Conflict {
                 if state.now() >= gives_up {
-                    return Err(error);
+                    return Err(Denied::Store(error));
                 }
                 tokio::time::sleep(PAUSE).await;
             }
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -92,7 +92,13 @@
         }
         let began = state.now();
         let result = match after {
-            None => self.read_whole(state).await,
+            None => {
+                let result = self.read_whole(state).await;
+                state.note_call(&result, began);
+                result
+            }
+            // A feed may be cut or silent while the store does all else; the read of the whole
+            // table that follows tells.
             Some(after) => {
                 let limit_ms = self.wait_ms + ANSWER_MS;
                 let store = &state.store;
@@ -101,7 +107,6 @@
                     .await
             }
         };
-        state.note_call(&result, began);
         match result {
             Ok(page) => {
                 self.failures = 0;
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -24,10 +24,11 @@
 use hyper::body::Incoming;
 use tokio::task::JoinHandle;
 
+use crate::budget::{self, Denied};
 use crate::log_event::Event;
 use crate::state::State;
 use crate::stream::Stream;
-use crate::{budget, exchange, history};
+use crate::{exchange, history};
 
 /// When a caller may come back that was refused since no upstream took its request.
 const FULL_RETRY_MS: u64 = 250;
@@ -427,30 +428,32 @@
 /// Waits for the grant of a turn that has begun to run.
 async fn granted(
     job: &Job,
-    granting: JoinHandle<Result<budget::Taken, Error>>,
+    granting: JoinHandle<Result<budget::Taken, Denied>>,
 ) -> Result<budget::Taken, Refusal> {
-    let error = match granting.await {
+    let denied = match granting.await {
         Ok(Ok(taken)) => return Ok(taken),
-        Ok(Err(error)) => error,
-        Err(error) => Error::Unknown(error.to_string()),
+        Ok(Err(denied)) => denied,
+        Err(error) => Denied::Store(Error::Unknown(error.to_string())),
     };
-    Err(ungranted(job, &error, 1))
+    Err(ungranted(job, &denied, 1))
 }
 
 /// Returns the answer to a turn without a grant that was sent to `sent` upstreams.
-fn ungranted(job: &Job, error: &Error, sent: u32) -> Refusal {
+fn ungranted(job: &Job, denied: &Denied, sent: u32) -> Refusal {
     job.told();
-    event!(
-        job.state.log,
-        Event::GrantFailed,
-        "request" => &*job.attempt,
-        "error" => format!("{error:?}"),
-        "sent" => sent,
-        "ms" => job.elapsed_ms()
-    );
-    match error {
+    if let Denied::Store(error) = denied {
+        event!(
+            job.state.log,
+            Event::GrantFailed,
+            "request" => &*job.attempt,
+            "error" => format!("{error:?}"),
+            "sent" => sent,
+            "ms" => job.elapsed_ms()
+        );
+    }
+    match denied {
         _ if sent > 0 => Refusal::Unknown,
-        Error::Conflict => Refusal::BudgetSpent,
-        _ => Refusal::NotRun(outage::retry_after_hold_ms()),
+        Denied::Spent => Refusal::BudgetSpent,
+        Denied::Store(_) => Refusal::NotRun(outage::retry_after_hold_ms()),
     }
 }
