--- a/crates/core/tests/dispatch/place.rs
+++ b/crates/core/tests/dispatch/place.rs
@@ -71,10 +71,10 @@
     let mut last: Vec<Option<Choice>> = vec![None; 200];
     let mut read = 0;
     for turn in 0..TURNS {
-        for program in 0..200 {
+        for (program, last) in last.iter_mut().enumerate() {
             let parts = prompt(program as u64, turn);
             let subject = format!("p{program}");
-            let known = last[program].as_ref().map(|choice| choice.id.to_string());
+            let known = last.as_ref().map(|choice| choice.id.to_string());
             let known = known.as_deref().filter(|_| policy == Policy::Known);
             let mine = &mut fleets[rng.random_range(0..INSTANCES)];
             let mut ask = ask(&parts, &subject, known);
@@ -92,7 +92,7 @@
             mine.begin(choice.key, &parts, choice.unread, now);
             mine.prompt_read(choice.key, choice.unread);
             mine.end(choice.key, Outcome::Answered { ratio: None }, now);
-            last[program] = Some(choice);
+            *last = Some(choice);
         }
     }
     read
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -135,7 +135,7 @@
             Err(_) if missing == 0 => break (Row::default(), 0),
             up => up?,
         }
-        match read(state, program).await {
+        match read(state, program, ends).await {
             Ok(found) => break found,
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
@@ -188,7 +188,8 @@
                 return Err(Denied::Spent);
             };
             let row = self.row.clone().next(sum, nonce, &line, &upstream);
-            let error = match write(&state, &self.taken.program, &row, self.version).await {
+            let error = match write(&state, &self.taken.program, &row, self.version, gives_up).await
+            {
                 Ok(()) => return Ok(self.granted()),
                 Err(error) => error,
             };
@@ -198,7 +199,7 @@
                 }
                 tokio::time::sleep(PAUSE).await;
             }
-            if let Ok((row, version)) = read(&state, &self.taken.program).await {
+            if let Ok((row, version)) = read(&state, &self.taken.program, gives_up).await {
                 if row.grant == nonce {
                     return Ok(self.granted());
                 }
@@ -233,7 +234,13 @@
     }
 }
 
-async fn write(state: &State, program: &str, row: &Row, version: u64) -> Result<(), Error> {
+async fn write(
+    state: &State,
+    program: &str,
+    row: &Row,
+    version: u64,
+    ends: Time,
+) -> Result<(), Error> {
     let part = part(program);
     let place = Place {
         table: TABLE,
@@ -244,11 +251,11 @@
         .if_version(place, program, version)
         .write(place, program, &value);
     let call = async |store: &Client, limit_ms| store.change(&change, limit_ms).await;
-    state.call(Call::Write, call).await.map(|_| ())
+    state.call(Call::Write, ends, call).await.map(|_| ())
 }
 
 /// Reads a program's row and its version.
-async fn read(state: &State, program: &str) -> Result<(Row, u64), Error> {
+async fn read(state: &State, program: &str, ends: Time) -> Result<(Row, u64), Error> {
     let part = part(program);
     let place = Place {
         table: TABLE,
@@ -258,7 +265,7 @@
     let call = async |store: &Client, limit_ms| {
         store.read(place, Some(program), Some(&end), limit_ms).await
     };
-    let page = state.call(Call::Read, call).await?;
+    let page = state.call(Call::Read, ends, call).await?;
     let Some(row) = page.rows.into_iter().find(|row| &*row.key == program) else {
         return Ok((Row::default(), 0));
     };
--- a/crates/ingress/src/history.rs
+++ b/crates/ingress/src/history.rs
@@ -66,7 +66,7 @@
     let began = state.now();
     loop {
         state.store_up(began, ends).await?;
-        match read(state, turn).await {
+        match read(state, turn, ends).await {
             Ok(Some(found)) => {
                 keep(state, Arc::clone(turn), found.clone());
                 return Ok(found);
@@ -94,7 +94,7 @@
     let gives_up = ends.min(state.now().after(COMMIT_PATIENCE_MS));
     loop {
         let call = async |store: &Client, limit_ms| store.change(&change, limit_ms).await;
-        match state.call(Call::Write, call).await {
+        match state.call(Call::Write, gives_up, call).await {
             Ok(_) => {
                 keep(state, Arc::clone(turn), content);
                 return Ok(());
@@ -139,7 +139,7 @@
     format!("{turn}/{index:03}")
 }
 
-async fn read(state: &State, turn: &str) -> Result<Option<Turn>, Error> {
+async fn read(state: &State, turn: &str, ends: Time) -> Result<Option<Turn>, Error> {
     let part = part(turn);
     let place = Place {
         table: TABLE,
@@ -149,7 +149,7 @@
     let end = format!("{turn}0");
     let call =
         async |store: &Client, limit_ms| store.read(place, Some(&from), Some(&end), limit_ms).await;
-    let page = state.call(Call::Read, call).await?;
+    let page = state.call(Call::Read, ends, call).await?;
     if page.rows.is_empty() {
         return Ok(None);
     }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -165,7 +165,8 @@
         }
     }
 
-    /// Makes a call of the store within the time that it usually takes.
+    /// Makes a call of the store within the time that it usually takes, and within half of what
+    /// is left until `ends`, so that an answer can still follow.
     ///
     /// # Errors
     ///
@@ -173,17 +174,19 @@
     pub(crate) async fn call<T>(
         &self,
         kind: Call,
+        ends: Time,
         call: impl AsyncFnOnce(&store::Client, u64) -> Result<T, store::Error>,
     ) -> Result<T, store::Error> {
         let pace = match kind {
             Call::Read => &self.read_pace,
             Call::Write => &self.write_pace,
         };
-        let limit_ms = lock(pace).limit_ms();
         let began = self.now();
+        let usual_ms = lock(pace).limit_ms();
+        let limit_ms = usual_ms.min((ends.since(began) / 2).max(LEAST_CALL_MS));
         let result = call(&self.store, limit_ms).await;
         let ms = self.now().since(began);
-        if ms >= limit_ms {
+        if ms >= usual_ms {
             lock(pace).give_up(ms);
         } else if !is_failure(&result) {
             lock(pace).note(ms);
@@ -230,6 +233,9 @@
 /// slowest usual answer takes.
 const DOWN_MS: u64 = 250;
 
+/// The shortest limit of a call: several times what one takes when the store is well.
+const LEAST_CALL_MS: u64 = 50;
+
 /// Time between two looks of a request that waits for the store.
 const STORE_PAUSE: Duration = Duration::from_millis(30);
 
