Drop what nothing uses; say what SIGHUP does

Cause: loads told by other instances, expiry records and Request-Priority were prepared and have no writer; SIGHUP was logged as 'settings read again', which did not happen.

--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -63,10 +63,6 @@
     is_displaced: bool,
     /// What this instance has under way there.
     pub load: Load,
-    /// What other instances have under way there.
-    pub foreign: Load,
-    /// When they said so.
-    pub foreign_at: Time,
     /// Parts of prompts that it has read lately.
     pub prefixes: prefix::Set,
     failures: u32,
@@ -84,17 +80,6 @@
     pub unread_tokens: u64,
 }
 
-impl Load {
-    /// Returns both loads together.
-    #[must_use]
-    pub const fn plus(self, other: Self) -> Self {
-        Self {
-            requests: self.requests + other.requests,
-            unread_tokens: self.unread_tokens + other.unread_tokens,
-        }
-    }
-}
-
 /// Every upstream that is known.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -259,14 +244,6 @@
         }
     }
 
-    /// Takes in what another view says of the work that other instances have there.
-    pub fn set_foreign(&mut self, key: Key, load: Load, now: Time) {
-        if let Some(entry) = self.entries.get_mut(key) {
-            entry.foreign = load;
-            entry.foreign_at = now;
-        }
-    }
-
     fn takes_work(&self, entry: &Entry, now: Time) -> bool {
         if entry.upstream.is_draining || entry.is_displaced {
             return false;
@@ -288,8 +265,6 @@
             removed: None,
             is_displaced: false,
             load: Load::default(),
-            foreign: Load::default(),
-            foreign_at: Time::ZERO,
             prefixes: prefix::Set::default(),
             failures: 0,
             avoid_until: now,
@@ -311,20 +286,6 @@
 }
 
 impl Entry {
-    /// Returns all work under way that is known; what others said fades as it ages.
-    #[must_use]
-    pub fn known_load(&self, now: Time) -> Load {
-        /// What others have under way is over after about so long.
-        const FADES_MS: u64 = 2_000;
-        let age = now.since(self.foreign_at);
-        let share = FADES_MS.saturating_sub(age);
-        let faded = Load {
-            requests: (u64::from(self.foreign.requests) * share / FADES_MS) as u32,
-            unread_tokens: self.foreign.unread_tokens * share / FADES_MS,
-        };
-        self.load.plus(faded)
-    }
-
     /// Returns how much longer other upstreams are preferred, in milliseconds.
     #[must_use]
     pub const fn avoided_ms(&self, now: Time) -> u64 {
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -117,7 +117,7 @@
 }
 
 fn appraise(key: Key, entry: &Entry, ask: &Ask<'_>, is_home: bool, now: Time) -> Choice {
-    let load = entry.known_load(now);
+    let load = entry.load;
     let (unread, work_ms) = match ask.prompt {
         Some(prompt) => {
             let known = entry.prefixes.cached_tokens(prompt.parts);
--- a/crates/daemon/tests/ingress/process.rs
+++ b/crates/daemon/tests/ingress/process.rs
@@ -44,7 +44,7 @@
     let (store, _upstreams) = site("app", [ANSWERS]);
     let instance = Instance::spawn(&store, "a").await;
     instance.signal("HUP");
-    until("the reload is logged", || async {
+    until("the signal is logged", || async {
         (!instance.events("E0705").is_empty()).then_some(())
     })
     .await;
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -156,7 +156,6 @@
     let order = Order {
         upstream: &choice.id,
         deadline_ms: job.left_ms(),
-        priority: job.priority,
         last_event,
     };
     let request = upstream::request(&job.parts, job.body.clone(), &order);
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -9,8 +9,8 @@
     Stopping = "E0703", Info, "stopping";
     /// The process ends; `connections` were still open.
     Stopped = "E0704", Info, "stopped";
-    /// The settings file changed; what differs takes effect at the next start.
-    SettingsReloaded = "E0705", Info, "settings read again";
+    /// SIGHUP came; changed settings take effect at the next start.
+    HangupIgnored = "E0705", Info, "hangup ignored";
     /// A listener failed in a way that ends the process.
     Fatal = "E0706", Error, "fatal error";
     /// Lines of another event were left out, as there were too many in a second.
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -88,7 +88,7 @@
         tokio::select! {
             _ = terminate.recv() => return Ok("SIGTERM"),
             _ = interrupt.recv() => return Ok("SIGINT"),
-            _ = reload.recv() => event!(state.log, Event::SettingsReloaded),
+            _ = reload.recv() => event!(state.log, Event::HangupIgnored),
         }
     }
 }
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -75,7 +75,6 @@
     pub(crate) engine: Option<Engine>,
     pub(crate) arrived: Time,
     pub(crate) ends: Time,
-    pub(crate) priority: Option<u8>,
     /// How urgent its route is; 0 is the most urgent.
     pub(crate) rank: u8,
     pub(crate) tries: Tries,
@@ -307,7 +306,6 @@
         engine: known.and_then(|service| service.engine.clone()),
         arrived,
         ends,
-        priority: None,
         tries: Tries::default(),
         tried: Vec::new(),
         last: None,
