List the ingress's events, and hold the list to what is logged

Cause: docs/EVENTS.md and its test knew the daemon's list alone.

Change: the test reads both lists. It found E0706, which nothing logged: a listener that can't be bound ends the process with its cause on standard error and exit code 1. The event is dropped.

--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -5,11 +5,12 @@
 use std::path::Path;
 
 use basilramp_daemon::Event;
+use basilramp_ingress::Event as IngressEvent;
 
 const CATALOGUE: &str = include_str!("../../../docs/EVENTS.md");
 
-fn level(event: Event) -> &'static str {
-    match event.level() {
+fn level(level: slog::Level) -> &'static str {
+    match level {
         slog::Level::Error | slog::Level::Critical => "error",
         slog::Level::Warning => "warn",
         slog::Level::Info => "info",
@@ -17,10 +18,29 @@
     }
 }
 
-fn row_of_code(event: Event) -> Vec<String> {
-    [event.code(), level(event), event.name(), event.message()]
-        .map(str::to_owned)
-        .to_vec()
+/// Returns the rows of both lists of events, by number.
+fn rows_of_code() -> Vec<Vec<String>> {
+    let own = Event::ALL.iter().map(|event| {
+        [
+            event.code(),
+            level(event.level()),
+            event.name(),
+            event.message(),
+        ]
+    });
+    let ingress = IngressEvent::ALL.iter().map(|event| {
+        [
+            event.code(),
+            level(event.level()),
+            event.name(),
+            event.message(),
+        ]
+    });
+    let mut rows: Vec<_> = own.chain(ingress).collect();
+    rows.sort_unstable();
+    rows.iter()
+        .map(|row| row.map(str::to_owned).to_vec())
+        .collect()
 }
 
 fn row_of_page(line: &str) -> Vec<String> {
@@ -33,7 +53,7 @@
 
 #[test]
 fn catalogue_lists_the_events_of_the_code() {
-    let code: Vec<_> = Event::ALL.iter().copied().map(row_of_code).collect();
+    let code = rows_of_code();
     let page: Vec<_> = CATALOGUE
         .lines()
         .filter(|line| line.starts_with("| E"))
@@ -52,7 +72,10 @@
 
 #[test]
 fn numbers_are_unique_and_rise() {
-    let codes: Vec<_> = Event::ALL.iter().map(|event| event.code()).collect();
+    let codes: Vec<_> = rows_of_code()
+        .into_iter()
+        .map(|row| row[0].clone())
+        .collect();
     let unique: BTreeSet<_> = codes.iter().collect();
     assert_eq!(unique.len(), codes.len());
     assert!(codes.is_sorted());
@@ -72,21 +95,30 @@
     text
 }
 
-#[test]
-fn every_event_is_logged_somewhere() {
-    let text = sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"));
+/// Returns the names that no source of a package logs.
+fn unused(package: &str, names: impl Iterator<Item = &'static str>) -> Vec<&'static str> {
+    let text = sources(
+        &Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join(package)
+            .join("src"),
+    );
     let words: BTreeSet<&str> = text
         .split(|c: char| !c.is_alphanumeric() && c != ':')
         .collect();
-    let is_logged = |event: &&Event| {
-        let name = event.name();
-        words
-            .iter()
-            .any(|word| word.ends_with(&format!("Event::{name}")))
+    let is_logged = |name: &str| {
+        let wanted = format!("Event::{name}");
+        words.iter().any(|word| word.ends_with(&wanted))
     };
-    let unused: Vec<_> = Event::ALL
-        .iter()
-        .filter(|event| !is_logged(event))
-        .collect();
-    assert!(unused.is_empty(), "nothing logs {unused:?}");
+    names.filter(|name| !is_logged(name)).collect()
+}
+
+#[test]
+fn every_event_is_logged_somewhere() {
+    let own = unused(".", Event::ALL.iter().map(|event| event.name()));
+    assert!(own.is_empty(), "nothing logs {own:?}");
+    let ingress = unused(
+        "../ingress",
+        IngressEvent::ALL.iter().map(|event| event.name()),
+    );
+    assert!(ingress.is_empty(), "nothing logs {ingress:?}");
 }
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -11,8 +11,6 @@
     Stopped = "E0704", Info, "stopped";
     /// SIGHUP came; changed settings take effect at the next start.
     HangupIgnored = "E0705", Info, "hangup ignored";
-    /// A listener failed in a way that ends the process.
-    Fatal = "E0706", Error, "fatal error";
     /// Lines of another event were left out, as there were too many in a second.
     LinesLeftOut = "E0707", Warning, "log lines left out";
     /// The store does not answer.
@@ -45,6 +43,6 @@
 
 impl basilramp_process::log::Numbered for Event {
     fn is_synchronous(self) -> bool {
-        matches!(self, Self::Stopped | Self::Fatal)
+        matches!(self, Self::Stopped)
     }
 }
