--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -16,8 +16,8 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
+use crate::job::Job;
 use crate::log_event::Event;
-use crate::serve::Job;
 use crate::state::State;
 
 /// The longest whole answer that is held before it is passed on.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -7,6 +7,7 @@
 //! | `run` | starts the parts and stops them |
 //! | `server` | listeners and connections of callers |
 //! | `serve` | one request, from its head to its answer |
+//! | `job` | a request under way |
 //! | `exchange` | one attempt at an upstream |
 //! | `stream` | answers that are event streams |
 //! | `history`, `budget` | what the store keeps of programs |
@@ -14,13 +15,14 @@
 //! | `pool` | connections to upstreams |
 //! | `metric` | counters and latencies |
 //!
-//! Lock order: no lock of the shared [`state`] is held while another one is taken, nor across
-//! an await point.
+//! Lock order: the pool before the fleet; no other lock is held while one is taken, and none
+//! across an await point.
 
 mod budget;
 mod exchange;
 mod feed;
 mod history;
+mod job;
 mod log_event;
 mod metric;
 mod pool;
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -18,9 +18,10 @@
 use crate::budget::Taken;
 use crate::exchange::{self, Reply};
 use crate::history::{self, Turn};
+use crate::job::Job;
 use crate::log_event::Event;
 use crate::metric;
-use crate::serve::{Body, Broken, Job};
+use crate::serve::{Body, Broken};
 
 /// The longest pause of a resumable stream until another upstream goes on with it: several
 /// times the pause that callers accept.
