Refuse what comes late in a stop

Ruled out: closing the listener, which leaves callers with a connection that is refused and no time to come back; a longer stop, which ends all the same.

Change: three seconds after the signal new requests get 503 with 0.05 s to come back: nothing ran, and each request that was taken has over four seconds.

--- a/crates/daemon/tests/ingress/process.rs
+++ b/crates/daemon/tests/ingress/process.rs
@@ -29,6 +29,37 @@
     assert!(instance.wait_end().await);
 }
 
+/// The load: all instances of a zone stop one after the other, so the balancer still sends
+/// callers to each, late in its stop. What is taken then is cut off by the end.
+#[tokio::test]
+async fn late_in_a_stop_nothing_more_is_taken() {
+    let slow = Behaviour::Answer {
+        events: 1,
+        pause_ms: 3_700,
+    };
+    let (store, [upstream]) = site("app", [slow]);
+    let instance = Instance::spawn(&store, "a").await;
+    instance.signal("TERM");
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(3_300)).await;
+        instance.send(plain("pay", "late")).await
+    };
+    let held = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let mut request = plain("pay", "held");
+        request
+            .headers_mut()
+            .insert("deadline-ms", "4000".parse().unwrap());
+        instance.send(request).await
+    };
+    let (held, late) = tokio::join!(held, late);
+    assert_eq!(held.unwrap().status, StatusCode::OK);
+    let late = late.unwrap();
+    assert_eq!(late.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(late.retry_after().is_some());
+    assert_eq!(upstream.runs().len(), 1);
+}
+
 #[tokio::test]
 async fn a_stop_ends_within_its_time() {
     let (store, _upstreams) = site("app", [ANSWERS]);
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -17,8 +17,9 @@
 use crate::state::State;
 
 /// The least time from a stop signal to the end: the platform's balancer needs two probes, a
-/// second apart, to send new connections elsewhere.
-const LEAST_STOP_MS: u64 = 3_000;
+/// second apart, to send new connections elsewhere. Requests that come later are refused, so
+/// that each one taken has the rest of the stop for itself.
+pub(crate) const LEAST_STOP_MS: u64 = 3_000;
 
 /// Time between looks at the connections that are still open during a stop.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -34,6 +34,10 @@
 /// When a caller may come back that was refused since no configuration is known yet.
 const START_RETRY_MS: u64 = 300;
 
+/// When a caller may come back that met an instance at the end of its stop: at once, as its next
+/// connection mostly leads to another one.
+const CLOSING_RETRY_MS: u64 = 50;
+
 /// The answer's body.
 pub(crate) type Body = UnsyncBoxBody<Bytes, Broken>;
 
@@ -107,6 +111,9 @@
     arrived: Time,
 ) -> Result<Response<Body>, Refusal> {
     let attempt = call.attempt.clone().ok_or(Refusal::Malformed)?;
+    if state.is_closing() {
+        return Err(Refusal::NotRun(CLOSING_RETRY_MS));
+    }
     let table = state.table().ok_or(Refusal::NotRun(START_RETRY_MS))?;
     let host = host(&parts).ok_or(Refusal::Malformed)?;
     let route = table
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -1,6 +1,6 @@
 //! What the requests of an instance share.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::log_event::Event;
 use crate::metric::Metrics;
 use crate::pool::Pool;
+use crate::run::LEAST_STOP_MS;
 use crate::settings::Settings;
 
 /// What the requests of an instance share.
@@ -38,7 +39,8 @@
     quota: Mutex<Quota>,
     pub(crate) metrics: Metrics,
     table: RwLock<Option<Arc<Table>>>,
-    stopping: AtomicBool,
+    /// When a stop was asked for, in milliseconds plus one; 0 before.
+    stopping: AtomicU64,
     /// When the store stopped answering, in milliseconds plus one; 0 while it answers.
     store_down: AtomicU64,
 }
@@ -60,7 +62,7 @@
             quota: Mutex::new(Quota::new(LINES_PER_SECOND)),
             metrics,
             table: RwLock::default(),
-            stopping: AtomicBool::new(false),
+            stopping: AtomicU64::new(0),
             store_down: AtomicU64::new(0),
             settings,
         })
@@ -113,12 +115,21 @@
 
     /// Starts the stop.
     pub(crate) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        let mark = self.now().as_ms() + 1;
+        self.stopping.store(mark, Ordering::Relaxed);
     }
 
     /// Tells whether a stop was asked for.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.load(Ordering::Relaxed) > 0
+    }
+
+    /// Tells whether the stop is so far that a new request might be cut off by its end.
+    pub(crate) fn is_closing(&self) -> bool {
+        match self.stopping.load(Ordering::Relaxed) {
+            0 => false,
+            since => self.now().since(Time::from_ms(since - 1)) >= LEAST_STOP_MS,
+        }
     }
 
     /// Tells whether new connections of callers are welcome.
