Know the upstreams before being ready

An instance said it was ready once it had a configuration; on a busy machine requests came before it had read the upstreams' entries, and were refused as no upstream was known.

Change: readiness waits for the first whole read of the entries. The stop's test waits until its request runs instead of 300 ms, and checks that its late request comes within the three seconds in which it has to be taken.

--- a/crates/daemon/tests/ingress/discovery.rs
+++ b/crates/daemon/tests/ingress/discovery.rs
@@ -21,6 +21,26 @@
     .await;
 }
 
+/// Found by CI on a busy machine: an instance took requests before it knew any upstream.
+#[tokio::test]
+async fn without_the_upstreams_an_instance_is_not_ready() {
+    let (store, _upstreams) = site("app", [ANSWERS]);
+    store.hold(Some("servers"));
+    let instance = Instance::spawn_unready(&store, "a").await;
+    until("the configuration is in force", || async {
+        (!instance.events("E0721").is_empty()).then_some(())
+    })
+    .await;
+    assert!(!instance.is_ready().await);
+    store.hold(None);
+    until("the instance is ready", || async {
+        instance.is_ready().await.then_some(())
+    })
+    .await;
+    let reply = instance.send(plain("pay", "t1")).await.unwrap();
+    assert_eq!(reply.status, StatusCode::OK);
+}
+
 #[tokio::test]
 async fn an_older_configuration_is_passed_over() {
     let (store, _upstreams) = site("app", [ANSWERS]);
--- a/crates/daemon/tests/ingress/process.rs
+++ b/crates/daemon/tests/ingress/process.rs
@@ -11,21 +11,32 @@
 async fn a_stop_cuts_off_nothing() {
     let slow = Behaviour::Answer {
         events: 1,
-        pause_ms: 1_500,
+        pause_ms: 600,
     };
-    let (store, _upstreams) = site("app", [slow]);
+    let (store, [upstream]) = site("app", [slow]);
     let mut instance = Instance::spawn(&store, "a").await;
     let stop = async {
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        until("the request runs", || async {
+            (!upstream.runs().is_empty()).then_some(())
+        })
+        .await;
         instance.signal("TERM");
+        Instant::now()
     };
-    let (reply, ()) = tokio::join!(instance.send(plain("pay", "t1")), stop);
+    let (reply, signalled) = tokio::join!(instance.send(plain("pay", "t1")), stop);
     assert_eq!(reply.unwrap().status, StatusCode::OK);
     assert!(!instance.is_ready().await);
     // The balancer still sends new connections for a while.
     let late = instance.send(plain("pay", "t2")).await.unwrap();
-    assert_eq!(late.status, StatusCode::OK);
     assert_eq!(late.header("connection"), Some("close"));
+    // Three seconds after the signal it would be refused by design.
+    let is_early = signalled.elapsed() < Duration::from_millis(3_000);
+    assert!(
+        is_early,
+        "the machine is too busy: {:?}",
+        signalled.elapsed()
+    );
+    assert_eq!(late.status, StatusCode::OK);
     assert!(instance.wait_end().await);
 }
 
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -50,6 +50,8 @@
     /// Feeds from before this version are refused.
     oldest: u64,
     mode: Mode,
+    /// Reads of this table are not answered.
+    held: Option<String>,
     reads: u64,
     writes: u64,
 }
@@ -107,6 +109,7 @@
                 version: 1,
                 oldest: 0,
                 mode: Mode::Up,
+                held: None,
                 reads: 0,
                 writes: 0,
             }),
@@ -131,6 +134,11 @@
         self.shared.lock().mode = mode;
     }
 
+    /// Answers no reads of a table, or of none.
+    pub fn hold(&self, table: Option<&str>) {
+        self.shared.lock().held = table.map(str::to_owned);
+    }
+
     /// Writes a row of the empty part, as the operator or an upstream does.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         self.shared
@@ -259,6 +267,10 @@
         Mode::Up | Mode::LosesAnswers => {}
     }
     let query = query(request.uri().query().unwrap_or_default());
+    let is_held = shared.lock().held.as_ref() == query.get("table");
+    if is_held && query.contains_key("table") {
+        std::future::pending::<()>().await;
+    }
     match request.uri().path() {
         "/rows-get" => {
             let mut inner = shared.lock();
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -205,6 +205,7 @@
     }
     if is_whole {
         state.fleet().replace(upstreams, now);
+        state.fleet_known();
     }
 }
 
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -1,6 +1,6 @@
 //! What the requests of an instance share.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -39,6 +39,8 @@
     quota: Mutex<Quota>,
     pub(crate) metrics: Metrics,
     table: RwLock<Option<Arc<Table>>>,
+    /// The entries of upstreams were read whole once.
+    knows_fleet: AtomicBool,
     /// When a stop was asked for, in milliseconds plus one; 0 before.
     stopping: AtomicU64,
     /// When the store stopped answering, in milliseconds plus one; 0 while it answers.
@@ -62,6 +64,7 @@
             quota: Mutex::new(Quota::new(LINES_PER_SECOND)),
             metrics,
             table: RwLock::default(),
+            knows_fleet: AtomicBool::new(false),
             stopping: AtomicU64::new(0),
             store_down: AtomicU64::new(0),
             settings,
@@ -113,6 +116,11 @@
         is_newer
     }
 
+    /// Notes that the entries of upstreams were read whole.
+    pub(crate) fn fleet_known(&self) {
+        self.knows_fleet.store(true, Ordering::Relaxed);
+    }
+
     /// Starts the stop.
     pub(crate) fn stop(&self) {
         let mark = self.now().as_ms() + 1;
@@ -134,7 +142,8 @@
 
     /// Tells whether new connections of callers are welcome.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.table().is_some() && !self.is_store_down()
+        let knows_all = self.table().is_some() && self.knows_fleet.load(Ordering::Relaxed);
+        knows_all && !self.is_stopping() && !self.is_store_down()
     }
 
     /// Notes whether the store did what a call that began at `began` asked.
