Keep parts of the store that are away apart from the store; grant tokens ahead

The log of all instances showed two faults. A part of the store answered 503 (27% of the parts were away), and the instance took the whole store to be away, flapping 1,557 times. Then, out of rotation and without a caller, nothing ever cleared the mark: front-tx-a-1 stayed not ready from 12.5 s to the end, as only failed polls of the feeds were noted.

Ruled out: a lost poll (polls went on well all the while); slow starts (ready 10 ms after start).

Change: core::dispatch::outage::Health judges calls part by part. Only the tables that are followed tell whether the store as a whole is away, and are asked at once when calls fail. A request whose part is away is held, as no other instance reaches it, and one in 150 ms tries it. Grants hold some tokens ahead, up to a quarter of the budget, so that turns which follow at an instance need no call and go on in an outage. A turn waits for its grant only if four, not eight, turns of the most are left.

Tests, failing before: ingress outage::an_instance_without_callers_learns_that_the_store_is_back, outage::parts_that_are_away_hold_back_their_own_turns_alone; core dispatch outage and allowance.

--- a/crates/core/tests/dispatch/allowance.rs
+++ b/crates/core/tests/dispatch/allowance.rs
@@ -1,7 +1,7 @@
 //! Budgets over many instances, with every kind of loss between them.
 
 use basilramp_core::clock::Time;
-use basilramp_core::dispatch::allowance::{Grant, Ledger, grant};
+use basilramp_core::dispatch::allowance::{Grant, Granted, Ledger, grant};
 use proptest::prelude::*;
 
 /// What an instance does with a turn.
@@ -40,25 +40,32 @@
         const MOST: u64 = 135;
         let program = std::sync::Arc::from("p1");
         let now = Time::ZERO;
-        let mut granted = 0;
+        let mut granted = Granted::default();
         let mut handed_out = 0;
         let mut ledgers: Vec<_> = (0..4).map(|_| Ledger::default()).collect();
         for step in steps {
             let ledger = &mut ledgers[step.instance];
             let held = ledger.take(&program, MOST, now);
             let mut may_run = held == MOST;
+            let mut ahead = 0;
             for _ in 0..=usize::from(step.loses_answer) {
-                if held < MOST && let Grant::Sum(sum) = grant(granted, budget, MOST - held) {
-                    granted = sum;
+                let missing = MOST - held;
+                if missing > 0
+                    && let Grant::Tokens(tokens, row) = grant(granted, budget, missing, ledger.usual())
+                {
+                    granted = row;
                     may_run = true;
+                    ahead = tokens - missing;
                 }
             }
+            ledger.put(&program, ahead, 0, now);
             if may_run {
                 handed_out += step.spends;
-                ledger.put(&program, MOST - step.spends, now);
+                ledger.put(&program, MOST - step.spends, step.spends, now);
             } else {
-                ledger.put(&program, held, now);
+                ledger.put(&program, held, 0, now);
             }
+            prop_assert!(granted.ahead <= budget / 4, "{granted:?}");
             if step.dies {
                 ledgers[step.instance] = Ledger::default();
             }
@@ -67,16 +74,70 @@
     }
 }
 
+/// What a program was granted when no turn was granted anything ahead.
+const fn granted(tokens: u64) -> Granted {
+    Granted { tokens, ahead: 0 }
+}
+
 #[test]
 fn a_spent_budget_grants_nothing() {
-    assert_eq!(grant(100, 100, 1), Grant::Spent);
-    assert_eq!(grant(99, 100, 135), Grant::Sum(234));
+    assert_eq!(grant(granted(100), 100, 1, 30.0), Grant::Spent);
+    let last = Grant::Tokens(135, granted(234));
+    assert_eq!(grant(granted(99), 100, 135, 30.0), last);
+}
+
+/// Turns hand out a fifth of what they may: one grant serves those that follow at the instance.
+#[test]
+fn turns_that_follow_at_an_instance_need_no_grant() {
+    const MOST: u64 = 136;
+    const SPENT: u64 = 24;
+    let mut ledger = Ledger::default();
+    let other = std::sync::Arc::from("other");
+    for _ in 0..100 {
+        ledger.put(&other, 0, SPENT, Time::ZERO);
+    }
+    let program = std::sync::Arc::from("p1");
+    let mut row = Granted::default();
+    let mut grants = 0;
+    for _ in 0..9 {
+        let held = ledger.take(&program, MOST, Time::ZERO);
+        if held < MOST {
+            let next = grant(row, 1_900, MOST - held, ledger.usual());
+            let Grant::Tokens(tokens, next) = next else {
+                panic!("spent at {row:?}");
+            };
+            row = next;
+            grants += 1;
+            ledger.put(&program, tokens - (MOST - held), 0, Time::ZERO);
+        }
+        ledger.put(&program, MOST - SPENT, SPENT, Time::ZERO);
+    }
+    assert!(grants <= 3, "{grants} grants");
+}
+
+#[test]
+fn a_program_of_one_turn_keeps_most_of_its_budget() {
+    let Grant::Tokens(tokens, row) = grant(Granted::default(), 300, 136, 100.0) else {
+        panic!("a new program has its whole budget");
+    };
+    assert_eq!((tokens, row.ahead), (136 + 75, 75));
+}
+
+#[test]
+fn an_instance_knows_where_the_lines_that_ran_there_ran() {
+    let mut ledger = Ledger::default();
+    let program = std::sync::Arc::from("p1");
+    ledger.note_line(&program, 7, &"i-1".into(), Time::ZERO);
+    ledger.note_line(&program, 7, &"i-2".into(), Time::ZERO);
+    assert_eq!(ledger.line("p1", 7).map(|id| &**id), Some("i-2"));
+    assert_eq!(ledger.line("p1", 8), None);
+    assert_eq!(ledger.line("p2", 7), None);
 }
 
 #[test]
 fn what_is_left_over_is_forgotten_after_a_while() {
     let mut ledger = Ledger::default();
-    ledger.put(&"p1".into(), 50, Time::ZERO);
+    ledger.put(&"p1".into(), 50, 0, Time::ZERO);
     ledger.expire(Time::from_ms(59_999));
     assert_eq!(ledger.take("p1", 10, Time::from_ms(59_999)), 10);
     ledger.expire(Time::from_ms(200_000));
--- a/crates/daemon/tests/ingress/outage.rs
+++ b/crates/daemon/tests/ingress/outage.rs
@@ -123,3 +123,57 @@
     assert_eq!(upstream.runs().len(), 1);
     assert_eq!(store.count("program"), 1);
 }
+
+/// Endings of the names of all parts but that of the feeds.
+const ALL_PARTS: [char; 16] = [
+    '0', '1', '2', '3', '4', '5', '6', '7', '8', '9', 'a', 'b', 'c', 'd', 'e', 'f',
+];
+
+/// Calls fail while the feeds' polls wait, and no caller comes after them.
+#[tokio::test]
+async fn an_instance_without_callers_learns_that_the_store_is_back() {
+    let (store, _upstreams) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_away(&ALL_PARTS);
+    let began = Instant::now();
+    let mut index = 0;
+    while began.elapsed() < Duration::from_millis(600) {
+        let attempt = format!("t{index}");
+        index += 1;
+        let reply = instance.send(turn(&attempt).request()).await.unwrap();
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    store.set_away(&[]);
+    until("the instance is ready", || async {
+        instance.is_ready().await.then_some(())
+    })
+    .await;
+}
+
+/// Half of the parts are away; an instance that left for that would help nobody.
+#[tokio::test]
+async fn parts_that_are_away_hold_back_their_own_turns_alone() {
+    let (store, _upstreams) = site("engine", [ANSWERS]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_away(&ALL_PARTS[..8]);
+    let names: Vec<_> = (0..40).map(|index| format!("t{index}")).collect();
+    let sent = names.iter().map(|name| instance.send(turn(name).request()));
+    let replies = futures_util::future::join_all(sent).await;
+    assert!(instance.is_ready().await);
+    let count = |status| {
+        let replies = replies.iter().flatten();
+        replies.filter(|reply| reply.status == status).count()
+    };
+    let served = count(StatusCode::OK);
+    assert!((5..35).contains(&served), "{served} of 40 served");
+    assert_eq!(served + count(StatusCode::SERVICE_UNAVAILABLE), 40);
+    let (reads, _) = store.calls();
+    assert!(reads < 400, "{reads} reads for 40 turns");
+    store.set_away(&[]);
+    let held = names.iter().zip(&replies).find(|(_, reply)| {
+        let reply = reply.as_ref();
+        reply.is_some_and(|reply| reply.status != StatusCode::OK)
+    });
+    let again = turn(held.unwrap().0).request();
+    assert_eq!(instance.send(again).await.unwrap().status, StatusCode::OK);
+}
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -52,6 +52,8 @@
     mode: Mode,
     /// Reads of this table are not answered.
     held: Option<String>,
+    /// Calls of parts whose names end with one of these are refused with 503.
+    away: Vec<char>,
     reads: u64,
     writes: u64,
 }
@@ -110,6 +112,7 @@
                 oldest: 0,
                 mode: Mode::Up,
                 held: None,
+                away: Vec::new(),
                 reads: 0,
                 writes: 0,
             }),
@@ -139,6 +142,11 @@
         self.shared.lock().held = table.map(str::to_owned);
     }
 
+    /// Refuses calls of the parts whose names end with one of these.
+    pub fn set_away(&self, ends: &[char]) {
+        self.shared.lock().away = ends.to_vec();
+    }
+
     /// Writes a row of the empty part, as the operator or an upstream does.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         self.shared
@@ -193,6 +201,10 @@
             .insert((table.into(), part.into(), key.into()), row);
     }
 
+    fn is_away(&self, part: &str) -> bool {
+        self.away.iter().any(|end| part.ends_with(*end))
+    }
+
     fn version_of(&self, condition: &Condition) -> u64 {
         let name = (
             condition.table.clone(),
@@ -275,6 +287,9 @@
         "/rows-get" => {
             let mut inner = shared.lock();
             inner.reads += 1;
+            if query.get("part").is_some_and(|part| inner.is_away(part)) {
+                return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+            }
             Ok(answer(StatusCode::OK, &inner.read(&query)))
         }
         "/rows-feed" => Ok(feed(&shared, &query).await),
@@ -290,12 +305,19 @@
         .await
         .map_err(|_| Closed)?
         .to_bytes();
-    let Ok(transaction) = serde_json::from_slice(&body) else {
+    let Ok(transaction) = serde_json::from_slice::<Transaction>(&body) else {
         return Ok(answer(StatusCode::BAD_REQUEST, &json!({})));
     };
     let (is_done, version) = {
         let mut inner = shared.lock();
         inner.writes += 1;
+        if transaction
+            .writes
+            .iter()
+            .any(|write| inner.is_away(&write.part))
+        {
+            return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+        }
         (inner.apply(transaction), inner.version)
     };
     shared.changed.notify_waiters();
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -8,12 +8,12 @@
 
 use basilramp_adapter::store::{Change, Client, Error, Place};
 use basilramp_core::clock::Time;
-use basilramp_core::dispatch::allowance::{Grant, Ledger, grant};
-use basilramp_core::dispatch::call::Refusal;
+use basilramp_core::dispatch::allowance::{Grant, Granted, Ledger, grant};
+use basilramp_core::dispatch::call::{Program, Refusal};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::state::{Call, State, lock};
+use crate::state::{Call, State, lock, part};
 
 /// The table of programs.
 const TABLE: &str = "program";
@@ -22,9 +22,9 @@
 /// which callers leave a stream.
 const GRANT_PATIENCE_MS: u64 = 1_800;
 
-/// Turns that a program may have begun elsewhere since its row was read: the sub-agents that it
-/// starts at once.
-const NEAR_END_TURNS: u64 = 8;
+/// Turns that a program may have begun elsewhere since its row was read some milliseconds ago:
+/// about the sub-agents that it starts at once.
+const NEAR_END_TURNS: u64 = 4;
 
 /// Time between tries.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -37,6 +37,8 @@
 struct Row {
     /// Tokens granted to all turns.
     granted: u64,
+    /// Those of them that were granted ahead.
+    ahead: u64,
     /// The grant that wrote it; tells its writer that a lost answer was a success.
     grant: u64,
     /// Where its lines ran, the latest last.
@@ -74,6 +76,11 @@
     /// The most tokens of the turn.
     most: u64,
     budget: u64,
+    /// Hash of the line's id.
+    line: u64,
+    /// Where the line ran last, if it ran at this instance.
+    last: Option<Arc<str>>,
+    /// The program's row as it was read; as if there were none where nothing has to be granted.
     row: Row,
     version: u64,
 }
@@ -93,19 +100,22 @@
     state: Arc<State>,
     program: Arc<str>,
     tokens: u64,
+    spent: u64,
 }
 
 impl Taken {
     /// Notes tokens that are handed out.
     pub(crate) fn spend(&mut self, tokens: u64) {
         self.tokens = self.tokens.saturating_sub(tokens);
+        self.spent += tokens;
     }
 }
 
 impl Drop for Taken {
     fn drop(&mut self) {
         let now = self.state.now();
-        lock(&self.state.book.ledger).put(&self.program, self.tokens, now);
+        let mut ledger = lock(&self.state.book.ledger);
+        ledger.put(&self.program, self.tokens, self.spent, now);
     }
 }
 
@@ -116,50 +126,65 @@
 /// Refuses the turn if the budget is spent, or the store can't say in time.
 pub(crate) async fn look_up(
     state: &Arc<State>,
-    program: &Arc<str>,
+    program: &Program,
     budget: u64,
     most: u64,
     ends: Time,
 ) -> Result<Account, Refusal> {
-    let held = lock(&state.book.ledger).take(program, most, state.now());
-    let taken = Taken {
-        state: Arc::clone(state),
-        program: Arc::clone(program),
-        tokens: held,
+    let line = xxh3_64(program.line.as_bytes());
+    let (held, last) = {
+        let mut ledger = lock(&state.book.ledger);
+        let held = ledger.take(&program.id, most, state.now());
+        (held, ledger.line(&program.id, line).cloned())
+    };
+    let mut account = Account {
+        taken: Taken {
+            state: Arc::clone(state),
+            program: Arc::clone(&program.id),
+            tokens: held,
+            spent: 0,
+        },
+        missing: most - held,
+        most,
+        budget,
+        line,
+        last,
+        row: Row::default(),
+        version: 0,
     };
-    let missing = most - held;
+    if account.missing == 0 && account.last.is_some() {
+        return Ok(account);
+    }
     let began = state.now();
-    let (row, version) = loop {
-        match state.store_up(began, ends).await {
+    let part = part(&program.id);
+    loop {
+        match state.part_up(&part, began, ends).await {
             // What is held needs no grant; only the last upstream isn't known.
-            Err(_) if missing == 0 => break (Row::default(), 0),
+            Err(_) if account.missing == 0 => return Ok(account),
             up => up?,
         }
-        match read(state, program, ends).await {
-            Ok(found) => break found,
+        match read(state, &program.id, ends).await {
+            Ok((row, version)) => {
+                account.row = row;
+                account.version = version;
+                break;
+            }
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
-    };
-    if missing > 0 && grant(row.granted, budget, missing) == Grant::Spent {
+    }
+    if account.missing > 0 && account.next_grant() == Grant::Spent {
         return Err(Refusal::BudgetSpent);
     }
-    Ok(Account {
-        taken,
-        missing,
-        most,
-        budget,
-        row,
-        version,
-    })
+    Ok(account)
 }
 
 impl Account {
-    /// Returns the upstream where a line ran last, or else the program's latest one.
-    pub(crate) fn last(&self, line: &str) -> Option<&Arc<str>> {
-        let id = xxh3_64(line.as_bytes());
+    /// Returns the upstream where the line ran last, or else the program's latest one.
+    pub(crate) fn last(&self) -> Option<&Arc<str>> {
         let lines = &self.row.lines;
-        let found = lines.iter().find(|line| line.id == id);
-        found.or(lines.last()).map(|line| &line.upstream)
+        let noted = lines.iter().find(|line| line.id == self.line);
+        let told = noted.or(lines.last()).map(|line| &line.upstream);
+        self.last.as_ref().or(told)
     }
 
     /// Tells whether other turns under way may use up what is left of the budget.
@@ -172,25 +197,22 @@
     /// # Errors
     ///
     /// Fails if the budget is spent by now or the store does not take the grant in time.
-    pub(crate) async fn grant(
-        mut self,
-        line: Arc<str>,
-        upstream: Arc<str>,
-    ) -> Result<Taken, Denied> {
+    pub(crate) async fn grant(mut self, upstream: Arc<str>) -> Result<Taken, Denied> {
+        let state = Arc::clone(&self.taken.state);
+        let program = Arc::clone(&self.taken.program);
+        lock(&state.book.ledger).note_line(&program, self.line, &upstream, state.now());
         if self.missing == 0 {
             return Ok(self.taken);
         }
-        let state = Arc::clone(&self.taken.state);
         let gives_up = state.now().after(GRANT_PATIENCE_MS);
         let nonce = rand::random();
         loop {
-            let Grant::Sum(sum) = grant(self.row.granted, self.budget, self.missing) else {
+            let Grant::Tokens(tokens, granted) = self.next_grant() else {
                 return Err(Denied::Spent);
             };
-            let row = self.row.clone().next(sum, nonce, &line, &upstream);
-            let error = match write(&state, &self.taken.program, &row, self.version, gives_up).await
-            {
-                Ok(()) => return Ok(self.granted()),
+            let row = self.row.clone().next(granted, nonce, self.line, &upstream);
+            let error = match write(&state, &program, &row, self.version, gives_up).await {
+                Ok(()) => return Ok(self.granted(tokens)),
                 Err(error) => error,
             };
             if error != Error::Conflict {
@@ -199,9 +221,9 @@
                 }
                 tokio::time::sleep(PAUSE).await;
             }
-            if let Ok((row, version)) = read(&state, &self.taken.program, gives_up).await {
+            if let Ok((row, version)) = read(&state, &program, gives_up).await {
                 if row.grant == nonce {
-                    return Ok(self.granted());
+                    return Ok(self.granted(tokens));
                 }
                 self.row = row;
                 self.version = version;
@@ -209,15 +231,27 @@
         }
     }
 
-    fn granted(mut self) -> Taken {
+    fn next_grant(&self) -> Grant {
+        let granted = Granted {
+            tokens: self.row.granted,
+            ahead: self.row.ahead,
+        };
+        let usual = lock(&self.taken.state.book.ledger).usual();
+        grant(granted, self.budget, self.missing, usual)
+    }
+
+    /// Takes the tokens that the turn may need, and leaves the rest to those after it.
+    fn granted(mut self, tokens: u64) -> Taken {
         self.taken.tokens += self.missing;
+        let rest = tokens - self.missing;
+        let state = &self.taken.state;
+        lock(&state.book.ledger).put(&self.taken.program, rest, 0, state.now());
         self.taken
     }
 }
 
 impl Row {
-    fn next(mut self, granted: u64, grant: u64, line: &str, upstream: &Arc<str>) -> Self {
-        let id = xxh3_64(line.as_bytes());
+    fn next(mut self, granted: Granted, grant: u64, id: u64, upstream: &Arc<str>) -> Self {
         self.lines.retain(|line| line.id != id);
         if self.lines.len() >= MAX_LINES {
             self.lines.remove(0);
@@ -227,7 +261,8 @@
             upstream: Arc::clone(upstream),
         });
         Self {
-            granted,
+            granted: granted.tokens,
+            ahead: granted.ahead,
             grant,
             lines: self.lines,
         }
@@ -251,7 +286,7 @@
         .if_version(place, program, version)
         .write(place, program, &value);
     let call = async |store: &Client, limit_ms| store.change(&change, limit_ms).await;
-    state.call(Call::Write, ends, call).await.map(|_| ())
+    state.call(Call::Write, &part, ends, call).await.map(|_| ())
 }
 
 /// Reads a program's row and its version.
@@ -265,7 +300,7 @@
     let call = async |store: &Client, limit_ms| {
         store.read(place, Some(program), Some(&end), limit_ms).await
     };
-    let page = state.call(Call::Read, ends, call).await?;
+    let page = state.call(Call::Read, &part, ends, call).await?;
     let Some(row) = page.rows.into_iter().find(|row| &*row.key == program) else {
         return Ok((Row::default(), 0));
     };
@@ -274,8 +309,3 @@
         postcard::from_bytes(&value).map_err(|error| Error::Malformed(error.to_string()))?;
     Ok((content, row.version))
 }
-
-/// Returns the part of a program's row: enough parts that none is near its rate.
-fn part(program: &str) -> String {
-    format!("p{:02x}", xxh3_64(program.as_bytes()) % 256)
-}
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -6,6 +6,7 @@
 use basilramp_adapter::store::{Error, Page, Place, Row};
 use basilramp_adapter::{config, discovery};
 use basilramp_core::dispatch::fleet::Change;
+use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::route::Table;
 use basilramp_process::event;
 use rand::Rng;
@@ -92,21 +93,25 @@
         }
         let began = state.now();
         let result = match after {
-            None => {
-                let result = self.read_whole(state).await;
-                state.note_call(&result, began);
-                result
-            }
-            // A feed may be cut or silent while the store does all else; the read of the whole
-            // table that follows tells.
+            None => self.read_whole(state).await,
             Some(after) => {
                 let limit_ms = self.wait_ms + ANSWER_MS;
                 let store = &state.store;
-                store
-                    .changes(self.table, after, self.wait_ms, limit_ms)
-                    .await
+                let changes = store.changes(self.table, after, self.wait_ms, limit_ms);
+                tokio::select! {
+                    result = changes => result,
+                    () = state.doubt.notified() => {
+                        self.after = None;
+                        return None;
+                    }
+                }
             }
         };
+        // A feed may be cut or silent while the store does all else; the read of the whole table
+        // that follows tells.
+        if after.is_none() || result.is_ok() {
+            state.note_call(outage::FEED_PART, &result, began);
+        }
         match result {
             Ok(page) => {
                 self.failures = 0;
--- a/crates/ingress/src/history.rs
+++ b/crates/ingress/src/history.rs
@@ -9,7 +9,7 @@
 use basilramp_core::dispatch::transcript::Cache;
 use serde::{Deserialize, Serialize};
 
-use crate::state::{Call, State, lock};
+use crate::state::{Call, State, lock, part};
 
 /// The table of turns.
 const TABLE: &str = "turn";
@@ -64,8 +64,9 @@
         return Ok(known);
     }
     let began = state.now();
+    let part = part(turn);
     loop {
-        state.store_up(began, ends).await?;
+        state.part_up(&part, began, ends).await?;
         match read(state, turn, ends).await {
             Ok(Some(found)) => {
                 keep(state, Arc::clone(turn), found.clone());
@@ -92,9 +93,10 @@
 ) -> Result<(), Error> {
     let change = encode(turn, &content)?;
     let gives_up = ends.min(state.now().after(COMMIT_PATIENCE_MS));
+    let part = part(turn);
     loop {
         let call = async |store: &Client, limit_ms| store.change(&change, limit_ms).await;
-        match state.call(Call::Write, gives_up, call).await {
+        match state.call(Call::Write, &part, gives_up, call).await {
             Ok(_) => {
                 keep(state, Arc::clone(turn), content);
                 return Ok(());
@@ -110,11 +112,6 @@
     lock(&state.shelf.cache).insert(turn, content, bytes);
 }
 
-/// Returns the part of a turn's rows: enough parts that none is near its rate.
-fn part(turn: &str) -> String {
-    format!("p{:02x}", xxhash_rust::xxh3::xxh3_64(turn.as_bytes()) % 256)
-}
-
 fn encode(turn: &str, content: &Turn) -> Result<Change, Error> {
     let head = Head {
         len: content.transcript.len() as u64,
@@ -149,7 +146,7 @@
     let end = format!("{turn}0");
     let call =
         async |store: &Client, limit_ms| store.read(place, Some(&from), Some(&end), limit_ms).await;
-    let page = state.call(Call::Read, ends, call).await?;
+    let page = state.call(Call::Read, &part, ends, call).await?;
     if page.rows.is_empty() {
         return Ok(None);
     }
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -94,15 +94,6 @@
         self.ends.since(self.state.now())
     }
 
-    /// Returns the line of turns that the request belongs to.
-    pub(crate) fn line(&self) -> Arc<str> {
-        let program = self.call.program.as_ref();
-        program.map_or_else(
-            || Arc::clone(&self.attempt),
-            |program| Arc::clone(&program.line),
-        )
-    }
-
     /// Returns the milliseconds since the request arrived.
     pub(crate) fn elapsed_ms(&self) -> u64 {
         self.state.now().since(self.arrived)
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -153,12 +153,7 @@
     let prepared = tokio::try_join!(look_up_budget(&job), load_history(&job, route));
     let (account, draft) = prepared.inspect_err(|_| job.told())?;
     job.times.loaded = job.elapsed_ms();
-    let line = job.call.program.as_ref().map(|program| &*program.line);
-    let last = account
-        .as_ref()
-        .zip(line)
-        .and_then(|(account, line)| account.last(line));
-    job.last = last.cloned();
+    job.last = account.as_ref().and_then(|account| account.last()).cloned();
     let draft = draft.map(|(draft, upstream)| {
         job.last = upstream.or(job.last.take());
         job.body = Bytes::copy_from_slice(draft.prompt());
@@ -193,7 +188,7 @@
         return Ok(None);
     };
     let most = u64::from(job.call.most_output);
-    budget::look_up(&job.state, &program.id, budget, most, job.ends)
+    budget::look_up(&job.state, program, budget, most, job.ends)
         .await
         .map(Some)
 }
@@ -230,7 +225,7 @@
         // The upstream reads the prompt while the store takes the grant.
         if let Some(account) = account.take() {
             let is_near_end = account.is_near_end();
-            let grant = account.grant(job.line(), Arc::clone(&choice.id));
+            let grant = account.grant(Arc::clone(&choice.id));
             if is_near_end {
                 // It may find the budget spent, and a turn that is told so must not have run.
                 taken = Some(grant.await.map_err(|error| ungranted(&job, &error, 0))?);
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -8,12 +8,14 @@
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::call::Refusal;
 use basilramp_core::dispatch::fleet::Fleet;
-use basilramp_core::dispatch::outage::{self, Pace, Wait};
+use basilramp_core::dispatch::outage::{self, Away, Health, Pace, Shown, Wait};
 use basilramp_core::dispatch::route::Table;
 use basilramp_process::clock::Source;
 use basilramp_process::event;
 use basilramp_process::log::Handle;
 use basilramp_process::quota::Quota;
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budget::Book;
 use crate::history::Shelf;
@@ -43,8 +45,9 @@
     knows_fleet: AtomicBool,
     /// When a stop was asked for, in milliseconds plus one; 0 before.
     stopping: AtomicU64,
-    /// When the store stopped answering, in milliseconds plus one; 0 while it answers.
-    store_down: AtomicU64,
+    health: Mutex<Health>,
+    /// Calls fail, and the feeds are to find out whether the store is away.
+    pub(crate) doubt: Notify,
 }
 
 impl State {
@@ -66,7 +69,8 @@
             table: RwLock::default(),
             knows_fleet: AtomicBool::new(false),
             stopping: AtomicU64::new(0),
-            store_down: AtomicU64::new(0),
+            health: Mutex::default(),
+            doubt: Notify::new(),
             settings,
         })
     }
@@ -146,47 +150,18 @@
         knows_all && !self.is_stopping() && !self.is_store_down()
     }
 
-    /// Notes whether the store did what a call that began at `began` asked.
-    fn note_store(&self, result: Result<(), &str>, began: Time) {
-        let now = self.now();
-        match result {
-            Ok(()) => {
-                let since = self.store_down.load(Ordering::Relaxed);
-                // A call from before the outage may be answered within it.
-                if since > 0 && began.as_ms() + 1 >= since {
-                    self.store_down.store(0, Ordering::Relaxed);
-                    let ms = now.since(Time::from_ms(since - 1));
-                    event!(self.log, Event::StoreUp, "ms" => ms);
-                    self.fleet().store_returned(now);
-                }
-            }
-            Err(error) => {
-                let mark = now.as_ms() + 1;
-                let was_up =
-                    self.store_down
-                        .compare_exchange(0, mark, Ordering::Relaxed, Ordering::Relaxed);
-                if was_up.is_ok() {
-                    event!(self.log, Event::StoreDown, "error" => error.to_owned());
-                }
-            }
-        }
-    }
-
-    /// Tells whether the store has not answered for a while, so that waiting for it is idle.
+    /// Tells whether the store does not answer this instance.
     pub(crate) fn is_store_down(&self) -> bool {
-        self.store_down_ms() >= DOWN_MS
+        self.store_down_ms() > 0
     }
 
     /// Returns for how many milliseconds the store has not answered; 0 if it does.
     pub(crate) fn store_down_ms(&self) -> u64 {
-        match self.store_down.load(Ordering::Relaxed) {
-            0 => 0,
-            since => self.now().since(Time::from_ms(since - 1)),
-        }
+        lock(&self.health).down_ms(self.now())
     }
 
-    /// Makes a call of the store within the time that it usually takes, and within half of what
-    /// is left until `ends`, so that an answer can still follow.
+    /// Makes a call of a part of the store within the time that it usually takes, and within half
+    /// of what is left until `ends`, so that an answer can still follow.
     ///
     /// # Errors
     ///
@@ -194,6 +169,7 @@
     pub(crate) async fn call<T>(
         &self,
         kind: Call,
+        part: &str,
         ends: Time,
         call: impl AsyncFnOnce(&store::Client, u64) -> Result<T, store::Error>,
     ) -> Result<T, store::Error> {
@@ -212,23 +188,26 @@
             lock(pace).note(ms);
         }
         self.metrics.store_call(kind, !is_failure(&result), ms);
-        self.note_call(&result, began);
+        self.note_call(part, &result, began);
         result
     }
 
-    /// Waits until the store answers, for a request that ends at `ends` and has waited since
-    /// `began`. The feeds find out.
+    /// Waits until a part of the store answers, for a request that ends at `ends` and has waited
+    /// since `began`.
     ///
     /// # Errors
     ///
     /// Refuses the request if it should wait no longer.
-    pub(crate) async fn store_up(&self, began: Time, ends: Time) -> Result<(), Refusal> {
+    pub(crate) async fn part_up(&self, part: &str, began: Time, ends: Time) -> Result<(), Refusal> {
         loop {
             let now = self.now();
-            if !self.is_store_down() && now < ends {
-                return Ok(());
-            }
-            match outage::wait(self.store_down_ms(), ends.since(began)) {
+            let away = lock(&self.health).away(part, now);
+            let away = match away {
+                None if now < ends => return Ok(()),
+                None => Away::Part,
+                Some(away) => away,
+            };
+            match outage::wait(away, ends.since(began)) {
                 Wait::Refuse(retry_ms) => return Err(Refusal::NotRun(retry_ms)),
                 Wait::Hold(ms) if now.since(began) >= ms => {
                     return Err(Refusal::NotRun(outage::retry_after_hold_ms()));
@@ -238,21 +217,35 @@
         }
     }
 
-    /// Notes what a call of the store that began at `began` came to.
-    pub(crate) fn note_call<T>(&self, result: &Result<T, store::Error>, began: Time) {
-        match result {
-            Err(store::Error::NotDone(error) | store::Error::Unknown(error)) => {
-                self.note_store(Err(error), began);
+    /// Notes what a call of a part of the store that began at `began` came to.
+    pub(crate) fn note_call<T>(&self, part: &str, result: &Result<T, store::Error>, began: Time) {
+        let now = self.now();
+        let shown = match result {
+            Err(store::Error::NotDone(_) | store::Error::Unknown(_)) => {
+                lock(&self.health).failed(part, now)
+            }
+            _ => lock(&self.health).answered(part, began, now),
+        };
+        match shown {
+            Shown::Nothing => {}
+            Shown::Doubt => self.doubt.notify_one(),
+            Shown::Down => {
+                let error = result.as_ref().err().map(|error| format!("{error:?}"));
+                event!(self.log, Event::StoreDown, "part" => part.to_owned(), "error" => error);
+            }
+            Shown::Up(ms) => {
+                event!(self.log, Event::StoreUp, "ms" => ms);
+                self.fleet().store_returned(now);
             }
-            _ => self.note_store(Ok(()), began),
+        }
+        if let Err(store::Error::Malformed(error)) = result
+            && self.admits(Event::RowUnreadable)
+        {
+            event!(self.log, Event::RowUnreadable, "part" => part.to_owned(), "error" => error.clone());
         }
     }
 }
 
-/// Time without an answer of the store after which it counts as down: several times what its
-/// slowest usual answer takes.
-const DOWN_MS: u64 = 250;
-
 /// The shortest limit of a call: several times what one takes when the store is well.
 const LEAST_CALL_MS: u64 = 50;
 
@@ -294,6 +287,11 @@
     )
 }
 
+/// Returns the part of the rows of a program or turn: enough parts that none is near its rate.
+pub(crate) fn part(id: &str) -> String {
+    format!("p{:02x}", xxh3_64(id.as_bytes()) % 256)
+}
+
 /// Locks a mutex; a panic of another holder leaves the value as it was.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
