Give each turn a second part of the store, for when the first is away

Ruled out: waiting longer (callers leave a stream after two seconds without an event).

Change: a turn's rows may lie in two parts. The second is used while the first does not answer; who looks for a turn and finds nothing has read both, so 404 stays true, and doubt is 503.

Budget rows have one part, as two could be granted from at once.

--- a/crates/daemon/tests/ingress/history.rs
+++ b/crates/daemon/tests/ingress/history.rs
@@ -151,3 +151,42 @@
         StatusCode::OK
     );
 }
+
+/// Half of the parts are away: a turn is stored in the other one of its two, and found there.
+#[tokio::test]
+async fn a_turn_is_stored_and_found_while_one_of_its_parts_is_away() {
+    let (store, _upstreams) = site("engine", [ANSWERS]);
+    let first = Instance::spawn(&store, "a").await;
+    let second = Instance::spawn(&store, "b").await;
+    store.set_away(&['0', '1', '2', '3', '4', '5', '6', '7']);
+    let names: Vec<_> = (0..96).map(|index| format!("t{index}")).collect();
+    let begin = |name: &str| {
+        let turn = Turn {
+            program: &format!("program of {name}"),
+            ..chat(name, None, "one,")
+        };
+        first.send(turn.request())
+    };
+    let replies = futures_util::future::join_all(names.iter().map(|name| begin(name))).await;
+    let begun = names.iter().zip(replies.into_iter().flatten());
+    let begun: Vec<_> = begun
+        .filter(|(_, reply)| reply.status == StatusCode::OK)
+        .collect();
+    let whole: Vec<_> = begun.iter().filter(|(_, reply)| reply.is_whole).collect();
+    assert!(begun.len() > 30, "{} begun", begun.len());
+    assert!(
+        3 * whole.len() >= 2 * begun.len(),
+        "{} of {} stored",
+        whole.len(),
+        begun.len()
+    );
+    for (name, _) in whole.into_iter().take(12) {
+        let next = format!("{name}-next");
+        let turn = Turn {
+            program: &format!("program of {name}"),
+            ..chat(&next, Some(name), "two,")
+        };
+        let reply = second.send(turn.request()).await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK, "{name}");
+    }
+}
--- a/crates/ingress/src/history.rs
+++ b/crates/ingress/src/history.rs
@@ -1,4 +1,7 @@
 //! Transcripts of turns, through the store.
+//!
+//! A turn has two parts of the store where its rows may lie, so that it can be stored while one
+//! of them is away. Whoever looks for it and does not find it has read both.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -64,23 +67,42 @@
         return Ok(known);
     }
     let began = state.now();
-    let part = part(turn);
+    let parts = parts(turn);
     loop {
-        state.part_up(&part, began, ends).await?;
-        match read(state, turn, ends).await {
-            Ok(Some(found)) => {
+        match find(state, turn, &parts, ends).await {
+            Some(Some(found)) => {
                 keep(state, Arc::clone(turn), found.clone());
                 return Ok(found);
             }
-            Ok(None) => return Err(Refusal::NoTurn),
-            Err(_) => tokio::time::sleep(PAUSE).await,
+            Some(None) => return Err(Refusal::NoTurn),
+            None => tokio::time::sleep(PAUSE).await,
+        }
+        state.part_up(&parts[0], began, ends).await?;
+    }
+}
+
+/// Looks for a turn in both its parts. Returns nothing if neither has it and one can't say.
+async fn find(state: &State, turn: &str, parts: &[String; 2], ends: Time) -> Option<Option<Turn>> {
+    let mut is_sure = true;
+    for part in parts {
+        if state.is_away(part) {
+            is_sure = false;
+            continue;
+        }
+        // The state logs what a failed call says of the store.
+        match read(state, turn, part, ends).await {
+            Ok(Some(found)) => return Some(Some(found)),
+            Ok(None) => {}
+            Err(_) => is_sure = false,
         }
     }
+    is_sure.then_some(None)
 }
 
 /// Stores a turn; tries until the store has it or the time is over.
 ///
-/// Writing it twice does no harm: the rows of an attempt never hold anything else.
+/// Writing it twice, or in both its parts, does no harm: the rows of an attempt never hold
+/// anything else.
 ///
 /// # Errors
 ///
@@ -91,12 +113,13 @@
     content: Turn,
     ends: Time,
 ) -> Result<(), Error> {
-    let change = encode(turn, &content)?;
     let gives_up = ends.min(state.now().after(COMMIT_PATIENCE_MS));
-    let part = part(turn);
+    let parts = parts(turn);
+    let mut part = &parts[usize::from(state.is_away(&parts[0]))];
     loop {
+        let change = encode(turn, part, &content)?;
         let call = async |store: &Client, limit_ms| store.change(&change, limit_ms).await;
-        match state.call(Call::Write, &part, gives_up, call).await {
+        match state.call(Call::Write, part, gives_up, call).await {
             Ok(_) => {
                 keep(state, Arc::clone(turn), content);
                 return Ok(());
@@ -104,15 +127,26 @@
             Err(error) if state.now() >= gives_up => return Err(error),
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
+        part = parts.iter().find(|other| *other != part).unwrap_or(part);
     }
 }
 
+/// Returns the part of a turn's rows, and the one that takes them while that part is away.
+fn parts(turn: &str) -> [String; 2] {
+    let first = part(turn);
+    let second = part(&format!("{turn}/second"));
+    if first == second {
+        return [first, part(&format!("{turn}/third"))];
+    }
+    [first, second]
+}
+
 fn keep(state: &State, turn: Arc<str>, content: Turn) {
     let bytes = content.transcript.len();
     lock(&state.shelf.cache).insert(turn, content, bytes);
 }
 
-fn encode(turn: &str, content: &Turn) -> Result<Change, Error> {
+fn encode(turn: &str, part: &str, content: &Turn) -> Result<Change, Error> {
     let head = Head {
         len: content.transcript.len() as u64,
         upstream: Arc::clone(&content.upstream),
@@ -120,11 +154,7 @@
     let mut bytes =
         postcard::to_stdvec(&head).map_err(|error| Error::Malformed(error.to_string()))?;
     bytes.extend_from_slice(&content.transcript);
-    let part = part(turn);
-    let place = Place {
-        table: TABLE,
-        part: &part,
-    };
+    let place = Place { table: TABLE, part };
     let rows = bytes.chunks(MAX_VALUE_BYTES).enumerate();
     Ok(rows.fold(Change::default(), |change, (index, chunk)| {
         change.write(place, &row_key(turn, index), chunk)
@@ -136,17 +166,13 @@
     format!("{turn}/{index:03}")
 }
 
-async fn read(state: &State, turn: &str, ends: Time) -> Result<Option<Turn>, Error> {
-    let part = part(turn);
-    let place = Place {
-        table: TABLE,
-        part: &part,
-    };
+async fn read(state: &State, turn: &str, part: &str, ends: Time) -> Result<Option<Turn>, Error> {
+    let place = Place { table: TABLE, part };
     let from = row_key(turn, 0);
     let end = format!("{turn}0");
     let call =
         async |store: &Client, limit_ms| store.read(place, Some(&from), Some(&end), limit_ms).await;
-    let page = state.call(Call::Read, &part, ends, call).await?;
+    let page = state.call(Call::Read, part, ends, call).await?;
     if page.rows.is_empty() {
         return Ok(None);
     }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -192,6 +192,11 @@
         result
     }
 
+    /// Tells whether a call of a part of the store is not worth its while now.
+    pub(crate) fn is_away(&self, part: &str) -> bool {
+        lock(&self.health).away(part, self.now()).is_some()
+    }
+
     /// Waits until a part of the store answers, for a request that ends at `ends` and has waited
     /// since `began`.
     ///
