Remove rows of turns after their time; soak instances as processes under random faults

Cause: nothing expires in the store, and rows of turns were never removed.

Change: core::dispatch::retention remembers what an instance wrote, and an expired turn's rows go with the next write to their part, at the first try alone. Rows of a lost instance stay, as do rows of programs.

Tests: core dispatch retention; ingress history::rows_go_once_their_turns_cannot_be_continued (800 rows before, under 600 now).

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -9,6 +9,7 @@
 //! | [`allowance`] | whether a program's budget holds one more turn |
 //! | [`transcript`] | what a turn's upstream has to read |
 //! | [`door`] | whether a new program is let in |
+//! | [`retention`] | when the rows of turns may go |
 //! | [`outage`] | how long work waits for the store |
 //! | [`event`] | where the events of a stream end |
 
@@ -21,5 +22,6 @@
 pub mod fleet;
 pub mod outage;
 pub mod place;
+pub mod retention;
 pub mod route;
 pub mod transcript;
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -7,5 +7,6 @@
 mod fleet;
 mod outage;
 mod place;
+mod retention;
 mod route;
 mod transcript;
--- /dev/null
+++ b/crates/core/tests/dispatch/retention.rs
@@ -0,0 +1,46 @@
+//! Rows of turns go once nobody can continue them, and not before.
+
+use basilramp_core::clock::Time;
+use basilramp_core::dispatch::retention::Retention;
+use proptest::prelude::*;
+
+const RETENTION_MS: u64 = 60_000;
+
+fn taken(retention: &mut Retention, part: &str, ms: u64) -> Vec<String> {
+    let expired = retention.take_expired(part, Time::from_ms(ms));
+    expired.iter().map(|kept| kept.turn.to_string()).collect()
+}
+
+#[test]
+fn a_turn_goes_once_its_time_is_over() {
+    let mut retention = Retention::default();
+    retention.keep("p01", "t1".into(), 2, RETENTION_MS, Time::ZERO);
+    retention.keep("p01", "t2".into(), 1, RETENTION_MS, Time::from_ms(1_000));
+    assert!(taken(&mut retention, "p01", RETENTION_MS).is_empty());
+    assert!(taken(&mut retention, "p02", RETENTION_MS + 5_000).is_empty());
+    assert_eq!(taken(&mut retention, "p01", RETENTION_MS + 5_000), ["t1"]);
+    assert!(taken(&mut retention, "p01", RETENTION_MS + 5_000).is_empty());
+    assert_eq!(taken(&mut retention, "p01", RETENTION_MS + 6_000), ["t2"]);
+}
+
+proptest! {
+    /// The load: a route's retention is changed, so that later turns may expire earlier.
+    #[test]
+    fn no_turn_goes_early(
+        turns in prop::collection::vec((0..3_usize, 0..400_u64, 1..90_000_u64), 1..200),
+    ) {
+        let mut retention = Retention::default();
+        let mut until = std::collections::BTreeMap::new();
+        let mut now = 0;
+        for (index, (part, pause, retention_ms)) in turns.into_iter().enumerate() {
+            now += pause;
+            let part = format!("p{part}");
+            for turn in taken(&mut retention, &part, now) {
+                prop_assert!(until[&turn] <= now, "{turn} at {now}");
+            }
+            let turn = format!("t{index}");
+            retention.keep(&part, turn.as_str().into(), 1, retention_ms, Time::from_ms(now));
+            until.insert(turn, now + retention_ms);
+        }
+    }
+}
--- a/crates/daemon/tests/ingress/history.rs
+++ b/crates/daemon/tests/ingress/history.rs
@@ -3,7 +3,7 @@
 use basilramp_fakes::site::{Mode, Store};
 use http::StatusCode;
 
-use crate::support::{ANSWERS, Instance, Turn, site};
+use crate::support::{ANSWERS, Instance, Turn, configure_kept, site};
 
 fn chat<'a>(attempt: &'a str, previous: Option<&'a str>, input: &'a str) -> Turn<'a> {
     Turn {
@@ -190,3 +190,36 @@
         assert_eq!(reply.status, StatusCode::OK, "{name}");
     }
 }
+
+/// The load: an instance whose turns nobody continues after their time. Rows go with later writes
+/// to their part, and turns that can still be continued stay.
+#[tokio::test]
+async fn rows_go_once_their_turns_cannot_be_continued() {
+    const TURNS: usize = 400;
+    let (store, _upstreams) = site("engine", [ANSWERS]);
+    configure_kept(&store, 4, 0.1);
+    let instance = Instance::spawn(&store, "a").await;
+    let round = async |round: usize| {
+        for names in (0..TURNS).collect::<Vec<_>>().chunks(50) {
+            let names: Vec<_> = names
+                .iter()
+                .map(|index| format!("t{round}-{index}"))
+                .collect();
+            let turns = names.iter().map(|name| Turn {
+                program: name,
+                ..chat(name, None, "one,")
+            });
+            let sent = turns.map(|turn| run(&instance, turn));
+            let statuses = futures_util::future::join_all(sent).await;
+            assert!(statuses.iter().all(|status| *status == StatusCode::OK));
+        }
+    };
+    round(1).await;
+    assert_eq!(store.count("turn"), TURNS);
+    tokio::time::sleep(std::time::Duration::from_millis(5_200)).await;
+    configure_kept(&store, 5, 60.0);
+    round(2).await;
+    let left = store.count("turn");
+    assert!(left < TURNS + TURNS / 2, "{left} rows after {TURNS} turns");
+    assert!(left >= TURNS, "{left} rows of {TURNS} turns to be kept");
+}
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -8,4 +8,5 @@
 mod outage;
 mod process;
 mod promises;
+mod soak;
 mod support;
--- /dev/null
+++ b/crates/daemon/tests/ingress/soak/caller.rs
@@ -0,0 +1,227 @@
+//! Callers: programs with turns and plain calls, retried as the platform's pages allow.
+
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::world::{INSTANCES, World};
+use crate::support::{Reply, Turn, plain, send};
+
+/// The most that a caller waits for an answer; above the deadline that it states.
+const PATIENCE: Duration = Duration::from_millis(4_500);
+
+/// Tries of a request, each an attempt with an id of its own.
+const TRIES: u32 = 3;
+
+/// Tokens of a program that is told when they are spent.
+pub(super) const BUDGET: u64 = 60;
+
+/// The most tokens of its turns.
+pub(super) const MOST: u64 = 20;
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Kind {
+    /// A plain request that may run more than once.
+    Read,
+    /// A plain request that may run once.
+    Pay,
+    /// A turn that may be resumed.
+    Advice,
+    /// A turn that may run once and is kept.
+    Chat,
+}
+
+/// One attempt, and what the caller saw of it.
+#[derive(Debug)]
+pub(super) struct Record {
+    pub(super) kind: Kind,
+    pub(super) attempt: String,
+    pub(super) program: String,
+    /// What the upstream has to read.
+    pub(super) body: String,
+    /// The turn before, which was answered whole.
+    pub(super) previous: Option<String>,
+    /// None if there was no answer.
+    pub(super) reply: Option<Reply>,
+}
+
+impl Record {
+    /// Tells whether the caller has a whole answer of an upstream.
+    pub(super) fn is_served(&self) -> bool {
+        let reply = self.reply.as_ref();
+        reply.is_some_and(|reply| reply.status == StatusCode::OK && reply.is_whole)
+    }
+}
+
+pub(super) struct Caller {
+    world: World,
+    name: String,
+    random: ChaCha8Rng,
+    attempts: u32,
+    records: Vec<Record>,
+}
+
+impl Caller {
+    pub(super) fn new(world: &World, index: u64, random: ChaCha8Rng) -> Self {
+        Self {
+            world: world.clone(),
+            name: format!("c{index}"),
+            random,
+            attempts: 0,
+            records: Vec::new(),
+        }
+    }
+
+    /// Runs programs and calls until the time is over.
+    pub(super) async fn run(mut self, ends: Instant) -> Vec<Record> {
+        let mut programs = 0;
+        while Instant::now() < ends {
+            programs += 1;
+            let program = format!("{}-p{programs}", self.name);
+            match self.random.random_range(0..4) {
+                0 => self.call(Kind::Read, &program).await,
+                1 => self.call(Kind::Pay, &program).await,
+                2 => self.advise(&program).await,
+                _ => self.chat(&program).await,
+            }
+        }
+        self.records
+    }
+
+    async fn call(&mut self, kind: Kind, program: &str) {
+        self.ask(kind, program, "order", None).await;
+    }
+
+    /// Takes turns until the budget is spent.
+    async fn advise(&mut self, program: &str) {
+        for _ in 0..8 {
+            if self
+                .ask(Kind::Advice, program, "question", None)
+                .await
+                .is_none()
+            {
+                return;
+            }
+        }
+    }
+
+    /// Takes turns of which each goes on from the one before.
+    async fn chat(&mut self, program: &str) {
+        let mut transcript = String::new();
+        let mut previous: Option<String> = None;
+        for turn in 0..5 {
+            transcript.push_str(&format!("input {turn},"));
+            let asked = self.ask(Kind::Chat, program, &transcript, previous).await;
+            let Some(attempt) = asked else {
+                return;
+            };
+            transcript.push_str("t1\nt2\nt3\n");
+            previous = Some(attempt);
+        }
+    }
+
+    /// Sends a request, again where that is allowed; returns the attempt that was served.
+    async fn ask(
+        &mut self,
+        kind: Kind,
+        program: &str,
+        body: &str,
+        previous: Option<String>,
+    ) -> Option<String> {
+        for _ in 0..TRIES {
+            self.attempts += 1;
+            let attempt = format!("{}-a{}", self.name, self.attempts);
+            let index = self.random.random_range(0..INSTANCES);
+            let request = request(kind, program, &attempt, body, previous.as_deref());
+            let sent = send(self.world.address(index), request);
+            let reply = timeout(PATIENCE, sent).await.ok().flatten();
+            let record = Record {
+                kind,
+                attempt: attempt.clone(),
+                program: program.to_owned(),
+                body: body.to_owned(),
+                previous: previous.clone(),
+                reply,
+            };
+            let is_served = record.is_served();
+            let pause = pause(&record);
+            self.records.push(record);
+            if is_served {
+                return Some(attempt);
+            }
+            sleep(pause?).await;
+        }
+        None
+    }
+}
+
+/// Returns when a request may be sent again, if it may.
+fn pause(record: &Record) -> Option<Duration> {
+    let reply = record.reply.as_ref();
+    match reply.map(|reply| reply.status) {
+        Some(StatusCode::SERVICE_UNAVAILABLE) => {
+            let after = reply.and_then(Reply::retry_after).unwrap_or(0.1);
+            Some(Duration::from_secs_f64(after.min(1.0)))
+        }
+        Some(status) if status.is_client_error() => None,
+        // A turn that broke off is sent from its start; a payment must not be.
+        _ if record.kind != Kind::Pay => Some(Duration::from_millis(100)),
+        _ => None,
+    }
+}
+
+fn request(
+    kind: Kind,
+    program: &str,
+    attempt: &str,
+    body: &str,
+    previous: Option<&str>,
+) -> Request<Full<bytes::Bytes>> {
+    // Only its new input goes with a turn that is kept.
+    let input = body.rsplit('\n').next().unwrap_or(body);
+    let turn = |route, budget, most| Turn {
+        route,
+        attempt,
+        program,
+        previous,
+        budget,
+        most,
+        input,
+    };
+    match kind {
+        Kind::Read => plain("read", attempt),
+        Kind::Pay => plain("pay", attempt),
+        Kind::Advice => turn("advice", BUDGET, MOST).request(),
+        Kind::Chat => turn("chat", 10_000, 100).request(),
+    }
+}
+
+/// Waits until every kind of request is served at each instance.
+pub(super) async fn recovers(world: &World, limit: Duration) -> Result<(), String> {
+    let ends = Instant::now() + limit;
+    for index in 0..INSTANCES {
+        for kind in [Kind::Read, Kind::Pay, Kind::Advice, Kind::Chat] {
+            let mut tries = 0;
+            loop {
+                tries += 1;
+                let attempt = format!("after-{index}-{kind:?}-{tries}");
+                let request = request(kind, &attempt, &attempt, "input", None);
+                let sent = send(world.address(index), request);
+                let reply = timeout(PATIENCE, sent).await.ok().flatten();
+                if reply.is_some_and(|reply| reply.status == StatusCode::OK) {
+                    break;
+                }
+                if Instant::now() >= ends {
+                    return Err(format!("instance {index} does not serve {kind:?} again"));
+                }
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/tests/ingress/soak/world.rs
@@ -0,0 +1,129 @@
+//! Instances, upstreams and the store, with a relay before each that faults can use.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use basilramp_fakes::relay::{self, Relay};
+use basilramp_fakes::site::{Mode, Run, Store, Upstream};
+use tokio::sync::Mutex;
+
+use crate::support::{ANSWERS, Instance, configure, until};
+
+pub(super) const INSTANCES: usize = 3;
+
+/// Engines, then plain services.
+pub(super) const UPSTREAMS: usize = 5;
+
+/// Upstreams that are engines.
+const ENGINES: usize = 3;
+
+#[derive(Clone)]
+pub(super) struct World(Arc<Inner>);
+
+pub(super) struct Inner {
+    pub(super) store: Store,
+    pub(super) version: Mutex<u64>,
+    /// Before the store, one for each instance.
+    pub(super) store_relays: Vec<Relay>,
+    pub(super) upstreams: Vec<Upstream>,
+    pub(super) upstream_relays: Vec<Relay>,
+    pub(super) instances: Vec<Mutex<Instance>>,
+    /// Where the instances take callers now.
+    addresses: std::sync::Mutex<Vec<SocketAddr>>,
+}
+
+impl std::ops::Deref for World {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.0
+    }
+}
+
+impl World {
+    pub(super) async fn spawn() -> Self {
+        let store = Store::spawn();
+        configure(&store, 1);
+        let upstreams: Vec<_> = (0..UPSTREAMS)
+            .map(|index| {
+                let service = if index < ENGINES { "engine" } else { "app" };
+                Upstream::spawn(&store, &format!("i-{index}"), service, ANSWERS)
+            })
+            .collect();
+        let relays = upstreams
+            .iter()
+            .map(|upstream| relay::spawn(upstream.address()));
+        let upstream_relays: Vec<_> = relays.collect();
+        for (upstream, relay) in upstreams.iter().zip(&upstream_relays) {
+            upstream.register_at(&store, "ready", relay.address());
+        }
+        let store_relays: Vec<_> = (0..INSTANCES)
+            .map(|_| relay::spawn(store.address()))
+            .collect();
+        let mut instances = Vec::new();
+        let mut addresses = Vec::new();
+        for (index, relay) in store_relays.iter().enumerate() {
+            let instance = Instance::spawn_at(relay.address(), &format!("n{index}")).await;
+            addresses.push(instance.callers);
+            instances.push(Mutex::new(instance));
+        }
+        let world = Self(Arc::new(Inner {
+            store,
+            version: Mutex::new(1),
+            store_relays,
+            upstreams,
+            upstream_relays,
+            instances,
+            addresses: std::sync::Mutex::new(addresses),
+        }));
+        world.wait_ready().await;
+        world
+    }
+
+    async fn wait_ready(&self) {
+        for instance in &self.instances {
+            let instance = instance.lock().await;
+            until("an instance is ready", || async {
+                instance.is_ready().await.then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Ends every fault.
+    pub(super) async fn heal(&self) {
+        self.store.set_mode(Mode::Up);
+        self.store.set_away(&[]);
+        self.store_relays
+            .iter()
+            .chain(&self.upstream_relays)
+            .for_each(Relay::heal);
+        for (upstream, relay) in self.upstreams.iter().zip(&self.upstream_relays) {
+            upstream.set_behaviour(ANSWERS);
+            upstream.register_at(&self.store, "ready", relay.address());
+        }
+        self.wait_ready().await;
+    }
+
+    /// Starts an instance anew in place of the one that is gone.
+    pub(super) async fn restart(&self, index: usize, instance: &mut Instance) {
+        let address = self.store_relays[index].address();
+        *instance = Instance::spawn_at(address, &format!("n{index}")).await;
+        self.addresses.lock().unwrap()[index] = instance.callers;
+    }
+
+    /// Returns where an instance takes callers.
+    pub(super) fn address(&self, index: usize) -> SocketAddr {
+        self.addresses.lock().unwrap()[index]
+    }
+
+    /// Returns what upstreams ran, by attempt, once no run is left.
+    pub(super) async fn runs(&self) -> BTreeMap<String, Vec<Run>> {
+        let mut runs: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+        for run in self.upstreams.iter().flat_map(Upstream::runs) {
+            runs.entry(run.attempt.clone()).or_default().push(run);
+        }
+        runs
+    }
+}
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -62,13 +62,18 @@
 
     /// Starts an instance, and waits until it listens.
     pub(crate) async fn spawn_unready(store: &Store, name: &str) -> Self {
+        Self::spawn_at(store.address(), name).await
+    }
+
+    /// Starts an instance before a store at an address, and waits until it listens.
+    pub(crate) async fn spawn_at(store: SocketAddr, name: &str) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let settings = json!({
             "instance": {"id": name, "failure_domain": "z1"},
             "ingress": {
                 "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
                 "metrics": "127.0.0.1:0",
-                "store": store.address().to_string(), "memory_mb": 130, "stop_s": 8.0,
+                "store": store.to_string(), "memory_mb": 130, "stop_s": 8.0,
             },
             "log": {"level": "debug"},
         });
@@ -190,7 +195,7 @@
     panic!("waited in vain: {what}");
 }
 
-async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Reply> {
+pub(crate) async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Reply> {
     let stream = TcpStream::connect(address).await.ok()?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.ok()?;
@@ -223,11 +228,16 @@
 /// Puts a configuration in the store: a plain safe route, a plain unsafe one, a stream that may
 /// be resumed, and one whose turns are kept.
 pub(crate) fn configure(store: &Store, version: u64) {
+    configure_kept(store, version, 60.0);
+}
+
+/// The same, with turns that are kept for so many seconds.
+pub(crate) fn configure_kept(store: &Store, version: u64, retention_s: f64) {
     let route = |name: &str, kind: &str, service: &str, resumable: bool, retained: bool| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": kind,
             "service": service, "timeout_ms": 4000, "slo_ms": 200, "priority": 1,
-            "max_attempts": 2, "retained": retained, "retention_s": 60.0, "sticky": true,
+            "max_attempts": 2, "retained": retained, "retention_s": retention_s, "sticky": true,
             "resumable": resumable, "gap_target_ms": 400,
         })
     };
--- a/crates/fakes/src/site/upstream.rs
+++ b/crates/fakes/src/site/upstream.rs
@@ -102,8 +102,13 @@
 
     /// Writes its entry with a state.
     pub fn register(&self, store: &Store, state: &str) {
+        self.register_at(store, state, self.address());
+    }
+
+    /// Writes its entry with a state and the address of a relay that leads to it.
+    pub fn register_at(&self, store: &Store, state: &str, address: SocketAddr) {
         let entry = json!({
-            "service": self.service, "address": self.address().to_string(), "zone": "z1",
+            "service": self.service, "address": address.to_string(), "zone": "z1",
             "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": 7,
         });
         store.put("servers", &self.shared.id, entry.to_string().as_bytes());
--- a/crates/ingress/src/history.rs
+++ b/crates/ingress/src/history.rs
@@ -9,6 +9,7 @@
 use basilramp_adapter::store::{Change, Client, Error, MAX_VALUE_BYTES, Place};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::call::Refusal;
+use basilramp_core::dispatch::retention::{Kept, Retention};
 use basilramp_core::dispatch::transcript::Cache;
 use serde::{Deserialize, Serialize};
 
@@ -42,10 +43,11 @@
     pub(crate) upstream: Arc<str>,
 }
 
-/// Turns that are kept in memory.
+/// Turns that are kept in memory, and those whose rows this instance wrote.
 #[derive(Debug)]
 pub(crate) struct Shelf {
     cache: Mutex<Cache<Turn>>,
+    retention: Mutex<Retention>,
 }
 
 impl Shelf {
@@ -53,6 +55,7 @@
     pub(crate) fn open(bytes: usize) -> Self {
         Self {
             cache: Mutex::new(Cache::new(bytes)),
+            retention: Mutex::default(),
         }
     }
 }
@@ -99,7 +102,7 @@
     is_sure.then_some(None)
 }
 
-/// Stores a turn; tries until the store has it or the time is over.
+/// Stores a turn for `retention_ms`; tries until the store has it or the time is over.
 ///
 /// Writing it twice, or in both its parts, does no harm: the rows of an attempt never hold
 /// anything else.
@@ -111,16 +114,25 @@
     state: &State,
     turn: &Arc<str>,
     content: Turn,
+    retention_ms: u64,
     ends: Time,
 ) -> Result<(), Error> {
     let gives_up = ends.min(state.now().after(COMMIT_PATIENCE_MS));
     let parts = parts(turn);
     let mut part = &parts[usize::from(state.is_away(&parts[0]))];
+    // What is removed goes with the first try alone: a row that is gone may be in the way of it.
+    let mut expired = lock(&state.shelf.retention).take_expired(part, state.now());
     loop {
-        let change = encode(turn, part, &content)?;
+        let (change, rows) = encode(turn, part, &content)?;
+        let change = std::mem::take(&mut expired)
+            .iter()
+            .fold(change, |change, kept| remove(change, part, kept));
         let call = async |store: &Client, limit_ms| store.change(&change, limit_ms).await;
         match state.call(Call::Write, part, gives_up, call).await {
             Ok(_) => {
+                let mut retention = lock(&state.shelf.retention);
+                retention.keep(part, Arc::clone(turn), rows, retention_ms, state.now());
+                drop(retention);
                 keep(state, Arc::clone(turn), content);
                 return Ok(());
             }
@@ -146,7 +158,8 @@
     lock(&state.shelf.cache).insert(turn, content, bytes);
 }
 
-fn encode(turn: &str, part: &str, content: &Turn) -> Result<Change, Error> {
+/// Returns the change that writes a turn, and how many rows that makes.
+fn encode(turn: &str, part: &str, content: &Turn) -> Result<(Change, usize), Error> {
     let head = Head {
         len: content.transcript.len() as u64,
         upstream: Arc::clone(&content.upstream),
@@ -155,10 +168,22 @@
         postcard::to_stdvec(&head).map_err(|error| Error::Malformed(error.to_string()))?;
     bytes.extend_from_slice(&content.transcript);
     let place = Place { table: TABLE, part };
-    let rows = bytes.chunks(MAX_VALUE_BYTES).enumerate();
-    Ok(rows.fold(Change::default(), |change, (index, chunk)| {
-        change.write(place, &row_key(turn, index), chunk)
-    }))
+    let rows = bytes.chunks(MAX_VALUE_BYTES);
+    let count = rows.len();
+    let change = rows
+        .enumerate()
+        .fold(Change::default(), |change, (index, chunk)| {
+            change.write(place, &row_key(turn, index), chunk)
+        });
+    Ok((change, count))
+}
+
+/// Adds the removal of a turn's rows to a change of their part.
+fn remove(change: Change, part: &str, kept: &Kept) -> Change {
+    let place = Place { table: TABLE, part };
+    (0..kept.rows).fold(change, |change, index| {
+        change.remove(place, &row_key(&kept.turn, index))
+    })
 }
 
 /// Returns the key of one of a turn's rows; they sort by their index.
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -39,6 +39,8 @@
     pub(crate) body: Bytes,
     pub(crate) kind: Kind,
     pub(crate) max_attempts: u32,
+    /// How long its turn can be continued, in milliseconds; 0 if it is not kept.
+    pub(crate) retention_ms: u64,
     pub(crate) service: Arc<str>,
     pub(crate) engine: Option<Engine>,
     pub(crate) arrived: Time,
--- a/crates/ingress/src/serve.rs
+++ b/crates/ingress/src/serve.rs
@@ -138,6 +138,7 @@
         body,
         kind: route.kind,
         max_attempts: route.max_attempts,
+        retention_ms: route.retention_ms.unwrap_or_default(),
         service: Arc::clone(service),
         engine: known.and_then(|service| service.engine.clone()),
         arrived,
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -295,7 +295,8 @@
                 upstream,
             };
             let job = &self.job;
-            let committed = history::commit(&job.state, &job.attempt, turn, job.ends).await;
+            let committed =
+                history::commit(&job.state, &job.attempt, turn, job.retention_ms, job.ends).await;
             if committed.is_err() {
                 return Err(self.broken("the turn could not be stored"));
             }
