--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -4,7 +4,6 @@
 //! turn to the upstream that has its prompt.
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use basilramp_adapter::store::{Change, Client, Error, Place};
 use basilramp_core::clock::Time;
@@ -13,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::state::{Call, State, lock, part};
+use crate::state::{Call, Pauses, State, lock, part};
 
 /// The table of programs.
 const TABLE: &str = "program";
@@ -26,9 +25,6 @@
 /// about the sub-agents that it starts at once.
 const NEAR_END_TURNS: u64 = 4;
 
-/// Time between tries.
-const PAUSE: Duration = Duration::from_millis(50);
-
 /// Lines of a program that its row remembers.
 const MAX_LINES: usize = 12;
 
@@ -157,6 +153,7 @@
     }
     let began = state.now();
     let part = part(&program.id);
+    let mut pauses = Pauses::default();
     loop {
         match state.part_up(&part, began, ends).await {
             // What is held needs no grant; only the last upstream isn't known.
@@ -169,7 +166,7 @@
                 account.version = version;
                 break;
             }
-            Err(_) => tokio::time::sleep(PAUSE).await,
+            Err(_) => pauses.wait().await,
         }
     }
     if account.missing > 0 && account.next_grant() == Grant::Spent {
@@ -211,6 +208,7 @@
         }
         let gives_up = state.now().after(GRANT_PATIENCE_MS);
         let nonce = rand::random();
+        let mut pauses = Pauses::default();
         loop {
             let Grant::Tokens(tokens, granted) = self.next_grant() else {
                 return Err(Denied::Spent);
@@ -224,7 +222,7 @@
                 if state.now() >= gives_up {
                     return Err(Denied::Store(error));
                 }
-                tokio::time::sleep(PAUSE).await;
+                pauses.wait().await;
             }
             if let Ok((row, version)) = read(&state, &program, gives_up).await {
                 if row.grant == nonce {
--- a/crates/ingress/src/history.rs
+++ b/crates/ingress/src/history.rs
@@ -4,7 +4,6 @@
 //! of them is away. Whoever looks for it and does not find it has read both.
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use basilramp_adapter::store::{Change, Client, Error, MAX_VALUE_BYTES, Place};
 use basilramp_core::clock::Time;
@@ -13,7 +12,7 @@
 use basilramp_core::dispatch::transcript::Cache;
 use serde::{Deserialize, Serialize};
 
-use crate::state::{Call, State, lock, part};
+use crate::state::{Call, Pauses, State, lock, part};
 
 /// The table of turns.
 const TABLE: &str = "turn";
@@ -22,9 +21,6 @@
 /// then sends the turn again, which mostly meets an instance that reaches the store.
 const COMMIT_PATIENCE_MS: u64 = 1_500;
 
-/// Time between tries.
-const PAUSE: Duration = Duration::from_millis(60);
-
 /// A turn as it is stored: this head in its first row, before the first bytes.
 #[derive(Debug, Serialize, Deserialize)]
 struct Head {
@@ -71,6 +67,7 @@
     }
     let began = state.now();
     let parts = parts(turn);
+    let mut pauses = Pauses::default();
     loop {
         match find(state, turn, &parts, ends).await {
             Some(Some(found)) => {
@@ -78,7 +75,7 @@
                 return Ok(found);
             }
             Some(None) => return Err(Refusal::NoTurn),
-            None => tokio::time::sleep(PAUSE).await,
+            None => pauses.wait().await,
         }
         state.part_up(&parts[0], began, ends).await?;
     }
@@ -121,6 +118,7 @@
     let parts = parts(turn);
     let mut part = &parts[usize::from(state.is_away(&parts[0]))];
     // What is removed goes with the first try alone: a row that is gone may be in the way of it.
+    let mut pauses = Pauses::default();
     let mut expired = lock(&state.shelf.retention).take_expired(part, state.now());
     loop {
         let (change, rows) = encode(turn, part, &content)?;
@@ -137,7 +135,7 @@
                 return Ok(());
             }
             Err(error) if state.now() >= gives_up => return Err(error),
-            Err(_) => tokio::time::sleep(PAUSE).await,
+            Err(_) => pauses.wait().await,
         }
         part = parts.iter().find(|other| *other != part).unwrap_or(part);
     }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -262,6 +262,31 @@
 /// The shortest limit of a call: several times what one takes when the store is well.
 const LEAST_CALL_MS: u64 = 50;
 
+/// The first pause after a call of the store that failed: several times what one takes.
+const FIRST_PAUSE_MS: u64 = 50;
+
+/// The longest pause: a fraction of what a caller of a turn notices.
+const MOST_PAUSE_MS: u64 = 100;
+
+/// Pauses between tries of a call of the store, each twice as long as the one before.
+#[derive(Debug)]
+pub(crate) struct Pauses(u64);
+
+impl Default for Pauses {
+    fn default() -> Self {
+        Self(FIRST_PAUSE_MS)
+    }
+}
+
+impl Pauses {
+    /// Waits for the next pause.
+    pub(crate) async fn wait(&mut self) {
+        let ms = self.0;
+        self.0 = (ms * 2).min(MOST_PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+}
+
 /// Time between two looks of a request that waits for the store.
 const STORE_PAUSE: Duration = Duration::from_millis(30);
 
