--- a/crates/core/src/dispatch/outage.rs
+++ b/crates/core/src/dispatch/outage.rs
@@ -12,6 +12,9 @@
 /// usual answer takes.
 const DOWN_MS: u64 = 250;
 
+/// The part of the tables that are followed: what is noted of it holds for the store itself.
+pub const FEED_PART: &str = "";
+
 /// Calls that fail one after the other before the tables that are followed are asked: one alone
 /// may have met a connection that broke.
 const DOUBTFUL_CALLS: u32 = 2;
@@ -177,9 +180,6 @@
     }
 }
 
-/// The part of the tables that are followed: what is noted of it holds for the store itself.
-pub const FEED_PART: &str = "";
-
 /// Returns when a caller may come back whose request was held in vain.
 #[must_use]
 pub const fn retry_after_hold_ms() -> u64 {
--- a/crates/ingress/src/history.rs
+++ b/crates/ingress/src/history.rs
@@ -75,9 +75,9 @@
                 return Ok(found);
             }
             Some(None) => return Err(Refusal::NoTurn),
-            None => pauses.wait().await,
+            None => state.part_up(&parts[0], began, ends).await?,
         }
-        state.part_up(&parts[0], began, ends).await?;
+        pauses.wait().await;
     }
 }
 
@@ -117,8 +117,8 @@
     let gives_up = ends.min(state.now().after(COMMIT_PATIENCE_MS));
     let parts = parts(turn);
     let mut part = &parts[usize::from(state.is_away(&parts[0]))];
-    // What is removed goes with the first try alone: a row that is gone may be in the way of it.
     let mut pauses = Pauses::default();
+    // What is removed goes with the first try alone: a row that is gone may be in the way of it.
     let mut expired = lock(&state.shelf.retention).take_expired(part, state.now());
     loop {
         let (change, rows) = encode(turn, part, &content)?;
