Count runs in one place in the tests; say what the soak's record holds

Cause: reading the whole change once more. Three tests of promises summed the runs of all upstreams in the same lines, and the soak's World::runs said that it waits for runs to end, which it does not.

Ruled out: nothing to rule out.

Change: run_count in the tests of promises, same expectations; World::runs is no longer async and says that it tells of what has run so far.

Conclusion: tests only; no behaviour of the program changes.

--- a/crates/daemon/tests/ingress/promises.rs
+++ b/crates/daemon/tests/ingress/promises.rs
@@ -1,6 +1,6 @@
 //! What answers promise, and what upstreams are sent.
 
-use basilramp_fakes::site::Behaviour;
+use basilramp_fakes::site::{Behaviour, Upstream};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
@@ -38,19 +38,18 @@
     );
 }
 
+/// Returns how often requests ran, at all upstreams.
+fn run_count(upstreams: &[Upstream]) -> usize {
+    upstreams.iter().map(|upstream| upstream.runs().len()).sum()
+}
+
 #[tokio::test]
 async fn unsafe_request_with_a_lost_answer_runs_once() {
     let (store, upstreams) = site("app", [Behaviour::LosesAnswer; 2]);
     let instance = Instance::spawn(&store, "a").await;
     let reply = instance.send(plain("pay", "t1")).await.unwrap();
     assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
-    assert_eq!(
-        upstreams
-            .iter()
-            .map(|upstream| upstream.runs().len())
-            .sum::<usize>(),
-        1
-    );
+    assert_eq!(run_count(&upstreams), 1);
 }
 
 #[tokio::test]
@@ -59,13 +58,7 @@
     let instance = Instance::spawn(&store, "a").await;
     let reply = instance.send(plain("read", "t1")).await.unwrap();
     assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
-    assert_eq!(
-        upstreams
-            .iter()
-            .map(|upstream| upstream.runs().len())
-            .sum::<usize>(),
-        2
-    );
+    assert_eq!(run_count(&upstreams), 2);
 }
 
 #[tokio::test]
@@ -147,13 +140,7 @@
     };
     let reply = instance.send(turn.request()).await.unwrap();
     assert!(!reply.is_whole, "an answer that broke off looks complete");
-    assert_eq!(
-        upstreams
-            .iter()
-            .map(|upstream| upstream.runs().len())
-            .sum::<usize>(),
-        1
-    );
+    assert_eq!(run_count(&upstreams), 1);
 }
 
 #[tokio::test]
--- a/crates/daemon/tests/ingress/soak.rs
+++ b/crates/daemon/tests/ingress/soak.rs
@@ -85,7 +85,7 @@
         records.extend(caller.await.unwrap());
     }
     let recovered = caller::recovers(&world, RECOVERY).await;
-    let mut broken = check::check(&records, &world.runs().await);
+    let mut broken = check::check(&records, &world.runs());
     broken.extend(recovered.err());
     tried.note(&records);
     broken
--- a/crates/daemon/tests/ingress/soak/world.rs
+++ b/crates/daemon/tests/ingress/soak/world.rs
@@ -118,8 +118,8 @@
         self.addresses.lock().unwrap()[index]
     }
 
-    /// Returns what upstreams ran, by attempt, once no run is left.
-    pub(super) async fn runs(&self) -> BTreeMap<String, Vec<Run>> {
+    /// Returns what upstreams have run so far, by attempt.
+    pub(super) fn runs(&self) -> BTreeMap<String, Vec<Run>> {
         let mut runs: BTreeMap<String, Vec<Run>> = BTreeMap::new();
         for run in self.upstreams.iter().flat_map(Upstream::runs) {
             runs.entry(run.attempt.clone()).or_default().push(run);
