--- a/crates/daemon/src/engine_control.rs
+++ b/crates/daemon/src/engine_control.rs
@@ -19,7 +19,7 @@
 
 /// Timeout of an order. It is long because an engine responds only after it has executed the
 /// order, such as loading a model.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(120_000);
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(120_000);
 
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -75,6 +75,8 @@
     RequestSuspected = "E0509", Warning, "request suspected";
     /// A second upstream crashed on this request, which is rejected from now on.
     RequestQuarantined = "E0510", Error, "request quarantined";
+    /// The crash of an upstream could not be stored in time; its request is blocked until it is.
+    CrashUnrecorded = "E0511", Warning, "crash not recorded";
     /// A call completed, `ms` milliseconds after its arrival.
     CallDone = "E0513", Debug, "call done";
     /// A call was rejected or failed; `kind` is the error kind.
--- a/crates/daemon/src/order.rs
+++ b/crates/daemon/src/order.rs
@@ -9,6 +9,9 @@
 //! follows what engines report, so a lost order only costs time: the next round
 //! finds that the report differs from the plan and issues the order again.
 //!
+//! A new home doesn't repeat the order of the former one while it may still be
+//! sent, or while the engine reports that it has accepted it and executes it.
+//!
 //! A home has one load in progress at a time, so that the weight store never
 //! serves more concurrent loads than there are instances.
 
@@ -31,7 +34,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock::Clock;
-use crate::engine_control::{Client, Failure};
+use crate::engine_control::{Client, Failure, ORDER_TIMEOUT};
 use crate::log::{self, Event, event};
 use crate::{commit, config, grant, home, membership, upstream};
 
@@ -123,6 +126,8 @@
 struct ForeignRow {
     version: u64,
     first_read_at: Time,
+    /// Epoch of the engine at that time, if it was known.
+    epoch: Option<u64>,
 }
 
 impl OrderSender {
@@ -199,11 +204,12 @@
     }
 
     async fn issue(&mut self, engine: &Listing, step: Step, fencing: bool) {
-        let Some(version) = self.next_fencing_number(&engine.id, fencing).await else {
+        let order = order_from_step(&step);
+        let version = self.next_fencing_number(&engine.id, fencing, Some(&order));
+        let Some(version) = version.await else {
             return;
         };
         let start = self.dependencies.clock.now();
-        let order = order_from_step(&step);
         if !self.write_row(&engine.id, &order, version).await {
             return;
         }
@@ -231,29 +237,58 @@
         self.sent.insert(engine.id.clone(), sent);
     }
 
-    /// Returns the fencing number of the next order, or `None` if the row can't be read or an earlier
-    /// sender's order may still be valid.
-    async fn next_fencing_number(&mut self, engine: &id::Upstream, fencing: bool) -> Option<u64> {
+    /// Returns the fencing number of the next order, or `None` if the row can't be read, or if the
+    /// order of an earlier sender may still be valid or is the `planned` one and in progress.
+    async fn next_fencing_number(
+        &mut self,
+        engine: &id::Upstream,
+        fencing: bool,
+        planned: Option<&Order>,
+    ) -> Option<u64> {
         let row = self.dependencies.table.get(&row_key(engine)).await.ok()?;
         let Some(row) = row else {
             return Some(1);
         };
         let own = self.sent.get(engine);
-        if own.is_some_and(|sent| sent.version == row.version) || fencing {
+        if own.is_some_and(|sent| sent.version == row.version) {
             return Some(row.version + 1);
         }
         let record: record::Order = serde_json::from_str(&row.body).ok()?;
-        let now = self.dependencies.clock.now();
+        let foreign_row = self.track_foreign_row(engine, row.version);
+        let age_ms = self
+            .dependencies
+            .clock
+            .now()
+            .since(foreign_row.first_read_at);
+        let may_be_sent = age_ms < record.valid_ms;
+        if planned == Some(&record.order) {
+            let is_executing = self.has_accepted(engine, &foreign_row)
+                && u128::from(age_ms) < ORDER_TIMEOUT.as_millis();
+            return (!may_be_sent && !is_executing).then_some(row.version + 1);
+        }
+        (fencing || !may_be_sent).then_some(row.version + 1)
+    }
+
+    /// Returns the row of another sender with the time at which this process first read it.
+    fn track_foreign_row(&mut self, engine: &id::Upstream, version: u64) -> ForeignRow {
+        let load = self.dependencies.homes.last_load(engine);
         let first = ForeignRow {
-            version: row.version,
-            first_read_at: now,
+            version,
+            first_read_at: self.dependencies.clock.now(),
+            epoch: load.map(|load| load.epoch),
         };
         let foreign_row = self.foreign_rows.entry(engine.clone()).or_insert(first);
-        if foreign_row.version != row.version {
+        if foreign_row.version != version {
             *foreign_row = first;
         }
-        let over = now.since(foreign_row.first_read_at) >= record.valid_ms;
-        over.then_some(row.version + 1)
+        *foreign_row
+    }
+
+    /// Returns whether an engine reports that it has accepted the order of a row and has not
+    /// restarted since.
+    fn has_accepted(&self, engine: &id::Upstream, row: &ForeignRow) -> bool {
+        let load = self.dependencies.homes.last_load(engine);
+        load.is_some_and(|load| load.fencing >= row.version && Some(load.epoch) == row.epoch)
     }
 
     /// Writes an order's row. Returns whether it is certain that the row was written.
--- a/crates/daemon/src/order/manual.rs
+++ b/crates/daemon/src/order/manual.rs
@@ -88,7 +88,7 @@
         let place = config.places.get(&listing.place);
         let fencing = place.is_some_and(|place| place.fencing);
         let version = self
-            .next_fencing_number(engine, fencing)
+            .next_fencing_number(engine, fencing, None)
             .await
             .ok_or_else(|| {
                 let message = "an earlier order may still be valid, or the store is unavailable";
--- a/crates/daemon/src/owner_router.rs
+++ b/crates/daemon/src/owner_router.rs
@@ -172,7 +172,8 @@
         }
     }
 
-    /// Forwards a request to the owner of `partition` and returns its single reply.
+    /// Forwards a request to the owner of `partition` and returns its single reply. A read is
+    /// repeated if the connection to the owner is lost, as it changes nothing.
     ///
     /// # Errors
     ///
@@ -184,9 +185,11 @@
         body: Body,
     ) -> Result<Reply, Error> {
         let deadline = Instant::now() + Duration::from_millis(OWNER_TIMEOUT_MS);
+        let is_read = matches!(body, Body::Read { .. });
         loop {
             let error = match self.try_request(partition, body.clone()).await {
                 Err(error) if error.kind == Kind::OwnerUnavailable => error,
+                Err(error) if error.kind == Kind::Interrupted && is_read => error,
                 result => return result,
             };
             if Instant::now() >= deadline {
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -326,6 +326,7 @@
                 Verdict::Trial | Verdict::Busy => CrashOutcome::MayRetry,
             };
         }
+        event!(log, Event::CrashUnrecorded, "fingerprint" => %fingerprint);
         tokio::spawn(async move {
             while shared
                 .write_crash(fingerprint, &self.upstream)
--- a/crates/daemon/tests/calls/at_most_once.rs
+++ b/crates/daemon/tests/calls/at_most_once.rs
@@ -6,15 +6,16 @@
 use basilramp_fakes::caller::{self, CallResponse};
 use basilramp_fakes::cluster::{Cluster, name};
 use basilramp_fakes::service::Fault;
-use basilramp_wire::api::Call;
+use basilramp_wire::api::{Call, Program};
 use basilramp_wire::error::{Executed, Kind};
 use basilramp_wire::frame::Settlement;
 use basilramp_wire::record::TurnState;
 use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until};
 
 use crate::support::{
-    self, assert_rejected, call_until_settled, create, other_address, spawn_call, start, turn_row,
-    wait_for_owner, wait_until,
+    self, assert_rejected, call_until_settled, create, current_owner, other_address, spawn_call,
+    start, turn_row, wait_for_owner, wait_until,
 };
 
 #[tokio::test(flavor = "multi_thread")]
@@ -200,25 +201,74 @@
     panic!("no attempt suspended the owner between intent and send");
 }
 
+/// Delay of a response, long enough to suspend the owner before it arrives.
+const RESPONSE_DELAY_MS: u64 = 3_000;
+
+/// Programs that are tried until an owner is suspended in time. On a busy machine the response may
+/// arrive first, and another instance may have become the owner.
+const MAX_FREEZE_ATTEMPTS: u32 = 5;
+
+/// A call whose owner was suspended after it sent the request and before the response arrived.
+struct FrozenCall {
+    program: Program,
+    owner: usize,
+    call_task: JoinHandle<CallResponse>,
+    responds_at: Instant,
+}
+
+/// Sends an order and suspends the owner of its program before the response arrives.
+async fn freeze_owner_of_sent_call(cluster: &Cluster, order: &Call) -> FrozenCall {
+    for number in 0..MAX_FREEZE_ATTEMPTS {
+        let program = create(cluster, &format!("p{number}")).await;
+        let owner = wait_for_owner(cluster, &program.id).await;
+        let receipts = cluster.store.receipts().len();
+        cluster
+            .store
+            .fault_next(Fault::DelayResponse(RESPONSE_DELAY_MS));
+        let call_task = spawn_call(cluster, other_address(cluster, owner), &program.id, order);
+        wait_until("the service receives the call", || {
+            cluster.store.receipts().len() == receipts + 1
+        })
+        .await;
+        let owner = current_owner(cluster, &program.id);
+        let process = cluster.instances[owner].process.as_ref();
+        let process = process.expect("the instance is running");
+        process.freeze().expect("the process is suspended");
+        let received_at = Instant::from_std(cluster.store.receipts()[receipts].occurred_at);
+        let responds_at = received_at + Duration::from_millis(RESPONSE_DELAY_MS);
+        let row = turn_row(cluster, &program.id, 0).expect("the intent row exists");
+        if Instant::now() < responds_at && row.state == TurnState::Intent {
+            return FrozenCall {
+                program,
+                owner,
+                call_task,
+                responds_at,
+            };
+        }
+        process.thaw().expect("the process resumes");
+    }
+    panic!("no owner was suspended before its response arrived");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_frozen_after_its_send_records_no_outcome_after_the_takeover() {
     let cluster = start(3).await;
-    let program = create(&cluster, "p").await;
     let order = caller::call_request("a", 0, name::ORDER, "one bag of grit");
-    let owner = wait_for_owner(&cluster, &program.id).await;
+    let FrozenCall {
+        program,
+        owner,
+        call_task,
+        responds_at,
+    } = freeze_owner_of_sent_call(&cluster, &order).await;
+    let receipts = cluster.store.receipts().len();
     let address = other_address(&cluster, owner);
-    cluster.store.fault_next(Fault::DelayResponse(1_000));
-    let call_task = spawn_call(&cluster, address, &program.id, &order);
-    wait_until("the service receives the call", || {
-        cluster.store.receipts().len() == 1
-    })
-    .await;
-    let process = cluster.instances[owner].process.as_ref();
-    let process = process.expect("the instance is running");
-    process.freeze().expect("the process is suspended");
     let resent = call_until_settled(&cluster, address, &program.id, &order).await;
     assert_rejected(&resent, Kind::InDoubt, Executed::Unknown);
 
+    // The response is waiting for the owner when it resumes.
+    sleep_until(responds_at + Duration::from_millis(100)).await;
+    let process = cluster.instances[owner].process.as_ref();
+    let process = process.expect("the instance is running");
     process.thaw().expect("the process resumes");
     let first = call_task.await.expect("the call task does not panic");
     assert_matches!(first.result, Err(_));
@@ -228,7 +278,7 @@
         .expect("the owner becomes ready again");
     let row = turn_row(&cluster, &program.id, 0).expect("the intent row exists");
     assert_eq!(row.state, TurnState::Intent);
-    assert_eq!(cluster.store.receipts().len(), 1);
+    assert_eq!(cluster.store.receipts().len(), receipts);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/daemon/tests/calls/budget.rs
+++ b/crates/daemon/tests/calls/budget.rs
@@ -1,11 +1,14 @@
 //! A program tree never uses more tokens than its budget, also when streams are cancelled, attempts
 //! fail or the owner is killed.
 
+use std::time::Duration;
+
 use basilramp_fakes::caller::{self, Failure};
 use basilramp_fakes::cluster::{Cluster, name};
 use basilramp_fakes::engine::Fault;
 use basilramp_wire::api::{CreateProgram, Program};
 use basilramp_wire::error::{Executed, Kind};
+use tokio::time::{Instant, sleep};
 
 use crate::support::{
     any_address, assert_rejected, call_until_settled, create_with, options, start, wait_for_owner,
@@ -85,6 +88,12 @@
 /// Upper bound on the streams that are cancelled to spend the budget.
 const MAX_CANCELS: u32 = 60;
 
+/// Upper bound on the time that it takes.
+const MAX_CANCEL_TIME: Duration = Duration::from_secs(60);
+
+/// Interval between two calls while the cancellation of a stream is in progress.
+const CANCEL_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn cancelled_streams_are_charged() {
     let mut options = options(1);
@@ -96,8 +105,11 @@
     let prompt = "a long story ".repeat(30);
     let root = create_with(&cluster, "p", caller::program_budget(TOKENS / 2)).await;
     let mut rejected = None;
-    for number in 0..MAX_CANCELS {
-        let mut call = caller::call_request(&format!("c{number}"), 0, name::MODEL, &prompt);
+    let mut cancelled = 0;
+    let deadline = Instant::now() + MAX_CANCEL_TIME;
+    while cancelled < MAX_CANCELS && Instant::now() < deadline {
+        let request = format!("c{cancelled}");
+        let mut call = caller::call_request(&request, 0, name::MODEL, &prompt);
         call.max_tokens = 200;
         let before = tokens_used(&cluster, &root.id);
         let call_task = {
@@ -110,6 +122,7 @@
         .await;
         call_task.abort();
         let Ok(response) = call_task.await else {
+            cancelled += 1;
             continue;
         };
         match &response.result {
@@ -117,8 +130,11 @@
                 rejected = Some(response);
                 break;
             }
-            // The cancellation of the previous call is still in progress.
-            Err(Failure::Rejected(error)) if error.kind == Kind::OutOfOrder => {}
+            // The cancellation of the previous call is still in progress. This call did not run, so
+            // it is not one of the cancelled ones.
+            Err(Failure::Rejected(error)) if error.kind == Kind::OutOfOrder => {
+                sleep(CANCEL_POLL_INTERVAL).await;
+            }
             other => panic!("{other:?}"),
         }
     }
--- a/crates/daemon/tests/calls/order.rs
+++ b/crates/daemon/tests/calls/order.rs
@@ -163,3 +163,20 @@
     let runs = cluster.engines.iter().flat_map(|engine| engine.requests());
     assert_eq!(runs.count(), 1, "the rejected call ran");
 }
+
+/// The connection to a killed owner is lost while a read waits for its reply. The read is repeated
+/// at the next owner, as it changes nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_outlives_the_loss_of_its_owner() {
+    let mut cluster = start(3).await;
+    let program = create(&cluster, "p").await;
+    let owner = wait_for_owner(&cluster, &program.id).await;
+    let address = other_address(&cluster, owner);
+    let reader = cluster.caller(0);
+    let read = reader.get_program(address, &program.id).await;
+    read.expect("the program is readable over a connection to its owner");
+    cluster.kill(owner).expect("the process is killed");
+    let read = reader.get_program(address, &program.id).await;
+    let read = read.expect("the program is readable after the takeover");
+    assert_eq!(read.id, program.id);
+}
--- a/crates/daemon/tests/calls/support.rs
+++ b/crates/daemon/tests/calls/support.rs
@@ -104,6 +104,18 @@
     found.expect("the owner is an instance of the deployment")
 }
 
+/// Returns the index of the instance that owns a program's partition now.
+pub(crate) fn current_owner(cluster: &Cluster, program: &str) -> usize {
+    let program: id::Program = program.parse().expect("the program id is valid");
+    let sort = format!("{:04}", program.partition().0);
+    let row = cluster.platform.row("partition", &sort);
+    let row = row.expect("the partition has a row");
+    let row: record::Partition = serde_json::from_str(&row.body).expect("the row is valid");
+    let mut instances = cluster.instances.iter();
+    let found = instances.position(|instance| instance.id == row.owner);
+    found.expect("the owner is an instance of the deployment")
+}
+
 /// Reads the row of a program's turn; `None` if there is none.
 pub(crate) fn turn_row(cluster: &Cluster, program: &str, position: u32) -> Option<record::Turn> {
     let sort = format!("turn/{position:08}");
--- a/crates/daemon/tests/calls/suspect.rs
+++ b/crates/daemon/tests/calls/suspect.rs
@@ -1,16 +1,30 @@
 //! A request that crashes engines is quarantined after two crashes, whichever program or instance
 //! sends it again.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use basilramp_fakes::caller;
 use basilramp_fakes::cluster::{Cluster, name};
 use basilramp_fakes::engine;
+use basilramp_wire::api::Call;
 use basilramp_wire::error::{Executed, Kind};
+use tokio::time::{Instant, sleep};
 
-use crate::support::{assert_rejected, create, options, rejection, wait_until};
+use crate::support::{assert_rejected, create, options, rejection};
 
 /// An input that crashes the fake engine: it contains the word "POISON" in capitals.
 const POISON: &str = "tell me about POISON ivy";
 
+/// Time within which a request that is sent again and again is quarantined.
+const QUARANTINE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Interval between two calls of a request that crashes engines.
+const RESEND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Latency of a store that makes a crash durable only after the timeout of its write.
+const SLOW_STORE_MS: u64 = 600;
+
 fn crashes(cluster: &Cluster) -> u64 {
     let engines = cluster.engines.iter();
     engines.map(|engine| engine.crashes()).sum()
@@ -49,15 +63,58 @@
     assert!(response.result.is_ok(), "{:?}", response.result);
 }
 
+/// Sends a call again until it is quarantined. It fails with the first crash if the crash is not
+/// durable in time, as the instance may not send it again before.
+async fn send_until_quarantined(
+    cluster: &Cluster,
+    address: SocketAddr,
+    program: &str,
+    call: &Call,
+) {
+    let deadline = Instant::now() + QUARANTINE_TIMEOUT;
+    loop {
+        let response = cluster.caller(0).call(address, program, call).await;
+        match rejection(&response).kind {
+            Kind::Quarantined => return,
+            Kind::UpstreamFailed | Kind::Overloaded => {}
+            kind => panic!("{kind:?}"),
+        }
+        assert!(Instant::now() < deadline, "the request is not quarantined");
+        sleep(RESEND_INTERVAL).await;
+    }
+}
+
+/// The store is too slow to make a crash durable before the call fails. The call is not sent again
+/// until then, and the next crash quarantines it.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_quarantine_survives_a_restart_of_all_instances() {
-    let mut cluster = start_deployment(3).await;
+async fn a_crash_that_is_not_durable_yet_blocks_its_request() {
+    let cluster = start_deployment(3).await;
     let program = create(&cluster, "p").await;
     let address = crate::support::any_address(&cluster);
     let call = caller::call_request("r", 0, name::MODEL, POISON);
+    cluster.platform.set_latency_ms(SLOW_STORE_MS);
     let response = cluster.caller(0).call(address, &program.id, &call).await;
     assert_eq!(rejection(&response).kind, Kind::UpstreamFailed);
-    wait_until("two engines crash", || crashes(&cluster) == 2).await;
+    assert_eq!(crashes(&cluster), 1);
+    let output = cluster.instances.iter().filter_map(|instance| {
+        let process = instance.process.as_ref()?;
+        Some(process.output().join("\n"))
+    });
+    let output: String = output.collect();
+    assert!(output.contains("E0511"), "the failed write is not logged");
+    cluster.platform.set_latency_ms(0);
+    send_until_quarantined(&cluster, address, &program.id, &call).await;
+    assert_eq!(crashes(&cluster), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_survives_a_restart_of_all_instances() {
+    let mut cluster = start_deployment(3).await;
+    let program = create(&cluster, "p").await;
+    let address = crate::support::any_address(&cluster);
+    let call = caller::call_request("r", 0, name::MODEL, POISON);
+    send_until_quarantined(&cluster, address, &program.id, &call).await;
+    assert_eq!(crashes(&cluster), 2);
     for index in 0..3 {
         cluster.kill(index).expect("the process is killed");
     }
--- a/crates/daemon/tests/upstreams.rs
+++ b/crates/daemon/tests/upstreams.rs
@@ -17,6 +17,8 @@
 use basilramp_wire::config::{Plan, Value};
 use basilramp_wire::engine::{LoadReport, Order};
 use basilramp_wire::error::{Executed, Kind};
+use basilramp_wire::record;
+use serde_json::json;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -341,6 +343,52 @@
     assert_plan_orders_one_load(false).await;
 }
 
+/// The home of an engine is suspended while the engine executes its order to load a model. The next
+/// home finds the order in the store and that the engine has accepted it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_load_in_progress_is_not_ordered_again_by_the_next_home() {
+    let engine = engine::Options {
+        model_load_ms: 80_000,
+        ..engine::Options::default()
+    };
+    let lease = json!({"timing": {
+        "lease_ms": 800,
+        "lease_margin_ms": 200,
+        "heartbeat_ms": 200,
+        "upstream_poll_ms": 100,
+    }});
+    let options = Options {
+        engines: vec![engine; 2],
+        edits: vec![
+            set_item("advisor", model_service("grit", "2", 5_000)),
+            set_item("morning", plan("place-a", 1)),
+        ],
+        settings: lease,
+        ..options(3)
+    };
+    let cluster = Cluster::start(options).await.unwrap();
+    let ordered = || async { !cluster.engines[0].received_orders().is_empty() };
+    assert!(holds_within(30_000, ordered).await, "no order was sent");
+    let row = cluster.platform.row("upstream", "e0").unwrap();
+    let order: record::Order = serde_json::from_str(&row.body).unwrap();
+    let home = cluster
+        .instances
+        .iter()
+        .position(|instance| instance.id == order.sender)
+        .unwrap();
+    let process = cluster.instances[home].process.as_ref().unwrap();
+    process.freeze().unwrap();
+    let loaded = || async { cluster.engines[0].models().contains(&"grit@2".to_owned()) };
+    assert!(
+        holds_within(30_000, loaded).await,
+        "the planned model was not loaded"
+    );
+    process.thaw().unwrap();
+    cluster.wait_for_instance(home).await.unwrap();
+    let orders = cluster.engines[0].received_orders();
+    assert_eq!(orders.len(), 1, "{orders:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_account_can_not_exceed_its_program_limit() {
     let options = Options {
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -254,7 +254,8 @@
         while !client.is_ready(process.addresses().operators).await {
             if Instant::now() >= deadline {
                 let output = process.output().join("\n");
-                return Err(eyre!("{} is not ready: {output}", instance.id));
+                let state = process.kernel_state();
+                return Err(eyre!("{} is not ready ({state}): {output}", instance.id));
             }
             tokio::time::sleep(Duration::from_millis(READY_POLL_MS)).await;
         }
--- a/crates/fakes/src/engine/control.rs
+++ b/crates/fakes/src/engine/control.rs
@@ -77,6 +77,7 @@
             return Ok(full_response(StatusCode::CONFLICT, "old fencing number"));
         }
         state.fencing = state.fencing.max(fencing);
+        state.publish_load();
         state.scaled_duration(state.options.model_load_ms as f64)
     };
     let is_load = matches!(order, Order::Load { .. });
--- a/crates/fakes/src/launcher.rs
+++ b/crates/fakes/src/launcher.rs
@@ -167,6 +167,20 @@
         lock(&self.output).clone()
     }
 
+    /// Returns what the operating system says of the process's state, for messages of failed tests.
+    #[must_use]
+    pub fn kernel_state(&self) -> String {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_else(|error| error.to_string());
+        let is_relevant = |line: &&str| {
+            ["State:", "Threads:", "VmRSS:", "SigPnd:"]
+                .iter()
+                .any(|field| line.starts_with(field))
+        };
+        let lines: Vec<&str> = status.lines().filter(is_relevant).collect();
+        lines.join(", ")
+    }
+
     /// Kills the process (`SIGKILL`) and waits for its exit.
     ///
     /// # Errors
