--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -6,6 +6,8 @@
 //! | [`request`] | parsed request headers and the rejections sent by this system |
 //! | [`route`] | selects the route and service of a request |
 //! | [`fleet`] | tracks the upstreams and their state |
+//! | [`outlier`] | ejects upstreams that fail more often than their service |
+//! | [`speed`] | measures the speed of a service's upstreams |
 //! | [`placement`] | selects the upstream of an attempt |
 //! | [`attempt`] | decides whether to retry a failed attempt |
 //! | [`token_budget`] | grants tokens from a program's budget to its turns |
@@ -20,10 +22,12 @@
 pub mod config;
 pub mod fleet;
 pub mod outage;
+pub mod outlier;
 pub mod placement;
 pub mod request;
 pub mod retention;
 pub mod route;
+pub mod speed;
 pub mod sse;
 pub mod token_budget;
 pub mod transcript;
--- a/crates/core/src/dispatch/config.rs
+++ b/crates/core/src/dispatch/config.rs
@@ -37,6 +37,9 @@
     pub priority: u8,
     /// Maximum number of upstreams that may run one request.
     pub max_attempts: u32,
+    /// Maximum gap between the events of a stream that callers accept, in milliseconds; 0 if none is
+    /// stated.
+    pub max_event_gap_ms: u64,
     /// How long the turns of the route's programs are stored, in milliseconds. `None` if each
     /// request carries its whole prompt.
     pub retention_ms: Option<u64>,
--- a/crates/core/src/dispatch/fleet/prefix_cache.rs
+++ b/crates/core/src/dispatch/fleet/prefix_cache.rs
@@ -42,6 +42,15 @@
         cached
     }
 
+    /// Returns whether a shorter version of a prompt's last part, which belongs to its session, was
+    /// recently read.
+    #[must_use]
+    pub fn knows_session(&self, prompt: &[PromptPart]) -> bool {
+        prompt
+            .last()
+            .is_some_and(|part| self.parts.contains_key(&part.id))
+    }
+
     /// Evicts the half of the parts that was read the longest time ago.
     fn evict_older_half(&mut self) {
         let mut times: Vec<_> = self.parts.values().map(|(_, read)| *read).collect();
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -6,6 +6,7 @@
 
 use super::fleet::{Fleet, UpstreamKey, UpstreamState};
 use super::request::PromptPart;
+use super::speed::ServiceSpeed;
 use crate::clock::Time;
 
 /// A request to place.
@@ -23,6 +24,8 @@
     pub failure_domain: &'a str,
     /// Upstreams that were already tried.
     pub tried: &'a [UpstreamKey],
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
 }
 
 /// Prompt of a request.
@@ -43,39 +46,38 @@
     pub id: Arc<str>,
     /// Prompt tokens that the upstream has not cached.
     pub unread_tokens: u64,
+    /// Prompt tokens of the session that are new since its previous turn, if this instance placed
+    /// that turn at this upstream.
+    pub new_tokens: Option<u64>,
+    /// Prompt tokens of this instance's other requests that the upstream has to read before.
+    pub queued_tokens: u64,
     /// Estimated cost, in milliseconds.
     pub cost_ms: f64,
     /// Expected time to the first byte, in milliseconds.
     pub expected_ms: f64,
 }
 
-/// Prompt tokens that an engine reads per millisecond; the lower end of the common rates.
-const READ_TOKENS_PER_MS: f64 = 30.0;
-
-/// Tokens of a turn's new input. The rest of the prompt is cached at the upstream of the previous
-/// turn.
-const NEW_TOKENS: u64 = 800;
-
-/// Delay that each request in a batch adds to another one, in milliseconds: about forty steps, each
-/// longer by some hundredths of a millisecond.
-const BATCH_MS: f64 = 1.5;
-
-/// Duration of a request at a plain service, in milliseconds.
-const PLAIN_MS: f64 = 60.0;
+/// Tokens that a turn adds to its previous one, until they were measured. The rest of the prompt is
+/// cached at the upstream of the previous turn.
+const INITIAL_NEW_TOKENS: u64 = 800;
 
 /// Cost of an upstream in another failure domain, in milliseconds: network latency plus a share for
 /// the price of the transferred bytes.
 const CROSS_DOMAIN_MS: f64 = 3.0;
 
-/// Cost reduction for the upstream that the affinity key prefers, in milliseconds: the time to read
-/// a short prompt again.
-const AFFINITY_MS: f64 = 15.0;
+/// Cost reduction for the engine that the affinity key prefers, in tokens to read: a short prompt.
+const AFFINITY_TOKENS: f64 = 450.0;
+
+/// Cost reduction for the plain service's upstream that the affinity key prefers, as a share of a
+/// request's duration.
+const AFFINITY_SHARE: f64 = 0.25;
 
 /// Cost per remaining millisecond for which a failing or full upstream is avoided.
 const AVOID_COST_PER_MS: f64 = 1.0;
 
 /// Selects the upstream with the lowest cost, or `None` if all upstreams of the service were tried.
 ///
+/// Upstreams whose health does not admit the request are selected only if there is no other.
 /// `draw` is a random number that breaks ties.
 #[must_use]
 pub fn select_upstream(
@@ -90,23 +92,33 @@
         .filter(|_| !previous_upstream_serves(fleet, request, now));
     let preferred =
         affinity_key.and_then(|affinity_key| preferred_upstream(fleet, request, affinity_key, now));
-    let mut best: Option<(Placement, u64)> = None;
+    let speed = fleet.speed(request.service);
+    let mut best: Option<(Placement, Rank)> = None;
     for (key, entry) in fleet.serving_upstreams(request.service, now) {
         if request.tried.contains(&key) {
             continue;
         }
-        let placement = estimate_cost(key, entry, request, preferred == Some(key), now);
-        let rank = xxh3_64_with_seed(entry.upstream.id.as_bytes(), draw);
-        let is_better = best.as_ref().is_none_or(|(other, other_rank)| {
-            (placement.cost_ms, rank) < (other.cost_ms, *other_rank)
-        });
-        if is_better {
+        let placement = estimate_cost(key, entry, request, preferred == Some(key), &speed, now);
+        let rank = Rank {
+            is_unhealthy: !entry.health().admits(request.is_repeatable, now),
+            cost_ms: placement.cost_ms,
+            draw: xxh3_64_with_seed(entry.upstream.id.as_bytes(), draw),
+        };
+        if best.as_ref().is_none_or(|(_, other)| rank < *other) {
             best = Some((placement, rank));
         }
     }
     best.map(|(placement, _)| placement)
 }
 
+/// Order of the upstreams for a request; the first is selected.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Rank {
+    is_unhealthy: bool,
+    cost_ms: f64,
+    draw: u64,
+}
+
 /// Returns whether the upstream of the previous turn accepts requests.
 fn previous_upstream_serves(fleet: &Fleet, request: &PlacementRequest<'_>, now: Time) -> bool {
     let is_previous =
@@ -138,48 +150,54 @@
     entry: &UpstreamState,
     request: &PlacementRequest<'_>,
     is_preferred: bool,
+    speed: &ServiceSpeed,
     now: Time,
 ) -> Placement {
     let load = entry.load;
-    let (unread_tokens, work_ms) = match request.prompt {
+    let slots = entry.upstream.slots;
+    let mut new_tokens = None;
+    let (unread_tokens, expected_ms) = match request.prompt {
         Some(prompt) => {
             let known = entry.prefix_cache.cached_tokens(prompt.parts);
             let is_previous = request.previous_upstream == Some(&*entry.upstream.id);
+            new_tokens = (is_previous && entry.prefix_cache.knows_session(prompt.parts))
+                .then(|| prompt.tokens.saturating_sub(known));
             let cached = if is_previous {
-                known.max(previous_turn_tokens(prompt))
+                known.max(previous_turn_tokens(prompt, speed))
             } else {
                 known
             };
             let unread_tokens = prompt.tokens.saturating_sub(cached);
-            let queue = load.unread_tokens as f64 / READ_TOKENS_PER_MS;
-            let batch = f64::from(load.requests) * BATCH_MS;
-            let full = queue_ms(load.requests, entry.upstream.slots, 300.0);
-            (
-                unread_tokens,
-                queue + unread_tokens as f64 / READ_TOKENS_PER_MS + batch + full,
-            )
+            let read = (load.unread_tokens + unread_tokens) as f64 * speed.read_ms();
+            let batch = f64::from(load.requests) * speed.batch_ms();
+            let queue = queue_ms(load.requests, slots, speed.turn_ms());
+            (unread_tokens, speed.base_ms() + read + batch + queue)
         }
         None => {
-            let share = f64::from(load.requests) / f64::from(entry.upstream.slots.max(1));
-            (
-                0,
-                PLAIN_MS * (1.0 + share) + queue_ms(load.requests, entry.upstream.slots, PLAIN_MS),
-            )
+            let share = f64::from(load.requests) / f64::from(slots.max(1));
+            let plain_ms = speed.plain_ms();
+            let queue = queue_ms(load.requests, slots, plain_ms);
+            (0, plain_ms * (1.0 + share) + queue)
         }
     };
-    let expected_ms = work_ms + 5.0;
     let mut cost_ms = expected_ms * entry.mean_latency_ratio.max(0.5);
     if &*entry.upstream.failure_domain != request.failure_domain {
         cost_ms += CROSS_DOMAIN_MS;
     }
     if is_preferred {
-        cost_ms -= AFFINITY_MS;
+        cost_ms -= match request.prompt {
+            Some(_) => AFFINITY_TOKENS * speed.read_ms(),
+            None => AFFINITY_SHARE * speed.plain_ms(),
+        };
     }
+    cost_ms += entry.health().slow_start_cost_ms(now);
     cost_ms += entry.avoid_remaining_ms(now) as f64 * AVOID_COST_PER_MS;
     Placement {
         key,
         id: Arc::clone(&entry.upstream.id),
         unread_tokens,
+        new_tokens,
+        queued_tokens: load.unread_tokens,
         cost_ms,
         expected_ms,
     }
@@ -187,8 +205,9 @@
 
 /// Returns the number of prompt tokens that the upstream of the previous turn has read or
 /// generated.
-const fn previous_turn_tokens(prompt: Prompt<'_>) -> u64 {
-    prompt.tokens.saturating_sub(NEW_TOKENS)
+fn previous_turn_tokens(prompt: Prompt<'_>, speed: &ServiceSpeed) -> u64 {
+    let new_tokens = speed.new_tokens().unwrap_or(INITIAL_NEW_TOKENS);
+    prompt.tokens.saturating_sub(new_tokens)
 }
 
 /// Returns the expected wait for a slot, in milliseconds. It is 0 if a slot is free; `work_ms` is
--- a/crates/core/src/dispatch/sse.rs
+++ b/crates/core/src/dispatch/sse.rs
@@ -1,5 +1,8 @@
 //! Decoder for server-sent events.
 
+/// Maximum size of an event that is buffered, many times that of a usual one.
+const MAX_EVENT_BYTES: usize = 256 * 1_024;
+
 /// Splits the bytes of an event stream into complete events.
 ///
 /// An event ends with an empty line, as the HTML standard defines for `text/event-stream`.
@@ -42,6 +45,18 @@
         !self.pending.is_empty()
     }
 
+    /// Returns the number of buffered bytes.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Returns whether the buffered event is longer than any valid one.
+    #[must_use]
+    pub fn is_event_too_long(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     fn find_event_end(&mut self) -> Option<usize> {
         // An empty line may be split between two reads, so the search starts three bytes earlier.
         let from = self.searched.saturating_sub(3);
@@ -60,6 +75,13 @@
 }
 
 impl Event {
+    /// Returns whether the event carries data. Others are comments, which only keep a connection
+    /// open.
+    #[must_use]
+    pub const fn has_data(&self) -> bool {
+        self.data.is_some()
+    }
+
     fn parse(bytes: Vec<u8>) -> Self {
         let mut id = None;
         let mut data: Option<Vec<u8>> = None;
--- a/crates/core/tests/dispatch/placement.rs
+++ b/crates/core/tests/dispatch/placement.rs
@@ -39,6 +39,7 @@
         previous_upstream,
         failure_domain: "z0",
         tried: &[],
+        is_repeatable: true,
     }
 }
 
@@ -174,7 +175,7 @@
     let key = fleet.find_by_id("u3").unwrap();
     let parts = prompt(1, 2);
     fleet.start_attempt(key, &parts, 0, Time::ZERO);
-    fleet.end_attempt(key, AttemptOutcome::Failed, Time::ZERO);
+    fleet.end_attempt(key, AttemptOutcome::Broken, Time::ZERO);
     let at = |ms| {
         select_upstream(
             &fleet,
@@ -196,7 +197,7 @@
     let key = fleet.find_by_id("u0").unwrap();
     for _ in 0..10 {
         fleet.start_attempt(key, &[], 0, Time::ZERO);
-        fleet.end_attempt(key, AttemptOutcome::Failed, Time::ZERO);
+        fleet.end_attempt(key, AttemptOutcome::Broken, Time::ZERO);
     }
     let parts = prompt(1, 0);
     assert!(select_upstream(&fleet, &request(&parts, "p1", None), Time::ZERO, 1).is_some());
--- a/crates/core/tests/dispatch/route.rs
+++ b/crates/core/tests/dispatch/route.rs
@@ -16,6 +16,7 @@
         latency_objective_ms: 100,
         priority: 1,
         max_attempts: 2,
+        max_event_gap_ms: 0,
         retention_ms: None,
     }
 }
--- a/crates/daemon/tests/ingress/client_faults.rs
+++ b/crates/daemon/tests/ingress/client_faults.rs
@@ -38,6 +38,41 @@
     assert!(!upstream.requests()[0].completed);
 }
 
+/// Idle callers take all connections that the instance has for callers. Probes, the store and
+/// upstreams keep theirs, and a caller that is connected is served.
+#[tokio::test]
+async fn idle_callers_do_not_use_up_the_descriptors() {
+    const DESCRIPTORS: u32 = 120;
+    let (store, [upstream]) = start_site("app", [IMMEDIATE_RESPONSE]);
+    let instance = Instance::spawn_with_descriptors(&store, "a", DESCRIPTORS).await;
+    let first = TcpStream::connect(instance.callers).await.unwrap();
+    let mut idle = Vec::new();
+    for _ in 0..2 * DESCRIPTORS {
+        idle.push(TcpStream::connect(instance.callers).await.unwrap());
+    }
+    wait_for("connections are refused", || async {
+        (!instance.events("E0706").is_empty()).then_some(())
+    })
+    .await;
+    for _ in 0..10 {
+        assert!(instance.is_ready().await);
+    }
+    let mut first = first;
+    let request = "POST /pay/x HTTP/1.1\r\nhost: a.example\r\nattempt-id: t1\r\n\
+                   deadline-ms: 3000\r\ncontent-length: 2\r\n\r\nhi";
+    first.write_all(request.as_bytes()).await.unwrap();
+    let mut start = [0; 15];
+    first.read_exact(&mut start).await.unwrap();
+    assert_eq!(&start, b"HTTP/1.1 200 OK");
+    assert_eq!(upstream.requests().len(), 1);
+    assert!(instance.events("E0711").is_empty(), "the store is down");
+    drop(idle);
+    wait_for("new callers are served", || async {
+        instance.send(plain_request("pay", "t2")).await
+    })
+    .await;
+}
+
 /// Sends bytes on a new connection. Returns all that is received within a second.
 async fn send_raw(instance: &Instance, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(instance.callers).await.unwrap();
--- a/crates/daemon/tests/ingress/discovery.rs
+++ b/crates/daemon/tests/ingress/discovery.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use basilramp_fakes::user_platform::{Store, Upstream};
+use basilramp_fakes::user_platform::{Behaviour, Store, Upstream};
 use http::StatusCode;
 
 use crate::support::{
-    IMMEDIATE_RESPONSE, Instance, configure, plain_request, start_site, wait_for,
+    IMMEDIATE_RESPONSE, Instance, Turn, configure, plain_request, start_site, wait_for,
 };
 
 #[tokio::test]
@@ -23,6 +23,44 @@
     .await;
 }
 
+/// An upstream reports nothing for a while, so its entry is removed. The stream that it runs goes on
+/// there, and is neither repeated elsewhere nor given up.
+#[tokio::test]
+async fn a_stream_outlives_the_entry_of_its_upstream() {
+    let slow = Behaviour::Respond {
+        events: 12,
+        interval_ms: 200,
+    };
+    for route in ["advice", "chat"] {
+        let (store, upstreams) = start_site("engine", [slow; 2]);
+        let instance = Instance::spawn(&store, "a").await;
+        let turn = Turn {
+            route,
+            attempt: "t1",
+            program: "p1",
+            previous: None,
+            budget: 1_000,
+            max_output: 100,
+            input: "question",
+        };
+        let silence = async {
+            let runs_at = |index: usize| !upstreams[index].requests().is_empty();
+            let index = wait_for("the stream begins", || async {
+                (0..2).find(|index| runs_at(*index))
+            })
+            .await;
+            store.remove("servers", &format!("i-{}", index + 1));
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            upstreams[index].register(&store, "ready");
+        };
+        let (reply, ()) = tokio::join!(instance.send(turn.request()), silence);
+        let reply = reply.unwrap();
+        assert!(reply.is_complete, "{route}: {}", reply.body);
+        let runs: usize = upstreams.iter().map(|up| up.requests().len()).sum();
+        assert_eq!(runs, 1, "{route}");
+    }
+}
+
 /// Guards against an instance that is ready with a configuration but without upstreams: on a busy
 /// machine, one accepted requests before it had read any upstream.
 #[tokio::test]
--- a/crates/daemon/tests/ingress/forwarding.rs
+++ b/crates/daemon/tests/ingress/forwarding.rs
@@ -64,6 +64,58 @@
     assert_eq!(run_count(&upstreams), 2);
 }
 
+/// Upstreams that fail at once are ejected, and requests that may be repeated go elsewhere.
+#[tokio::test]
+async fn repeatable_request_goes_elsewhere_after_a_server_error() {
+    for service in ["app", "engine"] {
+        let (store, upstreams) = start_site(service, [IMMEDIATE_RESPONSE; 2]);
+        let instance = Instance::spawn(&store, "a").await;
+        let send = async |number: u32| {
+            let attempt = format!("t{number}");
+            let request = match service {
+                "app" => plain_request("read", &attempt),
+                _ => Turn {
+                    program: &attempt,
+                    ..advice_turn(&attempt)
+                }
+                .request(),
+            };
+            instance.send(request).await.unwrap()
+        };
+        send(0).await;
+        // Its prompt is cached there, so the next ones prefer it.
+        let [first, second] = &upstreams;
+        let failing = if first.requests().is_empty() {
+            second
+        } else {
+            first
+        };
+        failing.set_behaviour(Behaviour::ServerError);
+        for number in 1..40 {
+            let reply = send(number).await;
+            assert_eq!(reply.status, StatusCode::OK, "{service} {number}");
+        }
+        let failed = failing.requests().len() - 1;
+        assert!((1..10).contains(&failed), "{service}: {failed} errors");
+        assert!(!instance.events("E0733").is_empty());
+    }
+}
+
+/// An error of the upstream is a response, and more use to the caller than one of this system.
+#[tokio::test]
+async fn the_error_of_an_upstream_is_forwarded_when_no_other_responds() {
+    let (store, upstreams) = start_site("app", [Behaviour::ServerError, Behaviour::Full]);
+    let instance = Instance::spawn(&store, "a").await;
+    for attempt in ["t1", "t2"] {
+        let reply = instance.send(plain_request("read", attempt)).await.unwrap();
+        assert_eq!(reply.status, StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(reply.header("server-signature"), Some("sig-i-1"));
+    }
+    let reply = instance.send(plain_request("pay", "t3")).await.unwrap();
+    assert!(reply.status.is_server_error(), "{}", reply.status);
+    assert!(upstreams[0].requests().len() <= 3);
+}
+
 #[tokio::test]
 async fn a_503_means_that_the_request_did_not_run() {
     let (store, upstreams) = start_site("app", [Behaviour::Full, Behaviour::OtherUpstream]);
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -8,5 +8,7 @@
 mod history;
 mod outage;
 mod process;
+mod scripted_upstream;
 mod soak;
 mod support;
+mod upstream_faults;
--- a/crates/daemon/tests/ingress/process.rs
+++ b/crates/daemon/tests/ingress/process.rs
@@ -4,6 +4,8 @@
 
 use basilramp_fakes::user_platform::Behaviour;
 use http::StatusCode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::support::{IMMEDIATE_RESPONSE, Instance, plain_request, start_site, wait_for};
 
@@ -40,6 +42,56 @@
     assert!(instance.wait_for_exit().await);
 }
 
+/// Requests have arrived on open connections when the stop signal does. The instance was paused, so
+/// that it finds all of them and the signal at the same time.
+#[tokio::test]
+async fn requests_that_arrive_with_the_stop_signal_are_answered() {
+    const CONNECTIONS: usize = 60;
+    let (store, [upstream]) = start_site("app", [IMMEDIATE_RESPONSE]);
+    let instance = Instance::spawn(&store, "a").await;
+    let mut connections = Vec::new();
+    for number in 0..CONNECTIONS {
+        let mut connection = TcpStream::connect(instance.callers).await.unwrap();
+        let reply = exchange(&mut connection, &format!("first-{number}")).await;
+        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+        connections.push(connection);
+    }
+    instance.signal("STOP");
+    for (number, connection) in connections.iter_mut().enumerate() {
+        let request = raw_request(&format!("second-{number}"));
+        connection.write_all(request.as_bytes()).await.unwrap();
+    }
+    instance.signal("TERM");
+    instance.signal("CONT");
+    for (number, connection) in connections.iter_mut().enumerate() {
+        let reply = read_reply(connection).await;
+        assert!(reply.starts_with("HTTP/1.1 200"), "{number}: {reply:?}");
+        assert!(read_reply(connection).await.is_empty(), "{number}: open");
+    }
+    assert_eq!(upstream.requests().len(), 2 * CONNECTIONS);
+}
+
+fn raw_request(attempt: &str) -> String {
+    format!(
+        "POST /pay/x HTTP/1.1\r\nhost: a.example\r\nattempt-id: {attempt}\r\n\
+         deadline-ms: 3000\r\ncontent-length: 2\r\n\r\nhi"
+    )
+}
+
+async fn exchange(connection: &mut TcpStream, attempt: &str) -> String {
+    let request = raw_request(attempt);
+    connection.write_all(request.as_bytes()).await.unwrap();
+    read_reply(connection).await
+}
+
+/// Reads what arrives at once, which is a whole response of the fake upstream, or nothing if the
+/// connection was closed.
+async fn read_reply(connection: &mut TcpStream) -> String {
+    let mut bytes = vec![0; 4_096];
+    let len = connection.read(&mut bytes).await.unwrap_or(0);
+    String::from_utf8_lossy(&bytes[..len]).into_owned()
+}
+
 /// When all instances of a zone stop one after the other, the load balancer still sends callers to
 /// each of them late in its shutdown. A request accepted then would be cut off by the exit of the
 /// process.
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -16,6 +16,8 @@
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 
+use crate::scripted_upstream::ScriptedUpstream;
+
 /// Timeout of a wait for a condition; long enough for a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -65,8 +67,23 @@
         Self::spawn_at(store.address(), name).await
     }
 
+    /// Starts an instance with a limit on its file descriptors, and waits until it is ready.
+    pub(crate) async fn spawn_with_descriptors(store: &Store, name: &str, limit: u32) -> Self {
+        let mut shell = Command::new("sh");
+        let script = format!("ulimit -n {limit} && exec \"$0\" \"$1\"");
+        shell.args(["-c", &script, env!("CARGO_BIN_EXE_basilrampd")]);
+        let instance = Self::spawn_command(shell, store.address(), name).await;
+        instance.wait_ready().await;
+        instance
+    }
+
     /// Starts an instance that uses the store at an address, and waits until it listens.
     pub(crate) async fn spawn_at(store: SocketAddr, name: &str) -> Self {
+        let daemon = Command::new(env!("CARGO_BIN_EXE_basilrampd"));
+        Self::spawn_command(daemon, store, name).await
+    }
+
+    async fn spawn_command(mut command: Command, store: SocketAddr, name: &str) -> Self {
         let settings_dir = tempfile::tempdir().unwrap();
         let settings = json!({
             "instance": {"id": name, "failure_domain": "z1"},
@@ -79,11 +96,7 @@
         });
         let path = settings_dir.path().join("settings.jsonc");
         fs::write(&path, settings.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_basilrampd"))
-            .arg(&path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut child = command.arg(&path).stdout(Stdio::piped()).spawn().unwrap();
         let stdout = child.stdout.take().unwrap();
         let lines = Arc::new(Mutex::new(Vec::<Value>::new()));
         let sink = Arc::clone(&lines);
@@ -168,6 +181,36 @@
         panic!("the instance did not exit in time");
     }
 
+    /// Returns the resident memory of the process in MB.
+    pub(crate) fn resident_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next());
+        kb.and_then(|kb| kb.parse::<u64>().ok()).unwrap() / 1_024
+    }
+
+    /// Waits for a future. Returns its result and the largest resident memory of the process
+    /// meanwhile, in MB.
+    pub(crate) async fn peak_resident_mb<T>(&self, future: impl Future<Output = T>) -> (T, u64) {
+        let mut future = std::pin::pin!(future);
+        let mut peak_mb = 0;
+        loop {
+            peak_mb = peak_mb.max(self.resident_mb());
+            let limit = Duration::from_millis(5);
+            if let Ok(result) = tokio::time::timeout(limit, future.as_mut()).await {
+                return (result, peak_mb.max(self.resident_mb()));
+            }
+        }
+    }
+
+    /// Waits until an upstream has seen a number of its connections closed.
+    pub(crate) async fn wait_for_closed(&self, upstream: &ScriptedUpstream, count: usize) {
+        wait_for("the connection is closed", || async {
+            (upstream.closed() >= count).then_some(())
+        })
+        .await;
+    }
+
     /// Sends a request and reads the response; `None` if the connection closes without one.
     pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Option<Reply> {
         send(self.callers, request).await
@@ -235,6 +278,15 @@
 
 /// Like [`configure`], with turns of `chat` retained for `retention_s` seconds.
 pub(crate) fn configure_retention(store: &Store, version: u64, retention_s: f64) {
+    configure_limits(store, version, retention_s, 100_000);
+}
+
+/// Like [`configure`], with bodies of at most `max_body_bytes` bytes.
+pub(crate) fn configure_body_limit(store: &Store, version: u64, max_body_bytes: usize) {
+    configure_limits(store, version, 60.0, max_body_bytes);
+}
+
+fn configure_limits(store: &Store, version: u64, retention_s: f64, max_body_bytes: usize) {
     let route = |name: &str, kind: &str, service: &str, resumable: bool, retained: bool| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": kind,
@@ -256,7 +308,7 @@
             {"name": "engine", "health_path": "/healthz", "max_conns": 9, "protocol": "h1",
              "engine": {"slots": 8, "kv_capacity": 9000, "chunk_tokens": EVENT_TOKENS}},
         ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
     });
     store.put("op", "config", config.to_string().as_bytes());
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -38,6 +38,8 @@
     WrongAttempt,
     /// Runs the request and responds without a server signature.
     Unsigned,
+    /// Runs the request and responds at once with status 500.
+    ServerError,
 }
 
 /// A request that an upstream has run.
@@ -175,7 +177,8 @@
         });
         requests.len() - 1
     };
-    let is_stream = parts.headers.contains_key("token-usage");
+    let is_error = behaviour == Behaviour::ServerError;
+    let is_stream = parts.headers.contains_key("token-usage") && !is_error;
     let (events, interval_ms) = match behaviour {
         Behaviour::Respond {
             events,
@@ -202,6 +205,9 @@
         lock(&shared.requests)[index].completed = true;
         full_response(StatusCode::OK, format!("done by {}", shared.id))
     };
+    if is_error {
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    }
     let is_wrong_attempt = behaviour == Behaviour::WrongAttempt;
     set_header(
         &mut response,
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 
+use crate::buffer::Reservation;
 use crate::log_event::Event;
 use crate::metric::Outcome;
 use crate::state::State;
@@ -37,10 +38,14 @@
     pub(crate) headers: RequestHeaders,
     pub(crate) attempt_id: Arc<str>,
     pub(crate) body: Bytes,
+    /// Memory for the body and the transcript.
+    pub(crate) memory: Reservation,
     pub(crate) kind: RouteKind,
     pub(crate) max_attempts: u32,
     /// How long the turn can be continued, in milliseconds; 0 if it is not stored.
     pub(crate) retention_ms: u64,
+    /// Maximum gap between events that the route's callers accept, in milliseconds.
+    pub(crate) max_event_gap_ms: u64,
     pub(crate) service: Arc<str>,
     pub(crate) engine: Option<Engine>,
     pub(crate) arrived: Time,
@@ -140,6 +145,18 @@
 
     /// Selects the upstream of the next attempt and marks it as tried.
     pub(crate) fn select_upstream(&mut self) -> Option<Placement> {
+        let placement = self.find_upstream()?;
+        if let Some(tokens) = placement.new_tokens {
+            let mut fleet = self.state.fleet();
+            fleet.speed_mut(&self.service).record_new_tokens(tokens);
+        }
+        self.tried.push(placement.key);
+        self.timings.placed_ms = self.elapsed_ms();
+        Some(placement)
+    }
+
+    /// Returns the upstream that the next attempt would be sent to.
+    fn find_upstream(&self) -> Option<Placement> {
         let program = self.headers.program.as_ref();
         let request = PlacementRequest {
             service: &self.service,
@@ -154,13 +171,24 @@
             previous_upstream: self.previous_upstream.as_deref(),
             failure_domain: &self.state.settings.failure_domain,
             tried: &self.tried,
+            is_repeatable: self.kind.is_idempotent(),
         };
         let now = self.state.now();
-        let placement =
-            placement::select_upstream(&self.state.fleet(), &request, now, rand::random())?;
-        self.tried.push(placement.key);
-        self.timings.placed_ms = self.elapsed_ms();
-        Some(placement)
+        placement::select_upstream(&self.state.fleet(), &request, now, rand::random())
+    }
+
+    /// Returns whether the request could be sent to another upstream if the present attempt failed
+    /// after the request may have run.
+    pub(crate) fn has_alternative(&self) -> bool {
+        let mut attempts = self.attempts;
+        attempts.record(Failure::Unknown);
+        let decision = attempts.decide(
+            self.kind,
+            self.max_attempts,
+            self.remaining_ms(),
+            NO_UPSTREAM_RETRY_MS,
+        );
+        decision == Decision::Retry && self.find_upstream().is_some()
     }
 
     /// Records a failed attempt and decides whether to retry.
@@ -176,12 +204,11 @@
     }
 
     /// Returns the timeout after which another upstream is tried instead, in milliseconds. There is
-    /// none if the request must not be repeated.
+    /// none if the request must not be repeated or no other upstream is left.
     pub(crate) fn attempt_timeout_ms(&self, placement: &Placement) -> u64 {
-        let can_retry = self.attempts.possibly_ran + 1 < self.max_attempts;
         match self.kind {
-            RouteKind::Safe if can_retry => SAFE_ATTEMPT_TIMEOUT_MS,
-            RouteKind::ResumableStream if can_retry => {
+            RouteKind::Safe if self.has_alternative() => SAFE_ATTEMPT_TIMEOUT_MS,
+            RouteKind::ResumableStream if self.has_alternative() => {
                 FIRST_EVENT_TIMEOUT_MS + 2 * placement.expected_ms as u64
             }
             _ => u64::MAX,
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to an upstream.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,21 +9,26 @@
 use basilramp_adapter::upstream::{self, ConnectionReuse, ForwardParameters, ResponseClass};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::attempt::Failure;
-use basilramp_core::dispatch::fleet::{AttemptOutcome, UpstreamKey};
+use basilramp_core::dispatch::fleet::{AttemptOutcome, HealthChange, UpstreamKey};
 use basilramp_core::dispatch::placement::Placement;
 use basilramp_process::event;
-use bytes::Bytes;
-use http::{Response, response};
+use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use crate::active_request::ActiveRequest;
+use crate::buffer::{self, BufferedBody, CollectError, Reservation};
 use crate::log_event::Event;
 use crate::state::State;
 
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 
+/// Limits on the body of a rejection that is read for its connection to be reused: several times the
+/// usual size, and a few round trips.
+const MAX_DRAIN_BYTES: usize = 64 * 1_024;
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Records an attempt in the fleet's state; dropping it ends the attempt.
 #[derive(Debug)]
 pub(crate) struct AttemptGuard {
@@ -45,13 +51,19 @@
         }
     }
 
-    /// Records that the response has started. Its latency relative to the expected one updates the
-    /// upstream's state.
-    pub(crate) fn record_response(&mut self) {
+    /// Records that the response has started. The latency of a success relative to the expected one
+    /// updates the upstream's state. Returns the latency in milliseconds.
+    pub(crate) fn record_response(&mut self, status: StatusCode) -> f64 {
         let ms = self.state.now().since(self.started) as f64;
-        let latency_ratio = (self.expected_ms > 0.0).then(|| ms / self.expected_ms);
-        self.outcome = AttemptOutcome::Succeeded { latency_ratio };
+        let is_measured = status.is_success() && self.expected_ms > 0.0;
+        let latency_ratio = is_measured.then(|| ms / self.expected_ms);
+        self.outcome = if status.is_server_error() {
+            AttemptOutcome::ServerError
+        } else {
+            AttemptOutcome::Succeeded { latency_ratio }
+        };
         self.record_prompt_read();
+        ms
     }
 
     /// Sets the outcome of the attempt.
@@ -64,7 +76,38 @@
     fn drop(&mut self) {
         self.record_prompt_read();
         let now = self.state.now();
-        self.state.fleet().end_attempt(self.key, self.outcome, now);
+        let change = {
+            let mut fleet = self.state.fleet();
+            let change = fleet.end_attempt(self.key, self.outcome, now);
+            let entry = change.and_then(|change| Some((change, fleet.get(self.key)?)));
+            entry.map(|(change, entry)| (change, Arc::clone(&entry.upstream.id)))
+        };
+        if let Some((change, upstream)) = change {
+            log_health_change(&self.state, &upstream, change, self.outcome);
+        }
+    }
+}
+
+fn log_health_change(state: &State, upstream: &str, change: HealthChange, outcome: AttemptOutcome) {
+    let event = match change {
+        HealthChange::Ejected { .. } => Event::UpstreamEjected,
+        HealthChange::Restored => Event::UpstreamRestored,
+    };
+    if !state.allows_log_line(event) {
+        return;
+    }
+    match change {
+        HealthChange::Ejected { ms, rate } => event!(
+            state.log,
+            event,
+            "upstream" => upstream.to_owned(),
+            "outcome" => format!("{outcome:?}"),
+            "service_failure_rate" => rate,
+            "ms" => ms
+        ),
+        HealthChange::Restored => {
+            event!(state.log, event, "upstream" => upstream.to_owned());
+        }
     }
 }
 
@@ -75,6 +118,8 @@
     pub(crate) body: Incoming,
     pub(crate) guard: AttemptGuard,
     pub(crate) upstream: Arc<str>,
+    /// Memory for the buffered part of the body.
+    pub(crate) memory: Reservation,
     sender: Sender,
     reuse: ConnectionReuse,
 }
@@ -96,10 +141,10 @@
     let result = exchange(request, placement, last_event, timeout_ms).await;
     let (head, body, sender) = match result {
         Ok(answer) => answer,
-        Err((failure, error)) => {
-            guard.fail(AttemptOutcome::Failed);
-            record_failure(request, &placement.id, failure, &error);
-            return Err(failure);
+        Err(error) => {
+            guard.fail(error.outcome());
+            record_failure(request, &placement.id, error.failure(), &error.to_string());
+            return Err(error.failure());
         }
     };
     let reuse = upstream::parse_reuse(&head);
@@ -110,13 +155,14 @@
                 body,
                 guard,
                 upstream: Arc::clone(&placement.id),
+                memory: state.memory.reservation(),
                 sender,
                 reuse,
             });
         }
         ResponseClass::NotRun => (Failure::NotRun, AttemptOutcome::Full),
         ResponseClass::OtherUpstream => (Failure::OtherUpstream, AttemptOutcome::Displaced),
-        ResponseClass::Mismatched => (Failure::Unknown, AttemptOutcome::Failed),
+        ResponseClass::Mismatched => (Failure::Unknown, AttemptOutcome::Broken),
     };
     guard.fail(outcome);
     record_failure(
@@ -125,29 +171,72 @@
         failure,
         &format!("{} {failure:?}", head.status),
     );
-    if failure == Failure::NotRun && drain(body).await {
-        state
-            .pool
-            .release(placement.key, sender, reuse, state.now());
+    if failure == Failure::NotRun {
+        tokio::spawn(drain(Arc::clone(state), body, placement.key, sender, reuse));
     }
     Err(failure)
 }
 
 type Exchanged = (response::Parts, Incoming, Sender);
 
+/// Why an exchange with an upstream ended without a response head.
+#[derive(Debug)]
+enum ExchangeError {
+    /// The upstream left before a connection to it was opened.
+    UpstreamLeft,
+    /// No connection could be opened.
+    Unreachable(String),
+    /// The connection was closed before anything of the request was sent.
+    NotSent(String),
+    /// The connection failed after a part of the request was sent.
+    Broken(String),
+    /// No response arrived in time.
+    Silent,
+}
+
+impl ExchangeError {
+    const fn failure(&self) -> Failure {
+        match self {
+            Self::UpstreamLeft | Self::Unreachable(_) | Self::NotSent(_) => Failure::NotSent,
+            Self::Broken(_) | Self::Silent => Failure::Unknown,
+        }
+    }
+
+    const fn outcome(&self) -> AttemptOutcome {
+        match self {
+            // An idle connection that the upstream closes says nothing about its health.
+            Self::UpstreamLeft | Self::NotSent(_) => AttemptOutcome::Abandoned,
+            Self::Unreachable(_) => AttemptOutcome::Unreachable,
+            Self::Broken(_) => AttemptOutcome::Broken,
+            Self::Silent => AttemptOutcome::Silent,
+        }
+    }
+}
+
+impl fmt::Display for ExchangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UpstreamLeft => f.write_str("upstream left"),
+            Self::Unreachable(error) | Self::NotSent(error) | Self::Broken(error) => {
+                f.write_str(error)
+            }
+            Self::Silent => f.write_str("no answer in time"),
+        }
+    }
+}
+
 async fn exchange(
     request: &ActiveRequest,
     placement: &Placement,
     last_event: Option<u64>,
     timeout_ms: u64,
-) -> Result<Exchanged, (Failure, String)> {
+) -> Result<Exchanged, ExchangeError> {
     let state = &request.state;
-    let not_sent = |error: String| (Failure::NotSent, error);
     let address = state
         .fleet()
         .get(placement.key)
         .map(|entry| entry.upstream.address);
-    let address = address.ok_or_else(|| not_sent("upstream left".into()))?;
+    let address = address.ok_or(ExchangeError::UpstreamLeft)?;
     let is_idempotent = request.kind.is_idempotent();
     let mut sender = state
         .pool
@@ -159,11 +248,11 @@
             state.now(),
         )
         .await
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|error| ExchangeError::Unreachable(error.to_string()))?;
     sender
         .ready()
         .await
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     let order = ForwardParameters {
         upstream: &placement.id,
         deadline_ms: request.remaining_ms(),
@@ -177,14 +266,15 @@
             Ok((head, body, sender))
         }
         Ok(Err(mut error)) => {
-            let failure = if error.take_message().is_some() {
-                Failure::NotSent
+            let is_unsent = error.take_message().is_some();
+            let text = error.into_error().to_string();
+            Err(if is_unsent {
+                ExchangeError::NotSent(text)
             } else {
-                Failure::Unknown
-            };
-            Err((failure, error.into_error().to_string()))
+                ExchangeError::Broken(text)
+            })
         }
-        Err(_) => Err((Failure::Unknown, "no answer in time".into())),
+        Err(_) => Err(ExchangeError::Silent),
     }
 }
 
@@ -229,12 +319,19 @@
     );
 }
 
-/// Reads the rest of a rejection's body, so that the connection can be reused.
-async fn drain(body: Incoming) -> bool {
-    Limited::new(body, MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .is_ok()
+/// Reads the rest of a rejection's body, so that the connection can be reused. A body that is long
+/// or slow costs more than a new connection.
+async fn drain(
+    state: Arc<State>,
+    body: Incoming,
+    upstream: UpstreamKey,
+    sender: Sender,
+    reuse: ConnectionReuse,
+) {
+    let rest = Limited::new(body, MAX_DRAIN_BYTES).collect();
+    if let Ok(Ok(_)) = tokio::time::timeout(DRAIN_TIMEOUT, rest).await {
+        state.pool.release(upstream, sender, reuse, state.now());
+    }
 }
 
 impl UpstreamResponse {
@@ -247,13 +344,18 @@
         mut self,
         request: &ActiveRequest,
         timeout_ms: u64,
-    ) -> Result<Response<Bytes>, Failure> {
+    ) -> Result<Response<BufferedBody>, Failure> {
         let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
-        let body = Limited::new(self.body, MAX_RESPONSE_BYTES).collect();
-        let error = match tokio::time::timeout(limit, body).await {
+        let mut memory = request.state.memory.reservation();
+        let body = buffer::collect(self.body, MAX_RESPONSE_BYTES, &mut memory);
+        let (outcome, error) = match tokio::time::timeout(limit, body).await {
             Ok(Ok(body)) => {
-                self.guard.record_response();
+                let ms = self.guard.record_response(self.head.status);
                 let is_done = self.head.status.is_success();
+                if is_done && request.engine.is_none() {
+                    let mut fleet = request.state.fleet();
+                    fleet.speed_mut(&request.service).record_plain(ms);
+                }
                 if is_done {
                     let state = &request.state;
                     state
@@ -261,12 +363,21 @@
                         .release(self.guard.key, self.sender, self.reuse, state.now());
                 }
                 header::remove_hop_by_hop(&mut self.head.headers);
-                return Ok(Response::from_parts(self.head, body.to_bytes()));
+                let body = BufferedBody::new(body, memory);
+                return Ok(Response::from_parts(self.head, body));
+            }
+            Ok(Err(CollectError::Broken(error))) => (AttemptOutcome::Broken, error),
+            Ok(Err(CollectError::TooLong)) => {
+                (AttemptOutcome::Broken, "the body is too long".into())
             }
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "no whole answer in time".into(),
+            // The other requests may have used the memory, so it tells nothing about the upstream.
+            Ok(Err(CollectError::Exhausted)) => (
+                AttemptOutcome::Abandoned,
+                "no memory is left for the body".into(),
+            ),
+            Err(_) => (AttemptOutcome::Silent, "no whole answer in time".into()),
         };
-        self.guard.fail(AttemptOutcome::Failed);
+        self.guard.fail(outcome);
         record_failure(request, &self.upstream, Failure::Unknown, &error);
         Err(Failure::Unknown)
     }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -19,12 +19,13 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::task::JoinHandle;
 
 use crate::active_request::{ActiveRequest, NO_UPSTREAM_RETRY_MS, Timings};
 use crate::budget::{self, GrantError};
+use crate::buffer::{self, BufferedBody, CollectError, Reservation};
 use crate::log_event::Event;
 use crate::metric::Outcome;
 use crate::state::State;
@@ -38,6 +39,10 @@
 /// caller's next connection usually reaches another instance.
 const SHUTDOWN_RETRY_MS: u64 = 50;
 
+/// Retry delay sent to a caller when the memory for buffered bytes is used up: the duration of
+/// several requests.
+const MEMORY_RETRY_MS: u64 = 500;
+
 /// Body of a response.
 pub(crate) type Body = UnsyncBoxBody<Bytes, ResponseAborted>;
 
@@ -126,7 +131,8 @@
     let deadline = arrived.after(limit_ms);
     let time_limit = Duration::from_millis(limit_ms);
     let max_bytes = table.config().limits.max_body_bytes;
-    let body = tokio::time::timeout(time_limit, read_body(body, max_bytes))
+    let mut memory = state.memory.reservation();
+    let body = tokio::time::timeout(time_limit, read_body(body, max_bytes, &mut memory))
         .await
         .map_err(|_| Rejection::NotRun(NO_UPSTREAM_RETRY_MS))??;
     header::remove_hop_by_hop(&mut parts.headers);
@@ -139,9 +145,11 @@
         parts,
         attempt_id,
         body,
+        memory,
         kind: route.kind,
         max_attempts: route.max_attempts,
         retention_ms: route.retention_ms.unwrap_or_default(),
+        max_event_gap_ms: route.max_event_gap_ms,
         service: Arc::clone(service),
         engine: service_config.and_then(|service| service.engine.clone()),
         arrived,
@@ -164,11 +172,20 @@
     if let Some(budget) = &budget {
         check_admission(&request, budget)?;
     }
-    let transcript = transcript.map(|(transcript, upstream)| {
-        request.previous_upstream = upstream.or(request.previous_upstream.take());
-        request.body = Bytes::copy_from_slice(transcript.prompt());
-        transcript
-    });
+    let transcript = match transcript {
+        Some((transcript, upstream)) => {
+            request.previous_upstream = upstream.or(request.previous_upstream.take());
+            // The prompt exists twice, as the transcript grows while the prompt is sent.
+            let added = 2 * transcript.prompt().len();
+            if request.memory.grow(added).is_err() {
+                request.mark_logged();
+                return Err(Rejection::NotRun(MEMORY_RETRY_MS));
+            }
+            request.body = Bytes::copy_from_slice(transcript.prompt());
+            Some(transcript)
+        }
+        None => None,
+    };
     dispatch(request, budget, transcript).await
 }
 
@@ -186,12 +203,18 @@
     header.or_else(|| parts.uri.host())
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Rejection> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Rejection::TooLong),
-        Err(_) => Err(Rejection::Malformed),
-    }
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    memory: &mut Reservation,
+) -> Result<Bytes, Rejection> {
+    buffer::collect(body, max_bytes, memory)
+        .await
+        .map_err(|error| match error {
+            CollectError::TooLong => Rejection::TooLong,
+            CollectError::Exhausted => Rejection::NotRun(MEMORY_RETRY_MS),
+            CollectError::Broken(_) => Rejection::Malformed,
+        })
 }
 
 async fn load_budget(request: &ActiveRequest) -> Result<Option<budget::TurnBudget>, Rejection> {
@@ -273,8 +296,13 @@
 ) -> Result<Response<Body>, Rejection> {
     let mut pending_grant = None;
     let mut reserved = None;
+    // An upstream's error, which is the response unless another upstream has a better one.
+    let mut server_error = None;
     loop {
         let Some(placement) = request.select_upstream() else {
+            if let Some(error) = server_error {
+                return Ok(complete(&request, error));
+            }
             request.mark_logged();
             return Err(request.attempts.rejection(NO_UPSTREAM_RETRY_MS));
         };
@@ -296,8 +324,14 @@
         }
         let failure = match run_attempt(&request, &placement).await {
             Ok(AttemptResult::Complete(response)) => {
-                request.record_completion(&placement, response.status().as_u16(), 0);
-                return Ok(response.map(full_body));
+                if !response.status().is_server_error() {
+                    return Ok(complete(&request, (placement, response)));
+                }
+                let status = response.status();
+                let error = format!("{status}");
+                attempt::record_failure(&request, &placement.id, Failure::Unknown, &error);
+                server_error = Some((placement, response));
+                Failure::Unknown
             }
             Ok(AttemptResult::Streaming(stream)) => {
                 request.timings.first_event_ms = request.elapsed_ms();
@@ -320,6 +354,9 @@
             Err(failure) => failure,
         };
         if let Decision::Reject(rejection) = request.record_failure(failure) {
+            if let Some(error) = server_error {
+                return Ok(complete(&request, error));
+            }
             request.mark_logged();
             let is_late = rejection == Rejection::Unknown && request.remaining_ms() == 0;
             return Err(if is_late {
@@ -331,10 +368,19 @@
     }
 }
 
+/// Records a complete response and returns it for the caller.
+fn complete(
+    request: &ActiveRequest,
+    (placement, response): (Placement, Response<BufferedBody>),
+) -> Response<Body> {
+    request.record_completion(&placement, response.status().as_u16(), 0);
+    response.map(|body| body.map_err(|never| match never {}).boxed_unsync())
+}
+
 /// Result of a successful attempt.
 enum AttemptResult {
     /// A complete response.
-    Complete(Response<Bytes>),
+    Complete(Response<BufferedBody>),
     /// A stream whose first event has arrived.
     Streaming(Box<Stream>),
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `server` | listeners and caller connections |
 //! | `handler` | handles one request from its headers to its response |
 //! | `active_request` | a request in progress |
+//! | `buffer` | limits the memory for buffered bytes |
 //! | `attempt` | one attempt at an upstream |
 //! | `stream` | relays event streams |
 //! | `turn_store`, `budget` | turns and token budgets in the store |
@@ -23,6 +24,7 @@
 mod active_request;
 mod attempt;
 mod budget;
+mod buffer;
 mod feed;
 mod handler;
 mod log_event;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -11,8 +11,12 @@
     Stopped = "E0704", Info, "stopped";
     /// SIGHUP was received. Changed settings take effect at the next start.
     HangupIgnored = "E0705", Info, "hangup ignored";
+    /// A connection of a caller was closed at once, as the instance has `connections` of them.
+    ConnectionRefused = "E0706", Warning, "connection refused";
     /// Lines of an event were dropped because it exceeded its rate limit.
     LinesLeftOut = "E0707", Warning, "log lines left out";
+    /// A background task failed unexpectedly and is started again.
+    TaskFailed = "E0708", Error, "task failed";
     /// The store is unavailable.
     StoreDown = "E0711", Warning, "store unavailable";
     /// The store is available again after an outage of `ms`.
@@ -27,6 +31,10 @@
     UpstreamJoined = "E0731", Info, "upstream joined";
     /// An upstream stops accepting requests.
     UpstreamLeaving = "E0732", Info, "upstream leaving";
+    /// An upstream gets no requests for `ms`, as it fails more often than its service.
+    UpstreamEjected = "E0733", Warning, "upstream ejected";
+    /// An ejected upstream responds again and gets requests, few at first.
+    UpstreamRestored = "E0734", Info, "upstream restored";
     /// A request was completely answered by an upstream.
     Answered = "E0741", Info, "request answered";
     /// A request was rejected or failed.
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -1,5 +1,7 @@
 //! Metrics of the ingress.
 
+use std::sync::Arc;
+
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_process::metric::Exporter;
@@ -7,6 +9,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 
+use crate::buffer::Memory;
 use crate::state::StoreCall;
 
 /// How a request ended.
@@ -84,6 +87,19 @@
         })
     }
 
+    /// Exports the number of bytes that are buffered for requests.
+    pub(crate) fn observe_buffers(&self, memory: Arc<Memory>) {
+        let gauge = self
+            .exporter
+            .meter()
+            .u64_observable_gauge("basilramp.buffer");
+        gauge
+            .with_unit("By")
+            .with_description("Bytes buffered for requests and responses")
+            .with_callback(move |observer| observer.observe(memory.used() as u64, &[]))
+            .build();
+    }
+
     /// Counts a finished request. Records its duration if it was answered.
     pub(crate) fn request(&self, service: &str, outcome: Outcome, ms: u64) {
         let service = KeyValue::new("service", service.to_owned());
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use basilramp_process::event;
-use basilramp_process::log;
+use basilramp_process::{log, supervisor};
 use eyre::{Result, WrapErr};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -60,8 +60,8 @@
     let state = State::open(settings, log, Metrics::open()?);
     let connections = OpenConnections::default();
     let (stop, stopping) = watch::channel(false);
-    tokio::spawn(feed::follow_config(Arc::clone(&state)));
-    tokio::spawn(feed::follow_fleet(Arc::clone(&state)));
+    tokio::spawn(supervise(&state, "configuration feed", feed::follow_config));
+    tokio::spawn(supervise(&state, "upstream feed", feed::follow_fleet));
     tokio::spawn(server::serve_probes(Arc::clone(&state), ready));
     tokio::spawn(server::serve_probes(Arc::clone(&state), metrics));
     tokio::spawn(server::serve_callers(
@@ -80,6 +80,20 @@
     Ok(())
 }
 
+/// Runs a background task, which is logged and started again if it panics.
+fn supervise<F: Future<Output = ()> + Send + 'static>(
+    state: &Arc<State>,
+    task: &'static str,
+    start: fn(Arc<State>) -> F,
+) -> impl Future<Output = ()> + Send + 'static {
+    let state = Arc::clone(state);
+    let log = state.log.clone();
+    supervisor::run(
+        move || start(Arc::clone(&state)),
+        move |error| event!(log, Event::TaskFailed, "task" => task, "error" => error.to_owned()),
+    )
+}
+
 /// Waits for SIGTERM or SIGINT and returns its name. SIGHUP is only logged.
 async fn wait_for_stop_signal(state: &State) -> Result<&'static str> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("can't watch for SIGTERM")?;
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use basilramp_process::event;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http::{Request, Response, StatusCode};
@@ -18,6 +19,7 @@
 use tokio::sync::watch;
 
 use crate::handler;
+use crate::log_event::Event;
 use crate::state::State;
 
 /// Idle timeout of a caller's connection until a configuration is loaded.
@@ -32,6 +34,21 @@
 /// Delay after a failed accept, which is usually due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Share of the file descriptors for callers' connections, in percent. The others are for probes,
+/// the store and upstreams, which must not wait for idle callers to leave.
+const CALLER_DESCRIPTOR_PERCENT: u64 = 60;
+
+/// Maximum number of callers' connections if the operating system does not limit descriptors.
+const DEFAULT_MAX_CONNECTIONS: usize = 10_000;
+
+/// Returns the maximum number of callers' connections.
+fn max_caller_connections() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(DEFAULT_MAX_CONNECTIONS, |limit| {
+        (limit * CALLER_DESCRIPTOR_PERCENT / 100) as usize
+    })
+}
+
 /// Counter of the callers' open connections.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OpenConnections(Arc<AtomicUsize>);
@@ -83,11 +100,20 @@
     connections: OpenConnections,
     stopping: watch::Receiver<bool>,
 ) {
+    let max_connections = max_caller_connections();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        if connections.count() >= max_connections {
+            // Nothing of a request was read, so the caller may send it elsewhere.
+            drop(stream);
+            if state.allows_log_line(Event::ConnectionRefused) {
+                event!(state.log, Event::ConnectionRefused, "connections" => max_connections);
+            }
+            continue;
+        }
         let guard = connections.track();
         let state = Arc::clone(&state);
         let stopping = stopping.clone();
@@ -125,6 +151,8 @@
     let mut is_shutdown_sent = is_stopping;
     loop {
         tokio::select! {
+            // A request that has arrived is read before the connection is closed for a shutdown.
+            biased;
             // Errors are on the caller's side: it disconnected or did not send HTTP.
             _ = connection.as_mut() => return,
             changed = stopping.changed(), if !is_shutdown_sent => {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -21,6 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budget::Budgets;
+use crate::buffer::Memory;
 use crate::log_event::Event;
 use crate::metric::Metrics;
 use crate::pool::Pool;
@@ -38,6 +39,8 @@
     pub(crate) pool: Pool,
     pub(crate) turns: TurnStore,
     pub(crate) budgets: Budgets,
+    /// Memory for the buffered bytes of all requests.
+    pub(crate) memory: Arc<Memory>,
     fleet: Mutex<Fleet>,
     admission: Mutex<AdmissionControl>,
     read_latency: Mutex<CallLatency>,
@@ -57,7 +60,10 @@
 impl State {
     /// Creates the initial state, without configuration and upstreams.
     pub(crate) fn open(settings: Settings, log: Handle, metrics: Metrics) -> Arc<Self> {
-        let cache_bytes = settings.memory_mb * 1_024 * 1_024 / CACHE_MEMORY_DIVISOR;
+        let memory_bytes = settings.memory_mb * 1_024 * 1_024;
+        let cache_bytes = memory_bytes / CACHE_MEMORY_DIVISOR;
+        let memory = Memory::new(memory_bytes / BUFFER_MEMORY_DIVISOR);
+        metrics.observe_buffers(Arc::clone(&memory));
         Arc::new(Self {
             clock: Clock::start(),
             log,
@@ -65,6 +71,7 @@
             pool: Pool::default(),
             turns: TurnStore::open(cache_bytes),
             budgets: Budgets::default(),
+            memory,
             fleet: Mutex::default(),
             admission: Mutex::default(),
             read_latency: Mutex::default(),
@@ -333,6 +340,10 @@
 /// connections, bodies and the process itself.
 const CACHE_MEMORY_DIVISOR: usize = 6;
 
+/// Fraction of the memory limit for buffered bytes (one fifth). Bytes may exist twice for a moment,
+/// while they are copied.
+const BUFFER_MEMORY_DIVISOR: usize = 5;
+
 /// Returns whether the store failed to execute a call or its outcome is unknown.
 const fn is_failure<T>(result: &Result<T, store::Error>) -> bool {
     matches!(
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use basilramp_adapter::header;
+use basilramp_core::clock::Time;
 use basilramp_core::dispatch::admission::TurnTiming;
 use basilramp_core::dispatch::attempt::{Decision, Failure};
 use basilramp_core::dispatch::fleet::AttemptOutcome;
@@ -24,9 +25,15 @@
 use crate::metric;
 use crate::turn_store;
 
-/// Maximum gap between events before a resumable stream continues at another upstream: several
-/// times the gap that callers accept.
-const EVENT_GAP_TIMEOUT_MS: u64 = 1_000;
+/// Minimum gap between events after which a resumable stream continues at another upstream.
+const MIN_GAP_TIMEOUT_MS: u64 = 1_000;
+
+/// Interval at which a stalled stream checks whether another upstream could continue it.
+const ALTERNATIVE_POLL_MS: u64 = 200;
+
+/// Multiple of the gap that callers accept after which a resumable stream continues at another
+/// upstream. Callers leave after eight times that gap.
+const GAP_TIMEOUT_FACTOR: u64 = 4;
 
 /// A stream whose first event has arrived.
 #[derive(Debug)]
@@ -44,6 +51,8 @@
     decoder: Decoder,
     first_event: Option<SseEvent>,
     last_event: Option<u64>,
+    /// When the last event with data arrived.
+    last_event_at: Time,
     events: u64,
     reserved: Option<ReservedTokens>,
     transcript: Option<TranscriptBuilder>,
@@ -53,6 +62,10 @@
 enum ReadResult {
     /// Complete events.
     Events(Vec<SseEvent>),
+    /// No event arrived yet.
+    Idle,
+    /// No event with data arrived for longer than callers accept.
+    Stalled,
     /// The stream ended regularly.
     End,
     /// The stream was interrupted.
@@ -72,23 +85,23 @@
     ) -> Result<Self, Failure> {
         let mut decoder = Decoder::default();
         let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
-        let read = tokio::time::timeout(limit, next_event(&mut response, &mut decoder)).await;
-        let (first_event, cause) = match read {
-            Ok(Ok(first)) => (first, None),
-            Ok(Err(cause)) => (None, Some(cause)),
-            Err(_) => (None, Some("no event in time")),
+        let read = first_event(&mut response, &mut decoder);
+        let read = tokio::time::timeout(limit, read).await;
+        let (outcome, cause) = match read {
+            Ok(Ok(first_event)) => {
+                response.guard.record_response(response.head.status);
+                return Ok(Self {
+                    response,
+                    decoder,
+                    first_event,
+                });
+            }
+            Ok(Err(cause)) => (AttemptOutcome::Broken, cause),
+            Err(_) => (AttemptOutcome::Silent, "no event in time"),
         };
-        if let Some(cause) = cause {
-            response.guard.fail(AttemptOutcome::Failed);
-            attempt::record_failure(request, &response.upstream, Failure::Unknown, cause);
-            return Err(Failure::Unknown);
-        }
-        response.guard.record_response();
-        Ok(Self {
-            response,
-            decoder,
-            first_event,
-        })
+        response.guard.fail(outcome);
+        attempt::record_failure(request, &response.upstream, Failure::Unknown, cause);
+        Err(Failure::Unknown)
     }
 
     /// Builds the response. Its events are sent as they arrive.
@@ -104,6 +117,7 @@
         head.headers = std::mem::take(&mut self.response.head.headers);
         header::remove_hop_by_hop(&mut head.headers);
         let has_ended = self.first_event.is_none();
+        let last_event_at = request.state.now();
         let relay = StreamRelay {
             request,
             placement,
@@ -111,6 +125,7 @@
             decoder: self.decoder,
             first_event: self.first_event,
             last_event: None,
+            last_event_at,
             events: 0,
             reserved,
             transcript,
@@ -127,6 +142,19 @@
     }
 }
 
+/// Reads until the first event with data is complete. Returns `None` at the end of the stream.
+async fn first_event(
+    response: &mut UpstreamResponse,
+    decoder: &mut Decoder,
+) -> Result<Option<SseEvent>, &'static str> {
+    loop {
+        match next_event(response, decoder).await? {
+            Some(event) if !event.has_data() => {}
+            event => return Ok(event),
+        }
+    }
+}
+
 /// Reads until the next event is complete. Returns `None` at the end of the stream.
 async fn next_event(
     response: &mut UpstreamResponse,
@@ -136,6 +164,12 @@
         if let Some(event) = decoder.next_event() {
             return Ok(Some(event));
         }
+        if decoder.is_event_too_long() {
+            return Err("an event is too long");
+        }
+        if response.memory.resize(decoder.buffered_bytes()).is_err() {
+            return Err("no memory is left for the event");
+        }
         match response.body.frame().await {
             Some(Ok(frame)) => {
                 if let Some(bytes) = frame.data_ref() {
@@ -157,31 +191,42 @@
             while let Some(event) = self.decoder.next_event() {
                 events.push(event);
             }
-            return Ok(Some(self.forward(events)));
+            return self.forward(events).map(Some);
         }
         if has_ended {
             return self.finish().await;
         }
         loop {
             match self.read_events().await {
-                ReadResult::Events(events) => return Ok(Some(self.forward(events))),
+                ReadResult::Events(events) => return self.forward(events).map(Some),
                 ReadResult::End => return self.finish().await,
+                ReadResult::Idle => {}
+                ReadResult::Stalled => self.resume("no event in time").await?,
                 ReadResult::Broken(cause) => self.resume(cause).await?,
             }
         }
     }
 
     async fn read_events(&mut self) -> ReadResult {
+        let now = self.request.state.now();
+        let gap_ms = now.since(self.last_event_at);
+        let gap_timeout_ms = self.gap_timeout_ms();
+        let may_resume = self.request.kind.is_idempotent() && self.last_event.is_some();
+        // A slow stream is worth more than none: it is left only for another upstream.
+        if may_resume && gap_ms >= gap_timeout_ms && self.request.has_alternative() {
+            return ReadResult::Stalled;
+        }
+        let remaining_ms = self.request.deadline.since(now);
+        let limit_ms = if may_resume {
+            let until_check_ms = gap_timeout_ms.saturating_sub(gap_ms);
+            remaining_ms.min(until_check_ms.max(ALTERNATIVE_POLL_MS))
+        } else {
+            remaining_ms
+        };
         let Some(response) = &mut self.response else {
             return ReadResult::Broken("no upstream");
         };
-        let gap_timeout_ms = if self.request.kind.is_idempotent() {
-            EVENT_GAP_TIMEOUT_MS
-        } else {
-            u64::MAX
-        };
-        let timeout_ms = gap_timeout_ms.min(self.request.deadline.since(self.request.state.now()));
-        let limit = Duration::from_millis(timeout_ms);
+        let limit = Duration::from_millis(limit_ms);
         let next = next_event(response, &mut self.decoder);
         match tokio::time::timeout(limit, next).await {
             Ok(Ok(Some(event))) => {
@@ -193,12 +238,18 @@
             }
             Ok(Ok(None)) => ReadResult::End,
             Ok(Err(cause)) => ReadResult::Broken(cause),
+            Err(_) if limit_ms < remaining_ms => ReadResult::Idle,
             Err(_) => ReadResult::Broken("no event in time"),
         }
     }
 
-    /// Records events as sent to the caller and returns their bytes.
-    fn forward(&mut self, events: Vec<SseEvent>) -> Bytes {
+    fn gap_timeout_ms(&self) -> u64 {
+        MIN_GAP_TIMEOUT_MS.max(self.request.max_event_gap_ms * GAP_TIMEOUT_FACTOR)
+    }
+
+    /// Records events as sent to the caller and returns their bytes. Comments are passed on, but
+    /// are no progress of the stream and use no tokens.
+    fn forward(&mut self, events: Vec<SseEvent>) -> Result<Bytes, ResponseAborted> {
         let tokens_per_event = self
             .request
             .engine
@@ -206,23 +257,30 @@
             .map_or(1, |engine| engine.tokens_per_event);
         let mut bytes = Vec::new();
         for event in events {
+            bytes.extend_from_slice(&event.bytes);
+            if !event.has_data() {
+                continue;
+            }
             self.events += 1;
             self.last_event = event.id.or(self.last_event);
+            self.last_event_at = self.request.state.now();
             if let Some(reserved) = &mut self.reserved {
                 reserved.spend(u64::from(tokens_per_event));
             }
             if let (Some(transcript), Some(data)) = (&mut self.transcript, &event.data) {
+                if self.request.memory.grow(data.len()).is_err() {
+                    return Err(self.abort("no memory is left for the turn"));
+                }
                 transcript.push_event(data);
             }
-            bytes.extend_from_slice(&event.bytes);
         }
-        bytes.into()
+        Ok(bytes.into())
     }
 
     /// Continues the stream at another upstream after the last forwarded event.
     async fn resume(&mut self, cause: &'static str) -> Result<(), ResponseAborted> {
         if let Some(mut response) = self.response.take() {
-            response.guard.fail(AttemptOutcome::Failed);
+            response.guard.fail(AttemptOutcome::Broken);
         }
         let mut failure = Failure::Unknown;
         loop {
@@ -237,12 +295,13 @@
                 &self.request,
                 &placement,
                 self.last_event,
-                EVENT_GAP_TIMEOUT_MS,
+                self.gap_timeout_ms(),
             )
             .await
             {
                 Ok(response) if response.head.status.is_success() => {
                     self.decoder = Decoder::default();
+                    self.last_event_at = self.request.state.now();
                     self.response = Some(response);
                     self.placement = placement;
                     return Ok(());
@@ -280,13 +339,21 @@
             return;
         }
         let timings = self.request.timings;
+        let state = &self.request.state;
+        let first_event_ms = timings.first_event_ms.saturating_sub(timings.placed_ms) as f64;
+        let turn_ms = timings.last_event_ms.saturating_sub(timings.placed_ms) as f64;
+        let read_tokens = self.placement.unread_tokens + self.placement.queued_tokens;
+        state.fleet().speed_mut(&self.request.service).record_turn(
+            read_tokens,
+            first_event_ms,
+            turn_ms,
+        );
         let turn = TurnTiming {
             unread_tokens: self.placement.unread_tokens,
-            first_event_ms: timings.first_event_ms.saturating_sub(timings.placed_ms) as f64,
+            first_event_ms,
             streaming_ms: timings.last_event_ms.saturating_sub(timings.first_event_ms) as f64,
             events: self.events,
         };
-        let state = &self.request.state;
         state
             .admission()
             .record(&self.request.service, turn, state.now());
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod log;
 pub mod log_rate;
 pub mod metric;
+pub mod supervisor;
 
 pub use slog;
