--- a/crates/daemon/tests/ingress/upstream_faults.rs
+++ b/crates/daemon/tests/ingress/upstream_faults.rs
@@ -122,6 +122,26 @@
     assert!(instance.is_ready().await);
 }
 
+/// Upstreams stop at the caller's deadline, which tells nothing about their health.
+#[tokio::test]
+async fn a_timeout_at_the_deadline_ejects_no_upstream() {
+    let timeout = "HTTP/1.1 504 Gateway Timeout\r\nattempt-id: {id}\r\nserver-signature: sig\r\n\
+                   content-length: 0\r\n\r\n";
+    let script = vec![Step::Wait(Duration::from_millis(185)), send(timeout)];
+    let (store, _first) = site("app", script.clone()).await;
+    let _second = ScriptedUpstream::spawn(&store, "i-2", "app", script).await;
+    let instance = Instance::spawn(&store, "a").await;
+    for number in 0..8 {
+        let mut request = plain_request("pay", &format!("t{number}"));
+        request
+            .headers_mut()
+            .insert("deadline-ms", "200".parse().unwrap());
+        let reply = instance.send(request).await.unwrap();
+        assert_eq!(reply.status, StatusCode::GATEWAY_TIMEOUT);
+    }
+    assert!(instance.events("E0733").is_empty());
+}
+
 /// A rejection says that the request did not run, so it goes elsewhere without waiting for the end
 /// of the rejection's body.
 #[tokio::test]
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -24,6 +24,10 @@
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 
+/// Remaining time up to which a gateway timeout of an upstream is due to the caller's deadline, in
+/// milliseconds: the time that the response takes on its way.
+const DEADLINE_MARGIN_MS: u64 = 50;
+
 /// Limits on the body of a rejection that is read for its connection to be reused: several times the
 /// usual size, and a few round trips.
 const MAX_DRAIN_BYTES: usize = 64 * 1_024;
@@ -351,6 +355,12 @@
         let (outcome, error) = match tokio::time::timeout(limit, body).await {
             Ok(Ok(body)) => {
                 let ms = self.guard.record_response(self.head.status);
+                if self.head.status == StatusCode::GATEWAY_TIMEOUT
+                    && request.remaining_ms() <= DEADLINE_MARGIN_MS
+                {
+                    // The request took longer than its caller allows, as some are meant to.
+                    self.guard.fail(AttemptOutcome::Abandoned);
+                }
                 let is_done = self.head.status.is_success();
                 if is_done && request.engine.is_none() {
                     let mut fleet = request.state.fleet();
