--- a/crates/daemon/tests/ingress/upstream_faults.rs
+++ b/crates/daemon/tests/ingress/upstream_faults.rs
@@ -312,6 +312,7 @@
         let instance = Instance::spawn(&store, "a").await;
         for route in ["chat", "advice"] {
             let reply = instance.send(turn(route, "t1").request()).await.unwrap();
+            assert_eq!(event_ids(&reply)[0], "1");
             assert!(!reply.is_complete, "{route} {text}: {reply:?}");
             assert!(!reply.body.contains("data: t\n"), "{reply:?}");
         }
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -1,12 +1,11 @@
 //! One attempt to send a request to an upstream.
 
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use basilramp_adapter::connection::Sender;
 use basilramp_adapter::header;
-use basilramp_adapter::upstream::{self, ConnectionReuse, ForwardParameters, ResponseClass};
+use basilramp_adapter::upstream::{self, ConnectionReuse, ResponseClass};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::fleet::{AttemptOutcome, HealthChange, UpstreamKey};
@@ -18,6 +17,7 @@
 
 use crate::active_request::ActiveRequest;
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
+use crate::exchange;
 use crate::log_event::Event;
 use crate::state::State;
 
@@ -142,7 +142,7 @@
     let state = &request.state;
     let now = state.now();
     let mut guard = start_attempt(request, placement, now);
-    let result = exchange(request, placement, last_event, timeout_ms).await;
+    let result = exchange::exchange(request, placement, last_event, timeout_ms).await;
     let (head, body, sender) = match result {
         Ok(answer) => answer,
         Err(error) => {
@@ -181,107 +181,6 @@
     Err(failure)
 }
 
-type Exchanged = (response::Parts, Incoming, Sender);
-
-/// Why an exchange with an upstream ended without a response head.
-#[derive(Debug)]
-enum ExchangeError {
-    /// The upstream left before a connection to it was opened.
-    UpstreamLeft,
-    /// No connection could be opened.
-    Unreachable(String),
-    /// The connection was closed before anything of the request was sent.
-    NotSent(String),
-    /// The connection failed after a part of the request was sent.
-    Broken(String),
-    /// No response arrived in time.
-    Silent,
-}
-
-impl ExchangeError {
-    const fn failure(&self) -> Failure {
-        match self {
-            Self::UpstreamLeft | Self::Unreachable(_) | Self::NotSent(_) => Failure::NotSent,
-            Self::Broken(_) | Self::Silent => Failure::Unknown,
-        }
-    }
-
-    const fn outcome(&self) -> AttemptOutcome {
-        match self {
-            // An idle connection that the upstream closes says nothing about its health.
-            Self::UpstreamLeft | Self::NotSent(_) => AttemptOutcome::Abandoned,
-            Self::Unreachable(_) => AttemptOutcome::Unreachable,
-            Self::Broken(_) => AttemptOutcome::Broken,
-            Self::Silent => AttemptOutcome::Silent,
-        }
-    }
-}
-
-impl fmt::Display for ExchangeError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::UpstreamLeft => f.write_str("upstream left"),
-            Self::Unreachable(error) | Self::NotSent(error) | Self::Broken(error) => {
-                f.write_str(error)
-            }
-            Self::Silent => f.write_str("no answer in time"),
-        }
-    }
-}
-
-async fn exchange(
-    request: &ActiveRequest,
-    placement: &Placement,
-    last_event: Option<u64>,
-    timeout_ms: u64,
-) -> Result<Exchanged, ExchangeError> {
-    let state = &request.state;
-    let address = state
-        .fleet()
-        .get(placement.key)
-        .map(|entry| entry.upstream.address);
-    let address = address.ok_or(ExchangeError::UpstreamLeft)?;
-    let is_idempotent = request.kind.is_idempotent();
-    let mut sender = state
-        .pool
-        .acquire(
-            placement.key,
-            address,
-            is_idempotent,
-            request.remaining_ms(),
-            state.now(),
-        )
-        .await
-        .map_err(|error| ExchangeError::Unreachable(error.to_string()))?;
-    sender
-        .ready()
-        .await
-        .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
-    let order = ForwardParameters {
-        upstream: &placement.id,
-        deadline_ms: request.remaining_ms(),
-        last_event_id: last_event,
-    };
-    let upstream_request = upstream::build_request(&request.parts, request.body.clone(), &order);
-    let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
-    match tokio::time::timeout(limit, sender.try_send_request(upstream_request)).await {
-        Ok(Ok(response)) => {
-            let (head, body) = response.into_parts();
-            Ok((head, body, sender))
-        }
-        Ok(Err(mut error)) => {
-            let is_unsent = error.take_message().is_some();
-            let text = error.into_error().to_string();
-            Err(if is_unsent {
-                ExchangeError::NotSent(text)
-            } else {
-                ExchangeError::Broken(text)
-            })
-        }
-        Err(_) => Err(ExchangeError::Silent),
-    }
-}
-
 fn start_attempt(request: &ActiveRequest, placement: &Placement, now: Time) -> AttemptGuard {
     let state = &request.state;
     let mut fleet = state.fleet();
--- /dev/null
+++ b/crates/ingress/src/exchange.rs
@@ -0,0 +1,123 @@
+//! Sends one request to an upstream over a pooled connection, up to the head of the response.
+
+use std::fmt;
+use std::time::Duration;
+
+use basilramp_adapter::connection::Sender;
+use basilramp_adapter::upstream::{self, ForwardParameters};
+use basilramp_core::dispatch::attempt::Failure;
+use basilramp_core::dispatch::fleet::AttemptOutcome;
+use basilramp_core::dispatch::placement::Placement;
+use http::response;
+use hyper::body::Incoming;
+
+use crate::active_request::ActiveRequest;
+
+/// Head and body of a response, and the connection that it arrives on.
+pub(crate) type Exchanged = (response::Parts, Incoming, Sender);
+
+/// Why an exchange with an upstream ended without a response head.
+#[derive(Debug)]
+pub(crate) enum ExchangeError {
+    /// The upstream left before a connection to it was opened.
+    UpstreamLeft,
+    /// No connection could be opened.
+    Unreachable(String),
+    /// The connection was closed before anything of the request was sent.
+    NotSent(String),
+    /// The connection failed after a part of the request was sent.
+    Broken(String),
+    /// No response arrived in time.
+    Silent,
+}
+
+impl ExchangeError {
+    /// Returns what the error means for a retry.
+    pub(crate) const fn failure(&self) -> Failure {
+        match self {
+            Self::UpstreamLeft | Self::Unreachable(_) | Self::NotSent(_) => Failure::NotSent,
+            Self::Broken(_) | Self::Silent => Failure::Unknown,
+        }
+    }
+
+    /// Returns what the error tells about the upstream.
+    pub(crate) const fn outcome(&self) -> AttemptOutcome {
+        match self {
+            // An idle connection that the upstream closes says nothing about its health.
+            Self::UpstreamLeft | Self::NotSent(_) => AttemptOutcome::Abandoned,
+            Self::Unreachable(_) => AttemptOutcome::Unreachable,
+            Self::Broken(_) => AttemptOutcome::Broken,
+            Self::Silent => AttemptOutcome::Silent,
+        }
+    }
+}
+
+impl fmt::Display for ExchangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UpstreamLeft => f.write_str("upstream left"),
+            Self::Unreachable(error) | Self::NotSent(error) | Self::Broken(error) => {
+                f.write_str(error)
+            }
+            Self::Silent => f.write_str("no answer in time"),
+        }
+    }
+}
+
+/// Sends the request of an attempt and waits for the head of the response.
+///
+/// # Errors
+///
+/// Returns how far the exchange got.
+pub(crate) async fn exchange(
+    request: &ActiveRequest,
+    placement: &Placement,
+    last_event: Option<u64>,
+    timeout_ms: u64,
+) -> Result<Exchanged, ExchangeError> {
+    let state = &request.state;
+    let address = state
+        .fleet()
+        .get(placement.key)
+        .map(|entry| entry.upstream.address);
+    let address = address.ok_or(ExchangeError::UpstreamLeft)?;
+    let is_idempotent = request.kind.is_idempotent();
+    let mut sender = state
+        .pool
+        .acquire(
+            placement.key,
+            address,
+            is_idempotent,
+            request.remaining_ms(),
+            state.now(),
+        )
+        .await
+        .map_err(|error| ExchangeError::Unreachable(error.to_string()))?;
+    sender
+        .ready()
+        .await
+        .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+    let order = ForwardParameters {
+        upstream: &placement.id,
+        deadline_ms: request.remaining_ms(),
+        last_event_id: last_event,
+    };
+    let upstream_request = upstream::build_request(&request.parts, request.body.clone(), &order);
+    let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
+    match tokio::time::timeout(limit, sender.try_send_request(upstream_request)).await {
+        Ok(Ok(response)) => {
+            let (head, body) = response.into_parts();
+            Ok((head, body, sender))
+        }
+        Ok(Err(mut error)) => {
+            let is_unsent = error.take_message().is_some();
+            let text = error.into_error().to_string();
+            Err(if is_unsent {
+                ExchangeError::NotSent(text)
+            } else {
+                ExchangeError::Broken(text)
+            })
+        }
+        Err(_) => Err(ExchangeError::Silent),
+    }
+}
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -8,7 +8,6 @@
 use basilramp_adapter::{caller, header};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
-use basilramp_core::dispatch::config::Route;
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::placement::Placement;
 use basilramp_core::dispatch::request::{Rejection, RequestHeaders};
@@ -30,7 +29,7 @@
 use crate::metric::Outcome;
 use crate::state::State;
 use crate::stream::Stream;
-use crate::{attempt, turn_store};
+use crate::{attempt, prepare};
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
 const START_RETRY_MS: u64 = 300;
@@ -162,7 +161,10 @@
         priority: route.priority,
         headers,
     };
-    let prepared = tokio::try_join!(load_budget(&request), load_transcript(&request, route));
+    let prepared = tokio::try_join!(
+        prepare::load_budget(&request),
+        prepare::load_transcript(&request, route)
+    );
     let (budget, transcript) = prepared.inspect_err(|_| request.mark_logged())?;
     request.timings.loaded_ms = request.elapsed_ms();
     request.previous_upstream = budget
@@ -170,7 +172,7 @@
         .and_then(|budget| budget.previous_upstream())
         .cloned();
     if let Some(budget) = &budget {
-        check_admission(&request, budget)?;
+        prepare::check_admission(&request, budget)?;
     }
     let transcript = match transcript {
         Some((transcript, upstream)) => {
@@ -217,78 +219,6 @@
         })
 }
 
-async fn load_budget(request: &ActiveRequest) -> Result<Option<budget::TurnBudget>, Rejection> {
-    let Some(program) = request
-        .headers
-        .program
-        .as_ref()
-        .filter(|_| request.kind.is_stream())
-    else {
-        return Ok(None);
-    };
-    let Some(budget) = program.budget else {
-        return Ok(None);
-    };
-    let max_tokens = u64::from(request.headers.max_output_tokens);
-    budget::load(
-        &request.state,
-        program,
-        budget,
-        max_tokens,
-        request.deadline,
-    )
-    .await
-    .map(Some)
-}
-
-/// Admits a new program or rejects it before any of its turns has run.
-fn check_admission(request: &ActiveRequest, budget: &budget::TurnBudget) -> Result<(), Rejection> {
-    let Some(program) = request.headers.program.as_ref().filter(|_| budget.is_new()) else {
-        return Ok(());
-    };
-    let state = &request.state;
-    let now = state.now();
-    let delay =
-        state
-            .admission()
-            .rejection_delay_ms(&request.service, &program.id, rand::random(), now);
-    let Some(retry_ms) = delay else {
-        return Ok(());
-    };
-    request.mark_logged();
-    if state.allows_log_line(Event::TurnedAway) {
-        let slowdown = state.admission().slowdown(&request.service, now);
-        event!(
-            state.log,
-            Event::TurnedAway,
-            "request" => &*request.attempt_id,
-            "program" => &*program.id,
-            "service" => &*request.service,
-            "slowdown" => slowdown,
-            "retry_ms" => retry_ms
-        );
-    }
-    Err(Rejection::NotRun(retry_ms))
-}
-
-/// Loads the previous turns. Returns the start of the turn's transcript and the upstream of the
-/// previous turn.
-async fn load_transcript(
-    request: &ActiveRequest,
-    route: &Route,
-) -> Result<Option<(TranscriptBuilder, Option<Arc<str>>)>, Rejection> {
-    if route.retention_ms.is_none() {
-        return Ok(None);
-    }
-    let previous_turn = match &request.headers.previous_turn {
-        Some(previous) => Some(turn_store::load(&request.state, previous, request.deadline).await?),
-        None => None,
-    };
-    let transcript = previous_turn.as_ref().map(|turn| &*turn.transcript);
-    let transcript = TranscriptBuilder::new(transcript, &request.body);
-    Ok(Some((transcript, previous_turn.map(|turn| turn.upstream))))
-}
-
 async fn dispatch(
     mut request: ActiveRequest,
     mut budget: Option<budget::TurnBudget>,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -7,9 +7,11 @@
 //! | `run` | startup and shutdown |
 //! | `server` | listeners and caller connections |
 //! | `handler` | handles one request from its headers to its response |
+//! | `prepare` | loads what a turn needs before it is placed |
 //! | `active_request` | a request in progress |
 //! | `buffer` | limits the memory for buffered bytes |
 //! | `attempt` | one attempt at an upstream |
+//! | `exchange` | sends one request to an upstream |
 //! | `stream` | relays event streams |
 //! | `turn_store`, `budget` | turns and token budgets in the store |
 //! | `feed` | follows configuration and upstream entries in the store |
@@ -25,11 +27,13 @@
 mod attempt;
 mod budget;
 mod buffer;
+mod exchange;
 mod feed;
 mod handler;
 mod log_event;
 mod metric;
 mod pool;
+mod prepare;
 mod run;
 mod server;
 mod settings;
--- /dev/null
+++ b/crates/ingress/src/prepare.rs
@@ -0,0 +1,102 @@
+//! Loads what a turn needs before it is placed, and decides whether its program is admitted.
+
+use std::sync::Arc;
+
+use basilramp_core::dispatch::config::Route;
+use basilramp_core::dispatch::request::Rejection;
+use basilramp_core::dispatch::transcript::TranscriptBuilder;
+use basilramp_process::event;
+
+use crate::active_request::ActiveRequest;
+use crate::log_event::Event;
+use crate::{budget, turn_store};
+
+/// Loads the budget of a turn's program. Returns `None` for a request without a budget.
+///
+/// # Errors
+///
+/// Returns a rejection if the budget is spent or the store does not respond in time.
+pub(crate) async fn load_budget(
+    request: &ActiveRequest,
+) -> Result<Option<budget::TurnBudget>, Rejection> {
+    let Some(program) = request
+        .headers
+        .program
+        .as_ref()
+        .filter(|_| request.kind.is_stream())
+    else {
+        return Ok(None);
+    };
+    let Some(budget) = program.budget else {
+        return Ok(None);
+    };
+    let max_tokens = u64::from(request.headers.max_output_tokens);
+    budget::load(
+        &request.state,
+        program,
+        budget,
+        max_tokens,
+        request.deadline,
+    )
+    .await
+    .map(Some)
+}
+
+/// Admits a new program or rejects it before any of its turns has run.
+///
+/// # Errors
+///
+/// Returns a rejection while the engines are overloaded.
+pub(crate) fn check_admission(
+    request: &ActiveRequest,
+    budget: &budget::TurnBudget,
+) -> Result<(), Rejection> {
+    let Some(program) = request.headers.program.as_ref().filter(|_| budget.is_new()) else {
+        return Ok(());
+    };
+    let state = &request.state;
+    let now = state.now();
+    let delay =
+        state
+            .admission()
+            .rejection_delay_ms(&request.service, &program.id, rand::random(), now);
+    let Some(retry_ms) = delay else {
+        return Ok(());
+    };
+    request.mark_logged();
+    if state.allows_log_line(Event::TurnedAway) {
+        let slowdown = state.admission().slowdown(&request.service, now);
+        event!(
+            state.log,
+            Event::TurnedAway,
+            "request" => &*request.attempt_id,
+            "program" => &*program.id,
+            "service" => &*request.service,
+            "slowdown" => slowdown,
+            "retry_ms" => retry_ms
+        );
+    }
+    Err(Rejection::NotRun(retry_ms))
+}
+
+/// Loads the previous turns. Returns the start of the turn's transcript and the upstream of the
+/// previous turn.
+///
+/// # Errors
+///
+/// Returns a rejection if there is no such turn or the store does not respond in time.
+pub(crate) async fn load_transcript(
+    request: &ActiveRequest,
+    route: &Route,
+) -> Result<Option<(TranscriptBuilder, Option<Arc<str>>)>, Rejection> {
+    if route.retention_ms.is_none() {
+        return Ok(None);
+    }
+    let previous_turn = match &request.headers.previous_turn {
+        Some(previous) => Some(turn_store::load(&request.state, previous, request.deadline).await?),
+        None => None,
+    };
+    let transcript = previous_turn.as_ref().map(|turn| &*turn.transcript);
+    let transcript = TranscriptBuilder::new(transcript, &request.body);
+    Ok(Some((transcript, previous_turn.map(|turn| turn.upstream))))
+}
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -135,7 +135,12 @@
             match relay.next_bytes(has_ended).await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), (Some(relay), false))),
                 Ok(None) => None,
-                Err(broken) => Some((Err(broken), (None, false))),
+                Err(aborted) => {
+                    // The connection is closed at once for the error. Before that, it writes the
+                    // events that it has.
+                    tokio::task::yield_now().await;
+                    Some((Err(aborted), (None, false)))
+                }
             }
         });
         Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
@@ -306,7 +311,10 @@
                     self.placement = placement;
                     return Ok(());
                 }
-                Ok(_) => failure = Failure::Unknown,
+                Ok(mut response) => {
+                    response.guard.record_response(response.head.status);
+                    failure = Failure::Unknown;
+                }
                 Err(other) => failure = other,
             }
         }
