Check for another upstream without placing the request twice

Whether an attempt gets a timeout depends on whether another upstream is left, and that was answered by a whole placement: each attempt of a repeatable request compared all upstreams twice. has_candidate stops at the first one that was not tried.

--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -111,6 +111,15 @@
     best.map(|(placement, _)| placement)
 }
 
+/// Returns whether [`select_upstream`] would find an upstream that was not tried yet, without
+/// comparing all of them.
+#[must_use]
+pub fn has_candidate(fleet: &Fleet, service: &str, tried: &[UpstreamKey], now: Time) -> bool {
+    fleet
+        .serving_upstreams(service, now)
+        .any(|(key, _)| !tried.contains(&key))
+}
+
 /// Order of the upstreams for a request; the first is selected.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rank {
--- a/crates/core/tests/dispatch/placement.rs
+++ b/crates/core/tests/dispatch/placement.rs
@@ -2,7 +2,9 @@
 
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::fleet::{AttemptOutcome, Fleet};
-use basilramp_core::dispatch::placement::{Placement, PlacementRequest, Prompt, select_upstream};
+use basilramp_core::dispatch::placement::{
+    Placement, PlacementRequest, Prompt, has_candidate, select_upstream,
+};
 use basilramp_core::dispatch::request::PromptPart;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -209,6 +211,7 @@
     let parts = prompt(1, 0);
     let mut tried = Vec::new();
     for _ in 0..UPSTREAMS {
+        assert!(has_candidate(&fleet, "engine", &tried, Time::ZERO));
         let request = PlacementRequest {
             tried: &tried,
             ..request(&parts, "p1", None)
@@ -224,4 +227,5 @@
         ..request(&parts, "p1", None)
     };
     assert!(select_upstream(&fleet, &request, Time::ZERO, 1).is_none());
+    assert!(!has_candidate(&fleet, "engine", &tried, Time::ZERO));
 }
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -145,18 +145,6 @@
 
     /// Selects the upstream of the next attempt and marks it as tried.
     pub(crate) fn select_upstream(&mut self) -> Option<Placement> {
-        let placement = self.find_upstream()?;
-        if let Some(tokens) = placement.new_tokens {
-            let mut fleet = self.state.fleet();
-            fleet.speed_mut(&self.service).record_new_tokens(tokens);
-        }
-        self.tried.push(placement.key);
-        self.timings.placed_ms = self.elapsed_ms();
-        Some(placement)
-    }
-
-    /// Returns the upstream that the next attempt would be sent to.
-    fn find_upstream(&self) -> Option<Placement> {
         let program = self.headers.program.as_ref();
         let request = PlacementRequest {
             service: &self.service,
@@ -174,7 +162,17 @@
             is_repeatable: self.kind.is_idempotent(),
         };
         let now = self.state.now();
-        placement::select_upstream(&self.state.fleet(), &request, now, rand::random())
+        let placement = {
+            let mut fleet = self.state.fleet();
+            let placement = placement::select_upstream(&fleet, &request, now, rand::random())?;
+            if let Some(tokens) = placement.new_tokens {
+                fleet.speed_mut(&self.service).record_new_tokens(tokens);
+            }
+            placement
+        };
+        self.tried.push(placement.key);
+        self.timings.placed_ms = self.elapsed_ms();
+        Some(placement)
     }
 
     /// Returns whether the request could be sent to another upstream if the present attempt failed
@@ -188,7 +186,9 @@
             self.remaining_ms(),
             NO_UPSTREAM_RETRY_MS,
         );
-        decision == Decision::Retry && self.find_upstream().is_some()
+        let now = self.state.now();
+        decision == Decision::Retry
+            && placement::has_candidate(&self.state.fleet(), &self.service, &self.tried, now)
     }
 
     /// Records a failed attempt and decides whether to retry.
