Log the rate limits that upstreams name, and count the requests sent to them

Cause: the logs could not tell the hypotheses of the rate limit incident apart, as nothing read the limit. Change: the adapter parses it, core::dispatch::rate_limit tracks what this instance was told, E0735 and E0736 log changes, and a counter tells first attempts, retries and continuations apart. Placement is unchanged.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -7,6 +7,7 @@
 //! | [`route`] | selects the route and service of a request |
 //! | [`fleet`] | tracks the upstreams and their state |
 //! | [`outlier`] | ejects upstreams that fail more often than their service |
+//! | [`rate_limit`] | tracks the rates that overloaded upstreams accept |
 //! | [`speed`] | measures the speed of a service's upstreams |
 //! | [`placement`] | selects the upstream of an attempt |
 //! | [`attempt`] | decides whether to retry a failed attempt |
@@ -24,6 +25,7 @@
 pub mod outage;
 pub mod outlier;
 pub mod placement;
+pub mod rate_limit;
 pub mod request;
 pub mod retention;
 pub mod route;
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -13,6 +13,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::outlier::{FailureRate, Health};
+use super::rate_limit::RateLimits;
 use super::speed::ServiceSpeed;
 use crate::clock::Time;
 
@@ -85,6 +86,7 @@
     by_id: BTreeMap<Arc<str>, UpstreamKey>,
     by_service: BTreeMap<Arc<str>, Vec<UpstreamKey>>,
     services: BTreeMap<Arc<str>, ServiceState>,
+    rate_limits: RateLimits,
     /// When the store recovered from its latest outage.
     store_recovered_at: Option<Time>,
 }
@@ -212,6 +214,17 @@
         &mut state.speed
     }
 
+    /// Returns the rate limits of the upstreams.
+    #[must_use]
+    pub const fn rate_limits(&self) -> &RateLimits {
+        &self.rate_limits
+    }
+
+    /// Returns the rate limits of the upstreams, to record what is observed of them.
+    pub const fn rate_limits_mut(&mut self) -> &mut RateLimits {
+        &mut self.rate_limits
+    }
+
     fn accepts_work(&self, entry: &UpstreamState, now: Time) -> bool {
         if entry.upstream.is_draining || entry.is_displaced {
             return false;
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod outage;
 mod outlier;
 mod placement;
+mod rate_limit;
 mod retention;
 mod route;
 mod speed;
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -10,6 +10,7 @@
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::fleet::{AttemptOutcome, HealthChange, UpstreamKey};
 use basilramp_core::dispatch::placement::Placement;
+use basilramp_core::dispatch::rate_limit::Announcement;
 use basilramp_process::event;
 use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
@@ -19,6 +20,7 @@
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
 use crate::exchange;
 use crate::log_event::Event;
+use crate::metric::AttemptKind;
 use crate::state::State;
 
 /// Maximum size of a response body that is buffered before it is forwarded.
@@ -142,6 +144,13 @@
     let state = &request.state;
     let now = state.now();
     let mut guard = start_attempt(request, placement, now);
+    if state.fleet().rate_limits().rate(&placement.id).is_some() {
+        state.metrics.limited_attempt(match last_event {
+            Some(_) => AttemptKind::Continuation,
+            None if request.tried.len() > 1 => AttemptKind::Retry,
+            None => AttemptKind::First,
+        });
+    }
     let result = exchange::exchange(request, placement, last_event, timeout_ms).await;
     let (head, body, sender) = match result {
         Ok(answer) => answer,
@@ -152,7 +161,9 @@
         }
     };
     let reuse = upstream::parse_reuse(&head);
-    let (failure, outcome) = match upstream::classify_response(&head, &request.attempt_id) {
+    let class = upstream::classify_response(&head, &request.attempt_id);
+    observe_rate_limit(state, &placement.id, class, &head, now);
+    let (failure, outcome) = match class {
         ResponseClass::Matching => {
             return Ok(UpstreamResponse {
                 head,
@@ -181,6 +192,47 @@
     Err(failure)
 }
 
+/// Records the rate limit that a response names.
+fn observe_rate_limit(
+    state: &State,
+    upstream: &Arc<str>,
+    class: ResponseClass,
+    head: &response::Parts,
+    sent_at: Time,
+) {
+    let announcement = match (class, upstream::parse_rate_limit(head)) {
+        // An error may come from a part of the upstream that does not know the limit.
+        (_, Announcement::Unlimited) if !head.status.is_success() => return,
+        (ResponseClass::Matching | ResponseClass::NotRun, announcement) => announcement,
+        (ResponseClass::OtherUpstream | ResponseClass::Mismatched, _) => return,
+    };
+    let is_changed = {
+        let mut fleet = state.fleet();
+        let limits = fleet.rate_limits_mut();
+        limits.observe(upstream, announcement, sent_at, state.now())
+    };
+    if is_changed || announcement == Announcement::Unreadable {
+        log_announcement(state, upstream, announcement);
+    }
+}
+
+fn log_announcement(state: &State, upstream: &str, announcement: Announcement) {
+    let (event, per_s) = match announcement {
+        Announcement::Unlimited => (Event::UpstreamUnlimited, None),
+        Announcement::Limited(rate) => (Event::UpstreamLimited, Some(rate.per_s())),
+        Announcement::Unreadable => (Event::UpstreamLimited, None),
+    };
+    if state.allows_log_line(event) {
+        event!(
+            state.log,
+            event,
+            "upstream" => upstream.to_owned(),
+            "source" => "response",
+            "per_s" => per_s
+        );
+    }
+}
+
 fn start_attempt(request: &ActiveRequest, placement: &Placement, now: Time) -> AttemptGuard {
     let state = &request.state;
     let mut fleet = state.fleet();
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -35,6 +35,10 @@
     UpstreamEjected = "E0733", Warning, "upstream ejected";
     /// An ejected upstream responds again and gets requests, few at first.
     UpstreamRestored = "E0734", Info, "upstream restored";
+    /// An upstream names a limit of `per_s` requests per second, or a limit that can't be read.
+    UpstreamLimited = "E0735", Info, "upstream limits its rate";
+    /// An upstream no longer limits its rate.
+    UpstreamUnlimited = "E0736", Info, "upstream no longer limits its rate";
     /// A request was completely answered by an upstream.
     Answered = "E0741", Info, "request answered";
     /// A request was rejected or failed.
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -43,12 +43,24 @@
     }
 }
 
+/// Why an attempt is sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptKind {
+    /// It is the first attempt of its request.
+    First,
+    /// An attempt at another upstream failed before.
+    Retry,
+    /// It continues a stream that broke at another upstream.
+    Continuation,
+}
+
 /// Instruments for all metrics of the ingress. Usable from any thread.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     exporter: Exporter,
     requests: Counter<u64>,
     attempts_failed: Counter<u64>,
+    limited_attempts: Counter<u64>,
     request_time: Histogram<u64>,
     first_event_time: Histogram<u64>,
     placement_error: Histogram<u64>,
@@ -70,6 +82,10 @@
                 "basilramp.attempts.failed",
                 "Attempts at upstreams without an answer, by what they came to",
             ),
+            limited_attempts: exporter.counter(
+                "basilramp.attempts.limited",
+                "Attempts sent to upstreams that limit their rate, by kind",
+            ),
             request_time: exporter
                 .latency_histogram("basilramp.request.time", "Answered requests, whole"),
             first_event_time: exporter.latency_histogram(
@@ -129,6 +145,17 @@
             .add(1, &[KeyValue::new("outcome", label)]);
     }
 
+    /// Counts an attempt that was sent to an upstream with a rate limit.
+    pub(crate) fn limited_attempt(&self, kind: AttemptKind) {
+        let label = match kind {
+            AttemptKind::First => "first",
+            AttemptKind::Retry => "retry",
+            AttemptKind::Continuation => "continuation",
+        };
+        self.limited_attempts
+            .add(1, &[KeyValue::new("kind", label)]);
+    }
+
     /// Counts a store call and records its duration.
     pub(crate) fn store_call(&self, call: StoreCall, is_done: bool, ms: u64) {
         let kind = KeyValue::new("call", call.label());
