--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -8,6 +8,7 @@
 mod history;
 mod outage;
 mod process;
+mod rate_limit;
 mod scripted_upstream;
 mod soak;
 mod support;
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -65,6 +65,9 @@
 struct Shared {
     id: String,
     behaviour: Mutex<Behaviour>,
+    /// Value of the header that names the rate limit.
+    rate_limit: Mutex<Option<String>>,
+    arrivals: Mutex<Vec<Instant>>,
     requests: Mutex<Vec<RequestRecord>>,
 }
 
@@ -86,6 +89,8 @@
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             behaviour: Mutex::new(behaviour),
+            rate_limit: Mutex::default(),
+            arrivals: Mutex::default(),
             requests: Mutex::default(),
         });
         let handler = {
@@ -127,6 +132,17 @@
         *lock(&self.shared.behaviour) = behaviour;
     }
 
+    /// Sets the text of the rate limit that later responses name; `None` names none.
+    pub fn set_rate_limit(&self, text: Option<&str>) {
+        *lock(&self.shared.rate_limit) = text.map(str::to_owned);
+    }
+
+    /// Returns when each request arrived, in order, whether it was run or not.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.shared.arrivals).clone()
+    }
+
     /// Returns the requests that it has run, in order of arrival.
     #[must_use]
     pub fn requests(&self) -> Vec<RequestRecord> {
@@ -139,6 +155,15 @@
 }
 
 async fn handle_request(shared: Arc<Shared>, request: Request<Incoming>) -> HandlerResult {
+    lock(&shared.arrivals).push(Instant::now());
+    let mut response = respond(Arc::clone(&shared), request).await?;
+    if let Some(text) = lock(&shared.rate_limit).as_deref() {
+        set_header(&mut response, "server-limit", text);
+    }
+    Ok(response)
+}
+
+async fn respond(shared: Arc<Shared>, request: Request<Incoming>) -> HandlerResult {
     let behaviour = *lock(&shared.behaviour);
     match behaviour {
         Behaviour::Full => {
