Share the rate limits of upstreams through the store, and send only with a permit

What callers and upstreams saw: an upstream that named a limit in need got up to five times as many requests as it allows; no instance read the limit. Cause: a resource of the whole fleet was managed by each instance alone (the class of fault: a global limit without shared state). Reading the header alone would not have been enough: with 95 instances a fair share of 2 a second is one request in 48 s, and every first request of an instance would have come on top.

Change: a limit is a row that all instances follow, so that those that send rarely or start later know it too. Each request to a limited upstream needs a permit: a conditional write moves the upstream's schedule (GCRA, in the store's clock) by one interval, whoever sends, and whether it is a first attempt, a retry, a probe or a continuation. Placement leaves out upstreams without permits; turns that have their prompt cached there come before moved ones and these before new programs; denied instances back off with the contention they see. What no upstream has a permit for is rejected at once, with the time at which its turn comes. A lift must come from a request sent after the limit was last named, so that late responses do not loosen it. Ruled out: shares per instance (no membership on this path; a share below one request per window), a token bucket per instance (the buckets fill up and are emptied together). 412 now carries the current rows.

--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -13,7 +13,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::outlier::{FailureRate, Health};
-use super::rate_limit::RateLimits;
+use super::rate_limit::{RateLimits, RequestClass};
 use super::speed::ServiceSpeed;
 use crate::clock::Time;
 
@@ -214,6 +214,27 @@
         &mut state.speed
     }
 
+    /// Drops the rate limits of upstreams that are gone. Returns these upstreams, whose rows have to
+    /// be removed.
+    pub fn expire_rate_limits(&mut self, now: Time) -> Vec<Arc<str>> {
+        let by_id = &self.by_id;
+        self.rate_limits.expire(|id| by_id.contains_key(id), now)
+    }
+
+    /// Returns the time until one of a service's upstreams may have a permit for a request, in
+    /// milliseconds. Returns `None` if none of them keeps requests waiting for its rate limit.
+    #[must_use]
+    pub fn permit_wait_ms(&self, service: &str, class: RequestClass, now: Time) -> Option<u64> {
+        let serving = self.serving_upstreams(service, now);
+        let limited =
+            serving.filter(|(_, entry)| self.rate_limits.rate(&entry.upstream.id).is_some());
+        let waits = limited.map(|(_, entry)| {
+            let id = &entry.upstream.id;
+            self.rate_limits.blocked_ms(id, class, now)
+        });
+        waits.min()
+    }
+
     /// Returns the rate limits of the upstreams.
     #[must_use]
     pub const fn rate_limits(&self) -> &RateLimits {
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::fleet::{Fleet, UpstreamKey, UpstreamState};
+use super::rate_limit::RequestClass;
 use super::request::PromptPart;
 use super::speed::ServiceSpeed;
 use crate::clock::Time;
@@ -26,6 +27,23 @@
     pub tried: &'a [UpstreamKey],
     /// Whether the request may run more than once.
     pub is_repeatable: bool,
+    /// Whether the request is the first one of its program.
+    pub starts_program: bool,
+    /// Whether upstreams with a rate limit are considered.
+    pub may_use_limited: bool,
+}
+
+impl PlacementRequest<'_> {
+    /// Returns the class of the request at an upstream.
+    fn class_at(&self, upstream: &str) -> RequestClass {
+        if self.prompt.is_none() || self.previous_upstream == Some(upstream) {
+            RequestClass::Resident
+        } else if self.starts_program {
+            RequestClass::Start
+        } else {
+            RequestClass::Moved
+        }
+    }
 }
 
 /// Prompt of a request.
@@ -51,6 +69,8 @@
     pub new_tokens: Option<u64>,
     /// Prompt tokens of this instance's other requests that the upstream has to read before.
     pub queued_tokens: u64,
+    /// Class of the request at the upstream.
+    pub class: RequestClass,
     /// Estimated cost, in milliseconds.
     pub cost_ms: f64,
     /// Expected time to the first byte, in milliseconds.
@@ -75,7 +95,8 @@
 /// Cost per remaining millisecond for which a failing or full upstream is avoided.
 const AVOID_COST_PER_MS: f64 = 1.0;
 
-/// Selects the upstream with the lowest cost, or `None` if all upstreams of the service were tried.
+/// Selects the upstream with the lowest cost, or `None` if all upstreams of the service were tried
+/// or have no permit for another request.
 ///
 /// Upstreams whose health does not admit the request are selected only if there is no other.
 /// `draw` is a random number that breaks ties.
@@ -95,10 +116,19 @@
     let speed = fleet.speed(request.service);
     let mut best: Option<(Placement, Rank)> = None;
     for (key, entry) in fleet.serving_upstreams(request.service, now) {
-        if request.tried.contains(&key) {
+        let id = &entry.upstream.id;
+        let limits = fleet.rate_limits();
+        let is_limited = limits.rate(id).is_some();
+        if request.tried.contains(&key)
+            || (is_limited && !request.may_use_limited)
+            || limits.blocked_ms(id, request.class_at(id), now) > 0
+        {
             continue;
         }
-        let placement = estimate_cost(key, entry, request, preferred == Some(key), &speed, now);
+        let mut placement = estimate_cost(key, entry, request, preferred == Some(key), &speed, now);
+        if is_limited {
+            placement.cost_ms += limits.permit_ms();
+        }
         let rank = Rank {
             is_unhealthy: !entry.health().admits(request.is_repeatable, now),
             cost_ms: placement.cost_ms,
@@ -115,9 +145,11 @@
 /// comparing all of them.
 #[must_use]
 pub fn has_candidate(fleet: &Fleet, service: &str, tried: &[UpstreamKey], now: Time) -> bool {
-    fleet
-        .serving_upstreams(service, now)
-        .any(|(key, _)| !tried.contains(&key))
+    fleet.serving_upstreams(service, now).any(|(key, entry)| {
+        let id = &entry.upstream.id;
+        let blocked_ms = fleet.rate_limits().blocked_ms(id, RequestClass::Moved, now);
+        blocked_ms == 0 && !tried.contains(&key)
+    })
 }
 
 /// Order of the upstreams for a request; the first is selected.
@@ -207,6 +239,7 @@
         unread_tokens,
         new_tokens,
         queued_tokens: load.unread_tokens,
+        class: request.class_at(&entry.upstream.id),
         cost_ms,
         expected_ms,
     }
--- a/crates/core/tests/dispatch/outlier.rs
+++ b/crates/core/tests/dispatch/outlier.rs
@@ -33,6 +33,8 @@
         failure_domain: "z0",
         tried,
         is_repeatable,
+        starts_program: false,
+        may_use_limited: true,
     }
 }
 
--- a/crates/core/tests/dispatch/placement.rs
+++ b/crates/core/tests/dispatch/placement.rs
@@ -42,6 +42,8 @@
         failure_domain: "z0",
         tried: &[],
         is_repeatable: true,
+        starts_program: false,
+        may_use_limited: true,
     }
 }
 
--- a/crates/core/tests/dispatch/speed.rs
+++ b/crates/core/tests/dispatch/speed.rs
@@ -69,6 +69,8 @@
             failure_domain: "z0",
             tried: &[],
             is_repeatable: true,
+            starts_program: false,
+            may_use_limited: true,
         };
         let key = fleet.find_by_id("u3").unwrap();
         fleet.start_attempt(key, &[], 1_000, Time::ZERO);
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -159,6 +159,11 @@
             .collect()
     }
 
+    /// Waits for a log line of an event and returns it.
+    pub(crate) async fn wait_for_event(&self, code: &str) -> Value {
+        wait_for(code, || async { self.events(code).into_iter().next() }).await
+    }
+
     /// Sends a signal, given by its name without "SIG", to the process.
     pub(crate) fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
--- a/crates/fakes/src/user_platform/store.rs
+++ b/crates/fakes/src/user_platform/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -59,6 +59,7 @@
     unavailable_suffixes: Vec<char>,
     reads: u64,
     writes: u64,
+    started_at: Instant,
 }
 
 /// A running store.
@@ -123,6 +124,7 @@
                 unavailable_suffixes: Vec::new(),
                 reads: 0,
                 writes: 0,
+                started_at: Instant::now(),
             }),
             changed: Notify::new(),
         });
@@ -226,11 +228,37 @@
         live.map_or(0, |row| row.version)
     }
 
-    /// Applies a transaction, or returns false if a condition fails.
-    fn apply(&mut self, transaction: Transaction) -> bool {
+    /// Returns the steady clock in milliseconds.
+    fn now_ms(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64
+    }
+
+    /// Returns the existing rows among those of conditions.
+    fn condition_rows(&self, conditions: &[Condition]) -> Vec<Value> {
+        let keys = conditions.iter().map(|condition| {
+            let Condition {
+                table,
+                partition,
+                key,
+                ..
+            } = condition;
+            (table.clone(), partition.clone(), key.clone())
+        });
+        let rows = keys.filter_map(|key| Some((self.rows.get(&key)?, key)));
+        rows.filter(|(row, _)| row.value.is_some())
+            .map(|(row, key)| row_json(&key, row))
+            .collect()
+    }
+
+    /// Applies a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rows of the conditions if one of them fails.
+    fn apply(&mut self, transaction: Transaction) -> Result<(), Vec<Value>> {
         let mut conditions = transaction.precondition.iter();
         if !conditions.all(|condition| self.row_version(condition) == condition.version) {
-            return false;
+            return Err(self.condition_rows(&transaction.precondition));
         }
         self.version += 1;
         let version = self.version;
@@ -250,7 +278,7 @@
             self.rows
                 .insert((delete.table, delete.partition, delete.key), row);
         }
-        true
+        Ok(())
     }
 
     /// Returns the rows of a partition with keys from `from` up to but not including `to`.
@@ -262,7 +290,7 @@
             *in_table == table && *in_part == partition && is_within && row.value.is_some()
         });
         let rows: Vec<_> = rows.map(|(name, row)| row_json(name, row)).collect();
-        json!({"rows": rows, "has_more": false, "ver": self.version, "now_ms": 0})
+        json!({"rows": rows, "has_more": false, "ver": self.version, "now_ms": self.now_ms()})
     }
 
     /// Returns the rows of a table that changed after a version, or none if there are none.
@@ -270,7 +298,8 @@
         let rows = self.rows.iter();
         let newer = rows.filter(|((name, _, _), row)| name == table && row.version > after);
         let rows: Vec<_> = newer.map(|(name, row)| row_json(name, row)).collect();
-        (!rows.is_empty()).then(|| json!({"rows": rows, "ver": self.version, "now_ms": 0}))
+        (!rows.is_empty())
+            .then(|| json!({"rows": rows, "ver": self.version, "now_ms": self.now_ms()}))
     }
 }
 
@@ -330,7 +359,7 @@
     let Ok(transaction) = serde_json::from_slice::<Transaction>(&body) else {
         return Ok(json_response(StatusCode::BAD_REQUEST, &json!({})));
     };
-    let (is_applied, version) = {
+    let (result, version, now_ms) = {
         let mut state = shared.lock();
         state.writes += 1;
         if transaction
@@ -340,20 +369,19 @@
         {
             return Ok(json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
         }
-        (state.apply(transaction), state.version)
+        (state.apply(transaction), state.version, state.now_ms())
     };
     shared.changed.notify_waiters();
     if mode == Mode::LosesResponses {
         return Err(ConnectionClosed);
     }
-    let status = if is_applied {
-        StatusCode::OK
-    } else {
-        StatusCode::PRECONDITION_FAILED
+    let (status, rows) = match result {
+        Ok(()) => (StatusCode::OK, Vec::new()),
+        Err(rows) => (StatusCode::PRECONDITION_FAILED, rows),
     };
     Ok(json_response(
         status,
-        &json!({"rows": [], "ver": version, "now_ms": 0}),
+        &json!({"rows": rows, "ver": version, "now_ms": now_ms}),
     ))
 }
 
@@ -376,7 +404,7 @@
                 return json_response(StatusCode::OK, &changes);
             }
             if started_at.elapsed() >= wait {
-                let empty = json!({"rows": [], "ver": state.version, "now_ms": 0});
+                let empty = json!({"rows": [], "ver": state.version, "now_ms": state.now_ms()});
                 return json_response(StatusCode::OK, &empty);
             }
         }
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -8,6 +8,7 @@
 use basilramp_core::dispatch::config::{Engine, RouteKind};
 use basilramp_core::dispatch::fleet::UpstreamKey;
 use basilramp_core::dispatch::placement::{self, Placement, PlacementRequest, Prompt};
+use basilramp_core::dispatch::rate_limit::RequestClass;
 use basilramp_core::dispatch::request::RequestHeaders;
 use basilramp_process::event;
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use crate::buffer::Reservation;
 use crate::log_event::Event;
 use crate::metric::Outcome;
+use crate::rate_limit;
 use crate::state::State;
 
 /// Retry delay sent to a caller when no upstream accepted the request.
@@ -29,6 +31,10 @@
 /// to another upstream, in milliseconds.
 const FIRST_EVENT_TIMEOUT_MS: u64 = 1_200;
 
+/// Maximum number of limited upstreams that a request tries to get a permit for. Each costs a call of
+/// the store.
+const MAX_DENIED_PERMITS: u32 = 2;
+
 /// A request in progress.
 #[derive(Debug)]
 pub(crate) struct ActiveRequest {
@@ -52,6 +58,8 @@
     pub(crate) deadline: Time,
     /// Priority of the route; 0 is the most urgent.
     pub(crate) priority: u8,
+    /// Whether the request is the first one of its program.
+    pub(crate) starts_program: bool,
     pub(crate) attempts: Attempts,
     pub(crate) tried: Vec<UpstreamKey>,
     /// Id of the upstream that ran the previous turn.
@@ -143,8 +151,40 @@
         );
     }
 
-    /// Selects the upstream of the next attempt and marks it as tried.
-    pub(crate) fn select_upstream(&mut self) -> Option<Placement> {
+    /// Selects the upstream of the next attempt, takes a permit if the upstream limits its rate, and
+    /// marks it as tried.
+    pub(crate) async fn place(&mut self) -> Option<Placement> {
+        let mut denied = 0;
+        loop {
+            let placement = self.select_upstream(denied < MAX_DENIED_PERMITS)?;
+            if rate_limit::acquire(self, &placement).await {
+                self.tried.push(placement.key);
+                self.timings.placed_ms = self.elapsed_ms();
+                return Some(placement);
+            }
+            denied += 1;
+        }
+    }
+
+    /// Returns the retry delay for a caller whose request found no upstream, in milliseconds.
+    pub(crate) fn retry_after_ms(&self) -> u64 {
+        let now = self.state.now();
+        let mut fleet = self.state.fleet();
+        let class = if self.starts_program {
+            RequestClass::Start
+        } else {
+            RequestClass::Moved
+        };
+        match fleet.permit_wait_ms(&self.service, class, now) {
+            Some(ms) => {
+                let limits = fleet.rate_limits_mut();
+                limits.book_return(&self.service, ms, now)
+            }
+            None => NO_UPSTREAM_RETRY_MS,
+        }
+    }
+
+    fn select_upstream(&self, may_use_limited: bool) -> Option<Placement> {
         let program = self.headers.program.as_ref();
         let request = PlacementRequest {
             service: &self.service,
@@ -160,6 +200,8 @@
             failure_domain: &self.state.settings.failure_domain,
             tried: &self.tried,
             is_repeatable: self.kind.is_idempotent(),
+            starts_program: self.starts_program,
+            may_use_limited,
         };
         let now = self.state.now();
         let placement = {
@@ -170,8 +212,6 @@
             }
             placement
         };
-        self.tried.push(placement.key);
-        self.timings.placed_ms = self.elapsed_ms();
         Some(placement)
     }
 
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -10,7 +10,6 @@
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::fleet::{AttemptOutcome, HealthChange, UpstreamKey};
 use basilramp_core::dispatch::placement::Placement;
-use basilramp_core::dispatch::rate_limit::Announcement;
 use basilramp_process::event;
 use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
@@ -18,10 +17,10 @@
 
 use crate::active_request::ActiveRequest;
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
-use crate::exchange;
 use crate::log_event::Event;
 use crate::metric::AttemptKind;
 use crate::state::State;
+use crate::{exchange, rate_limit};
 
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -162,7 +161,7 @@
     };
     let reuse = upstream::parse_reuse(&head);
     let class = upstream::classify_response(&head, &request.attempt_id);
-    observe_rate_limit(state, &placement.id, class, &head, now);
+    rate_limit::observe(state, &placement.id, class, &head, now);
     let (failure, outcome) = match class {
         ResponseClass::Matching => {
             return Ok(UpstreamResponse {
@@ -192,47 +191,6 @@
     Err(failure)
 }
 
-/// Records the rate limit that a response names.
-fn observe_rate_limit(
-    state: &State,
-    upstream: &Arc<str>,
-    class: ResponseClass,
-    head: &response::Parts,
-    sent_at: Time,
-) {
-    let announcement = match (class, upstream::parse_rate_limit(head)) {
-        // An error may come from a part of the upstream that does not know the limit.
-        (_, Announcement::Unlimited) if !head.status.is_success() => return,
-        (ResponseClass::Matching | ResponseClass::NotRun, announcement) => announcement,
-        (ResponseClass::OtherUpstream | ResponseClass::Mismatched, _) => return,
-    };
-    let is_changed = {
-        let mut fleet = state.fleet();
-        let limits = fleet.rate_limits_mut();
-        limits.observe(upstream, announcement, sent_at, state.now())
-    };
-    if is_changed || announcement == Announcement::Unreadable {
-        log_announcement(state, upstream, announcement);
-    }
-}
-
-fn log_announcement(state: &State, upstream: &str, announcement: Announcement) {
-    let (event, per_s) = match announcement {
-        Announcement::Unlimited => (Event::UpstreamUnlimited, None),
-        Announcement::Limited(rate) => (Event::UpstreamLimited, Some(rate.per_s())),
-        Announcement::Unreadable => (Event::UpstreamLimited, None),
-    };
-    if state.allows_log_line(event) {
-        event!(
-            state.log,
-            event,
-            "upstream" => upstream.to_owned(),
-            "source" => "response",
-            "per_s" => per_s
-        );
-    }
-}
-
 fn start_attempt(request: &ActiveRequest, placement: &Placement, now: Time) -> AttemptGuard {
     let state = &request.state;
     let mut fleet = state.fleet();
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -232,7 +232,7 @@
                 Ok(()) => return Ok(self.reserve_granted(tokens)),
                 Err(error) => error,
             };
-            if error != Error::Conflict {
+            if !matches!(error, Error::Conflict(_)) {
                 if state.now() >= deadline {
                     return Err(GrantError::Store(error));
                 }
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::log_event::Event;
+use crate::rate_limit;
 use crate::state::State;
 
 /// Long-poll timeout for the configuration table. It distinguishes a dead connection from a quiet
@@ -35,9 +36,15 @@
 /// Maximum backoff after failures. It is short, so that the recovery of the store is noticed soon.
 const MAX_BACKOFF_MS: u64 = 300;
 
+/// Long-poll timeout for the table of rate limits, which is mostly empty. A dead connection is closed
+/// by its keepalive probes.
+const LIMIT_LONG_POLL_MS: u64 = 3_000;
+
 /// A table followed through its change feed.
 struct Feed {
     table: &'static str,
+    /// Whether the outcome of its calls tells whether the store as a whole is available.
+    is_watched: bool,
     long_poll_ms: u64,
     interval_ms: u64,
     /// Version after which changes are requested. `None` if the whole table has to be read.
@@ -74,10 +81,30 @@
     }
 }
 
+/// Follows the rate limits of upstreams. Never returns.
+pub(crate) async fn follow_limits(state: Arc<State>) {
+    let mut feed = Feed {
+        is_watched: false,
+        ..Feed::new(rate_limit::LIMIT_TABLE, LIMIT_LONG_POLL_MS, 0)
+    };
+    loop {
+        if let Some((page, is_full_table)) = feed.next(&state).await {
+            for row in &page.rows {
+                rate_limit::apply_row(&state, row);
+            }
+            if is_full_table {
+                rate_limit::apply_missing_rows(&state, &page.rows, page.version);
+            }
+        }
+        rate_limit::expire(&state);
+    }
+}
+
 impl Feed {
     const fn new(table: &'static str, long_poll_ms: u64, interval_ms: u64) -> Self {
         Self {
             table,
+            is_watched: true,
             long_poll_ms,
             interval_ms,
             after: None,
@@ -102,7 +129,7 @@
                 let changes = store.poll_changes(self.table, after, self.long_poll_ms, limit_ms);
                 tokio::select! {
                     result = changes => result,
-                    () = state.store_suspected.notified() => {
+                    () = state.store_suspected.notified(), if self.is_watched => {
                         self.after = None;
                         return None;
                     }
@@ -111,7 +138,7 @@
         };
         // A feed may be interrupted or silent while the rest of the store works. The read of the
         // whole table that follows decides.
-        if after.is_none() || result.is_ok() {
+        if self.is_watched && (after.is_none() || result.is_ok()) {
             state.record_call(outage::FEED_PARTITION, &result, began);
         }
         match result {
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -153,6 +153,7 @@
         engine: service_config.and_then(|service| service.engine.clone()),
         arrived,
         deadline,
+        starts_program: false,
         attempts: Attempts::default(),
         tried: Vec::new(),
         previous_upstream: None,
@@ -173,6 +174,7 @@
         .cloned();
     if let Some(budget) = &budget {
         prepare::check_admission(&request, budget)?;
+        request.starts_program = budget.is_new();
     }
     let transcript = match transcript {
         Some((transcript, upstream)) => {
@@ -229,12 +231,12 @@
     // An upstream's error, which is the response unless another upstream has a better one.
     let mut server_error = None;
     loop {
-        let Some(placement) = request.select_upstream() else {
+        let Some(placement) = request.place().await else {
             if let Some(error) = server_error {
                 return Ok(complete(&request, error));
             }
             request.mark_logged();
-            return Err(request.attempts.rejection(NO_UPSTREAM_RETRY_MS));
+            return Err(request.attempts.rejection(request.retry_after_ms()));
         };
         // The upstream reads the prompt while the store writes the grant.
         if let Some(budget) = budget.take() {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `buffer` | limits the memory for buffered bytes |
 //! | `attempt` | one attempt at an upstream |
 //! | `exchange` | sends one request to an upstream |
+//! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
 //! | `turn_store`, `budget` | turns and token budgets in the store |
 //! | `feed` | follows configuration and upstream entries in the store |
@@ -34,6 +35,7 @@
 mod metric;
 mod pool;
 mod prepare;
+mod rate_limit;
 mod run;
 mod server;
 mod settings;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -39,6 +39,10 @@
     UpstreamLimited = "E0735", Info, "upstream limits its rate";
     /// An upstream no longer limits its rate.
     UpstreamUnlimited = "E0736", Info, "upstream no longer limits its rate";
+    /// A request got no permit for an upstream that limits its rate.
+    PermitDenied = "E0737", Info, "permit denied";
+    /// A limit could not be shared, or a permit not be taken, as the store did not confirm it.
+    LimitFailed = "E0738", Warning, "rate limit not stored";
     /// A request was completely answered by an upstream.
     Answered = "E0741", Info, "request answered";
     /// A request was rejected or failed.
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -54,6 +54,28 @@
     Continuation,
 }
 
+/// Outcome of a request for a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PermitOutcome {
+    /// The request may be sent.
+    Granted,
+    /// No permit is available.
+    Denied,
+    /// The store did not confirm a permit.
+    Failed,
+}
+
+impl PermitOutcome {
+    /// Returns the label of the outcome in metrics and logs.
+    pub(crate) const fn label(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Denied => "denied",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Instruments for all metrics of the ingress. Usable from any thread.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -61,6 +83,7 @@
     requests: Counter<u64>,
     attempts_failed: Counter<u64>,
     limited_attempts: Counter<u64>,
+    permits: Counter<u64>,
     request_time: Histogram<u64>,
     first_event_time: Histogram<u64>,
     placement_error: Histogram<u64>,
@@ -86,6 +109,10 @@
                 "basilramp.attempts.limited",
                 "Attempts sent to upstreams that limit their rate, by kind",
             ),
+            permits: exporter.counter(
+                "basilramp.permits",
+                "Permits for upstreams that limit their rate, by outcome",
+            ),
             request_time: exporter
                 .latency_histogram("basilramp.request.time", "Answered requests, whole"),
             first_event_time: exporter.latency_histogram(
@@ -156,6 +183,12 @@
             .add(1, &[KeyValue::new("kind", label)]);
     }
 
+    /// Counts a request for a permit.
+    pub(crate) fn permit(&self, outcome: PermitOutcome) {
+        self.permits
+            .add(1, &[KeyValue::new("outcome", outcome.label())]);
+    }
+
     /// Counts a store call and records its duration.
     pub(crate) fn store_call(&self, call: StoreCall, is_done: bool, ms: u64) {
         let kind = KeyValue::new("call", call.label());
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -62,6 +62,7 @@
     let (stop, stopping) = watch::channel(false);
     tokio::spawn(supervise(&state, "configuration feed", feed::follow_config));
     tokio::spawn(supervise(&state, "upstream feed", feed::follow_fleet));
+    tokio::spawn(supervise(&state, "rate limit feed", feed::follow_limits));
     tokio::spawn(server::serve_probes(Arc::clone(&state), ready));
     tokio::spawn(server::serve_probes(Arc::clone(&state), metrics));
     tokio::spawn(server::serve_callers(
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -293,7 +293,7 @@
             if !may_resume || self.request.record_failure(failure) != Decision::Retry {
                 return Err(self.abort(cause));
             }
-            let Some(placement) = self.request.select_upstream() else {
+            let Some(placement) = self.request.place().await else {
                 return Err(self.abort(cause));
             };
             match attempt::send(
