Log the software versions of upstreams and the streams that go on at another one

Cause: the logs could not tell the hypotheses of the software version incident apart: no line named a version, nor that a request takes up an earlier stream. Placement is unchanged, but for an upstream that comes back with another version, which counts as restarted.

--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -33,6 +33,8 @@
     pub address: SocketAddr,
     /// Failure domain it runs in.
     pub failure_domain: Arc<str>,
+    /// Version of its software.
+    pub version: Arc<str>,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it is draining and takes no new requests.
@@ -110,6 +112,7 @@
         if known.started_ms != upstream.started_ms
             || known.address != upstream.address
             || known.service != upstream.service
+            || known.version != upstream.version
         {
             self.remove_entry(key);
             self.insert_entry(upstream, now);
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -62,6 +62,8 @@
     pub key: UpstreamKey,
     /// Id of the upstream.
     pub id: Arc<str>,
+    /// Version of the upstream's software.
+    pub version: Arc<str>,
     /// Prompt tokens that the upstream has not cached.
     pub unread_tokens: u64,
     /// Prompt tokens of the session that are new since its previous turn, if this instance placed
@@ -236,6 +238,7 @@
     Placement {
         key,
         id: Arc::clone(&entry.upstream.id),
+        version: Arc::clone(&entry.upstream.version),
         unread_tokens,
         new_tokens,
         queued_tokens: load.unread_tokens,
--- a/crates/core/src/dispatch/request.rs
+++ b/crates/core/src/dispatch/request.rs
@@ -22,6 +22,10 @@
     /// Key of the object that the request concerns. Requests with the same key prefer the same
     /// upstream.
     pub affinity_key: Option<Arc<str>>,
+    /// Id of the last event that the caller received, if it takes up a stream again.
+    pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of that stream.
+    pub resumed_attempt: Option<Arc<str>>,
 }
 
 /// A part of a prompt.
--- a/crates/core/tests/dispatch/fleet.rs
+++ b/crates/core/tests/dispatch/fleet.rs
@@ -9,6 +9,7 @@
         service: "engine".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         failure_domain: failure_domain.into(),
+        version: "v1".into(),
         slots: 24,
         is_draining: false,
         started_ms: 7,
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -76,6 +76,7 @@
 pub struct Upstream {
     shared: Arc<Shared>,
     service: String,
+    version: String,
     server: Server,
 }
 
@@ -86,6 +87,18 @@
     /// Starts an upstream of a service on a free port of 127.0.0.1, and registers it as ready.
     #[must_use]
     pub fn spawn(store: &Store, id: &str, service: &str, behaviour: Behaviour) -> Self {
+        Self::spawn_version(store, id, service, "v1", behaviour)
+    }
+
+    /// Like [`Self::spawn`], with a version of its software.
+    #[must_use]
+    pub fn spawn_version(
+        store: &Store,
+        id: &str,
+        service: &str,
+        version: &str,
+        behaviour: Behaviour,
+    ) -> Self {
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             behaviour: Mutex::new(behaviour),
@@ -101,6 +114,7 @@
         let upstream = Self {
             shared,
             service: service.to_owned(),
+            version: version.to_owned(),
             server,
         };
         upstream.register(store, "ready");
@@ -116,7 +130,7 @@
     pub fn register_at(&self, store: &Store, state: &str, address: SocketAddr) {
         let entry = json!({
             "service": self.service, "address": address.to_string(), "zone": "z1",
-            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": 7,
+            "version": self.version, "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": 7,
         });
         store.put("servers", &self.shared.id, entry.to_string().as_bytes());
     }
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -137,6 +137,7 @@
             "service" => &*self.service,
             "rank" => self.priority,
             "upstream" => &*placement.id,
+            "version" => &*placement.version,
             "status" => status,
             "attempts" => self.tried.len(),
             "prompt_tokens" => self.headers.prompt_tokens,
@@ -151,6 +152,28 @@
         );
     }
 
+    /// Logs that a stream which `begun_by` began goes on after event `after`.
+    pub(crate) fn log_continuation(
+        &self,
+        placement: &Placement,
+        after: u64,
+        begun_by: &str,
+        begun_version: &str,
+    ) {
+        if self.state.allows_log_line(Event::StreamContinued) {
+            event!(
+                self.state.log,
+                Event::StreamContinued,
+                "request" => &*self.attempt_id,
+                "upstream" => &*placement.id,
+                "version" => &*placement.version,
+                "after" => after,
+                "begun_by" => begun_by.to_owned(),
+                "begun_version" => begun_version.to_owned()
+            );
+        }
+    }
+
     /// Selects the upstream of the next attempt, takes a permit if the upstream limits its rate, and
     /// marks it as tried.
     pub(crate) async fn place(&mut self) -> Option<Placement> {
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -251,7 +251,18 @@
         Change::Joined => Event::UpstreamJoined,
         Change::Draining => Event::UpstreamLeaving,
     };
-    event!(state.log, event, "upstream" => &**id, "cause" => cause);
+    let version = {
+        let fleet = state.fleet();
+        let entry = fleet.find_by_id(id).and_then(|key| fleet.get(key));
+        entry.map(|entry| Arc::clone(&entry.upstream.version))
+    };
+    event!(
+        state.log,
+        event,
+        "upstream" => &**id,
+        "version" => version.as_deref(),
+        "cause" => cause
+    );
 }
 
 fn log_unreadable(state: &State, table: &'static str, row: &Row, error: &str) {
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -267,6 +267,10 @@
             }
             Ok(AttemptResult::Streaming(stream)) => {
                 request.timings.first_event_ms = request.elapsed_ms();
+                if let Some(after) = request.headers.last_event {
+                    let begun_by = request.headers.resumed_attempt.as_deref();
+                    request.log_continuation(&placement, after, begun_by.unwrap_or_default(), "");
+                }
                 let waited_ms = request
                     .timings
                     .first_event_ms
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -57,6 +57,8 @@
     GrantFailed = "E0746", Warning, "grant failed";
     /// A new program was rejected because the engines are overloaded.
     TurnedAway = "E0747", Info, "program turned away";
+    /// A stream goes on at an upstream after an event that the caller has received.
+    StreamContinued = "E0748", Info, "stream continued";
 }
 
 impl basilramp_process::log::LogEvent for Event {
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -308,7 +308,13 @@
                     self.decoder = Decoder::default();
                     self.last_event_at = self.request.state.now();
                     self.response = Some(response);
-                    self.placement = placement;
+                    let begun_version = std::mem::replace(&mut self.placement, placement).version;
+                    self.request.log_continuation(
+                        &self.placement,
+                        self.last_event.unwrap_or_default(),
+                        &self.request.attempt_id,
+                        &begun_version,
+                    );
                     return Ok(());
                 }
                 Ok(mut response) => {
