--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -11,5 +11,6 @@
 mod rate_limit;
 mod scripted_upstream;
 mod soak;
+mod software_version;
 mod support;
 mod upstream_faults;
--- /dev/null
+++ b/crates/daemon/tests/ingress/software_version.rs
@@ -0,0 +1,146 @@
+//! Upstreams of several software versions in one service: what one version began can't go on at
+//! another.
+
+use std::time::{Duration, Instant};
+
+use basilramp_fakes::user_platform::{Behaviour, RequestRecord, Store, Upstream};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use crate::support::{IMMEDIATE_RESPONSE, Instance, Reply, Turn, configure, wait_for};
+
+fn turn(attempt: &str) -> Request<Full<Bytes>> {
+    let turn = Turn {
+        route: "advice",
+        attempt,
+        program: attempt,
+        previous: None,
+        budget: 1_000,
+        max_output: 100,
+        input: "question",
+    };
+    turn.request()
+}
+
+/// Returns the request with which a caller takes up the stream of an attempt after an event.
+fn resumption(attempt: &str, begun_by: &str, after: u64) -> Request<Full<Bytes>> {
+    let mut request = turn(attempt);
+    let headers = request.headers_mut();
+    headers.insert("resumes", begun_by.parse().unwrap());
+    headers.insert("last-event-id", after.into());
+    request
+}
+
+/// Returns whether a run goes on after an earlier event.
+fn is_continuation(run: &&RequestRecord) -> bool {
+    run.last_event.is_some()
+}
+
+fn continuations(upstream: &Upstream) -> usize {
+    upstream.requests().iter().filter(is_continuation).count()
+}
+
+/// Starts a store and upstreams `i-1`, `i-2` and so on of service `engine`, each with its version.
+fn start_versions<const N: usize>(versions: [(&str, Behaviour); N]) -> (Store, [Upstream; N]) {
+    let store = Store::spawn();
+    configure(&store, 3);
+    let mut index = 0;
+    let upstreams = versions.map(|(version, behaviour)| {
+        index += 1;
+        Upstream::spawn_version(&store, &format!("i-{index}"), "engine", version, behaviour)
+    });
+    (store, upstreams)
+}
+
+/// A stream breaks within a response: it goes on at its version, or not at all.
+#[tokio::test]
+async fn a_broken_stream_never_goes_on_at_another_version() {
+    let breaks = Behaviour::BreaksOff(2);
+    let (store, [old, new]) = start_versions([("v1", breaks), ("v2", breaks)]);
+    let instance = Instance::spawn(&store, "a").await;
+    for number in 0..12 {
+        let reply = instance.send(turn(&format!("t{number}"))).await;
+        let is_served = |reply: Reply| reply.status == StatusCode::OK && reply.is_complete;
+        assert!(!reply.is_some_and(is_served));
+    }
+    assert_eq!(continuations(&old) + continuations(&new), 0);
+    let partner = Upstream::spawn_version(&store, "i-3", "engine", "v1", IMMEDIATE_RESPONSE);
+    wait_for("a stream goes on at its version", || async {
+        let attempt = format!("u{}", rand::random::<u32>());
+        instance.send(turn(&attempt)).await;
+        (continuations(&partner) > 0).then_some(())
+    })
+    .await;
+    assert_eq!(continuations(&new), 0);
+}
+
+/// An instance is killed in the middle of a stream, and the caller takes the stream up at another
+/// instance.
+#[tokio::test]
+async fn a_stream_is_taken_up_only_at_the_version_that_began_it() {
+    let slow = Behaviour::Respond {
+        events: 6,
+        interval_ms: 100,
+    };
+    let (store, upstreams) =
+        start_versions([("v1", slow), ("v2", slow), ("v1", slow), ("v2", slow)]);
+    let survivor = Instance::spawn(&store, "b").await;
+    for round in 0..4 {
+        let victim = Instance::spawn(&store, "a").await;
+        let attempt = format!("t{round}");
+        let runs = |attempt: &str| {
+            let attempt = attempt.to_owned();
+            let ran = |upstream: &Upstream| {
+                let requests = upstream.requests();
+                requests.iter().any(|run| run.attempt_id == attempt)
+            };
+            upstreams.iter().position(ran)
+        };
+        let (reply, first) = tokio::join!(victim.send(turn(&attempt)), async {
+            let first = wait_for("the stream begins", || async { runs(&attempt) }).await;
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            victim.signal("KILL");
+            first
+        });
+        assert!(!reply.unwrap().is_complete);
+        let taken_up = format!("u{round}");
+        let reply = survivor.send(resumption(&taken_up, &attempt, 2)).await;
+        let reply = reply.unwrap();
+        assert_eq!(reply.status, StatusCode::OK);
+        assert!(reply.is_complete);
+        let second = runs(&taken_up).unwrap();
+        // Upstreams of the same version have the same parity.
+        assert_eq!(
+            first % 2,
+            second % 2,
+            "begun at {first}, went on at {second}"
+        );
+    }
+}
+
+/// The last upstream of the version has left: waiting would not help.
+#[tokio::test]
+async fn a_stream_without_its_version_is_rejected_at_once() {
+    let (store, [old]) = start_versions([("v1", IMMEDIATE_RESPONSE)]);
+    let instance = Instance::spawn(&store, "a").await;
+    let reply = instance.send(turn("t1")).await.unwrap();
+    assert_eq!(reply.status, StatusCode::OK);
+    let new = Upstream::spawn_version(&store, "i-2", "engine", "v2", IMMEDIATE_RESPONSE);
+    wait_for("the new version serves", || async {
+        let joined = instance.events("E0731");
+        joined
+            .iter()
+            .any(|line| line["version"] == "v2")
+            .then_some(())
+    })
+    .await;
+    old.register(&store, "draining");
+    instance.wait_for_event("E0732").await;
+    let sent_at = Instant::now();
+    let reply = instance.send(resumption("u1", "t1", 1)).await.unwrap();
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(reply.retry_after().is_some_and(|seconds| seconds > 0.0));
+    assert!(sent_at.elapsed() < Duration::from_secs(1));
+    assert!(new.requests().is_empty());
+}
