Continue streams only at upstreams of the software version that began them

What callers saw: streams with events of two software versions, joined within a response or over a caller's tries; what two versions write does not fit together and upstreams do not check. Cause: two continuations placed a stream like a new request. Within a response the instance chose the upstream of the lowest cost; a caller's request to take a stream up carried the attempt that began it, and nothing told the version of that attempt, least of all after its instance was killed. Class of fault: a property that has to outlive the process that chose it (here the version) was kept nowhere.

Change: placement takes a version, which is set with the first event and by the request that takes a stream up. The version of a stream is stored under its attempt before the first event is sent, so that any instance finds it. While all instances have known a single version for longer than a stream lasts, nothing is stored; a stream without a record belongs to the single version, or to the one from before a release that has just begun; otherwise it is rejected at once with a retry delay. Spans follow from the route's timeout. A stream that was taken up and breaks again continues after the event that its caller named. Retention now removes the rows of any request. Ruled out: the program's row, which is not written with each turn; a version remembered by the instance, which dies with it; trusting one's own view of the upstreams without reading the record (a property test found an instance that learns of the new version late).

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 //! | [`fleet`] | tracks the upstreams and their state |
 //! | [`outlier`] | ejects upstreams that fail more often than their service |
 //! | [`rate_limit`] | tracks the rates that overloaded upstreams accept |
+//! | [`software_version`] | tracks the versions of a service, between which streams can't move |
 //! | [`speed`] | measures the speed of a service's upstreams |
 //! | [`placement`] | selects the upstream of an attempt |
 //! | [`attempt`] | decides whether to retry a failed attempt |
@@ -29,6 +30,7 @@
 pub mod request;
 pub mod retention;
 pub mod route;
+pub mod software_version;
 pub mod speed;
 pub mod sse;
 pub mod token_budget;
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -14,6 +14,7 @@
 
 use super::outlier::{FailureRate, Health};
 use super::rate_limit::{RateLimits, RequestClass};
+use super::software_version::Versions;
 use super::speed::ServiceSpeed;
 use crate::clock::Time;
 
@@ -94,15 +95,17 @@
 }
 
 /// What this instance has observed of a service as a whole.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct ServiceState {
     failure_rate: FailureRate,
     speed: ServiceSpeed,
+    versions: Versions,
 }
 
 impl Fleet {
     /// Applies the current content of a discovery entry.
     pub fn observe(&mut self, upstream: Upstream, now: Time) -> Change {
+        self.record_version(&upstream, now);
         let Some(&key) = self.by_id.get(&upstream.id) else {
             self.insert_entry(upstream, now);
             return Change::Joined;
@@ -161,8 +164,16 @@
     }
 
     /// Drops removed upstreams that get no new work and have no requests of this instance in
-    /// progress.
+    /// progress, and records which versions the others have.
     pub fn expire(&mut self, now: Time) {
+        let upstreams: Vec<_> = self.entries.values().map(|entry| &entry.upstream).collect();
+        for upstream in upstreams {
+            let state = self.services.entry(Arc::clone(&upstream.service));
+            state.or_default().versions.record(&upstream.version, now);
+        }
+        for state in self.services.values_mut() {
+            state.versions.expire(now);
+        }
         let expired: Vec<_> = self
             .entries
             .iter()
@@ -249,6 +260,24 @@
         &mut self.rate_limits
     }
 
+    /// Returns the software versions of a service.
+    #[must_use]
+    pub fn versions(&self, service: &str) -> Option<&Versions> {
+        self.services.get(service).map(|state| &state.versions)
+    }
+
+    /// Returns whether an upstream of a service with a software version accepts requests.
+    #[must_use]
+    pub fn serves_version(&self, service: &str, version: &str, now: Time) -> bool {
+        self.serving_upstreams(service, now)
+            .any(|(_, entry)| *entry.upstream.version == *version)
+    }
+
+    fn record_version(&mut self, upstream: &Upstream, now: Time) {
+        let state = self.services.entry(Arc::clone(&upstream.service));
+        state.or_default().versions.record(&upstream.version, now);
+    }
+
     fn accepts_work(&self, entry: &UpstreamState, now: Time) -> bool {
         if entry.upstream.is_draining || entry.is_displaced {
             return false;
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -23,6 +23,8 @@
     pub previous_upstream: Option<&'a str>,
     /// Failure domain of this instance.
     pub failure_domain: &'a str,
+    /// Software version that the upstream must have, if the request continues a stream.
+    pub version: Option<&'a str>,
     /// Upstreams that were already tried.
     pub tried: &'a [UpstreamKey],
     /// Whether the request may run more than once.
@@ -122,6 +124,7 @@
         let limits = fleet.rate_limits();
         let is_limited = limits.rate(id).is_some();
         if request.tried.contains(&key)
+            || !has_version(entry, request.version)
             || (is_limited && !request.may_use_limited)
             || limits.blocked_ms(id, request.class_at(id), now) > 0
         {
@@ -146,14 +149,24 @@
 /// Returns whether [`select_upstream`] would find an upstream that was not tried yet, without
 /// comparing all of them.
 #[must_use]
-pub fn has_candidate(fleet: &Fleet, service: &str, tried: &[UpstreamKey], now: Time) -> bool {
+pub fn has_candidate(
+    fleet: &Fleet,
+    service: &str,
+    version: Option<&str>,
+    tried: &[UpstreamKey],
+    now: Time,
+) -> bool {
     fleet.serving_upstreams(service, now).any(|(key, entry)| {
         let id = &entry.upstream.id;
         let blocked_ms = fleet.rate_limits().blocked_ms(id, RequestClass::Moved, now);
-        blocked_ms == 0 && !tried.contains(&key)
+        blocked_ms == 0 && has_version(entry, version) && !tried.contains(&key)
     })
 }
 
+fn has_version(entry: &UpstreamState, version: Option<&str>) -> bool {
+    version.is_none_or(|version| *entry.upstream.version == *version)
+}
+
 /// Order of the upstreams for a request; the first is selected.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rank {
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -9,6 +9,7 @@
 mod rate_limit;
 mod retention;
 mod route;
+mod software_version;
 mod speed;
 mod sse;
 mod token_budget;
--- a/crates/core/tests/dispatch/outlier.rs
+++ b/crates/core/tests/dispatch/outlier.rs
@@ -31,6 +31,7 @@
         affinity_key: None,
         previous_upstream: None,
         failure_domain: "z0",
+        version: None,
         tried,
         is_repeatable,
         starts_program: false,
--- a/crates/core/tests/dispatch/placement.rs
+++ b/crates/core/tests/dispatch/placement.rs
@@ -40,6 +40,7 @@
         affinity_key: Some(affinity_key),
         previous_upstream,
         failure_domain: "z0",
+        version: None,
         tried: &[],
         is_repeatable: true,
         starts_program: false,
@@ -213,8 +214,9 @@
     let parts = prompt(1, 0);
     let mut tried = Vec::new();
     for _ in 0..UPSTREAMS {
-        assert!(has_candidate(&fleet, "engine", &tried, Time::ZERO));
+        assert!(has_candidate(&fleet, "engine", None, &tried, Time::ZERO));
         let request = PlacementRequest {
+            version: None,
             tried: &tried,
             ..request(&parts, "p1", None)
         };
@@ -225,9 +227,10 @@
         );
     }
     let request = PlacementRequest {
+        version: None,
         tried: &tried,
         ..request(&parts, "p1", None)
     };
     assert!(select_upstream(&fleet, &request, Time::ZERO, 1).is_none());
-    assert!(!has_candidate(&fleet, "engine", &tried, Time::ZERO));
+    assert!(!has_candidate(&fleet, "engine", None, &tried, Time::ZERO));
 }
--- a/crates/core/tests/dispatch/retention.rs
+++ b/crates/core/tests/dispatch/retention.rs
@@ -10,15 +10,15 @@
     let expired = retention.take_expired(partition, Time::from_ms(ms));
     expired
         .iter()
-        .map(|stored| stored.turn.to_string())
+        .map(|stored| stored.attempt.to_string())
         .collect()
 }
 
 #[test]
 fn expired_turns_are_returned_once() {
     let mut retention = Retention::default();
-    retention.record_turn("p01", "t1".into(), 2, RETENTION_MS, Time::ZERO);
-    retention.record_turn("p01", "t2".into(), 1, RETENTION_MS, Time::from_ms(1_000));
+    retention.record("p01", "t1".into(), 2, RETENTION_MS, Time::ZERO);
+    retention.record("p01", "t2".into(), 1, RETENTION_MS, Time::from_ms(1_000));
     assert!(take_expired(&mut retention, "p01", RETENTION_MS).is_empty());
     assert!(take_expired(&mut retention, "p02", RETENTION_MS + 5_000).is_empty());
     assert_eq!(
@@ -48,7 +48,7 @@
                 prop_assert!(retained_until[&turn] <= now, "{turn} at {now}");
             }
             let turn = format!("t{index}");
-            retention.record_turn(&partition, turn.as_str().into(), 1, retention_ms, Time::from_ms(now));
+            retention.record(&partition, turn.as_str().into(), 1, retention_ms, Time::from_ms(now));
             retained_until.insert(turn, now + retention_ms);
         }
     }
--- a/crates/core/tests/dispatch/speed.rs
+++ b/crates/core/tests/dispatch/speed.rs
@@ -67,6 +67,7 @@
             affinity_key: None,
             previous_upstream: Some("u3"),
             failure_domain: "z0",
+            version: None,
             tried: &[],
             is_repeatable: true,
             starts_program: false,
--- a/crates/daemon/tests/ingress/software_version.rs
+++ b/crates/daemon/tests/ingress/software_version.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use basilramp_fakes::user_platform::{Behaviour, RequestRecord, Store, Upstream};
+use basilramp_fakes::user_platform::{Behaviour, Mode, RequestRecord, Store, Upstream};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -144,3 +144,49 @@
     assert!(sent_at.elapsed() < Duration::from_secs(1));
     assert!(new.requests().is_empty());
 }
+
+/// Without a record, a stream may belong to either version; without the store, nothing is known.
+#[tokio::test]
+async fn a_stream_of_unknown_version_is_not_taken_up() {
+    for mode in [Mode::Up, Mode::Unavailable] {
+        let (store, upstreams) =
+            start_versions([("v1", IMMEDIATE_RESPONSE), ("v2", IMMEDIATE_RESPONSE)]);
+        let instance = Instance::spawn(&store, "a").await;
+        store.set_mode(mode);
+        let reply = instance.send(resumption("u1", "t1", 1)).await.unwrap();
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{mode:?}");
+        assert!(reply.retry_after().is_some_and(|seconds| seconds > 0.0));
+        assert!(
+            upstreams
+                .iter()
+                .all(|upstream| upstream.requests().is_empty())
+        );
+    }
+}
+
+/// An instance that is killed after the first event can't tell the version any more.
+#[tokio::test]
+async fn the_version_is_stored_before_the_first_event() {
+    let slow = Behaviour::Respond {
+        events: 2,
+        interval_ms: 50,
+    };
+    let (store, _upstreams) = start_versions([("v1", slow), ("v2", slow)]);
+    let instance = Instance::spawn(&store, "a").await;
+    store.set_mode(Mode::Slow(200));
+    let sent = tokio::join!(instance.send(turn("t1")), async {
+        wait_for("the version is stored", || async {
+            (store.row_count("stream") == 1).then_some(())
+        })
+        .await;
+    });
+    assert!(sent.0.unwrap().is_complete);
+    // Without the record, no event is sent.
+    let reply = tokio::join!(instance.send(turn("t2")), async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        store.set_mode(Mode::Unavailable);
+    });
+    let reply = reply.0.unwrap();
+    assert!(reply.status.is_server_error());
+    assert!(reply.body.is_empty());
+}
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -23,6 +23,10 @@
 /// Retry delay sent to a caller when no upstream accepted the request.
 pub(crate) const NO_UPSTREAM_RETRY_MS: u64 = 250;
 
+/// Retry delay sent to a caller that takes up a stream while no upstream has its version. An upstream
+/// that crashed restarts within some seconds.
+pub(crate) const NO_VERSION_RETRY_MS: u64 = 1_000;
+
 /// Timeout of an attempt after which an idempotent request goes to another upstream, in
 /// milliseconds: several times the slowest plain call at a healthy upstream.
 const SAFE_ATTEMPT_TIMEOUT_MS: u64 = 400;
@@ -54,6 +58,11 @@
     pub(crate) max_event_gap_ms: u64,
     pub(crate) service: Arc<str>,
     pub(crate) engine: Option<Engine>,
+    /// Software version that began the stream, once its first event has arrived or was received by
+    /// an earlier attempt.
+    pub(crate) version: Option<Arc<str>>,
+    /// How long a stream of the route and the requests that take it up again last, in milliseconds.
+    pub(crate) stream_span_ms: u64,
     pub(crate) arrived: Time,
     pub(crate) deadline: Time,
     /// Priority of the route; 0 is the most urgent.
@@ -193,6 +202,11 @@
     pub(crate) fn retry_after_ms(&self) -> u64 {
         let now = self.state.now();
         let mut fleet = self.state.fleet();
+        if let Some(version) = self.version.as_deref()
+            && !fleet.serves_version(&self.service, version, now)
+        {
+            return NO_VERSION_RETRY_MS;
+        }
         let class = if self.starts_program {
             RequestClass::Start
         } else {
@@ -221,6 +235,7 @@
             },
             previous_upstream: self.previous_upstream.as_deref(),
             failure_domain: &self.state.settings.failure_domain,
+            version: self.version.as_deref(),
             tried: &self.tried,
             is_repeatable: self.kind.is_idempotent(),
             starts_program: self.starts_program,
@@ -251,7 +266,13 @@
         );
         let now = self.state.now();
         decision == Decision::Retry
-            && placement::has_candidate(&self.state.fleet(), &self.service, &self.tried, now)
+            && placement::has_candidate(
+                &self.state.fleet(),
+                &self.service,
+                self.version.as_deref(),
+                &self.tried,
+                now,
+            )
     }
 
     /// Records a failed attempt and decides whether to retry.
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -29,7 +29,7 @@
 use crate::metric::Outcome;
 use crate::state::State;
 use crate::stream::Stream;
-use crate::{attempt, prepare};
+use crate::{attempt, prepare, stream_version};
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
 const START_RETRY_MS: u64 = 300;
@@ -42,6 +42,10 @@
 /// several requests.
 const MEMORY_RETRY_MS: u64 = 500;
 
+/// Multiple of a route's timeout for which a stream and the requests that take it up again last. A
+/// caller's tries share its deadline, and an instance may learn of a new version late.
+const STREAM_SPAN_FACTOR: u64 = 2;
+
 /// Body of a response.
 pub(crate) type Body = UnsyncBoxBody<Bytes, ResponseAborted>;
 
@@ -153,6 +157,8 @@
         engine: service_config.and_then(|service| service.engine.clone()),
         arrived,
         deadline,
+        version: None,
+        stream_span_ms: STREAM_SPAN_FACTOR * route.timeout_ms,
         starts_program: false,
         attempts: Attempts::default(),
         tried: Vec::new(),
@@ -164,9 +170,11 @@
     };
     let prepared = tokio::try_join!(
         prepare::load_budget(&request),
-        prepare::load_transcript(&request, route)
+        prepare::load_transcript(&request, route),
+        stream_version::load(&request)
     );
-    let (budget, transcript) = prepared.inspect_err(|_| request.mark_logged())?;
+    let (budget, transcript, version) = prepared.inspect_err(|_| request.mark_logged())?;
+    request.version = version;
     request.timings.loaded_ms = request.elapsed_ms();
     request.previous_upstream = budget
         .as_ref()
@@ -269,8 +277,15 @@
                 request.timings.first_event_ms = request.elapsed_ms();
                 if let Some(after) = request.headers.last_event {
                     let begun_by = request.headers.resumed_attempt.as_deref();
-                    request.log_continuation(&placement, after, begun_by.unwrap_or_default(), "");
+                    let begun_version = request.version.as_deref().unwrap_or_default();
+                    let begun_by = begun_by.unwrap_or_default();
+                    request.log_continuation(&placement, after, begun_by, begun_version);
                 }
+                request.version = Some(Arc::clone(&placement.version));
+                // No event is sent before its tokens are granted and any instance could continue
+                // the stream.
+                let recorded = stream_version::record(&request, &placement.version).await;
+                recorded.map_err(|error| reject_unrecorded(&request, &error))?;
                 let waited_ms = request
                     .timings
                     .first_event_ms
@@ -282,7 +297,6 @@
                     placement.expected_ms,
                 );
                 if let Some(pending_grant) = pending_grant {
-                    // No event is sent before its tokens are granted.
                     reserved = Some(await_grant(&request, pending_grant).await?);
                 }
                 return Ok(stream.respond(request, placement, reserved, transcript));
@@ -350,6 +364,19 @@
     Err(reject_ungranted(request, &error, 1))
 }
 
+/// Logs that the version of a stream could not be stored, and returns the rejection.
+fn reject_unrecorded(request: &ActiveRequest, error: &Error) -> Rejection {
+    request.mark_logged();
+    event!(
+        request.state.log,
+        Event::VersionNotStored,
+        "request" => &*request.attempt_id,
+        "error" => format!("{error:?}"),
+        "ms" => request.elapsed_ms()
+    );
+    Rejection::Unknown
+}
+
 /// Logs a failed grant and returns the rejection of its turn, which was sent to `sent` upstreams.
 fn reject_ungranted(request: &ActiveRequest, error: &GrantError, sent: u32) -> Rejection {
     request.mark_logged();
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `exchange` | sends one request to an upstream |
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
+//! | `stream_version` | versions of streams in the store |
 //! | `turn_store`, `budget` | turns and token budgets in the store |
 //! | `feed` | follows configuration and upstream entries in the store |
 //! | `pool` | connection pool for upstreams |
@@ -41,6 +42,7 @@
 mod settings;
 mod state;
 mod stream;
+mod stream_version;
 mod turn_store;
 
 pub use log_event::Event;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -59,6 +59,10 @@
     TurnedAway = "E0747", Info, "program turned away";
     /// A stream goes on at an upstream after an event that the caller has received.
     StreamContinued = "E0748", Info, "stream continued";
+    /// A stream can't be taken up, as the version that began it is not known.
+    VersionUnknown = "E0749", Info, "version of the stream unknown";
+    /// The version of a stream could not be stored, so its first event was not sent.
+    VersionNotStored = "E0750", Warning, "version of the stream not stored";
 }
 
 impl basilramp_process::log::LogEvent for Event {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -27,6 +27,7 @@
 use crate::pool::Pool;
 use crate::run::MIN_SHUTDOWN_MS;
 use crate::settings::Settings;
+use crate::stream_version::StreamVersions;
 use crate::turn_store::TurnStore;
 
 /// State shared by all requests of an instance.
@@ -38,6 +39,7 @@
     pub(crate) store: store::Client,
     pub(crate) pool: Pool,
     pub(crate) turns: TurnStore,
+    pub(crate) stream_versions: StreamVersions,
     pub(crate) budgets: Budgets,
     /// Memory for the buffered bytes of all requests.
     pub(crate) memory: Arc<Memory>,
@@ -70,6 +72,7 @@
             store: store::Client::open(settings.store),
             pool: Pool::default(),
             turns: TurnStore::open(cache_bytes),
+            stream_versions: StreamVersions::default(),
             budgets: Budgets::default(),
             memory,
             fleet: Mutex::default(),
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -118,13 +118,14 @@
         header::remove_hop_by_hop(&mut head.headers);
         let has_ended = self.first_event.is_none();
         let last_event_at = request.state.now();
+        let last_event = request.headers.last_event;
         let relay = StreamRelay {
             request,
             placement,
             response: Some(self.response),
             decoder: self.decoder,
             first_event: self.first_event,
-            last_event: None,
+            last_event,
             last_event_at,
             events: 0,
             reserved,
--- /dev/null
+++ b/crates/ingress/src/stream_version.rs
@@ -0,0 +1,166 @@
+//! Software versions of streams in the store, so that any instance can continue a stream at an
+//! upstream of the version that began it.
+
+use std::sync::{Arc, Mutex};
+
+use basilramp_adapter::store::{Client, Error, PartitionKey, Transaction};
+use basilramp_core::clock::Time;
+use basilramp_core::dispatch::config::RouteKind;
+use basilramp_core::dispatch::request::Rejection;
+use basilramp_core::dispatch::retention::Retention;
+use basilramp_process::event;
+
+use crate::active_request::{ActiveRequest, NO_VERSION_RETRY_MS};
+use crate::log_event::Event;
+use crate::state::{Backoff, State, StoreCall, lock, partition_key};
+
+/// Table of the versions; the row key is the attempt id of the request that began the stream.
+const TABLE: &str = "stream";
+
+/// How long the first event of a stream waits for its record, in milliseconds. It is shorter than
+/// the pause after which callers abandon a stream.
+const RECORD_TIMEOUT_MS: u64 = 1_500;
+
+/// Records that this instance wrote.
+#[derive(Debug, Default)]
+pub(crate) struct StreamVersions {
+    retention: Mutex<Retention>,
+}
+
+/// Returns the version that began the stream which a request takes up, or `None` if the request
+/// begins a stream.
+///
+/// # Errors
+///
+/// Returns a rejection if the version is not known or the store does not respond in time.
+pub(crate) async fn load(request: &ActiveRequest) -> Result<Option<Arc<str>>, Rejection> {
+    if request.kind != RouteKind::ResumableStream || request.headers.last_event.is_none() {
+        return Ok(None);
+    }
+    let state = &request.state;
+    let recorded = match &request.headers.resumed_attempt {
+        Some(attempt) => find(state, attempt, request.deadline).await?,
+        None => None,
+    };
+    let version = recorded.or_else(|| unrecorded_version(request));
+    if version.is_none() && state.allows_log_line(Event::VersionUnknown) {
+        event!(
+            state.log,
+            Event::VersionUnknown,
+            "request" => &*request.attempt_id,
+            "service" => &*request.service,
+            "begun_by" => request.headers.resumed_attempt.as_deref(),
+            "ms" => request.elapsed_ms()
+        );
+    }
+    match version {
+        Some(version) => Ok(Some(version)),
+        None => Err(Rejection::NotRun(NO_VERSION_RETRY_MS)),
+    }
+}
+
+/// Stores the version of a stream before its first event is sent, if other instances could not tell
+/// it otherwise.
+///
+/// # Errors
+///
+/// Returns the store's last error when the time is over.
+pub(crate) async fn record(request: &ActiveRequest, version: &str) -> Result<(), Error> {
+    let is_begun = request.headers.last_event.is_some();
+    if request.kind != RouteKind::ResumableStream || is_begun || !needs_record(request) {
+        return Ok(());
+    }
+    let state = &request.state;
+    let attempt = &request.attempt_id;
+    let partition = partition_key(attempt);
+    let place = place(&partition);
+    let deadline = request.deadline.min(state.now().after(RECORD_TIMEOUT_MS));
+    let expired = lock(&state.stream_versions.retention).take_expired(&partition, state.now());
+    let change = expired
+        .iter()
+        .fold(Transaction::default(), |change, stored| {
+            change.remove(place, &stored.attempt)
+        });
+    let change = change.write(place, attempt, version.as_bytes());
+    let mut backoff = Backoff::default();
+    loop {
+        let call = async |store: &Client, limit_ms| store.commit(&change, limit_ms).await;
+        let result = state
+            .call(StoreCall::Write, &partition, deadline, call)
+            .await;
+        match result {
+            Ok(_) => break,
+            Err(error) if state.now() >= deadline => return Err(error),
+            Err(_) => backoff.wait().await,
+        }
+        // The response to a write that was done may be lost.
+        if let Ok(Some(stored)) = read(state, attempt, deadline).await
+            && *stored == *version
+        {
+            break;
+        }
+    }
+    lock(&state.stream_versions.retention).record(
+        &partition,
+        Arc::clone(attempt),
+        1,
+        request.stream_span_ms,
+        state.now(),
+    );
+    Ok(())
+}
+
+fn needs_record(request: &ActiveRequest) -> bool {
+    let now = request.state.now();
+    let fleet = request.state.fleet();
+    fleet
+        .versions(&request.service)
+        .is_some_and(|versions| versions.needs_record(request.stream_span_ms, now))
+}
+
+fn unrecorded_version(request: &ActiveRequest) -> Option<Arc<str>> {
+    let now = request.state.now();
+    let fleet = request.state.fleet();
+    let versions = fleet.versions(&request.service)?;
+    versions.unrecorded(request.stream_span_ms, now).cloned()
+}
+
+/// Returns the recorded version of the stream that an attempt began.
+async fn find(state: &State, attempt: &str, deadline: Time) -> Result<Option<Arc<str>>, Rejection> {
+    let began = state.now();
+    let partition = partition_key(attempt);
+    let mut backoff = Backoff::default();
+    loop {
+        state
+            .wait_until_available(&partition, began, deadline)
+            .await?;
+        // The state records what a failed call means for the store's health.
+        if let Ok(version) = read(state, attempt, deadline).await {
+            return Ok(version);
+        }
+        backoff.wait().await;
+    }
+}
+
+async fn read(state: &State, attempt: &str, deadline: Time) -> Result<Option<Arc<str>>, Error> {
+    let partition = partition_key(attempt);
+    let end = format!("{attempt}\u{1}");
+    let call = async |store: &Client, limit_ms| {
+        store
+            .read_range(place(&partition), Some(attempt), Some(&end), limit_ms)
+            .await
+    };
+    let page = state
+        .call(StoreCall::Read, &partition, deadline, call)
+        .await?;
+    let row = page.rows.into_iter().find(|row| &*row.key == attempt);
+    let text = row.and_then(|row| String::from_utf8(row.value?).ok());
+    Ok(text.map(Arc::from))
+}
+
+const fn place(partition: &str) -> PartitionKey<'_> {
+    PartitionKey {
+        table: TABLE,
+        partition,
+    }
+}
--- a/crates/ingress/src/turn_store.rs
+++ b/crates/ingress/src/turn_store.rs
@@ -8,7 +8,7 @@
 use basilramp_adapter::store::{Client, Error, MAX_VALUE_BYTES, PartitionKey, Transaction};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::request::Rejection;
-use basilramp_core::dispatch::retention::{Retention, StoredTurn};
+use basilramp_core::dispatch::retention::{Retention, StoredRows};
 use basilramp_core::dispatch::transcript::TurnCache;
 use serde::{Deserialize, Serialize};
 
@@ -149,7 +149,7 @@
         {
             Ok(_) => {
                 let mut retention = lock(&state.turns.retention);
-                retention.record_turn(partition, Arc::clone(turn), rows, retention_ms, state.now());
+                retention.record(partition, Arc::clone(turn), rows, retention_ms, state.now());
                 drop(retention);
                 cache_turn(state, Arc::clone(turn), content);
                 return Ok(());
@@ -203,13 +203,13 @@
 }
 
 /// Adds the removal of a turn's rows to a change in the same partition.
-fn add_removal(change: Transaction, partition: &str, stored: &StoredTurn) -> Transaction {
+fn add_removal(change: Transaction, partition: &str, stored: &StoredRows) -> Transaction {
     let place = PartitionKey {
         table: TABLE,
         partition,
     };
     (0..stored.rows).fold(change, |change, index| {
-        change.remove(place, &row_key(&stored.turn, index))
+        change.remove(place, &row_key(&stored.attempt, index))
     })
 }
 
