Write the crash of an upstream without a lease, and soon again

While the store is slow, the owner's crash record times out and its lease lapses; the retry came after one second and through the commit loop, which writes nothing without a lease. Meanwhile the next owner sent the request (second crash, recorded as the first) and its trial 48 ms later (third crash). Change: crashes are written directly under the condition on the row's version, which needs no lease, and again after 50 ms.

--- a/crates/daemon/src/commit.rs
+++ b/crates/daemon/src/commit.rs
@@ -22,7 +22,7 @@
 use queue::{Queue, Scope};
 
 pub(crate) use backoff::Backoff;
-pub(crate) use run::{INSTANCE_PARTITION_KEY, Loop};
+pub(crate) use run::{INSTANCE_PARTITION_KEY, Loop, new_token};
 pub use stats::Stats;
 
 /// Maximum number of rows that one submission may write. The lease row uses one of the
--- a/crates/daemon/src/commit/run.rs
+++ b/crates/daemon/src/commit/run.rs
@@ -365,7 +365,7 @@
 }
 
 /// Returns a unique idempotency token for a transaction.
-pub(super) fn new_token() -> String {
+pub(crate) fn new_token() -> String {
     format!("{:032x}", rand::random::<u128>())
 }
 
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -27,9 +27,13 @@
 /// Age after which a trial without an outcome is taken to be of an instance that died.
 const TRIAL_TIMEOUT_MS: u64 = 120_000;
 
-/// Retry delay for a request that is blocked by a trial, and between attempts to record a crash.
+/// Retry delay for a request that is blocked by a trial.
 const RETRY_DELAY_MS: u64 = 1_000;
 
+/// Delay between attempts to record a crash. It is short, as the program's next owner may send the
+/// request again until the crash is durable.
+const RECORD_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Attempts to record a crash while other instances write the same row.
 const MAX_RECORD_ATTEMPTS: u32 = 8;
 
@@ -49,6 +53,9 @@
 #[derive(Debug)]
 struct Shared {
     table: table::Client,
+    /// Writes crashes. They need no lease: the version of a suspect's row decides between instances,
+    /// and an instance that has lost its lease must not keep a crash to itself.
+    crash_table: table::Client,
     commit: commit::Handle,
     clock: Clock,
     write_timeout_ms: u64,
@@ -90,6 +97,7 @@
 ) -> Handle {
     let shared = Shared {
         table: table.with_timeout(READ_TIMEOUT_MS),
+        crash_table: table.with_timeout(write_timeout_ms),
         commit,
         clock,
         write_timeout_ms,
@@ -260,13 +268,14 @@
                 version: version + 1,
             };
             let write = put_row(fingerprint, &next, check);
+            // A write with an unknown outcome is repeated: the crash of an upstream counts once.
             match self
-                .commit
-                .submit_with_timeout(vec![write], self.write_timeout_ms)
+                .crash_table
+                .transact(&commit::new_token(), &[write])
                 .await
             {
                 Ok(()) => return Some(next.suspect),
-                Err(commit::Failure::Conflict) => {}
+                Err(table::Failure::ConditionsFailed(_)) => {}
                 Err(_) => return None,
             }
         }
@@ -333,7 +342,7 @@
                 .await
                 .is_none()
             {
-                tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+                tokio::time::sleep(RECORD_RETRY_DELAY).await;
             }
             shared.lock().unrecorded_crashes.remove(&fingerprint);
         });
