--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -105,7 +105,7 @@
 impl Fleet {
     /// Applies the current content of a discovery entry.
     pub fn observe(&mut self, upstream: Upstream, now: Time) -> Change {
-        self.record_version(&upstream, now);
+        record_version(&mut self.services, &upstream, now);
         let Some(&key) = self.by_id.get(&upstream.id) else {
             self.insert_entry(upstream, now);
             return Change::Joined;
@@ -166,10 +166,8 @@
     /// Drops removed upstreams that get no new work and have no requests of this instance in
     /// progress, and records which versions the others have.
     pub fn expire(&mut self, now: Time) {
-        let upstreams: Vec<_> = self.entries.values().map(|entry| &entry.upstream).collect();
-        for upstream in upstreams {
-            let state = self.services.entry(Arc::clone(&upstream.service));
-            state.or_default().versions.record(&upstream.version, now);
+        for entry in self.entries.values() {
+            record_version(&mut self.services, &entry.upstream, now);
         }
         for state in self.services.values_mut() {
             state.versions.expire(now);
@@ -273,11 +271,6 @@
             .any(|(_, entry)| *entry.upstream.version == *version)
     }
 
-    fn record_version(&mut self, upstream: &Upstream, now: Time) {
-        let state = self.services.entry(Arc::clone(&upstream.service));
-        state.or_default().versions.record(&upstream.version, now);
-    }
-
     fn accepts_work(&self, entry: &UpstreamState, now: Time) -> bool {
         if entry.upstream.is_draining || entry.is_displaced {
             return false;
@@ -321,6 +314,11 @@
     }
 }
 
+fn record_version(services: &mut BTreeMap<Arc<str>, ServiceState>, upstream: &Upstream, now: Time) {
+    let state = services.entry(Arc::clone(&upstream.service)).or_default();
+    state.versions.record(&upstream.version, now);
+}
+
 impl UpstreamState {
     /// Returns for how many more milliseconds other upstreams are preferred.
     #[must_use]
--- a/crates/core/src/dispatch/rate_limit/service_permits.rs
+++ b/crates/core/src/dispatch/rate_limit/service_permits.rs
@@ -62,11 +62,12 @@
         self.contention.exp2()
     }
 
-    /// Returns when the next rejected caller may return, in milliseconds from now, but not before
-    /// `wait_ms`.
+    /// Returns when the next rejected caller may return, in milliseconds from now: not before
+    /// `wait_ms`, and one after the other at the rate of this instance's permits.
     pub(super) fn book_return(&mut self, wait_ms: u64, now: Time) -> u64 {
-        let after_last = self.last_return.after(self.interval_ms as u64);
-        self.last_return = now.after(wait_ms).max(after_last);
+        let interval_ms = self.interval_ms as u64;
+        let after_last = self.last_return.after(interval_ms);
+        self.last_return = now.after(wait_ms.max(interval_ms)).max(after_last);
         self.last_return.since(now)
     }
 }
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -265,7 +265,8 @@
     );
 }
 
-fn log_unreadable(state: &State, table: &'static str, row: &Row, error: &str) {
+/// Logs a row that is skipped, as it can't be decoded.
+pub(crate) fn log_unreadable(state: &State, table: &'static str, row: &Row, error: &str) {
     event!(
         state.log,
         Event::RowUnreadable,
--- a/crates/ingress/src/rate_limit.rs
+++ b/crates/ingress/src/rate_limit.rs
@@ -12,6 +12,7 @@
 use http::response;
 
 use crate::active_request::ActiveRequest;
+use crate::feed;
 use crate::log_event::Event;
 use crate::metric::PermitOutcome;
 use crate::state::{State, StoreCall, partition_key};
@@ -78,9 +79,8 @@
         limits.observe(upstream, announcement, sent_at, now)
     };
     match announcement {
-        Announcement::Unreadable => log_limit(state, upstream, Source::Response, Some(None)),
-        _ if is_changed => log_change(state, upstream, Source::Response),
-        _ => {}
+        Announcement::Unlimited | Announcement::Limited(_) if !is_changed => {}
+        announcement => log_announcement(state, upstream, Source::Response, announcement),
     }
     share(state, upstream);
 }
@@ -106,7 +106,8 @@
             }
             None => transaction.remove(LIMIT_PARTITION, &upstream),
         };
-        match commit(&state, LIMIT_PARTITION.partition, &transaction).await {
+        // The partition has the name of the watched tables' one, whose health is another matter.
+        match commit(&state, LIMIT_TABLE, &transaction).await {
             Ok(version) => {
                 record_row(&state, &upstream, change.rate, version);
                 if change.rate.is_none() {
@@ -132,7 +133,10 @@
         None => None,
         Some(value) => match decode(value) {
             Some(milli_per_s) => Some(Rate::from_milli_per_s(milli_per_s)),
-            None => return log_unreadable(state, LIMIT_TABLE, row),
+            None => {
+                let error = "the row does not hold one number";
+                return feed::log_unreadable(state, LIMIT_TABLE, row, error);
+            }
         },
     };
     record_row(state, &row.key, rate, row.version);
@@ -321,11 +325,12 @@
     }
 }
 
-async fn commit(state: &State, partition: &str, change: &Transaction) -> Result<u64, Error> {
+/// Commits a change. `health_key` names the partition for the store's health.
+async fn commit(state: &State, health_key: &str, change: &Transaction) -> Result<u64, Error> {
     let deadline = state.now().after(CALL_TIMEOUT_MS);
     let call = async |store: &Client, limit_ms| store.commit(change, limit_ms).await;
     state
-        .call(StoreCall::Write, partition, deadline, call)
+        .call(StoreCall::Write, health_key, deadline, call)
         .await
 }
 
@@ -347,14 +352,15 @@
 
 fn log_change(state: &State, upstream: &str, source: Source) {
     let rate = state.fleet().rate_limits().rate(upstream);
-    log_limit(state, upstream, source, rate.map(Some));
+    let announcement = rate.map_or(Announcement::Unlimited, Announcement::Limited);
+    log_announcement(state, upstream, source, announcement);
 }
 
-/// Logs the limit of an upstream, or that it has none. `Some(None)` is a limit that can't be read.
-fn log_limit(state: &State, upstream: &str, source: Source, limit: Option<Option<Rate>>) {
-    let event = match limit {
-        Some(_) => Event::UpstreamLimited,
-        None => Event::UpstreamUnlimited,
+fn log_announcement(state: &State, upstream: &str, source: Source, announcement: Announcement) {
+    let (event, per_s) = match announcement {
+        Announcement::Unlimited => (Event::UpstreamUnlimited, None),
+        Announcement::Limited(rate) => (Event::UpstreamLimited, Some(rate.per_s())),
+        Announcement::Unreadable => (Event::UpstreamLimited, None),
     };
     if state.allows_log_line(event) {
         event!(
@@ -362,7 +368,7 @@
             event,
             "upstream" => upstream.to_owned(),
             "source" => source.label(),
-            "per_s" => limit.flatten().map(Rate::per_s)
+            "per_s" => per_s
         );
     }
 }
@@ -378,14 +384,3 @@
         );
     }
 }
-
-fn log_unreadable(state: &State, table: &'static str, row: &Row) {
-    event!(
-        state.log,
-        Event::RowUnreadable,
-        "table" => table,
-        "key" => &*row.key,
-        "version" => row.version,
-        "error" => "the row does not hold one number"
-    );
-}
