Soak: upstreams that limit their rate, engines of two software versions

Change: engines alternate between two versions, and a request that continues on another upstream must have run at one version only; upstreams name limits for a while, also 0 and text that can't be read; streams also break after two events, so that continuations happen.

--- a/crates/daemon/tests/ingress/soak/check.rs
+++ b/crates/daemon/tests/ingress/soak/check.rs
@@ -75,6 +75,10 @@
     if ran.iter().any(|run| run.body != record.body) {
         return Some("ran with another body");
     }
+    let is_continued = ran.iter().any(|run| run.last_event.is_some());
+    if is_continued && ran.iter().any(|run| run.version != ran[0].version) {
+        return Some("went on at another software version");
+    }
     let reply = record.reply.as_ref()?;
     if NOT_RUN.contains(&reply.status) && !ran.is_empty() {
         return Some("ran, but its status says that it did not");
--- a/crates/daemon/tests/ingress/soak/environment.rs
+++ b/crates/daemon/tests/ingress/soak/environment.rs
@@ -14,10 +14,10 @@
 pub(super) const INSTANCES: usize = 3;
 
 /// Number of upstreams: engines first, then plain services.
-pub(super) const UPSTREAMS: usize = 5;
+pub(super) const UPSTREAMS: usize = 6;
 
-/// Number of upstreams that are engines.
-const ENGINES: usize = 3;
+/// Number of upstreams that are engines, in turn of one software version and the other.
+const ENGINES: usize = 4;
 
 #[derive(Clone)]
 pub(super) struct Environment(Arc<State>);
@@ -49,7 +49,9 @@
         let upstreams: Vec<_> = (0..UPSTREAMS)
             .map(|index| {
                 let service = if index < ENGINES { "engine" } else { "app" };
-                Upstream::spawn(&store, &format!("i-{index}"), service, IMMEDIATE_RESPONSE)
+                let id = format!("i-{index}");
+                let version = ["v1", "v2"][index % 2];
+                Upstream::spawn_version(&store, &id, service, version, IMMEDIATE_RESPONSE)
             })
             .collect();
         let relays = upstreams
@@ -102,6 +104,7 @@
             .for_each(Relay::heal);
         for (upstream, relay) in self.upstreams.iter().zip(&self.upstream_relays) {
             upstream.set_behaviour(IMMEDIATE_RESPONSE);
+            upstream.set_rate_limit(None);
             upstream.register_at(&self.store, "ready", relay.address());
         }
         self.wait_ready().await;
--- a/crates/daemon/tests/ingress/soak/fault.rs
+++ b/crates/daemon/tests/ingress/soak/fault.rs
@@ -15,7 +15,7 @@
 pub(super) struct Fault;
 
 impl Fault {
-    pub(super) const NAMES: [&'static str; 19] = [
+    pub(super) const NAMES: [&'static str; 20] = [
         "instance killed",
         "instance stopped",
         "instance paused",
@@ -34,6 +34,7 @@
         "upstream link reset",
         "upstream misbehaves",
         "upstream draining",
+        "upstream limited",
         "configuration changed",
     ];
 }
@@ -148,6 +149,7 @@
         Behaviour::OtherUpstream,
         Behaviour::LosesResponse,
         Behaviour::BreaksOff(1),
+        Behaviour::BreaksOff(2),
         Behaviour::WrongAttempt,
         Behaviour::Unsigned,
         Behaviour::Respond {
@@ -161,10 +163,15 @@
         "upstream draining" => {
             upstream.register_at(&environment.store, "draining", relay.address())
         }
+        "upstream limited" => {
+            let limits = ["0", "1.5", "20", "many"];
+            upstream.set_rate_limit(Some(limits[random.random_range(0..limits.len())]));
+        }
         _ => upstream.set_behaviour(misbehaviours[random.random_range(0..misbehaviours.len())]),
     }
     sleep(duration).await;
     relay.heal();
     upstream.set_behaviour(IMMEDIATE_RESPONSE);
+    upstream.set_rate_limit(None);
     upstream.register_at(&environment.store, "ready", relay.address());
 }
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -57,6 +57,10 @@
     pub last_event: Option<u64>,
     /// Names of internal headers that a caller sent and that were passed on.
     pub forged_headers: Vec<String>,
+    /// Version of the upstream's software.
+    pub version: String,
+    /// When the upstream began to run it.
+    pub started_at: Instant,
     /// Whether the whole response was sent.
     pub completed: bool,
 }
@@ -64,6 +68,7 @@
 #[derive(Debug)]
 struct Shared {
     id: String,
+    version: String,
     behaviour: Mutex<Behaviour>,
     /// Value of the header that names the rate limit.
     rate_limit: Mutex<Option<String>>,
@@ -76,7 +81,6 @@
 pub struct Upstream {
     shared: Arc<Shared>,
     service: String,
-    version: String,
     server: Server,
 }
 
@@ -101,6 +105,7 @@
     ) -> Self {
         let shared = Arc::new(Shared {
             id: id.to_owned(),
+            version: version.to_owned(),
             behaviour: Mutex::new(behaviour),
             rate_limit: Mutex::default(),
             arrivals: Mutex::default(),
@@ -114,7 +119,6 @@
         let upstream = Self {
             shared,
             service: service.to_owned(),
-            version: version.to_owned(),
             server,
         };
         upstream.register(store, "ready");
@@ -130,7 +134,7 @@
     pub fn register_at(&self, store: &Store, state: &str, address: SocketAddr) {
         let entry = json!({
             "service": self.service, "address": address.to_string(), "zone": "z1",
-            "version": self.version, "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": 7,
+            "version": self.shared.version, "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": 7,
         });
         store.put("servers", &self.shared.id, entry.to_string().as_bytes());
     }
@@ -212,6 +216,8 @@
             deadline_ms: header_text("deadline-ms").and_then(|text| text.parse().ok()),
             last_event,
             forged_headers: forged_headers.map(|name| (*name).to_owned()).collect(),
+            version: shared.version.clone(),
+            started_at: Instant::now(),
             completed: false,
         });
         requests.len() - 1
