Compare rate limits without overflow

Cause, found by reading the diff: an upstream may name a limit of any length of digits, and the comparison with the shared one multiplied it by 100, which overflows: a panic with overflow checks, a wrong answer without. Change: saturating multiplication. Measured: core dispatch rate_limit::a_limit_beyond_all_bounds_is_shared panicked before (attempt to multiply with overflow), now passes; no other value changes its result.

--- a/crates/core/src/dispatch/rate_limit.rs
+++ b/crates/core/src/dispatch/rate_limit.rs
@@ -52,7 +52,7 @@
     /// Returns whether the rates differ by so little that other instances need not know.
     const fn is_close_to(self, other: Self) -> bool {
         let difference = self.milli_per_s.abs_diff(other.milli_per_s);
-        difference * 100 <= other.milli_per_s * UNSHARED_CHANGE_PERCENT
+        difference.saturating_mul(100) <= other.milli_per_s.saturating_mul(UNSHARED_CHANGE_PERCENT)
     }
 }
 
--- a/crates/core/tests/dispatch/rate_limit.rs
+++ b/crates/core/tests/dispatch/rate_limit.rs
@@ -81,6 +81,16 @@
     assert_eq!((change.rate, change.version), (None, 7));
 }
 
+#[test]
+fn a_limit_beyond_all_bounds_is_shared() {
+    let upstream: Arc<str> = "u1".into();
+    let mut limits = RateLimits::default();
+    limits.record_row(&upstream, Some(rate(4)), 7, at(0));
+    let huge = Announcement::Limited(Rate::from_milli_per_s(u64::MAX));
+    limits.observe(&upstream, huge, at(10), at(20));
+    assert!(limits.unshared_change("u1", at(20)).is_some());
+}
+
 #[test]
 fn older_versions_of_a_row_are_ignored() {
     let upstream: Arc<str> = "u1".into();
