One fixture of a turn, one key of a condition's row, no field that nothing reads

Cause, found by reading the diff: six test files built the same turn by hand, the fake store built the same key twice, a field of RequestRecord was left over from a check that does not need it, and three places asked whether an iterator has exactly one item. No assertion and no behaviour changes.

--- a/crates/core/src/dispatch/software_version.rs
+++ b/crates/core/src/dispatch/software_version.rs
@@ -6,8 +6,8 @@
 //!
 //! Instances learn of a new version at different times. A reader therefore looks for a record in any
 //! case, as the instance that began the stream may know a version that it does not, and assumes less
-//! than a writer leaves out. All times are multiples of `span_ms`, the longest time for which a stream and the
-//! requests that take it up again last.
+//! than a writer leaves out. All times are multiples of `span_ms`, the longest time for which a
+//! stream and the requests that take it up again last.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -55,28 +55,19 @@
     /// all instances have known a single version for long enough.
     #[must_use]
     pub fn needs_record(&self, span_ms: u64, now: Time) -> bool {
-        let mut recent = self.recent(2 * span_ms, now);
-        match (recent.next(), recent.next()) {
-            (Some((_, only)), None) => now.since(only.first) < span_ms,
-            _ => true,
-        }
+        let single = single(self.recent(2 * span_ms, now));
+        single.is_none_or(|(_, seen)| now.since(seen.first) < span_ms)
     }
 
     /// Returns the version of a stream that has no record, or `None` if it may be any of several.
     #[must_use]
     pub fn unrecorded(&self, span_ms: u64, now: Time) -> Option<&Arc<str>> {
-        let mut recent = self.recent(span_ms, now);
-        if let (Some((only, _)), None) = (recent.next(), recent.next()) {
-            return Some(only);
-        }
-        // A stream that began before the instances knew of the other versions.
-        let mut established = self
+        // A stream without a record may have begun before the instances knew of the other versions.
+        let established = self
             .recent(span_ms, now)
             .filter(|(_, seen)| now.since(seen.first) >= span_ms);
-        match (established.next(), established.next()) {
-            (Some((version, _)), None) => Some(version),
-            _ => None,
-        }
+        let version = single(self.recent(span_ms, now)).or_else(|| single(established));
+        version.map(|(version, _)| version)
     }
 
     fn recent(&self, ms: u64, now: Time) -> impl Iterator<Item = (&Arc<str>, &Seen)> {
@@ -84,3 +75,9 @@
         seen.filter(move |(_, seen)| now.since(seen.last) < ms)
     }
 }
+
+/// Returns the item of an iterator that has exactly one.
+fn single<T>(mut items: impl Iterator<Item = T>) -> Option<T> {
+    let first = items.next();
+    first.filter(|_| items.next().is_none())
+}
--- a/crates/daemon/tests/ingress/discovery.rs
+++ b/crates/daemon/tests/ingress/discovery.rs
@@ -35,13 +35,8 @@
         let (store, upstreams) = start_site("engine", [slow; 2]);
         let instance = Instance::spawn(&store, "a").await;
         let turn = Turn {
-            route,
-            attempt: "t1",
             program: "p1",
-            previous: None,
-            budget: 1_000,
-            max_output: 100,
-            input: "question",
+            ..Turn::first(route, "t1")
         };
         let silence = async {
             let runs_at = |index: usize| !upstreams[index].requests().is_empty();
--- a/crates/daemon/tests/ingress/forwarding.rs
+++ b/crates/daemon/tests/ingress/forwarding.rs
@@ -8,13 +8,8 @@
 
 fn advice_turn(attempt: &str) -> Turn<'_> {
     Turn {
-        route: "advice",
-        attempt,
         program: "p1",
-        previous: None,
-        budget: 1_000,
-        max_output: 100,
-        input: "question",
+        ..Turn::first("advice", attempt)
     }
 }
 
--- a/crates/daemon/tests/ingress/outage.rs
+++ b/crates/daemon/tests/ingress/outage.rs
@@ -8,15 +8,7 @@
 use crate::support::{IMMEDIATE_RESPONSE, Instance, Turn, plain_request, start_site, wait_for};
 
 fn turn(attempt: &str) -> Turn<'_> {
-    Turn {
-        route: "advice",
-        attempt,
-        program: attempt,
-        previous: None,
-        budget: 1_000,
-        max_output: 100,
-        input: "question",
-    }
+    Turn::first("advice", attempt)
 }
 
 /// Waits until the instance has detected the outage and the load balancer would have moved its
--- a/crates/daemon/tests/ingress/rate_limit.rs
+++ b/crates/daemon/tests/ingress/rate_limit.rs
@@ -162,16 +162,9 @@
     while began.elapsed() < GRACE + WINDOW {
         number += 1;
         let attempt = format!("t{number}");
-        let turn = Turn {
-            route: "advice",
-            attempt: &attempt,
-            program: &attempt,
-            previous: None,
-            budget: 1_000,
-            max_output: 100,
-            input: "question",
-        };
-        instance.send(turn.request()).await;
+        instance
+            .send(Turn::first("advice", &attempt).request())
+            .await;
         tokio::time::sleep(Duration::from_millis(30)).await;
     }
     let busiest = busiest_window(&limited.arrivals(), began + GRACE);
--- a/crates/daemon/tests/ingress/software_version.rs
+++ b/crates/daemon/tests/ingress/software_version.rs
@@ -11,16 +11,7 @@
 use crate::support::{IMMEDIATE_RESPONSE, Instance, Reply, Turn, configure, wait_for};
 
 fn turn(attempt: &str) -> Request<Full<Bytes>> {
-    let turn = Turn {
-        route: "advice",
-        attempt,
-        program: attempt,
-        previous: None,
-        budget: 1_000,
-        max_output: 100,
-        input: "question",
-    };
-    turn.request()
+    Turn::first("advice", attempt).request()
 }
 
 /// Returns the request with which a caller takes up the stream of an attempt after an event.
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -362,6 +362,21 @@
     pub(crate) input: &'a str,
 }
 
+impl<'a> Turn<'a> {
+    /// Returns the first turn of a program that is named after its attempt.
+    pub(crate) fn first(route: &'a str, attempt: &'a str) -> Self {
+        Self {
+            route,
+            attempt,
+            program: attempt,
+            previous: None,
+            budget: 1_000,
+            max_output: 100,
+            input: "question",
+        }
+    }
+}
+
 impl Turn<'_> {
     /// Builds the request of the turn.
     pub(crate) fn request(&self) -> Request<Full<Bytes>> {
--- a/crates/daemon/tests/ingress/upstream_faults.rs
+++ b/crates/daemon/tests/ingress/upstream_faults.rs
@@ -38,18 +38,6 @@
     }
 }
 
-fn turn<'a>(route: &'a str, attempt: &'a str) -> Turn<'a> {
-    Turn {
-        route,
-        attempt,
-        program: attempt,
-        previous: None,
-        budget: 1_000,
-        max_output: 100,
-        input: "question",
-    }
-}
-
 fn event(id: u32) -> String {
     format!("id: {id}\ndata: t{id}\n\n")
 }
@@ -111,7 +99,7 @@
     let ids: Vec<_> = (0..40).map(|number| format!("t{number}")).collect();
     let turns = ids
         .iter()
-        .map(|id| instance.send(turn("chat", id).request()));
+        .map(|id| instance.send(Turn::first("chat", id).request()));
     let replies = futures_util::future::join_all(turns);
     let (replies, peak_mb) = instance.peak_resident_mb(replies).await;
     for reply in replies.into_iter().flatten() {
@@ -170,7 +158,7 @@
     )
     .await;
     let instance = Instance::spawn(&store, "a").await;
-    let reply = instance.send(turn("advice", "t1").request());
+    let reply = instance.send(Turn::first("advice", "t1").request());
     let start_other = async {
         wait_for("the stream begins", || async {
             (stalled.requests() == 1).then_some(())
@@ -202,7 +190,7 @@
             program: "p1",
             max_output: 20,
             budget: 100,
-            ..turn("advice", &attempt)
+            ..Turn::first("advice", &attempt)
         };
         let reply = instance.send(turn.request()).await.unwrap();
         assert_eq!(reply.status, StatusCode::OK, "turn {number}");
@@ -221,7 +209,10 @@
     .await;
     let instance = Instance::spawn(&store, "a").await;
     let started_at = Instant::now();
-    let reply = instance.send(turn("chat", "t1").request()).await.unwrap();
+    let reply = instance
+        .send(Turn::first("chat", "t1").request())
+        .await
+        .unwrap();
     assert!(!reply.is_complete, "a truncated response looks complete");
     // The caller's deadline is 3.5 s.
     let elapsed = started_at.elapsed().as_millis();
@@ -242,7 +233,10 @@
     script.push(send("0\r\n\r\n"));
     let (store, upstream) = site("engine", script).await;
     let instance = Instance::spawn(&store, "a").await;
-    let reply = instance.send(turn("advice", "t1").request()).await.unwrap();
+    let reply = instance
+        .send(Turn::first("advice", "t1").request())
+        .await
+        .unwrap();
     assert!(reply.is_complete, "{}", reply.body);
     assert_eq!(event_ids(&reply), ["1", "2", "3"]);
     assert_eq!(upstream.requests(), 1);
@@ -311,7 +305,10 @@
         let (store, _upstream) = site("engine", script).await;
         let instance = Instance::spawn(&store, "a").await;
         for route in ["chat", "advice"] {
-            let reply = instance.send(turn(route, "t1").request()).await.unwrap();
+            let reply = instance
+                .send(Turn::first(route, "t1").request())
+                .await
+                .unwrap();
             assert_eq!(event_ids(&reply)[0], "1");
             assert!(!reply.is_complete, "{route} {text}: {reply:?}");
             assert!(!reply.body.contains("data: t\n"), "{reply:?}");
--- a/crates/fakes/src/user_platform/store.rs
+++ b/crates/fakes/src/user_platform/store.rs
@@ -86,6 +86,12 @@
     version: u64,
 }
 
+impl Condition {
+    fn row_key(&self) -> RowKey {
+        (self.table.clone(), self.partition.clone(), self.key.clone())
+    }
+}
+
 #[derive(Deserialize)]
 struct Write {
     table: String,
@@ -219,12 +225,10 @@
 
     /// Returns the current version of a condition's row, or 0 if it is absent.
     fn row_version(&self, condition: &Condition) -> u64 {
-        let key = (
-            condition.table.clone(),
-            condition.partition.clone(),
-            condition.key.clone(),
-        );
-        let live = self.rows.get(&key).filter(|row| row.value.is_some());
+        let live = self
+            .rows
+            .get(&condition.row_key())
+            .filter(|row| row.value.is_some());
         live.map_or(0, |row| row.version)
     }
 
@@ -235,15 +239,7 @@
 
     /// Returns the existing rows among those of conditions.
     fn condition_rows(&self, conditions: &[Condition]) -> Vec<Value> {
-        let keys = conditions.iter().map(|condition| {
-            let Condition {
-                table,
-                partition,
-                key,
-                ..
-            } = condition;
-            (table.clone(), partition.clone(), key.clone())
-        });
+        let keys = conditions.iter().map(Condition::row_key);
         let rows = keys.filter_map(|key| Some((self.rows.get(&key)?, key)));
         rows.filter(|(row, _)| row.value.is_some())
             .map(|(row, key)| row_json(&key, row))
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -59,8 +59,6 @@
     pub forged_headers: Vec<String>,
     /// Version of the upstream's software.
     pub version: String,
-    /// When the upstream began to run it.
-    pub started_at: Instant,
     /// Whether the whole response was sent.
     pub completed: bool,
 }
@@ -217,7 +215,6 @@
             last_event,
             forged_headers: forged_headers.map(|name| (*name).to_owned()).collect(),
             version: shared.version.clone(),
-            started_at: Instant::now(),
             completed: false,
         });
         requests.len() - 1
