Log a fingerprint of requests whose attempts may have run

The lines of a request that comes again could not be put together, as each try has an attempt id of its own; and the break of a stream that goes on elsewhere was not logged. E0743 now carries a hash of method, target, caller's address and body, computed for failed attempts only, and is written for such a break too. No decision changes.

--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -1,7 +1,8 @@
 //! A request in progress and the outcomes of its attempts.
 
-use std::sync::Arc;
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
@@ -10,6 +11,7 @@
 use basilramp_core::dispatch::placement::{self, Placement, PlacementRequest, Prompt};
 use basilramp_core::dispatch::rate_limit::RequestClass;
 use basilramp_core::dispatch::request::RequestHeaders;
+use basilramp_core::history::Digest;
 use basilramp_process::event;
 use bytes::Bytes;
 use http::request::Parts;
@@ -47,6 +49,7 @@
     pub(crate) parts: Parts,
     pub(crate) headers: RequestHeaders,
     pub(crate) attempt_id: Arc<str>,
+    pub(crate) identity: Identity,
     pub(crate) body: Bytes,
     /// Memory for the body and the transcript.
     pub(crate) memory: Reservation,
@@ -99,6 +102,25 @@
     }
 }
 
+/// What is the same in every try of a request: its caller and the body as the caller sent it. The
+/// target is in the request's head.
+#[derive(Debug)]
+pub(crate) struct Identity {
+    caller: IpAddr,
+    body: Bytes,
+    fingerprint: OnceLock<Digest>,
+}
+
+impl Identity {
+    pub(crate) const fn new(caller: IpAddr, body: Bytes) -> Self {
+        Self {
+            caller,
+            body,
+            fingerprint: OnceLock::new(),
+        }
+    }
+}
+
 /// Milliseconds from the arrival of a request to the end of each step.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Timings {
@@ -113,6 +135,20 @@
 }
 
 impl ActiveRequest {
+    /// Returns the fingerprint that all tries of the request share, at any instance.
+    pub(crate) fn fingerprint(&self) -> Digest {
+        *self.identity.fingerprint.get_or_init(|| {
+            let caller = self.identity.caller.to_string();
+            let target = self.parts.uri.path_and_query();
+            Digest::from_parts([
+                self.parts.method.as_str().as_bytes(),
+                target.map_or(&b""[..], |target| target.as_str().as_bytes()),
+                caller.as_bytes(),
+                &self.identity.body,
+            ])
+        })
+    }
+
     /// Returns the milliseconds until the caller's deadline.
     pub(crate) fn remaining_ms(&self) -> u64 {
         self.deadline.since(self.state.now())
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -227,6 +227,7 @@
         "request" => &*request.attempt_id,
         "upstream" => upstream.to_owned(),
         "ran" => if failure.did_not_run() { "no" } else { "unknown" },
+        "fingerprint" => (!failure.did_not_run()).then(|| request.fingerprint().to_string()),
         "left_ms" => request.remaining_ms(),
         "error" => error.to_owned()
     );
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -1,5 +1,6 @@
 //! Handles one request from its headers to its response.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -22,7 +23,7 @@
 use hyper::body::Incoming;
 use tokio::task::JoinHandle;
 
-use crate::active_request::{ActiveRequest, NO_UPSTREAM_RETRY_MS, Timings};
+use crate::active_request::{ActiveRequest, Identity, NO_UPSTREAM_RETRY_MS, Timings};
 use crate::budget::{self, GrantError};
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
 use crate::log_event::Event;
@@ -62,7 +63,11 @@
 impl std::error::Error for ResponseAborted {}
 
 /// Handles a caller's request.
-pub(crate) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(
+    state: Arc<State>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let arrived = state.now();
     let (parts, body) = request.into_parts();
     let headers = caller::parse_headers(&parts.headers);
@@ -70,7 +75,7 @@
     // The end of a chunked body is defined by its sender alone. Close the connection, so that bytes
     // after it are not read as another request (request smuggling).
     let is_chunked = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let result = prepare_and_dispatch(&state, parts, headers, body, arrived).await;
+    let result = prepare_and_dispatch(&state, caller, parts, headers, body, arrived).await;
     let mut response = match result {
         Ok(response) => response,
         Err(rejection) => {
@@ -113,6 +118,7 @@
 
 async fn prepare_and_dispatch(
     state: &Arc<State>,
+    caller: IpAddr,
     mut parts: Parts,
     headers: RequestHeaders,
     body: Incoming,
@@ -147,6 +153,7 @@
         state: Arc::clone(state),
         parts,
         attempt_id,
+        identity: Identity::new(caller, body.clone()),
         body,
         memory,
         kind: route.kind,
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -1,7 +1,7 @@
 //! Listeners and connections of callers and probes.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -102,7 +102,7 @@
 ) {
     let max_connections = max_caller_connections();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, caller)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
@@ -119,7 +119,7 @@
         let stopping = stopping.clone();
         tokio::spawn(async move {
             let _guard = guard;
-            serve_connection(state, stream, stopping).await;
+            serve_connection(state, stream, caller.ip(), stopping).await;
         });
     }
 }
@@ -127,6 +127,7 @@
 async fn serve_connection(
     state: Arc<State>,
     stream: TcpStream,
+    caller: IpAddr,
     mut stopping: watch::Receiver<bool>,
 ) {
     if stream.set_nodelay(true).is_err() {
@@ -138,7 +139,7 @@
     let is_stopping = *stopping.borrow();
     let service = service_fn(move |request: Request<Incoming>| {
         let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(handler::handle(state, request).await) }
+        async move { Ok::<_, Infallible>(handler::handle(state, caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -287,6 +287,8 @@
     async fn resume(&mut self, cause: &'static str) -> Result<(), ResponseAborted> {
         if let Some(mut response) = self.response.take() {
             response.guard.fail(AttemptOutcome::Broken);
+            let upstream = &response.upstream;
+            attempt::record_failure(&self.request, upstream, Failure::Unknown, cause);
         }
         let mut failure = Failure::Unknown;
         loop {
