Add a failing test: a request that crashes upstreams is sent on without end

The stand-in of an upstream can end, start again under another id, and end under a request with a marker in its body; it now also rejects requests that expect another id, as upstreams do.

--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod budget;
 mod client_faults;
+mod crashing_request;
 mod discovery;
 mod forwarding;
 mod history;
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 
 use crate::scripted_upstream::ScriptedUpstream;
 
@@ -246,7 +246,19 @@
 
 /// Sends a request on a new connection and reads the response; `None` if there is none.
 pub(crate) async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Reply> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    send_from(Ipv4Addr::LOCALHOST, address, request).await
+}
+
+/// Like [`send`], from an address of the loopback network. Callers are told apart by their
+/// addresses.
+pub(crate) async fn send_from(
+    source: Ipv4Addr,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Option<Reply> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.bind((source, 0).into()).ok()?;
+    let stream = socket.connect(address).await.ok()?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.ok()?;
     let driver = tokio::spawn(connection);
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -90,6 +90,11 @@
         self.0.send_modify(|state| state.open = open);
     }
 
+    /// Returns whether the listener is open.
+    pub(crate) fn is_open(&self) -> bool {
+        self.0.borrow().open
+    }
+
     /// Closes all connections; the listener stays open.
     pub(crate) fn reset_connections(&self) {
         self.0.send_modify(|state| state.resets += 1);
--- a/crates/fakes/src/user_platform.rs
+++ b/crates/fakes/src/user_platform.rs
@@ -4,4 +4,4 @@
 mod upstream;
 
 pub use store::{Mode, Store};
-pub use upstream::{Behaviour, RequestRecord, Upstream};
+pub use upstream::{Behaviour, CRASH_MARKER, Crash, RequestRecord, Upstream};
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -63,10 +63,16 @@
     pub completed: bool,
 }
 
+/// Text in the body of a request that crashes the upstreams which begin to run it.
+pub const CRASH_MARKER: &str = "CRASH";
+
 #[derive(Debug)]
 struct Shared {
-    id: String,
+    /// Id and start time of the present incarnation.
+    incarnation: Mutex<Incarnation>,
     version: String,
+    control: ListenerControl,
+    crashes: Mutex<Vec<Crash>>,
     behaviour: Mutex<Behaviour>,
     /// Value of the header that names the rate limit.
     rate_limit: Mutex<Option<String>>,
@@ -74,6 +80,24 @@
     requests: Mutex<Vec<RequestRecord>>,
 }
 
+/// One run of an upstream's process.
+#[derive(Clone, Debug)]
+struct Incarnation {
+    id: String,
+    started_ms: u64,
+}
+
+/// The end of an upstream's process because of a request.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// Id of the upstream.
+    pub upstream: String,
+    /// Body of the request.
+    pub body: Bytes,
+    /// When the process ended.
+    pub at: Instant,
+}
+
 /// A running upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -82,6 +106,9 @@
     server: Server,
 }
 
+/// Start time of the first incarnation of each upstream, in milliseconds.
+const FIRST_START_MS: u64 = 7;
+
 /// Internal headers that must be removed from callers' requests.
 const INTERNAL_HEADERS: [&str; 5] = ["hold", "pin-ms", "kv-from", "kv-backup", "request-priority"];
 
@@ -101,9 +128,15 @@
         version: &str,
         behaviour: Behaviour,
     ) -> Self {
+        let control = ListenerControl::new();
         let shared = Arc::new(Shared {
-            id: id.to_owned(),
+            incarnation: Mutex::new(Incarnation {
+                id: id.to_owned(),
+                started_ms: FIRST_START_MS,
+            }),
             version: version.to_owned(),
+            control: control.clone(),
+            crashes: Mutex::default(),
             behaviour: Mutex::new(behaviour),
             rate_limit: Mutex::default(),
             arrivals: Mutex::default(),
@@ -113,7 +146,7 @@
             let shared = Arc::clone(&shared);
             move |request| handle_request(Arc::clone(&shared), request)
         };
-        let server = Server::spawn(&ListenerControl::new(), handler);
+        let server = Server::spawn(&control, handler);
         let upstream = Self {
             shared,
             service: service.to_owned(),
@@ -130,11 +163,44 @@
 
     /// Writes its entry in the store with a state and an address, such as that of a relay.
     pub fn register_at(&self, store: &Store, state: &str, address: SocketAddr) {
+        let incarnation = lock(&self.shared.incarnation).clone();
         let entry = json!({
             "service": self.service, "address": address.to_string(), "zone": "z1",
-            "version": self.shared.version, "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": 7,
+            "version": self.shared.version, "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1,
+            "born": incarnation.started_ms,
         });
-        store.put("servers", &self.shared.id, entry.to_string().as_bytes());
+        store.put("servers", &incarnation.id, entry.to_string().as_bytes());
+    }
+
+    /// Closes the listener and all connections, as the end of the process does. The entry in the
+    /// store stays.
+    pub fn crash(&self) {
+        self.shared.control.set_open(false);
+    }
+
+    /// Starts again after a crash under another id, at the same address. The entry of the earlier
+    /// incarnation is removed.
+    pub fn restart(&self, store: &Store, id: &str) {
+        let earlier = {
+            let mut incarnation = lock(&self.shared.incarnation);
+            incarnation.started_ms += 1;
+            std::mem::replace(&mut incarnation.id, id.to_owned())
+        };
+        store.remove("servers", &earlier);
+        self.shared.control.set_open(true);
+        self.register(store, "ready");
+    }
+
+    /// Returns the crashes that requests with [`CRASH_MARKER`] caused, in order.
+    #[must_use]
+    pub fn crashes(&self) -> Vec<Crash> {
+        lock(&self.shared.crashes).clone()
+    }
+
+    /// Returns whether the process runs.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.shared.control.is_open()
     }
 
     /// Returns the listen address.
@@ -200,6 +266,10 @@
         let value = parts.headers.get(name)?.to_str().ok()?;
         Some(value.to_owned())
     };
+    let upstream_id = lock(&shared.incarnation).id.clone();
+    if header_text("expect-instance").is_some_and(|expected| expected != upstream_id) {
+        return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, ""));
+    }
     let attempt_id = header_text("attempt-id").unwrap_or_default();
     let last_event = header_text("last-event-id").and_then(|text| text.parse().ok());
     let forged_headers = INTERNAL_HEADERS
@@ -210,7 +280,7 @@
         requests.push(RequestRecord {
             attempt_id: attempt_id.clone(),
             path: parts.uri.path().to_owned(),
-            body,
+            body: body.clone(),
             deadline_ms: header_text("deadline-ms").and_then(|text| text.parse().ok()),
             last_event,
             forged_headers: forged_headers.map(|name| (*name).to_owned()).collect(),
@@ -219,6 +289,18 @@
         });
         requests.len() - 1
     };
+    if body
+        .windows(CRASH_MARKER.len())
+        .any(|text| text == CRASH_MARKER.as_bytes())
+    {
+        lock(&shared.crashes).push(Crash {
+            upstream: upstream_id,
+            body,
+            at: Instant::now(),
+        });
+        shared.control.set_open(false);
+        return Err(ConnectionClosed);
+    }
     let is_error = behaviour == Behaviour::ServerError;
     let is_stream = parts.headers.contains_key("token-usage") && !is_error;
     let (events, interval_ms) = match behaviour {
@@ -245,7 +327,7 @@
     } else {
         tokio::time::sleep(Duration::from_millis(interval_ms)).await;
         lock(&shared.requests)[index].completed = true;
-        full_response(StatusCode::OK, format!("done by {}", shared.id))
+        full_response(StatusCode::OK, format!("done by {upstream_id}"))
     };
     if is_error {
         *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
@@ -264,7 +346,7 @@
         set_header(
             &mut response,
             "server-signature",
-            &format!("sig-{}", shared.id),
+            &format!("sig-{upstream_id}"),
         );
     }
     Ok(response)
