Stop requests that crash upstreams, at all instances

Cause: nothing on this path recognized the request. Each attempt was placed like a new one; the decision existed for the project's other interface only (core::suspect).

Change: core::suspect is the one copy of the decision for both interfaces, with limits for each. When a connection ends under a request, the instance probes the upstream, and another one to check its own path; only an upstream that refuses while another accepts has crashed. The crash is a row under the fingerprint (method, target, caller, body), written before the request is sent again; every instance follows the small table, so that sound requests cost no call. From the second crash on a suspect runs as a trial, once at a time over all instances and apart from other suspects; after the third it is rejected with 502. Crashes that other suspects share are held against a request only after a further trial. Completion, heartbeats of the upstream, or an operator clear a suspect.

Why it works: the evidence is shared with the first crash and outlives the instance that saw it; the innocent are those that complete, and the table holds only what has not.

--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -14,13 +14,15 @@
     OtherUpstream,
     /// The request was sent and may have run.
     Unknown,
+    /// The connection ended under the request, which may have run.
+    Interrupted,
 }
 
 impl Failure {
     /// Returns whether it is certain that the request did not run.
     #[must_use]
     pub const fn did_not_run(self) -> bool {
-        !matches!(self, Self::Unknown)
+        !matches!(self, Self::Unknown | Self::Interrupted)
     }
 }
 
@@ -78,6 +80,16 @@
         Decision::Reject(self.rejection(retry_after_ms))
     }
 
+    /// Returns the rejection to send when the next attempt is rejected. A request that may have run
+    /// is not reported as not run.
+    #[must_use]
+    pub const fn after(&self, rejection: Rejection) -> Rejection {
+        match rejection {
+            Rejection::NotRun(ms) => self.rejection(ms),
+            other => other,
+        }
+    }
+
     /// Returns the rejection to send when there is no further attempt.
     #[must_use]
     pub const fn rejection(&self, retry_after_ms: u64) -> Rejection {
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -17,6 +17,7 @@
 use super::software_version::Versions;
 use super::speed::ServiceSpeed;
 use crate::clock::Time;
+use crate::id;
 
 new_key_type! {
     /// Key of an upstream in a [`Fleet`].
@@ -44,6 +45,14 @@
     pub started_ms: u64,
 }
 
+impl Upstream {
+    /// Returns the name of this run of the upstream's process, which may start again under its id.
+    #[must_use]
+    pub fn incarnation(&self) -> id::Upstream {
+        id::Upstream::new(format!("{}@{}", self.id, self.started_ms))
+    }
+}
+
 /// How long an upstream still gets requests after its entry was removed: well below the shortest
 /// drain time, and long enough for an entry that is restored immediately.
 const REMOVAL_GRACE_MS: u64 = 700;
@@ -80,6 +89,8 @@
     pub requests: u32,
     /// Prompt tokens that the upstream has not read yet.
     pub unread_tokens: u64,
+    /// Number of suspects among the requests in progress.
+    pub suspects: u32,
 }
 
 /// All known upstreams.
@@ -271,6 +282,13 @@
             .any(|(_, entry)| *entry.upstream.version == *version)
     }
 
+    /// Returns whether an upstream accepts requests.
+    #[must_use]
+    pub fn is_serving(&self, key: UpstreamKey, now: Time) -> bool {
+        let entry = self.entries.get(key);
+        entry.is_some_and(|entry| self.accepts_work(entry, now))
+    }
+
     fn accepts_work(&self, entry: &UpstreamState, now: Time) -> bool {
         if entry.upstream.is_draining || entry.is_displaced {
             return false;
--- a/crates/core/src/dispatch/fleet/attempts.rs
+++ b/crates/core/src/dispatch/fleet/attempts.rs
@@ -79,6 +79,20 @@
         }
     }
 
+    /// Records that a suspect starts at an upstream.
+    pub fn start_suspect(&mut self, key: UpstreamKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.load.suspects += 1;
+        }
+    }
+
+    /// Records that a suspect ends at an upstream.
+    pub fn end_suspect(&mut self, key: UpstreamKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.load.suspects = entry.load.suspects.saturating_sub(1);
+        }
+    }
+
     /// Records that the upstream has read an attempt's prompt.
     pub fn record_prompt_read(&mut self, key: UpstreamKey, unread_tokens: u64) {
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -9,6 +9,7 @@
 use super::request::PromptPart;
 use super::speed::ServiceSpeed;
 use crate::clock::Time;
+use crate::id;
 
 /// A request to place.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +32,9 @@
     pub is_repeatable: bool,
     /// Whether the request is the first one of its program.
     pub starts_program: bool,
+    /// Upstreams at which suspects are on trial, if the request is a suspect itself. It runs apart from
+    /// other suspects if possible, so that the next crash tells them apart.
+    pub trials: Option<&'a [id::Upstream]>,
     /// Whether upstreams with a rate limit are considered.
     pub may_use_limited: bool,
 }
@@ -136,6 +140,7 @@
         }
         let rank = Rank {
             is_unhealthy: !entry.health().admits(request.is_repeatable, now),
+            meets_suspect: meets_suspect(entry, request.trials),
             cost_ms: placement.cost_ms,
             draw: xxh3_64_with_seed(entry.upstream.id.as_bytes(), draw),
         };
@@ -167,10 +172,17 @@
     version.is_none_or(|version| *entry.upstream.version == *version)
 }
 
+fn meets_suspect(entry: &UpstreamState, trials: Option<&[id::Upstream]>) -> bool {
+    trials.is_some_and(|trials| {
+        entry.load.suspects > 0 || trials.contains(&entry.upstream.incarnation())
+    })
+}
+
 /// Order of the upstreams for a request; the first is selected.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rank {
     is_unhealthy: bool,
+    meets_suspect: bool,
     cost_ms: f64,
     draw: u64,
 }
--- a/crates/core/src/dispatch/request.rs
+++ b/crates/core/src/dispatch/request.rs
@@ -67,6 +67,8 @@
     NotRun(u64),
     /// The request may have run.
     Unknown,
+    /// The request crashed upstreams earlier and is not sent again.
+    Quarantined,
     /// The deadline has passed. The request may have run.
     TimedOut,
 }
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -1,25 +1,53 @@
-//! Quarantine of requests that may crash their upstream.
+//! Quarantine of requests that crash their upstreams.
+//!
+//! The crash of an upstream makes suspects of all requests that were in flight there. A suspect that
+//! completes is cleared. One that crashes further upstreams first has to run as a trial, one copy at
+//! a time, and is quarantined in the end.
+
+mod table;
 
 use crate::id;
 
-/// Crashes after which a request is quarantined.
-pub const QUARANTINE_CRASHES: u32 = 2;
+pub use table::{Change, Listed, Table};
+
+/// Numbers of crashes from which on a request is restricted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// From this number on, the request runs only as a trial.
+    pub trial: usize,
+    /// From this number on, the request is quarantined.
+    pub quarantine: usize,
+}
+
+impl Limits {
+    /// For requests whose owner records a crash before it sends them again.
+    pub const OWNED: Self = Self {
+        trial: 1,
+        quarantine: 2,
+    };
+
+    /// For requests that any instance sends, many of them beside others at the same upstream.
+    pub const SHARED: Self = Self {
+        trial: 2,
+        quarantine: 3,
+    };
+}
 
 /// A request that was in flight when an upstream crashed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Suspect {
-    /// Number of upstreams that crashed with the request in flight.
-    pub crashes: u32,
-    /// The upstream that crashed last.
-    pub upstream: id::Upstream,
-    /// The upstream of the current trial, which runs the request in isolation.
+    /// Upstreams that crashed with the request in flight, the latest last.
+    pub crashed: Vec<id::Upstream>,
+    /// The upstream of the current trial.
     pub trial: Option<id::Upstream>,
 }
 
 /// How a suspect request may proceed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// The request may run in isolation.
+    /// The request may run like any other.
+    Unrestricted,
+    /// The request may run as a trial.
     Trial,
     /// A trial is in progress; the request must not be sent again until it ends.
     Busy,
@@ -34,22 +62,13 @@
     /// there.
     #[must_use]
     pub fn with_crash(known: Option<Self>, upstream: &id::Upstream) -> Self {
-        let Some(known) = known else {
-            return Self {
-                crashes: 1,
-                upstream: upstream.clone(),
-                trial: None,
-            };
-        };
-        let was_trial = known.trial.as_ref() == Some(upstream);
-        if !was_trial && known.upstream == *upstream {
-            return known;
-        }
-        Self {
-            crashes: known.crashes + 1,
-            upstream: upstream.clone(),
-            trial: None,
+        let mut suspect = known.unwrap_or_default();
+        let was_trial = suspect.trial.as_ref() == Some(upstream);
+        if was_trial || !suspect.crashed.contains(upstream) {
+            suspect.crashed.push(upstream.clone());
+            suspect.trial = None;
         }
+        suspect
     }
 
     /// Returns the state after a trial starts at `upstream`.
@@ -72,13 +91,16 @@
 
     /// Returns how the request may proceed.
     #[must_use]
-    pub fn verdict(&self) -> Verdict {
-        if self.crashes >= QUARANTINE_CRASHES {
+    pub fn verdict(&self, limits: Limits) -> Verdict {
+        let crashes = self.crashed.len();
+        if crashes >= limits.quarantine {
             Verdict::Quarantined
         } else if self.trial.is_some() {
             Verdict::Busy
-        } else {
+        } else if crashes >= limits.trial {
             Verdict::Trial
+        } else {
+            Verdict::Unrestricted
         }
     }
 }
--- a/crates/core/tests/dispatch/outlier.rs
+++ b/crates/core/tests/dispatch/outlier.rs
@@ -35,6 +35,7 @@
         tried,
         is_repeatable,
         starts_program: false,
+        trials: None,
         may_use_limited: true,
     }
 }
--- a/crates/core/tests/dispatch/placement.rs
+++ b/crates/core/tests/dispatch/placement.rs
@@ -44,6 +44,7 @@
         tried: &[],
         is_repeatable: true,
         starts_program: false,
+        trials: None,
         may_use_limited: true,
     }
 }
--- a/crates/core/tests/dispatch/software_version.rs
+++ b/crates/core/tests/dispatch/software_version.rs
@@ -101,6 +101,7 @@
         tried: &[],
         is_repeatable: true,
         starts_program: false,
+        trials: None,
         may_use_limited: true,
     };
     for draw in 0..50 {
--- a/crates/core/tests/dispatch/speed.rs
+++ b/crates/core/tests/dispatch/speed.rs
@@ -71,6 +71,7 @@
             tried: &[],
             is_repeatable: true,
             starts_program: false,
+            trials: None,
             may_use_limited: true,
         };
         let key = fleet.find_by_id("u3").unwrap();
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -12,7 +12,7 @@
 use basilramp_core::clock::Time;
 use basilramp_core::history::Digest;
 use basilramp_core::id;
-use basilramp_core::suspect::{Suspect, Verdict};
+use basilramp_core::suspect::{Limits, Suspect, Verdict};
 use basilramp_platform::table::{self, Action, Condition, Key, Row, Write};
 use basilramp_wire::error::{Error, Kind};
 use basilramp_wire::record;
@@ -174,7 +174,7 @@
             return Ok(permit);
         };
         let known = parse_row(&row);
-        match known.suspect.verdict() {
+        match known.suspect.verdict(Limits::OWNED) {
             Verdict::Quarantined => {
                 let message = "the request crashed upstreams twice";
                 return Err(Error::new(Kind::Quarantined, message));
@@ -182,7 +182,7 @@
             Verdict::Busy if !shared.is_trial_stale(fingerprint, known.version) => {
                 return Err(temporarily_blocked());
             }
-            Verdict::Busy | Verdict::Trial => {}
+            Verdict::Busy | Verdict::Trial | Verdict::Unrestricted => {}
         }
         permit.trial = Some(shared.start_trial(fingerprint, known, upstream).await?);
         Ok(permit)
@@ -327,12 +327,12 @@
         shared.lock().unrecorded_crashes.insert(fingerprint);
         if let Some(suspect) = shared.write_crash(fingerprint, &self.upstream).await {
             shared.lock().unrecorded_crashes.remove(&fingerprint);
-            return match suspect.verdict() {
+            return match suspect.verdict(Limits::OWNED) {
                 Verdict::Quarantined => {
                     event!(log, Event::RequestQuarantined, "fingerprint" => %fingerprint);
                     CrashOutcome::Blocked
                 }
-                Verdict::Trial | Verdict::Busy => CrashOutcome::MayRetry,
+                Verdict::Unrestricted | Verdict::Trial | Verdict::Busy => CrashOutcome::MayRetry,
             };
         }
         event!(log, Event::CrashUnrecorded, "fingerprint" => %fingerprint);
@@ -371,8 +371,7 @@
 
 fn quarantined_suspect() -> Suspect {
     Suspect {
-        crashes: basilramp_core::suspect::QUARANTINE_CRASHES,
-        upstream: id::Upstream::new(""),
+        crashed: vec![id::Upstream::new(""); Limits::OWNED.quarantine],
         trial: None,
     }
 }
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -143,10 +143,14 @@
 
     /// Returns the text of `/metrics`.
     pub(crate) async fn metrics(&self) -> String {
-        let request = Request::get("/metrics")
-            .header("host", "probe")
-            .body(Full::default());
-        send(self.metrics, request.unwrap()).await.unwrap().body
+        self.operator("GET", "/metrics").await.body
+    }
+
+    /// Sends a request to the interface for operators.
+    pub(crate) async fn operator(&self, method: &str, path: &str) -> Reply {
+        let request = Request::builder().method(method).uri(path);
+        let request = request.header("host", "probe").body(Full::default());
+        send(self.metrics, request.unwrap()).await.unwrap()
     }
 
     /// Returns the log lines of an event.
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -19,8 +19,9 @@
 use crate::buffer::Reservation;
 use crate::log_event::Event;
 use crate::metric::Outcome;
-use crate::rate_limit;
 use crate::state::State;
+use crate::suspect::Trial;
+use crate::{rate_limit, suspect};
 
 /// Retry delay sent to a caller when no upstream accepted the request.
 pub(crate) const NO_UPSTREAM_RETRY_MS: u64 = 250;
@@ -77,6 +78,8 @@
     /// Id of the upstream that ran the previous turn.
     pub(crate) previous_upstream: Option<Arc<str>>,
     pub(crate) timings: Timings,
+    /// Trial of the present attempt, if the request may crash its upstream.
+    pub(crate) trial: Option<Trial>,
     /// Whether the end of the request was logged.
     pub(crate) is_logged: AtomicBool,
 }
@@ -167,6 +170,7 @@
     /// Counts and logs a completed response.
     pub(crate) fn record_completion(&self, placement: &Placement, status: u16, events: u64) {
         self.mark_logged();
+        suspect::complete(self);
         self.state
             .metrics
             .request(&self.service, Outcome::Answered, self.elapsed_ms());
@@ -259,6 +263,7 @@
 
     fn select_upstream(&self, may_use_limited: bool) -> Option<Placement> {
         let program = self.headers.program.as_ref();
+        let trials = suspect::trials_to_avoid(self);
         let request = PlacementRequest {
             service: &self.service,
             prompt: self.engine.as_ref().map(|_| Prompt {
@@ -275,6 +280,7 @@
             tried: &self.tried,
             is_repeatable: self.kind.is_idempotent(),
             starts_program: self.starts_program,
+            trials: trials.as_deref(),
             may_use_limited,
         };
         let now = self.state.now();
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::log_event::Event;
 use crate::metric::AttemptKind;
 use crate::state::State;
-use crate::{exchange, rate_limit};
+use crate::{exchange, rate_limit, suspect};
 
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -40,6 +40,7 @@
     state: Arc<State>,
     key: UpstreamKey,
     unread_tokens: u64,
+    is_suspect: bool,
     outcome: AttemptOutcome,
     started: Time,
     expected_ms: f64,
@@ -83,6 +84,9 @@
         let now = self.state.now();
         let change = {
             let mut fleet = self.state.fleet();
+            if self.is_suspect {
+                fleet.end_suspect(self.key);
+            }
             let change = fleet.end_attempt(self.key, self.outcome, now);
             let entry = change.and_then(|change| Some((change, fleet.get(self.key)?)));
             entry.map(|(change, entry)| (change, Arc::clone(&entry.upstream.id)))
@@ -193,7 +197,11 @@
 
 fn start_attempt(request: &ActiveRequest, placement: &Placement, now: Time) -> AttemptGuard {
     let state = &request.state;
+    let is_suspect = suspect::is_suspect(request);
     let mut fleet = state.fleet();
+    if is_suspect {
+        fleet.start_suspect(placement.key);
+    }
     fleet.start_attempt(
         placement.key,
         &request.headers.prompt,
@@ -204,6 +212,7 @@
         state: Arc::clone(state),
         key: placement.key,
         unread_tokens: placement.unread_tokens,
+        is_suspect,
         outcome: AttemptOutcome::Abandoned,
         started: now,
         expected_ms: placement.expected_ms,
@@ -262,7 +271,7 @@
         let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
         let mut memory = request.state.memory.reservation();
         let body = buffer::collect(self.body, MAX_RESPONSE_BYTES, &mut memory);
-        let (outcome, error) = match tokio::time::timeout(limit, body).await {
+        let (outcome, failure, error) = match tokio::time::timeout(limit, body).await {
             Ok(Ok(body)) => {
                 let ms = self.guard.record_response(self.head.status);
                 if self.head.status == StatusCode::GATEWAY_TIMEOUT
@@ -286,20 +295,29 @@
                 let body = BufferedBody::new(body, memory);
                 return Ok(Response::from_parts(self.head, body));
             }
-            Ok(Err(CollectError::Broken(error))) => (AttemptOutcome::Broken, error),
-            Ok(Err(CollectError::TooLong)) => {
-                (AttemptOutcome::Broken, "the body is too long".into())
+            Ok(Err(CollectError::Broken(error))) => {
+                (AttemptOutcome::Broken, Failure::Interrupted, error)
             }
+            Ok(Err(CollectError::TooLong)) => (
+                AttemptOutcome::Broken,
+                Failure::Unknown,
+                "the body is too long".into(),
+            ),
             // The other requests may have used the memory, so it tells nothing about the upstream.
             Ok(Err(CollectError::Exhausted)) => (
                 AttemptOutcome::Abandoned,
+                Failure::Unknown,
                 "no memory is left for the body".into(),
             ),
-            Err(_) => (AttemptOutcome::Silent, "no whole answer in time".into()),
+            Err(_) => (
+                AttemptOutcome::Silent,
+                Failure::Unknown,
+                "no whole answer in time".into(),
+            ),
         };
         self.guard.fail(outcome);
-        record_failure(request, &self.upstream, Failure::Unknown, &error);
-        Err(Failure::Unknown)
+        record_failure(request, &self.upstream, failure, &error);
+        Err(failure)
     }
 
     /// Returns the connection of a completely read stream to the pool.
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -27,6 +27,8 @@
     NotSent(String),
     /// The connection failed after a part of the request was sent.
     Broken(String),
+    /// The response is not HTTP.
+    Malformed(String),
     /// No response arrived in time.
     Silent,
 }
@@ -36,7 +38,8 @@
     pub(crate) const fn failure(&self) -> Failure {
         match self {
             Self::UpstreamLeft | Self::Unreachable(_) | Self::NotSent(_) => Failure::NotSent,
-            Self::Broken(_) | Self::Silent => Failure::Unknown,
+            Self::Broken(_) => Failure::Interrupted,
+            Self::Malformed(_) | Self::Silent => Failure::Unknown,
         }
     }
 
@@ -46,7 +49,7 @@
             // An idle connection that the upstream closes says nothing about its health.
             Self::UpstreamLeft | Self::NotSent(_) => AttemptOutcome::Abandoned,
             Self::Unreachable(_) => AttemptOutcome::Unreachable,
-            Self::Broken(_) => AttemptOutcome::Broken,
+            Self::Broken(_) | Self::Malformed(_) => AttemptOutcome::Broken,
             Self::Silent => AttemptOutcome::Silent,
         }
     }
@@ -56,9 +59,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::UpstreamLeft => f.write_str("upstream left"),
-            Self::Unreachable(error) | Self::NotSent(error) | Self::Broken(error) => {
-                f.write_str(error)
-            }
+            Self::Unreachable(error)
+            | Self::NotSent(error)
+            | Self::Broken(error)
+            | Self::Malformed(error) => f.write_str(error),
             Self::Silent => f.write_str("no answer in time"),
         }
     }
@@ -111,9 +115,12 @@
         }
         Ok(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
-            let text = error.into_error().to_string();
+            let error = error.into_error();
+            let text = error.to_string();
             Err(if is_unsent {
                 ExchangeError::NotSent(text)
+            } else if error.is_parse() {
+                ExchangeError::Malformed(text)
             } else {
                 ExchangeError::Broken(text)
             })
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -12,8 +12,8 @@
 use rand::Rng;
 
 use crate::log_event::Event;
-use crate::rate_limit;
 use crate::state::State;
+use crate::{rate_limit, suspect};
 
 /// Long-poll timeout for the configuration table. It distinguishes a dead connection from a quiet
 /// table, well within the time in which a change must take effect.
@@ -40,6 +40,10 @@
 /// by its keepalive probes.
 const LIMIT_LONG_POLL_MS: u64 = 3_000;
 
+/// Long-poll timeout for the table of suspects, which is mostly empty. A dead connection is closed by
+/// its keepalive probes.
+const SUSPECT_LONG_POLL_MS: u64 = 10_000;
+
 /// A table followed through its change feed.
 struct Feed {
     table: &'static str,
@@ -81,6 +85,25 @@
     }
 }
 
+/// Follows the requests that may crash upstreams. Never returns.
+pub(crate) async fn follow_suspects(state: Arc<State>) {
+    let mut feed = Feed {
+        is_watched: false,
+        ..Feed::new(suspect::TABLE, SUSPECT_LONG_POLL_MS, 0)
+    };
+    loop {
+        if let Some((page, is_full_table)) = feed.next(&state).await {
+            for row in &page.rows {
+                suspect::apply_row(&state, row);
+            }
+            if is_full_table {
+                suspect::apply_missing_rows(&state, &page);
+            }
+        }
+        suspect::expire(&state);
+    }
+}
+
 /// Follows the rate limits of upstreams. Never returns.
 pub(crate) async fn follow_limits(state: Arc<State>) {
     let mut feed = Feed {
@@ -230,6 +253,7 @@
         match discovery::parse(&row.key, value) {
             Ok(upstream) if is_full_table => upstreams.push(upstream),
             Ok(upstream) => {
+                state.suspects.record_heartbeat(state, &upstream, now);
                 let change = state.fleet().observe(upstream, now);
                 log_change(state, &row.key, change, "entry");
             }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -30,7 +30,7 @@
 use crate::metric::Outcome;
 use crate::state::State;
 use crate::stream::Stream;
-use crate::{attempt, prepare, stream_version};
+use crate::{attempt, crash, prepare, stream_version, suspect};
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
 const START_RETRY_MS: u64 = 300;
@@ -171,10 +171,12 @@
         tried: Vec::new(),
         previous_upstream: None,
         timings: Timings::default(),
+        trial: None,
         is_logged: AtomicBool::new(false),
         priority: route.priority,
         headers,
     };
+    suspect::check(&request).inspect_err(|_| request.mark_logged())?;
     let prepared = tokio::try_join!(
         prepare::load_budget(&request),
         prepare::load_transcript(&request, route),
@@ -253,6 +255,10 @@
             request.mark_logged();
             return Err(request.attempts.rejection(request.retry_after_ms()));
         };
+        if let Err(rejection) = suspect::admit(&mut request, &placement).await {
+            request.mark_logged();
+            return Err(request.attempts.after(rejection));
+        }
         // The upstream reads the prompt while the store writes the grant.
         if let Some(budget) = budget.take() {
             let is_nearly_spent = budget.is_nearly_spent();
@@ -269,6 +275,7 @@
                 pending_grant = Some(tokio::spawn(grant));
             }
         }
+        let key = placement.key;
         let failure = match run_attempt(&request, &placement).await {
             Ok(AttemptResult::Complete(response)) => {
                 if !response.status().is_server_error() {
@@ -310,7 +317,14 @@
             }
             Err(failure) => failure,
         };
-        if let Decision::Reject(rejection) = request.record_failure(failure) {
+        let decision = request.record_failure(failure);
+        if failure == Failure::Interrupted {
+            let investigation = crash::investigate(&mut request, key);
+            if decision == Decision::Retry {
+                crash::wait_for(&request.state, investigation).await;
+            }
+        }
+        if let Decision::Reject(rejection) = decision {
             if let Some(error) = server_error {
                 return Ok(complete(&request, error));
             }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,6 +12,8 @@
 //! | `buffer` | limits the memory for buffered bytes |
 //! | `attempt` | one attempt at an upstream |
 //! | `exchange` | sends one request to an upstream |
+//! | `crash` | finds out whether an upstream crashed under a request |
+//! | `suspect` | requests that may crash upstreams, shared by all instances |
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
 //! | `stream_version` | versions of streams in the store |
@@ -20,6 +22,7 @@
 //! | `pool` | connection pool for upstreams |
 //! | `state` | state shared by all requests |
 //! | `metric` | counters and latencies |
+//! | `operator` | HTTP interface for operators |
 //! | `log_event` | log events |
 //!
 //! Lock order: the pool before the fleet. No other lock is held while acquiring a lock, and none
@@ -29,11 +32,13 @@
 mod attempt;
 mod budget;
 mod buffer;
+mod crash;
 mod exchange;
 mod feed;
 mod handler;
 mod log_event;
 mod metric;
+mod operator;
 mod pool;
 mod prepare;
 mod rate_limit;
@@ -43,6 +48,7 @@
 mod state;
 mod stream;
 mod stream_version;
+mod suspect;
 mod turn_store;
 
 pub use log_event::Event;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -63,6 +63,16 @@
     VersionUnknown = "E0749", Info, "version of the stream unknown";
     /// The version of a stream could not be stored, so its first event was not sent.
     VersionNotStored = "E0750", Warning, "version of the stream not stored";
+    /// A request was in flight when an upstream crashed; it is the request's crash number `crashes`.
+    RequestSuspected = "E0751", Warning, "request suspected";
+    /// A request is rejected, as it crashed upstreams.
+    RequestQuarantined = "E0752", Warning, "request quarantined";
+    /// A suspect is no longer one: it completed, its upstream is alive, or an operator released it.
+    SuspectCleared = "E0753", Info, "suspect cleared";
+    /// A change of suspects could not be stored yet.
+    SuspectNotStored = "E0754", Warning, "suspect not stored";
+    /// A connection ended under a request, and the upstream did not crash or may not have.
+    CrashNotConfirmed = "E0755", Info, "crash not confirmed";
 }
 
 impl basilramp_process::log::LogEvent for Event {
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -36,6 +36,7 @@
             Self::Rejected(Rejection::BudgetSpent) => "budget_spent",
             Self::Rejected(Rejection::NotRun(_)) => "not_run",
             Self::Rejected(Rejection::Unknown) => "unknown",
+            Self::Rejected(Rejection::Quarantined) => "quarantined",
             Self::Rejected(Rejection::TimedOut) => "timed_out",
             Self::Broken => "broken",
             Self::CallerLeft => "caller_left",
@@ -76,6 +77,28 @@
     }
 }
 
+/// What was found out about an upstream whose connection ended under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Finding {
+    /// It crashed: it accepts no connections, while another upstream does.
+    Crashed,
+    /// It still accepts connections.
+    Alive,
+    /// No other upstream accepts connections either, so the path to them may be the cause.
+    Unconfirmed,
+}
+
+impl Finding {
+    /// Returns the label of the finding in metrics and logs.
+    pub(crate) const fn label(self) -> &'static str {
+        match self {
+            Self::Crashed => "crashed",
+            Self::Alive => "alive",
+            Self::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
 /// Instruments for all metrics of the ingress. Usable from any thread.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -84,6 +107,7 @@
     attempts_failed: Counter<u64>,
     limited_attempts: Counter<u64>,
     permits: Counter<u64>,
+    interruptions: Counter<u64>,
     request_time: Histogram<u64>,
     first_event_time: Histogram<u64>,
     placement_error: Histogram<u64>,
@@ -113,6 +137,10 @@
                 "basilramp.permits",
                 "Permits for upstreams that limit their rate, by outcome",
             ),
+            interruptions: exporter.counter(
+                "basilramp.upstreams.interrupted",
+                "Upstreams whose connections ended under requests, by what was found out",
+            ),
             request_time: exporter
                 .latency_histogram("basilramp.request.time", "Answered requests, whole"),
             first_event_time: exporter.latency_histogram(
@@ -166,7 +194,7 @@
             Failure::NotSent => "not_sent",
             Failure::NotRun => "not_run",
             Failure::OtherUpstream => "other_upstream",
-            Failure::Unknown => "unknown",
+            Failure::Unknown | Failure::Interrupted => "unknown",
         };
         self.attempts_failed
             .add(1, &[KeyValue::new("outcome", label)]);
@@ -189,6 +217,24 @@
             .add(1, &[KeyValue::new("outcome", outcome.label())]);
     }
 
+    /// Counts what was found out about an upstream whose connection ended under requests.
+    pub(crate) fn interruption(&self, finding: Finding) {
+        self.interruptions
+            .add(1, &[KeyValue::new("finding", finding.label())]);
+    }
+
+    /// Exports the number of suspects.
+    pub(crate) fn observe_suspects(&self, count: impl Fn() -> u64 + Send + Sync + 'static) {
+        let gauge = self
+            .exporter
+            .meter()
+            .u64_observable_gauge("basilramp.suspects");
+        gauge
+            .with_description("Requests that were in flight when upstreams crashed")
+            .with_callback(move |observer| observer.observe(count(), &[]))
+            .build();
+    }
+
     /// Counts a store call and records its duration.
     pub(crate) fn store_call(&self, call: StoreCall, is_done: bool, ms: u64) {
         let kind = KeyValue::new("call", call.label());
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -9,12 +9,12 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::feed;
 use crate::log_event::Event;
 use crate::metric::Metrics;
-use crate::server::{self, OpenConnections};
+use crate::server::{self, Audience, OpenConnections};
 use crate::settings::Settings;
 use crate::state::State;
+use crate::{feed, suspect};
 
 /// Minimum time from a stop signal to the exit. The platform's load balancer needs two probes, one
 /// second apart, to send new connections elsewhere. Requests that arrive after this time are
@@ -58,13 +58,26 @@
         "store" => settings.store.to_string()
     );
     let state = State::open(settings, log, Metrics::open()?);
+    let observed = Arc::clone(&state);
+    let count_suspects = move || observed.suspects.table().len() as u64;
+    state.metrics.observe_suspects(count_suspects);
     let connections = OpenConnections::default();
     let (stop, stopping) = watch::channel(false);
     tokio::spawn(supervise(&state, "configuration feed", feed::follow_config));
     tokio::spawn(supervise(&state, "upstream feed", feed::follow_fleet));
     tokio::spawn(supervise(&state, "rate limit feed", feed::follow_limits));
-    tokio::spawn(server::serve_probes(Arc::clone(&state), ready));
-    tokio::spawn(server::serve_probes(Arc::clone(&state), metrics));
+    tokio::spawn(supervise(&state, "suspect feed", feed::follow_suspects));
+    tokio::spawn(supervise(&state, "suspect writer", suspect::write_changes));
+    tokio::spawn(server::serve_probes(
+        Arc::clone(&state),
+        ready,
+        Audience::Balancer,
+    ));
+    tokio::spawn(server::serve_probes(
+        Arc::clone(&state),
+        metrics,
+        Audience::Operators,
+    ));
     tokio::spawn(server::serve_callers(
         Arc::clone(&state),
         callers,
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -18,9 +18,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::handler;
 use crate::log_event::Event;
 use crate::state::State;
+use crate::{handler, operator};
 
 /// Idle timeout of a caller's connection until a configuration is loaded.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
@@ -166,8 +166,17 @@
     }
 }
 
-/// Serves readiness probes and metrics. Never returns.
-pub(crate) async fn serve_probes(state: Arc<State>, listener: TcpListener) {
+/// Who is served at an internal address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// The balancer, which probes the readiness.
+    Balancer,
+    /// Operators, who also read metrics and release suspects.
+    Operators,
+}
+
+/// Serves readiness probes, metrics and the interface for operators. Never returns.
+pub(crate) async fn serve_probes(state: Arc<State>, listener: TcpListener, audience: Audience) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -176,7 +185,12 @@
         let state = Arc::clone(&state);
         tokio::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
-                let response = probe_response(&state, request.uri().path());
+                let path = request.uri().path();
+                let response = match audience {
+                    Audience::Operators => operator::respond(&state, request.method(), path),
+                    Audience::Balancer => None,
+                };
+                let response = response.unwrap_or_else(|| probe_response(&state, path));
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -22,12 +22,14 @@
 
 use crate::budget::Budgets;
 use crate::buffer::Memory;
+use crate::crash::Probes;
 use crate::log_event::Event;
 use crate::metric::Metrics;
 use crate::pool::Pool;
 use crate::run::MIN_SHUTDOWN_MS;
 use crate::settings::Settings;
 use crate::stream_version::StreamVersions;
+use crate::suspect::Suspects;
 use crate::turn_store::TurnStore;
 
 /// State shared by all requests of an instance.
@@ -41,6 +43,8 @@
     pub(crate) turns: TurnStore,
     pub(crate) stream_versions: StreamVersions,
     pub(crate) budgets: Budgets,
+    pub(crate) suspects: Suspects,
+    pub(crate) probes: Probes,
     /// Memory for the buffered bytes of all requests.
     pub(crate) memory: Arc<Memory>,
     fleet: Mutex<Fleet>,
@@ -74,6 +78,8 @@
             turns: TurnStore::open(cache_bytes),
             stream_versions: StreamVersions::default(),
             budgets: Budgets::default(),
+            suspects: Suspects::default(),
+            probes: Probes::default(),
             memory,
             fleet: Mutex::default(),
             admission: Mutex::default(),
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -23,7 +23,7 @@
 use crate::handler::{Body, ResponseAborted};
 use crate::log_event::Event;
 use crate::metric;
-use crate::turn_store;
+use crate::{crash, suspect, turn_store};
 
 /// Minimum gap between events after which a resumable stream continues at another upstream.
 const MIN_GAP_TIMEOUT_MS: u64 = 1_000;
@@ -69,7 +69,46 @@
     /// The stream ended regularly.
     End,
     /// The stream was interrupted.
-    Broken(&'static str),
+    Broken(ReadError),
+}
+
+/// Why no further event can be read from an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadError {
+    /// The connection failed.
+    BrokenOff,
+    /// The connection or the body ended within an event.
+    EndedWithinEvent,
+    /// An event is longer than any valid one.
+    EventTooLong,
+    /// The memory for buffered bytes is used up.
+    OutOfMemory,
+    /// No event arrived before the caller's deadline.
+    Late,
+    /// There is no upstream any more.
+    NoUpstream,
+}
+
+impl ReadError {
+    const fn cause(self) -> &'static str {
+        match self {
+            Self::BrokenOff => "the stream broke off",
+            Self::EndedWithinEvent => "the stream ended within an event",
+            Self::EventTooLong => "an event is too long",
+            Self::OutOfMemory => "no memory is left for the event",
+            Self::Late => "no event in time",
+            Self::NoUpstream => "no upstream",
+        }
+    }
+
+    const fn failure(self) -> Failure {
+        match self {
+            Self::BrokenOff | Self::EndedWithinEvent => Failure::Interrupted,
+            Self::EventTooLong | Self::OutOfMemory | Self::Late | Self::NoUpstream => {
+                Failure::Unknown
+            }
+        }
+    }
 }
 
 impl Stream {
@@ -87,7 +126,7 @@
         let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
         let read = first_event(&mut response, &mut decoder);
         let read = tokio::time::timeout(limit, read).await;
-        let (outcome, cause) = match read {
+        let (outcome, error) = match read {
             Ok(Ok(first_event)) => {
                 response.guard.record_response(response.head.status);
                 return Ok(Self {
@@ -96,12 +135,13 @@
                     first_event,
                 });
             }
-            Ok(Err(cause)) => (AttemptOutcome::Broken, cause),
-            Err(_) => (AttemptOutcome::Silent, "no event in time"),
+            Ok(Err(error)) => (AttemptOutcome::Broken, error),
+            Err(_) => (AttemptOutcome::Silent, ReadError::Late),
         };
         response.guard.fail(outcome);
-        attempt::record_failure(request, &response.upstream, Failure::Unknown, cause);
-        Err(Failure::Unknown)
+        let failure = error.failure();
+        attempt::record_failure(request, &response.upstream, failure, error.cause());
+        Err(failure)
     }
 
     /// Builds the response. Its events are sent as they arrive.
@@ -152,7 +192,7 @@
 async fn first_event(
     response: &mut UpstreamResponse,
     decoder: &mut Decoder,
-) -> Result<Option<SseEvent>, &'static str> {
+) -> Result<Option<SseEvent>, ReadError> {
     loop {
         match next_event(response, decoder).await? {
             Some(event) if !event.has_data() => {}
@@ -165,16 +205,16 @@
 async fn next_event(
     response: &mut UpstreamResponse,
     decoder: &mut Decoder,
-) -> Result<Option<SseEvent>, &'static str> {
+) -> Result<Option<SseEvent>, ReadError> {
     loop {
         if let Some(event) = decoder.next_event() {
             return Ok(Some(event));
         }
         if decoder.is_event_too_long() {
-            return Err("an event is too long");
+            return Err(ReadError::EventTooLong);
         }
         if response.memory.resize(decoder.buffered_bytes()).is_err() {
-            return Err("no memory is left for the event");
+            return Err(ReadError::OutOfMemory);
         }
         match response.body.frame().await {
             Some(Ok(frame)) => {
@@ -182,8 +222,8 @@
                     decoder.push(bytes);
                 }
             }
-            Some(Err(_)) => return Err("the stream broke off"),
-            None if decoder.has_partial_event() => return Err("the stream ended within an event"),
+            Some(Err(_)) => return Err(ReadError::BrokenOff),
+            None if decoder.has_partial_event() => return Err(ReadError::EndedWithinEvent),
             None => return Ok(None),
         }
     }
@@ -207,8 +247,8 @@
                 ReadResult::Events(events) => return self.forward(events).map(Some),
                 ReadResult::End => return self.finish().await,
                 ReadResult::Idle => {}
-                ReadResult::Stalled => self.resume("no event in time").await?,
-                ReadResult::Broken(cause) => self.resume(cause).await?,
+                ReadResult::Stalled => self.resume(ReadError::Late).await?,
+                ReadResult::Broken(error) => self.resume(error).await?,
             }
         }
     }
@@ -230,7 +270,7 @@
             remaining_ms
         };
         let Some(response) = &mut self.response else {
-            return ReadResult::Broken("no upstream");
+            return ReadResult::Broken(ReadError::NoUpstream);
         };
         let limit = Duration::from_millis(limit_ms);
         let next = next_event(response, &mut self.decoder);
@@ -243,9 +283,9 @@
                 ReadResult::Events(events)
             }
             Ok(Ok(None)) => ReadResult::End,
-            Ok(Err(cause)) => ReadResult::Broken(cause),
+            Ok(Err(error)) => ReadResult::Broken(error),
             Err(_) if limit_ms < remaining_ms => ReadResult::Idle,
-            Err(_) => ReadResult::Broken("no event in time"),
+            Err(_) => ReadResult::Broken(ReadError::Late),
         }
     }
 
@@ -284,21 +324,35 @@
     }
 
     /// Continues the stream at another upstream after the last forwarded event.
-    async fn resume(&mut self, cause: &'static str) -> Result<(), ResponseAborted> {
+    async fn resume(&mut self, error: ReadError) -> Result<(), ResponseAborted> {
+        let cause = error.cause();
+        let mut failure = error.failure();
+        let mut key = self.placement.key;
         if let Some(mut response) = self.response.take() {
             response.guard.fail(AttemptOutcome::Broken);
             let upstream = &response.upstream;
-            attempt::record_failure(&self.request, upstream, Failure::Unknown, cause);
+            attempt::record_failure(&self.request, upstream, failure, cause);
         }
-        let mut failure = Failure::Unknown;
         loop {
             let may_resume = self.request.kind.is_idempotent() && self.last_event.is_some();
-            if !may_resume || self.request.record_failure(failure) != Decision::Retry {
+            let decision = self.request.record_failure(failure);
+            let is_over = !may_resume || decision != Decision::Retry;
+            if failure == Failure::Interrupted {
+                let investigation = crash::investigate(&mut self.request, key);
+                if !is_over {
+                    crash::wait_for(&self.request.state, investigation).await;
+                }
+            }
+            if is_over {
                 return Err(self.abort(cause));
             }
             let Some(placement) = self.request.place().await else {
                 return Err(self.abort(cause));
             };
+            if suspect::admit(&mut self.request, &placement).await.is_err() {
+                return Err(self.abort("the request may crash upstreams"));
+            }
+            key = placement.key;
             match attempt::send(
                 &self.request,
                 &placement,
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -8,7 +8,7 @@
 use basilramp_core::clock::Time;
 use basilramp_core::history::{Digest, Outcome, State, Turn, TurnRequest, Usage};
 use basilramp_core::id;
-use basilramp_core::suspect::{Suspect, Verdict};
+use basilramp_core::suspect::{Limits, Suspect, Verdict};
 use basilramp_core::tree::{Origin, ProgramRecord, TreeRecord};
 
 use crate::{api, record};
@@ -192,10 +192,14 @@
     fn from(suspect: &Suspect) -> Self {
         let trial = suspect.trial.as_ref();
         Self {
-            crashes: suspect.crashes,
-            upstream: suspect.upstream.to_string(),
+            crashes: suspect.crashed.len() as u32,
+            upstream: suspect
+                .crashed
+                .last()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
             trial: trial.map(ToString::to_string).unwrap_or_default(),
-            quarantined: suspect.verdict() == Verdict::Quarantined,
+            quarantined: suspect.verdict(Limits::OWNED) == Verdict::Quarantined,
         }
     }
 }
@@ -203,9 +207,10 @@
 impl From<record::Suspect> for Suspect {
     fn from(row: record::Suspect) -> Self {
         let trial = (!row.trial.is_empty()).then(|| id::Upstream::new(row.trial));
+        // The record names the last upstream only.
+        let upstream = id::Upstream::new(row.upstream);
         Self {
-            crashes: row.crashes,
-            upstream: id::Upstream::new(row.upstream),
+            crashed: vec![upstream; (row.crashes as usize).min(Limits::OWNED.quarantine)],
             trial,
         }
     }
