Log when an instance reaches no upstream

E0743 could not tell single upstreams that are away from a lost path. E0761 is written when two upstreams in a row accept no connection and none answers in between, E0762 when one answers again. No decision changes.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -10,6 +10,7 @@
 //! | [`rate_limit`] | tracks the rates that overloaded upstreams accept |
 //! | [`software_version`] | tracks the versions of a service, between which streams can't move |
 //! | [`speed`] | measures the speed of a service's upstreams |
+//! | [`path`] | tells whether the path to all upstreams is lost |
 //! | [`placement`] | selects the upstream of an attempt |
 //! | [`attempt`] | decides whether to retry a failed attempt |
 //! | [`token_budget`] | grants tokens from a program's budget to its turns |
@@ -25,6 +26,7 @@
 pub mod fleet;
 pub mod outage;
 pub mod outlier;
+pub mod path;
 pub mod placement;
 pub mod rate_limit;
 pub mod request;
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 
 use crate::active_request::ActiveRequest;
+use crate::path;
 
 /// Head and body of a response, and the connection that it arrives on.
 pub(crate) type Exchanged = (response::Parts, Incoming, Sender);
@@ -96,6 +97,7 @@
             state.now(),
         )
         .await
+        .inspect_err(|_| path::record_unreached(state, placement.key))
         .map_err(|error| ExchangeError::Unreachable(error.to_string()))?;
     sender
         .ready()
@@ -110,6 +112,7 @@
     let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
     match tokio::time::timeout(limit, sender.try_send_request(upstream_request)).await {
         Ok(Ok(response)) => {
+            path::record_connected(state);
             let (head, body) = response.into_parts();
             Ok((head, body, sender))
         }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `stream_version` | versions of streams in the store |
 //! | `turn_store`, `budget` | turns and token budgets in the store |
 //! | `feed` | follows configuration and upstream entries in the store |
+//! | `path` | watches the path to the upstreams |
 //! | `pool` | connection pool for upstreams |
 //! | `state` | state shared by all requests |
 //! | `metric` | counters and latencies |
@@ -39,6 +40,7 @@
 mod log_event;
 mod metric;
 mod operator;
+mod path;
 mod pool;
 mod prepare;
 mod rate_limit;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -73,6 +73,10 @@
     SuspectNotStored = "E0754", Warning, "suspect not stored";
     /// A connection ended under a request, and the upstream did not crash or may not have.
     CrashNotConfirmed = "E0755", Info, "crash not confirmed";
+    /// No upstream accepts a connection of this instance.
+    PathLost = "E0761", Warning, "path to upstreams lost";
+    /// Upstreams accept connections of this instance again, after `ms`.
+    PathRestored = "E0762", Info, "path to upstreams restored";
 }
 
 impl basilramp_process::log::LogEvent for Event {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -11,6 +11,7 @@
 use basilramp_core::dispatch::outage::{
     self, CallLatency, StoreHealth, Transition, Unavailable, Wait,
 };
+use basilramp_core::dispatch::path::Path;
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_core::dispatch::route::RouteTable;
 use basilramp_process::clock::Clock;
@@ -48,6 +49,7 @@
     /// Memory for the buffered bytes of all requests.
     pub(crate) memory: Arc<Memory>,
     fleet: Mutex<Fleet>,
+    path: Mutex<Path>,
     admission: Mutex<AdmissionControl>,
     read_latency: Mutex<CallLatency>,
     write_latency: Mutex<CallLatency>,
@@ -82,6 +84,7 @@
             probes: Probes::default(),
             memory,
             fleet: Mutex::default(),
+            path: Mutex::default(),
             admission: Mutex::default(),
             read_latency: Mutex::default(),
             write_latency: Mutex::default(),
@@ -121,6 +124,11 @@
         lock(&self.fleet)
     }
 
+    /// Locks the state of the path to the upstreams.
+    pub(crate) fn path(&self) -> MutexGuard<'_, Path> {
+        lock(&self.path)
+    }
+
     /// Locks the admission control.
     pub(crate) fn admission(&self) -> MutexGuard<'_, AdmissionControl> {
         lock(&self.admission)
