--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -57,9 +57,7 @@
 impl Instance {
     /// Starts an instance, and waits until it is ready.
     pub(crate) async fn spawn(store: &Store, name: &str) -> Self {
-        let instance = Self::spawn_unready(store, name).await;
-        instance.wait_ready().await;
-        instance
+        Self::spawn_ready_at(store.address(), name).await
     }
 
     /// Starts an instance, and waits until it listens.
@@ -67,6 +65,13 @@
         Self::spawn_at(store.address(), name).await
     }
 
+    /// Starts an instance that uses the store at an address, and waits until it is ready.
+    pub(crate) async fn spawn_ready_at(store: SocketAddr, name: &str) -> Self {
+        let instance = Self::spawn_at(store, name).await;
+        instance.wait_ready().await;
+        instance
+    }
+
     /// Starts an instance with a limit on its file descriptors, and waits until it is ready.
     pub(crate) async fn spawn_with_descriptors(store: &Store, name: &str, limit: u32) -> Self {
         let mut shell = Command::new("sh");
--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -21,6 +21,18 @@
     from_target_cut: bool,
     delay_ms: u64,
     resets: u64,
+    door: Door,
+}
+
+/// How a TCP relay treats new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// Accepts them.
+    Open,
+    /// Refuses them with a reset.
+    Refusing,
+    /// Does not answer, as if packets were lost.
+    Silent,
 }
 
 /// The directions to cut.
@@ -49,6 +61,7 @@
             from_target_cut: false,
             delay_ms: 0,
             resets: 0,
+            door: Door::Open,
         }
     }
 
@@ -81,7 +94,7 @@
 pub fn spawn(target: SocketAddr) -> Relay {
     let link = Arc::new(watch::Sender::new(LinkState::connected(target)));
     let (address, listener) = stream::bind();
-    let task = tokio::spawn(stream::run(listener, link.subscribe()));
+    let task = tokio::spawn(stream::run(listener, address, link.subscribe()));
     Relay {
         address,
         link,
@@ -126,9 +139,15 @@
         });
     }
 
-    /// Removes all cuts and delays.
+    /// Sets how new connections of a TCP relay are treated. Open ones are not affected.
+    pub fn set_door(&self, door: Door) {
+        self.link.send_modify(|link| link.door = door);
+    }
+
+    /// Removes all cuts and delays, and accepts connections.
     pub fn heal(&self) {
         self.link.send_modify(|link| {
+            link.door = Door::Open;
             link.to_target_cut = false;
             link.from_target_cut = false;
             link.delay_ms = 0;
--- a/crates/fakes/src/relay/stream.rs
+++ b/crates/fakes/src/relay/stream.rs
@@ -2,39 +2,101 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tokio::time::timeout;
 
-use super::{Direction, LinkState};
+use super::{Direction, Door, LinkState};
 
 /// Maximum length of the accept queue.
 const BACKLOG: u32 = 1024;
 
+/// Time without an answer after which the accept queue counts as full.
+const FULL_QUEUE_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Maximum number of bytes per read.
 const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Binds a listener on a free port of 127.0.0.1.
 pub(super) fn bind() -> (SocketAddr, TcpListener) {
+    let socket = bind_socket((Ipv4Addr::LOCALHOST, 0).into());
+    let address = socket.local_addr();
+    let address = address.expect("cannot read the bound address");
+    (address, listen(socket, BACKLOG))
+}
+
+/// Binds a socket without listening, so that the operating system refuses connections. Another
+/// socket may be bound to the same address.
+fn bind_socket(address: SocketAddr) -> TcpSocket {
     let socket = TcpSocket::new_v4().expect("cannot create a socket");
-    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let options = socket
+        .set_reuseaddr(true)
+        .and_then(|()| socket.set_reuseport(true));
+    options.expect("cannot share the port");
     socket.bind(address).expect("no port is free");
-    let listener = socket
-        .listen(BACKLOG)
-        .expect("cannot listen on the bound socket");
-    let address = listener
-        .local_addr()
-        .expect("cannot read the bound address");
-    (address, listener)
+    socket
+}
+
+fn listen(socket: TcpSocket, backlog: u32) -> TcpListener {
+    socket
+        .listen(backlog)
+        .expect("cannot listen on the bound socket")
+}
+
+/// Accepts connections while the door is open, and relays each one in its own task.
+pub(super) async fn run(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    mut link: watch::Receiver<LinkState>,
+) {
+    loop {
+        let door = link.borrow().door;
+        let socket = bind_socket(address);
+        match door {
+            Door::Open => {
+                accept_connections(&listener, &link).await;
+                drop(listener);
+            }
+            Door::Refusing => {
+                drop(listener);
+                // This fails only if the relay was dropped, which ends this task.
+                let _ = link.wait_for(|link| link.door != door).await;
+            }
+            Door::Silent => {
+                drop(listener);
+                let full = listen(bind_socket(address), 0);
+                let _waiting = fill_queue(address).await;
+                let _ = link.wait_for(|link| link.door != door).await;
+                drop(full);
+            }
+        }
+        listener = listen(socket, BACKLOG);
+    }
+}
+
+/// Opens connections until the accept queue is full, so that further ones get no answer.
+async fn fill_queue(address: SocketAddr) -> Vec<TcpStream> {
+    let mut waiting = Vec::new();
+    while let Ok(Ok(stream)) = timeout(FULL_QUEUE_TIMEOUT, TcpStream::connect(address)).await {
+        waiting.push(stream);
+    }
+    waiting
 }
 
-/// Accepts connections and relays each one in its own task.
-pub(super) async fn run(listener: TcpListener, link: watch::Receiver<LinkState>) {
+async fn accept_connections(listener: &TcpListener, link: &watch::Receiver<LinkState>) {
+    let mut changes = link.clone();
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(relay_connection(stream, link.clone()));
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(relay_connection(stream, link.clone()));
+                }
+            }
+            _ = changes.wait_for(|link| link.door != Door::Open) => return,
         }
     }
 }
--- a/crates/fakes/src/user_platform.rs
+++ b/crates/fakes/src/user_platform.rs
@@ -3,5 +3,5 @@
 mod store;
 mod upstream;
 
-pub use store::{Mode, Store};
+pub use store::{Mode, Store, View};
 pub use upstream::{Behaviour, CRASH_MARKER, Crash, RequestRecord, Upstream};
--- a/crates/fakes/src/user_platform/store.rs
+++ b/crates/fakes/src/user_platform/store.rs
@@ -9,12 +9,12 @@
 use base64::engine::general_purpose::STANDARD;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use crate::http::{ConnectionClosed, HandlerResult, ListenerControl, Server, json_response};
+use crate::http::{Body, ConnectionClosed, HandlerResult, ListenerControl, Server, json_response};
 
 /// Interval at which a waiting feed request checks for changes; a change wakes it earlier.
 const FEED_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -116,7 +116,38 @@
     remove: Vec<Delete>,
 }
 
+/// The store as one instance sees it. Upstreams have other addresses, such as those of relays, so that
+/// the instance can be cut off from them alone.
+#[derive(Debug)]
+pub struct View {
+    server: Server,
+}
+
+impl View {
+    /// Returns the listen address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
 impl Store {
+    /// Starts a view in which the addresses of upstreams are replaced.
+    #[must_use]
+    pub fn spawn_view(&self, addresses: BTreeMap<SocketAddr, SocketAddr>) -> View {
+        let shared = Arc::clone(&self.shared);
+        let addresses = Arc::new(addresses);
+        let handler = move |request| {
+            let (shared, addresses) = (Arc::clone(&shared), Arc::clone(&addresses));
+            async move {
+                let response = handle_request(shared, request).await?;
+                replace_addresses(response, &addresses).await
+            }
+        };
+        let server = Server::spawn(&ListenerControl::new(), handler);
+        View { server }
+    }
+
     /// Starts an empty store on a free port of 127.0.0.1.
     #[must_use]
     pub fn spawn() -> Self {
@@ -341,6 +372,30 @@
     }
 }
 
+async fn replace_addresses(
+    response: Response<Body>,
+    addresses: &BTreeMap<SocketAddr, SocketAddr>,
+) -> HandlerResult {
+    let status = response.status();
+    let body = response.into_body().collect().await;
+    let body = body.map_err(|_| ConnectionClosed)?.to_bytes();
+    let mut page: Value = serde_json::from_slice(&body).map_err(|_| ConnectionClosed)?;
+    let rows = page["rows"].as_array_mut().into_iter().flatten();
+    for row in rows.filter(|row| row["table"] == "servers") {
+        let value = row["value"].as_str().unwrap_or_default();
+        let entry = STANDARD.decode(value).unwrap_or_default();
+        let Ok(mut entry) = serde_json::from_slice::<Value>(&entry) else {
+            continue;
+        };
+        let address = entry["address"].as_str().and_then(|text| text.parse().ok());
+        if let Some(replaced) = address.and_then(|address| addresses.get(&address)) {
+            entry["address"] = json!(replaced.to_string());
+            row["value"] = json!(STANDARD.encode(entry.to_string()));
+        }
+    }
+    Ok(json_response(status, &page))
+}
+
 async fn handle_transaction(
     shared: &Shared,
     request: Request<Incoming>,
