Don't take a proxy that accepts and closes for an upstream that is alive

Found by a test that lets a crashing request pass through a TCP relay, which accepts connections also if nobody listens behind it: the probe counted as accepted, and no crash was recorded (4 crashes of 4 upstreams, 3 are allowed). Cause: a probe counted as soon as the connection was open. Change: it counts if the connection is still open 10 ms later.

--- a/crates/ingress/src/crash.rs
+++ b/crates/ingress/src/crash.rs
@@ -24,8 +24,8 @@
 use crate::state::{State, lock};
 use crate::suspect;
 
-/// Delay before the upstream is probed: a process that ends may close its connections before its
-/// listener.
+/// Delay before an upstream is probed, as a process that ends may close its connections before its
+/// listener; and before an accepted probe counts.
 const PROBE_DELAY: Duration = Duration::from_millis(10);
 
 /// Time within which an upstream accepts a probe, in milliseconds.
@@ -111,7 +111,7 @@
     address: SocketAddr,
 ) -> Finding {
     tokio::time::sleep(PROBE_DELAY).await;
-    let finding = if probe(state, key, address).await {
+    let finding = if is_accepted(state, key, address).await {
         Finding::Alive
     } else if reaches_another(state, key).await {
         Finding::Crashed
@@ -130,16 +130,19 @@
     finding
 }
 
-/// Opens a connection to an upstream, for the next request there. Returns whether it was accepted.
-async fn probe(state: &State, key: UpstreamKey, address: SocketAddr) -> bool {
-    match connection::connect(address, PROBE_TIMEOUT_MS).await {
-        Ok(sender) => {
-            let reuse = ConnectionReuse::Unspecified;
-            state.pool.release(key, sender, reuse, state.now());
-            true
-        }
-        Err(_) => false,
+/// Returns whether an upstream accepts a connection and keeps it, which is for the next request there.
+/// A proxy on the way accepts also if nobody listens behind it.
+async fn is_accepted(state: &State, key: UpstreamKey, address: SocketAddr) -> bool {
+    let Ok(sender) = connection::connect(address, PROBE_TIMEOUT_MS).await else {
+        return false;
+    };
+    tokio::time::sleep(PROBE_DELAY).await;
+    if sender.is_closed() {
+        return false;
     }
+    let reuse = ConnectionReuse::Unspecified;
+    state.pool.release(key, sender, reuse, state.now());
+    true
 }
 
 /// Returns whether another upstream accepts connections.
@@ -153,7 +156,7 @@
         others.choose_multiple(&mut rand::rng(), CONTROL_PROBES)
     };
     let probes = others.into_iter();
-    let probes = probes.map(|(other, address)| probe(state, other, address));
+    let probes = probes.map(|(other, address)| is_accepted(state, other, address));
     let answers = futures_util::future::join_all(probes).await;
     answers.contains(&true)
 }
