--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 //! | [`fleet`] | tracks the upstreams and their state |
 //! | [`outlier`] | ejects upstreams that fail more often than their service |
 //! | [`rate_limit`] | tracks the rates that overloaded upstreams accept |
+//! | [`relay`] | selects another instance while the path to the upstreams is lost |
 //! | [`software_version`] | tracks the versions of a service, between which streams can't move |
 //! | [`speed`] | measures the speed of a service's upstreams |
 //! | [`path`] | tells whether the path to all upstreams is lost |
@@ -29,6 +30,7 @@
 pub mod path;
 pub mod placement;
 pub mod rate_limit;
+pub mod relay;
 pub mod request;
 pub mod retention;
 pub mod route;
--- a/crates/core/src/dispatch/path.rs
+++ b/crates/core/src/dispatch/path.rs
@@ -3,19 +3,36 @@
 //! An upstream that is away is no lost path, nor are all upstreams of one service: the other
 //! instances can't reach them either. A path is lost if upstreams of every service are out of reach.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
 
-use super::fleet::UpstreamKey;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::fleet::{Fleet, UpstreamKey, UpstreamState};
 use crate::clock::Time;
 
 /// Upstreams in a row that accept no connection, from which on the path itself is in doubt.
 const DOUBTFUL_FAILURES: usize = 2;
 
+/// Time without a sign of any upstream from which on the path is in doubt, in milliseconds. At usual
+/// loads, signs arrive much more often.
+const QUIET_MS: u64 = 250;
+
+/// Time for which a path that was found sound is not in doubt again for silence alone, in
+/// milliseconds. An instance with few requests hears of its upstreams seldom.
+const TRUST_MS: u64 = 1_000;
+
+/// Maximum number of upstreams that are probed to check the path.
+const MAX_TARGETS: usize = 6;
+
 /// State of the path to the upstreams.
 #[derive(Debug, Default)]
 pub struct Path {
     /// Upstreams that accepted no connection since the latest that did.
     unreached: BTreeSet<UpstreamKey>,
+    /// When an upstream accepted a connection.
+    connected_at: Time,
     /// Since when the path is lost.
     lost_since: Option<Time>,
 }
@@ -36,20 +53,32 @@
         self.lost_since.is_some()
     }
 
-    /// Records that an upstream accepted no connection. Returns whether the path is in doubt.
-    pub fn record_unreached(&mut self, key: UpstreamKey) -> bool {
+    /// Records that an upstream accepted no connection, `quiet_ms` milliseconds after the last sign of
+    /// any upstream. Returns whether the path has to be checked.
+    ///
+    /// Old connections may live on while new ones are refused, so that signs prove nothing if several
+    /// upstreams in a row accept none.
+    pub fn record_unreached(&mut self, key: UpstreamKey, quiet_ms: u64) -> bool {
         self.unreached.insert(key);
-        self.unreached.len() >= DOUBTFUL_FAILURES
+        self.unreached.len() >= DOUBTFUL_FAILURES || quiet_ms >= QUIET_MS
+    }
+
+    /// Returns whether the path has to be checked while a request waits for its response, `quiet_ms`
+    /// milliseconds after the last sign of any upstream.
+    #[must_use]
+    pub const fn is_doubtful(&self, quiet_ms: u64, now: Time) -> bool {
+        quiet_ms >= QUIET_MS && now.since(self.connected_at) >= TRUST_MS
     }
 
     /// Records that an upstream accepted a connection.
     pub fn record_connected(&mut self, now: Time) -> Option<Transition> {
         self.unreached.clear();
+        self.connected_at = now;
         let since = self.lost_since.take()?;
         Some(Transition::Restored(now.since(since)))
     }
 
-    /// Records that no upstream accepted a connection, of several of every service.
+    /// Records that none of the [`targets`] of a check accepted a connection.
     pub fn record_loss(&mut self, now: Time) -> Option<Transition> {
         if self.is_lost() {
             return None;
@@ -58,3 +87,39 @@
         Some(Transition::Lost)
     }
 }
+
+/// Returns how long a request waits for a sign of its upstream until the path is in doubt, in
+/// milliseconds.
+#[must_use]
+pub const fn quiet_ms() -> u64 {
+    QUIET_MS
+}
+
+/// Returns the upstreams whose connections tell whether the path is lost: of every service two, in
+/// different failure domains if there are any. `draw` is a random number that selects among them.
+#[must_use]
+pub fn targets(fleet: &Fleet, draw: u64, now: Time) -> Vec<(UpstreamKey, SocketAddr)> {
+    let mut services: BTreeMap<&str, Vec<(UpstreamKey, &UpstreamState)>> = BTreeMap::new();
+    for (key, entry) in fleet.iter().filter(|(key, _)| fleet.is_serving(*key, now)) {
+        let service = services.entry(&entry.upstream.service).or_default();
+        service.push((key, entry));
+    }
+    let mut first = Vec::new();
+    let mut second = Vec::new();
+    for mut upstreams in services.into_values() {
+        let order = |id: &Arc<str>| xxh3_64_with_seed(id.as_bytes(), draw);
+        upstreams.sort_by_key(|(_, entry)| order(&entry.upstream.id));
+        let Some((key, selected)) = upstreams.first() else {
+            continue;
+        };
+        first.push((*key, selected.upstream.address));
+        let domain = &selected.upstream.failure_domain;
+        let mut others = upstreams[1..].iter();
+        let other = others
+            .clone()
+            .find(|(_, entry)| entry.upstream.failure_domain != *domain)
+            .or_else(|| others.next());
+        second.extend(other.map(|(key, entry)| (*key, entry.upstream.address)));
+    }
+    first.into_iter().chain(second).take(MAX_TARGETS).collect()
+}
--- a/crates/core/src/dispatch/request.rs
+++ b/crates/core/src/dispatch/request.rs
@@ -65,6 +65,8 @@
     BudgetSpent,
     /// The request did not run and will not run. The caller may retry after this many milliseconds.
     NotRun(u64),
+    /// This instance has no path to the upstreams. The request did not run.
+    Unreachable,
     /// The request may have run.
     Unknown,
     /// The request crashed upstreams earlier and is not sent again.
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -31,7 +31,7 @@
     }
     match deployment {
         Deployment::Daemon(settings) => run_daemon(*settings),
-        Deployment::Ingress(settings) => ingress::run(settings),
+        Deployment::Ingress(settings) => ingress::run(*settings),
     }
     .map_err(Failure::Run)
 }
@@ -41,7 +41,7 @@
     /// The daemon with its own callers' API.
     Daemon(Box<Settings>),
     /// The ingress, which serves on the users' platform.
-    Ingress(ingress::Settings),
+    Ingress(Box<ingress::Settings>),
 }
 
 fn load_settings(matches: &ArgMatches) -> Result<Deployment, Report> {
@@ -51,7 +51,7 @@
     let text =
         fs::read_to_string(path).wrap_err_with(|| format!("can't read {}", path.display()))?;
     let deployment = if has_section(&text, "ingress") {
-        ingress::Settings::parse(&text).map(Deployment::Ingress)
+        ingress::Settings::parse(&text).map(|settings| Deployment::Ingress(Box::new(settings)))
     } else {
         Settings::parse(&text).map(|settings| Deployment::Daemon(Box::new(settings)))
     };
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -94,7 +94,7 @@
             "instance": {"id": name, "failure_domain": "z1"},
             "ingress": {
                 "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
-                "metrics": "127.0.0.1:0",
+                "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0",
                 "store": store.to_string(), "memory_mb": 130, "stop_s": 8.0,
             },
             "log": {"level": "debug"},
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -78,6 +78,8 @@
     /// Id of the upstream that ran the previous turn.
     pub(crate) previous_upstream: Option<Arc<str>>,
     pub(crate) timings: Timings,
+    /// Id of the instance that relayed the request.
+    pub(crate) relayed_by: Option<Arc<str>>,
     /// Trial of the present attempt, if the request may crash its upstream.
     pub(crate) trial: Option<Trial>,
     /// Whether the end of the request was logged.
@@ -122,6 +124,16 @@
             fingerprint: OnceLock::new(),
         }
     }
+
+    /// Returns the caller's address.
+    pub(crate) const fn caller(&self) -> IpAddr {
+        self.caller
+    }
+
+    /// Returns the body as the caller sent it.
+    pub(crate) const fn body(&self) -> &Bytes {
+        &self.body
+    }
 }
 
 /// Milliseconds from the arrival of a request to the end of each step.
@@ -197,6 +209,7 @@
             "placed_ms" => self.timings.placed_ms,
             "first_ms" => self.timings.first_event_ms,
             "last_ms" => self.timings.last_event_ms,
+            "relayed_by" => self.relayed_by.as_deref(),
             "ms" => self.elapsed_ms()
         );
     }
@@ -295,6 +308,40 @@
         Some(placement)
     }
 
+    /// Returns whether the present attempt may be given up and the request still be sent elsewhere.
+    pub(crate) const fn may_abandon_attempt(&self) -> bool {
+        self.kind.is_idempotent() && self.attempts.possibly_ran + 1 < self.max_attempts
+    }
+
+    /// Drops the body, after it was sent for the last time.
+    pub(crate) fn release_body(&mut self) {
+        self.fingerprint();
+        self.body = Bytes::new();
+        self.identity.body = Bytes::new();
+        // A reservation never fails to shrink.
+        let _ = self.memory.resize(0);
+    }
+
+    /// Counts and logs a response of another instance that was passed on.
+    pub(crate) fn record_relayed(&self, instance: &str, status: u16) {
+        self.mark_logged();
+        let ms = self.elapsed_ms();
+        self.state
+            .metrics
+            .request(&self.service, Outcome::Relayed, ms);
+        if self.state.allows_log_line(Event::RequestRelayed) {
+            event!(
+                self.state.log,
+                Event::RequestRelayed,
+                "request" => &*self.attempt_id,
+                "service" => &*self.service,
+                "by" => instance.to_owned(),
+                "status" => status,
+                "ms" => ms
+            );
+        }
+    }
+
     /// Returns whether the request could be sent to another upstream if the present attempt failed
     /// after the request may have run.
     pub(crate) fn has_alternative(&self) -> bool {
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Records a sign of the upstream.
+    pub(crate) fn record_sign(&self) {
+        self.state.record_sign();
+    }
+
     /// Records that the response has started. The latency of a success relative to the expected one
     /// updates the upstream's state. Returns the latency in milliseconds.
     pub(crate) fn record_response(&mut self, status: StatusCode) -> f64 {
--- a/crates/ingress/src/crash.rs
+++ b/crates/ingress/src/crash.rs
@@ -22,7 +22,7 @@
 use crate::log_event::Event;
 use crate::metric::Finding;
 use crate::state::{State, lock};
-use crate::suspect;
+use crate::{path, suspect};
 
 /// Delay before an upstream is probed, as a process that ends may close its connections before its
 /// listener; and before an accepted probe counts.
@@ -105,7 +105,7 @@
 }
 
 async fn find_out(
-    state: &State,
+    state: &Arc<State>,
     key: UpstreamKey,
     upstream: &id::Upstream,
     address: SocketAddr,
@@ -116,6 +116,7 @@
     } else if reaches_another(state, key).await {
         Finding::Crashed
     } else {
+        path::check(state).await;
         Finding::Unconfirmed
     };
     state.metrics.interruption(finding);
@@ -130,8 +131,8 @@
     finding
 }
 
-/// Returns whether an upstream accepts a connection and keeps it, which is for the next request there.
-/// A proxy on the way accepts also if nobody listens behind it.
+/// Returns whether an upstream accepts a connection and keeps it. A proxy on the way accepts also if
+/// nobody listens behind it.
 async fn is_accepted(state: &State, key: UpstreamKey, address: SocketAddr) -> bool {
     let Ok(sender) = connection::connect(address, PROBE_TIMEOUT_MS).await else {
         return false;
@@ -140,6 +141,7 @@
     if sender.is_closed() {
         return false;
     }
+    path::record_connected(state);
     let reuse = ConnectionReuse::Unspecified;
     state.pool.release(key, sender, reuse, state.now());
     true
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -1,7 +1,6 @@
 //! Sends one request to an upstream over a pooled connection, up to the head of the response.
 
 use std::fmt;
-use std::time::Duration;
 
 use basilramp_adapter::connection::Sender;
 use basilramp_adapter::upstream::{self, ForwardParameters};
@@ -12,7 +11,8 @@
 use hyper::body::Incoming;
 
 use crate::active_request::ActiveRequest;
-use crate::path;
+use crate::path::{self, WaitError};
+use crate::pool;
 
 /// Head and body of a response, and the connection that it arrives on.
 pub(crate) type Exchanged = (response::Parts, Incoming, Sender);
@@ -32,6 +32,8 @@
     Malformed(String),
     /// No response arrived in time.
     Silent,
+    /// The path to all upstreams was lost before a response arrived.
+    PathLost,
 }
 
 impl ExchangeError {
@@ -40,7 +42,7 @@
         match self {
             Self::UpstreamLeft | Self::Unreachable(_) | Self::NotSent(_) => Failure::NotSent,
             Self::Broken(_) => Failure::Interrupted,
-            Self::Malformed(_) | Self::Silent => Failure::Unknown,
+            Self::Malformed(_) | Self::Silent | Self::PathLost => Failure::Unknown,
         }
     }
 
@@ -48,7 +50,7 @@
     pub(crate) const fn outcome(&self) -> AttemptOutcome {
         match self {
             // An idle connection that the upstream closes says nothing about its health.
-            Self::UpstreamLeft | Self::NotSent(_) => AttemptOutcome::Abandoned,
+            Self::UpstreamLeft | Self::NotSent(_) | Self::PathLost => AttemptOutcome::Abandoned,
             Self::Unreachable(_) => AttemptOutcome::Unreachable,
             Self::Broken(_) | Self::Malformed(_) => AttemptOutcome::Broken,
             Self::Silent => AttemptOutcome::Silent,
@@ -65,6 +67,7 @@
             | Self::Broken(error)
             | Self::Malformed(error) => f.write_str(error),
             Self::Silent => f.write_str("no answer in time"),
+            Self::PathLost => f.write_str("path to upstreams lost"),
         }
     }
 }
@@ -87,18 +90,22 @@
         .map(|entry| entry.upstream.address);
     let address = address.ok_or(ExchangeError::UpstreamLeft)?;
     let is_idempotent = request.kind.is_idempotent();
-    let mut sender = state
+    let idle = state
         .pool
-        .acquire(
-            placement.key,
-            address,
-            is_idempotent,
-            request.remaining_ms(),
-            state.now(),
-        )
-        .await
-        .inspect_err(|_| path::record_unreached(state, placement.key))
-        .map_err(|error| ExchangeError::Unreachable(error.to_string()))?;
+        .take_idle(placement.key, is_idempotent, state.now());
+    let mut sender = match idle {
+        Some(sender) => sender,
+        None => match pool::connect(address, request.remaining_ms()).await {
+            Ok(sender) => {
+                path::record_connected(state);
+                sender
+            }
+            Err(error) => {
+                path::record_unreached(state, placement.key).await;
+                return Err(ExchangeError::Unreachable(error.to_string()));
+            }
+        },
+    };
     sender
         .ready()
         .await
@@ -109,10 +116,11 @@
         last_event_id: last_event,
     };
     let upstream_request = upstream::build_request(&request.parts, request.body.clone(), &order);
-    let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
-    match tokio::time::timeout(limit, sender.try_send_request(upstream_request)).await {
+    let limit_ms = timeout_ms.min(request.remaining_ms());
+    let response = sender.try_send_request(upstream_request);
+    match path::wait(state, limit_ms, request.may_abandon_attempt(), response).await {
         Ok(Ok(response)) => {
-            path::record_connected(state);
+            state.record_sign();
             let (head, body) = response.into_parts();
             Ok((head, body, sender))
         }
@@ -128,6 +136,7 @@
                 ExchangeError::Broken(text)
             })
         }
-        Err(_) => Err(ExchangeError::Silent),
+        Err(WaitError::Late) => Err(ExchangeError::Silent),
+        Err(WaitError::PathLost) => Err(ExchangeError::PathLost),
     }
 }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -15,6 +15,8 @@
 use basilramp_core::dispatch::route;
 use basilramp_core::dispatch::transcript::TranscriptBuilder;
 use basilramp_process::event;
+use basilramp_wire as wire;
+use basilramp_wire::relay::Decline;
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
@@ -28,9 +30,10 @@
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
 use crate::log_event::Event;
 use crate::metric::Outcome;
+use crate::server::ConnectionGuard;
 use crate::state::State;
 use crate::stream::Stream;
-use crate::{attempt, crash, prepare, stream_version, suspect};
+use crate::{attempt, crash, prepare, relay, stream_version, suspect};
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
 const START_RETRY_MS: u64 = 300;
@@ -62,28 +65,64 @@
 
 impl std::error::Error for ResponseAborted {}
 
-/// Handles a caller's request.
+/// Who sent a request to this instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// The caller itself.
+    Caller(IpAddr),
+    /// Another instance, which has no path to the upstreams.
+    Instance(Arc<str>),
+}
+
+/// Keeps a guard until a body has ended.
+pub(crate) fn hold(body: Body, guard: ConnectionGuard) -> Body {
+    let held = body.map_frame(move |frame| {
+        let _held = &guard;
+        frame
+    });
+    held.boxed_unsync()
+}
+
+/// Handles a request.
 pub(crate) async fn handle(
     state: Arc<State>,
-    caller: IpAddr,
+    origin: Origin,
     request: Request<Incoming>,
 ) -> Response<Body> {
     let arrived = state.now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let source = match Source::read(&state, origin, &mut parts) {
+        Ok(source) => source,
+        Err(response) => return *response,
+    };
+    let is_relayed = source.relayed_by.is_some();
     let headers = caller::parse_headers(&parts.headers);
     let attempt_id = headers.attempt_id.clone();
     // The end of a chunked body is defined by its sender alone. Close the connection, so that bytes
     // after it are not read as another request (request smuggling).
     let is_chunked = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let result = prepare_and_dispatch(&state, caller, parts, headers, body, arrived).await;
+    let result = prepare_and_dispatch(&state, source, parts, headers, body, arrived).await;
     let mut response = match result {
         Ok(response) => response,
         Err(rejection) => {
             let id = attempt_id.as_deref();
             record_rejection(&state, id, rejection, arrived);
-            caller::error_response(rejection, id).map(full_body)
+            let mut response = caller::error_response(rejection, id).map(full_body);
+            let headers = response.headers_mut();
+            match rejection {
+                Rejection::Unknown => wire::relay::mark_unserved(headers),
+                Rejection::Unreachable => Decline::NoPath.insert_into(headers),
+                _ => {}
+            }
+            if !is_relayed {
+                wire::relay::remove_headers(headers);
+            }
+            response
         }
     };
+    if is_relayed {
+        return response;
+    }
     // During a store outage, the caller's next connection probably reaches a better instance.
     if is_chunked || state.is_store_down() {
         let close = HeaderValue::from_static("close");
@@ -94,6 +133,52 @@
     response
 }
 
+/// What is known of a request's way to this instance.
+#[derive(Debug)]
+struct Source {
+    caller: IpAddr,
+    /// Number of upstreams that may run the request, if that is less than its route allows.
+    max_attempts: u32,
+    relayed_by: Option<Arc<str>>,
+}
+
+impl Source {
+    /// Reads and removes the headers of a relayed request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response to a relayed request that is declined or malformed.
+    fn read(state: &State, origin: Origin, parts: &mut Parts) -> Result<Self, Box<Response<Body>>> {
+        let source = match origin {
+            Origin::Caller(caller) => Self {
+                caller,
+                max_attempts: u32::MAX,
+                relayed_by: None,
+            },
+            Origin::Instance(instance) => {
+                if let Some(reason) = relay::decline_reason(state) {
+                    let rejection = Rejection::Unreachable;
+                    let mut response = caller::error_response(rejection, None).map(full_body);
+                    reason.insert_into(response.headers_mut());
+                    return Err(Box::new(response));
+                }
+                let Ok(request) = wire::relay::Request::try_from(&parts.headers) else {
+                    let rejection = Rejection::Malformed;
+                    let response = caller::error_response(rejection, None).map(full_body);
+                    return Err(Box::new(response));
+                };
+                Self {
+                    caller: request.caller,
+                    max_attempts: request.attempts,
+                    relayed_by: Some(instance),
+                }
+            }
+        };
+        wire::relay::remove_headers(&mut parts.headers);
+        Ok(source)
+    }
+}
+
 fn record_rejection(state: &State, attempt: Option<&str>, rejection: Rejection, arrived: Time) {
     let ms = state.now().since(arrived);
     state.metrics.request("", Outcome::Rejected(rejection), ms);
@@ -118,7 +203,7 @@
 
 async fn prepare_and_dispatch(
     state: &Arc<State>,
-    caller: IpAddr,
+    source: Source,
     mut parts: Parts,
     headers: RequestHeaders,
     body: Incoming,
@@ -153,11 +238,11 @@
         state: Arc::clone(state),
         parts,
         attempt_id,
-        identity: Identity::new(caller, body.clone()),
+        identity: Identity::new(source.caller, body.clone()),
         body,
         memory,
         kind: route.kind,
-        max_attempts: route.max_attempts,
+        max_attempts: route.max_attempts.min(source.max_attempts),
         retention_ms: route.retention_ms.unwrap_or_default(),
         max_event_gap_ms: route.max_event_gap_ms,
         service: Arc::clone(service),
@@ -171,12 +256,16 @@
         tried: Vec::new(),
         previous_upstream: None,
         timings: Timings::default(),
+        relayed_by: source.relayed_by,
         trial: None,
         is_logged: AtomicBool::new(false),
         priority: route.priority,
         headers,
     };
     suspect::check(&request).inspect_err(|_| request.mark_logged())?;
+    if state.path().is_lost() {
+        return relay_or_reject(request).await;
+    }
     let prepared = tokio::try_join!(
         prepare::load_budget(&request),
         prepare::load_transcript(&request, route),
@@ -248,6 +337,9 @@
     // An upstream's error, which is the response unless another upstream has a better one.
     let mut server_error = None;
     loop {
+        if server_error.is_none() && request.state.path().is_lost() {
+            return relay_or_reject(request).await;
+        }
         let Some(placement) = request.place().await else {
             if let Some(error) = server_error {
                 return Ok(complete(&request, error));
@@ -339,6 +431,19 @@
     }
 }
 
+/// Relays a request to another instance, while this one has no path to the upstreams. One that was
+/// relayed already is rejected instead.
+async fn relay_or_reject(request: ActiveRequest) -> Result<Response<Body>, Rejection> {
+    if request.relayed_by.is_none() {
+        return relay::forward(request).await;
+    }
+    request.mark_logged();
+    Err(match request.attempts.rejection(NO_UPSTREAM_RETRY_MS) {
+        Rejection::NotRun(_) => Rejection::Unreachable,
+        other => other,
+    })
+}
+
 /// Records a complete response and returns it for the caller.
 fn complete(
     request: &ActiveRequest,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -19,7 +19,10 @@
 //! | `stream_version` | versions of streams in the store |
 //! | `turn_store`, `budget` | turns and token budgets in the store |
 //! | `feed` | follows configuration and upstream entries in the store |
-//! | `path` | watches the path to the upstreams |
+//! | `path` | checks the path to the upstreams |
+//! | `relay` | relays requests to other instances while the path is lost |
+//! | `peer_server`, `peer_tls` | accepts relayed requests over mutual TLS |
+//! | `membership` | rows by which the instances find each other |
 //! | `pool` | connection pool for upstreams |
 //! | `state` | state shared by all requests |
 //! | `metric` | counters and latencies |
@@ -38,12 +41,16 @@
 mod feed;
 mod handler;
 mod log_event;
+mod membership;
 mod metric;
 mod operator;
 mod path;
+mod peer_server;
+mod peer_tls;
 mod pool;
 mod prepare;
 mod rate_limit;
+mod relay;
 mod run;
 mod server;
 mod settings;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -77,6 +77,14 @@
     PathLost = "E0761", Warning, "path to upstreams lost";
     /// Upstreams accept connections of this instance again, after `ms`.
     PathRestored = "E0762", Info, "path to upstreams restored";
+    /// A response of another instance was passed on, as this one has no path to the upstreams.
+    RequestRelayed = "E0763", Info, "request relayed";
+    /// Another instance did not handle a request, or its response was interrupted.
+    RelayFailed = "E0764", Info, "relay failed";
+    /// A connection to the address for instances was closed, as no instance was recognized.
+    PeerRejected = "E0765", Warning, "peer rejected";
+    /// A call of the store for the rows of the instances failed.
+    MembershipFailed = "E0766", Warning, "membership call failed";
 }
 
 impl basilramp_process::log::LogEvent for Event {
--- /dev/null
+++ b/crates/ingress/src/membership.rs
@@ -0,0 +1,245 @@
+//! Rows by which the instances find each other. Each instance writes its own and reads the others when
+//! it needs them, so that a fleet of any size costs little.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use basilramp_adapter::store::{Client, Error, Page, PartitionKey, Row, Transaction};
+use basilramp_core::clock::Time;
+use basilramp_core::history::Digest;
+use basilramp_process::event;
+use basilramp_wire::relay;
+use rand::Rng;
+
+use crate::feed;
+use crate::log_event::Event;
+use crate::state::{Backoff, State, StoreCall, lock};
+
+/// Table of the instances; the row key is the instance's id.
+const TABLE: &str = "instance";
+
+const PARTITION: PartitionKey<'static> = PartitionKey {
+    table: TABLE,
+    partition: "",
+};
+
+/// Time limit for a call of the store, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+
+/// Mean time between two writes of an instance's own row, in milliseconds.
+const RENEWAL_MS: u64 = 5 * 60_000;
+
+/// Age of a row from which on its instance is taken to be gone, in milliseconds: several renewals.
+const ROW_LIFETIME_MS: u64 = 4 * RENEWAL_MS;
+
+/// Time after the start within which an instance reads the rows of the others first, in
+/// milliseconds. Many instances may start at the same time.
+const FIRST_READ_MS: u64 = 10_000;
+
+/// Minimum time between two reads, in milliseconds.
+const MIN_READ_INTERVAL_MS: u64 = 500;
+
+/// Time for which the withdrawal of the own row may delay a shutdown.
+const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The other instances, as read from the store.
+#[derive(Debug, Default)]
+pub(crate) struct Membership {
+    members: Mutex<BTreeMap<Arc<str>, Member>>,
+    /// When the rows were read.
+    read: tokio::sync::Mutex<Option<Time>>,
+}
+
+/// Another instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Member {
+    /// Address for other instances.
+    pub(crate) address: SocketAddr,
+    /// Failure domain.
+    pub(crate) failure_domain: Arc<str>,
+    /// Fingerprint of its certificate.
+    pub(crate) certificate: Digest,
+}
+
+impl Membership {
+    /// Returns an instance.
+    pub(crate) fn get(&self, id: &str) -> Option<Member> {
+        lock(&self.members).get(id).cloned()
+    }
+
+    /// Returns the id of the instance with a certificate.
+    pub(crate) fn find_by_certificate(&self, certificate: Digest) -> Option<Arc<str>> {
+        let members = lock(&self.members);
+        let mut members = members.iter();
+        let found = members.find(|(_, member)| member.certificate == certificate);
+        found.map(|(id, _)| Arc::clone(id))
+    }
+}
+
+/// Writes the row of this instance from time to time. Never returns.
+pub(crate) async fn announce(state: Arc<State>) {
+    let Some(address) = state.peer_address() else {
+        return std::future::pending().await;
+    };
+    let mut backoff = Backoff::default();
+    let mut interval_ms = FIRST_READ_MS;
+    loop {
+        if state.is_stopping() {
+            return std::future::pending().await;
+        }
+        if let Err(error) = write_own_row(&state, address).await {
+            log_failure(&state, "announce", &error);
+            backoff.wait().await;
+            continue;
+        }
+        backoff = Backoff::default();
+        let ms = rand::rng().random_range(interval_ms / 2..=interval_ms + interval_ms / 2);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+        interval_ms = RENEWAL_MS;
+        refresh(&state).await;
+    }
+}
+
+/// Removes the row of this instance, so that no further requests are relayed to it.
+pub(crate) async fn withdraw(state: &State) {
+    if state.peer_address().is_none() {
+        return;
+    }
+    let change = Transaction::default().remove(PARTITION, &state.settings.instance);
+    let removal = commit(state, &change);
+    if let Ok(Err(error)) = tokio::time::timeout(WITHDRAWAL_TIMEOUT, removal).await {
+        log_failure(state, "withdraw", &error);
+    }
+}
+
+/// Reads the rows of the other instances, unless they were read just before.
+pub(crate) async fn refresh(state: &State) {
+    let mut read_at = state.membership.read.lock().await;
+    let now = state.now();
+    if read_at.is_some_and(|at| now.since(at) < MIN_READ_INTERVAL_MS) {
+        return;
+    }
+    *read_at = Some(now);
+    match read_rows(state).await {
+        Ok(rows) => apply_rows(state, &rows).await,
+        Err(error) => log_failure(state, "read", &error),
+    }
+}
+
+/// Returns the id of the instance with a certificate. Rows that are not known yet are read.
+pub(crate) async fn find_by_certificate(state: &State, certificate: Digest) -> Option<Arc<str>> {
+    for _ in 0..2 {
+        let found = state.membership.find_by_certificate(certificate);
+        if found.is_some() {
+            return found;
+        }
+        refresh(state).await;
+        let found = state.membership.find_by_certificate(certificate);
+        if found.is_some() {
+            return found;
+        }
+        tokio::time::sleep(Duration::from_millis(MIN_READ_INTERVAL_MS)).await;
+    }
+    None
+}
+
+async fn write_own_row(state: &State, address: SocketAddr) -> Result<u64, Error> {
+    let row = relay::Instance {
+        address,
+        failure_domain: state.settings.failure_domain.as_str().into(),
+        certificate: state.identity.fingerprint().to_string(),
+        renewed_ms: state.store.now_ms().unwrap_or_default(),
+    };
+    let value = serde_json::to_vec(&row).map_err(|error| Error::Malformed(error.to_string()))?;
+    let change = Transaction::default().write(PARTITION, &state.settings.instance, &value);
+    commit(state, &change).await
+}
+
+async fn read_rows(state: &State) -> Result<Vec<Row>, Error> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let from = rows.last().map(|row| format!("{}\u{1}", row.key));
+        let deadline = state.now().after(2 * CALL_TIMEOUT_MS);
+        let call = async |store: &Client, limit_ms| {
+            store
+                .read_range(PARTITION, from.as_deref(), None, limit_ms)
+                .await
+        };
+        let page: Page = state.call(StoreCall::Read, TABLE, deadline, call).await?;
+        let is_last = !page.has_more || page.rows.is_empty();
+        rows.extend(page.rows);
+        if is_last {
+            return Ok(rows);
+        }
+    }
+}
+
+async fn apply_rows(state: &State, rows: &[Row]) {
+    let now_ms = state.store.now_ms().unwrap_or_default();
+    let mut members = BTreeMap::new();
+    let mut removal = Transaction::default();
+    let mut has_stale_rows = false;
+    for row in rows
+        .iter()
+        .filter(|row| *row.key != *state.settings.instance)
+    {
+        match parse(row) {
+            Ok((member, renewed_ms)) if now_ms < renewed_ms.saturating_add(ROW_LIFETIME_MS) => {
+                members.insert(Arc::clone(&row.key), member);
+            }
+            Ok(_) if !has_stale_rows => {
+                // One at a time: others may remove it at the same time.
+                has_stale_rows = true;
+                removal = removal
+                    .require_version(PARTITION, &row.key, row.version)
+                    .remove(PARTITION, &row.key);
+            }
+            Ok(_) => {}
+            Err(error) => feed::log_unreadable(state, TABLE, row, &error),
+        }
+    }
+    let relays = members.iter();
+    let relays = relays.map(|(id, member)| (Arc::clone(id), Arc::clone(&member.failure_domain)));
+    state.relays().replace_all(relays);
+    *lock(&state.membership.members) = members;
+    if has_stale_rows
+        && let Err(error) = commit(state, &removal).await
+        && !matches!(error, Error::Conflict(_))
+    {
+        log_failure(state, "remove", &error);
+    }
+}
+
+fn parse(row: &Row) -> Result<(Member, u64), String> {
+    let value = row.value.as_deref().unwrap_or_default();
+    let instance: relay::Instance =
+        serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    let certificate = Digest::from_str(&instance.certificate).map_err(|error| error.to_string())?;
+    let member = Member {
+        address: instance.address,
+        failure_domain: instance.failure_domain,
+        certificate,
+    };
+    Ok((member, instance.renewed_ms))
+}
+
+async fn commit(state: &State, change: &Transaction) -> Result<u64, Error> {
+    let deadline = state.now().after(2 * CALL_TIMEOUT_MS);
+    let call = async |store: &Client, limit_ms| store.commit(change, limit_ms).await;
+    // The partition has the name of the watched tables' one, whose health is another matter.
+    state.call(StoreCall::Write, TABLE, deadline, call).await
+}
+
+fn log_failure(state: &State, step: &'static str, error: &Error) {
+    if state.allows_log_line(Event::MembershipFailed) {
+        event!(
+            state.log,
+            Event::MembershipFailed,
+            "step" => step,
+            "error" => format!("{error:?}")
+        );
+    }
+}
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use basilramp_core::dispatch::attempt::Failure;
+use basilramp_core::dispatch::relay;
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_process::metric::Exporter;
 use eyre::Result;
@@ -19,6 +20,8 @@
     Answered,
     /// This system rejected the request.
     Rejected(Rejection),
+    /// The response of another instance was passed on.
+    Relayed,
     /// The response was aborted before its end.
     Broken,
     /// The caller disconnected.
@@ -35,9 +38,11 @@
             Self::Rejected(Rejection::TooLong) => "too_long",
             Self::Rejected(Rejection::BudgetSpent) => "budget_spent",
             Self::Rejected(Rejection::NotRun(_)) => "not_run",
+            Self::Rejected(Rejection::Unreachable) => "unreachable",
             Self::Rejected(Rejection::Unknown) => "unknown",
             Self::Rejected(Rejection::Quarantined) => "quarantined",
             Self::Rejected(Rejection::TimedOut) => "timed_out",
+            Self::Relayed => "relayed",
             Self::Broken => "broken",
             Self::CallerLeft => "caller_left",
         }
@@ -108,6 +113,8 @@
     limited_attempts: Counter<u64>,
     permits: Counter<u64>,
     interruptions: Counter<u64>,
+    path_losses: Counter<u64>,
+    relays: Counter<u64>,
     request_time: Histogram<u64>,
     first_event_time: Histogram<u64>,
     placement_error: Histogram<u64>,
@@ -141,6 +148,14 @@
                 "basilramp.upstreams.interrupted",
                 "Upstreams whose connections ended under requests, by what was found out",
             ),
+            path_losses: exporter.counter(
+                "basilramp.path.lost",
+                "How often no upstream was reached any more",
+            ),
+            relays: exporter.counter(
+                "basilramp.relays",
+                "Requests relayed to other instances, by outcome",
+            ),
             request_time: exporter
                 .latency_histogram("basilramp.request.time", "Answered requests, whole"),
             first_event_time: exporter.latency_histogram(
@@ -223,6 +238,22 @@
             .add(1, &[KeyValue::new("finding", finding.label())]);
     }
 
+    /// Counts that no upstream was reached any more.
+    pub(crate) fn path_lost(&self) {
+        self.path_losses.add(1, &[]);
+    }
+
+    /// Counts a request that was relayed to another instance.
+    pub(crate) fn relay(&self, outcome: relay::Outcome) {
+        let label = match outcome {
+            relay::Outcome::Handled => "handled",
+            relay::Outcome::Declined => "declined",
+            relay::Outcome::Failed => "failed",
+            relay::Outcome::Abandoned => "abandoned",
+        };
+        self.relays.add(1, &[KeyValue::new("outcome", label)]);
+    }
+
     /// Exports the number of suspects.
     pub(crate) fn observe_suspects(&self, count: impl Fn() -> u64 + Send + Sync + 'static) {
         let gauge = self
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -29,6 +29,15 @@
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
+/// Opens a connection to an upstream within `limit_ms` milliseconds.
+///
+/// # Errors
+///
+/// Fails if the upstream does not accept a connection in time.
+pub(crate) async fn connect(address: SocketAddr, limit_ms: u64) -> io::Result<Sender> {
+    connection::connect(address, limit_ms.min(CONNECT_TIMEOUT_MS)).await
+}
+
 /// Idle connections by upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -43,25 +52,6 @@
 }
 
 impl Pool {
-    /// Returns an idle connection or opens a new one.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the upstream does not accept a connection in time.
-    pub(crate) async fn acquire(
-        &self,
-        key: UpstreamKey,
-        address: SocketAddr,
-        is_idempotent: bool,
-        limit_ms: u64,
-        now: Time,
-    ) -> io::Result<Sender> {
-        if let Some(sender) = self.take_idle(key, is_idempotent, now) {
-            return Ok(sender);
-        }
-        connection::connect(address, limit_ms.min(CONNECT_TIMEOUT_MS)).await
-    }
-
     /// Stores a connection for reuse after a complete response, unless the upstream closes it.
     pub(crate) fn release(
         &self,
@@ -89,6 +79,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn clear(&self) {
+        lock(&self.idle).clear();
+    }
+
     /// Closes connections that have been idle too long, and all connections of upstreams that are
     /// no longer known.
     pub(crate) fn expire(&self, is_known: impl Fn(UpstreamKey) -> bool, now: Time) {
@@ -100,7 +95,13 @@
         });
     }
 
-    fn take_idle(&self, key: UpstreamKey, is_idempotent: bool, now: Time) -> Option<Sender> {
+    /// Returns an idle connection to an upstream.
+    pub(crate) fn take_idle(
+        &self,
+        key: UpstreamKey,
+        is_idempotent: bool,
+        now: Time,
+    ) -> Option<Sender> {
         let mut idle = lock(&self.idle);
         let connections = idle.get_mut(&key)?;
         while let Some(idle) = connections.pop() {
--- /dev/null
+++ b/crates/ingress/src/relay.rs
@@ -0,0 +1,404 @@
+//! Relays requests to another instance while this one has no path to the upstreams.
+//!
+//! The other instance handles a request like one of its own caller's: it loads, places and records it.
+//! This instance passes the response on.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use basilramp_adapter::connection::{self, Sender};
+use basilramp_adapter::{caller, header, upstream};
+use basilramp_core::dispatch::attempt::Failure;
+use basilramp_core::dispatch::relay::Outcome;
+use basilramp_core::dispatch::request::Rejection;
+use basilramp_process::event;
+use basilramp_wire::relay::{self, Decline};
+use bytes::Bytes;
+use futures_util::stream;
+use http::{Request, Response};
+use http_body::Frame;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::active_request::ActiveRequest;
+use crate::handler::{Body, ResponseAborted};
+use crate::log_event::Event;
+use crate::membership::{self, Member};
+use crate::metric;
+use crate::peer_tls;
+use crate::state::{State, lock};
+
+/// Maximum number of instances that are tried for a request.
+const MAX_INSTANCES: usize = 5;
+
+/// Time limit for a connection to another instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for which the end of a response is waited for beyond the caller's deadline, in milliseconds:
+/// the other instance ends it at the deadline.
+const DEADLINE_MARGIN_MS: u64 = 100;
+
+/// Minimum time for a response before a request that may be repeated goes to another instance, in
+/// milliseconds.
+const MIN_RESPONSE_TIMEOUT_MS: u64 = 1_000;
+
+/// Idle time after which a connection to another instance is discarded.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Maximum number of idle connections to an instance.
+const MAX_IDLE_PER_INSTANCE: usize = 8;
+
+/// Retry delay sent to a caller if no other instance has a path either, in milliseconds.
+const NO_INSTANCE_RETRY_MS: u64 = 500;
+
+/// Idle connections to other instances.
+#[derive(Debug, Default)]
+pub(crate) struct Connections(Mutex<BTreeMap<Arc<str>, Vec<IdleConnection>>>);
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: Sender,
+    /// Whom the connection was opened to; an instance may start again at another address.
+    member: Member,
+    since: Instant,
+}
+
+impl Connections {
+    fn take(&self, id: &str, member: &Member) -> Option<Sender> {
+        let mut idle = lock(&self.0);
+        let connections = idle.get_mut(id)?;
+        while let Some(idle) = connections.pop() {
+            let is_usable = idle.since.elapsed() < IDLE_TIMEOUT && !idle.sender.is_closed();
+            if is_usable && idle.member == *member {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+
+    fn release(&self, id: &Arc<str>, member: Member, sender: Sender) {
+        let mut idle = lock(&self.0);
+        idle.retain(|_, connections| {
+            connections.retain(|idle| idle.since.elapsed() < IDLE_TIMEOUT);
+            !connections.is_empty()
+        });
+        let connections = idle.entry(Arc::clone(id)).or_default();
+        if connections.len() < MAX_IDLE_PER_INSTANCE && !sender.is_closed() {
+            connections.push(IdleConnection {
+                sender,
+                member,
+                since: Instant::now(),
+            });
+        }
+    }
+}
+
+/// Returns why this instance declines relayed requests at present.
+pub(crate) fn decline_reason(state: &State) -> Option<Decline> {
+    if state.is_stopping() {
+        Some(Decline::Stopping)
+    } else if state.path().is_lost() {
+        Some(Decline::NoPath)
+    } else if state.table().is_none() || state.is_store_down() {
+        Some(Decline::NotReady)
+    } else {
+        None
+    }
+}
+
+/// A request at another instance; dropping it ends it.
+struct RelayGuard {
+    state: Arc<State>,
+    instance: Arc<str>,
+    outcome: Outcome,
+}
+
+impl RelayGuard {
+    fn start(state: &Arc<State>, instance: &Arc<str>) -> Self {
+        state.relays().start(instance);
+        Self {
+            state: Arc::clone(state),
+            instance: Arc::clone(instance),
+            outcome: Outcome::Abandoned,
+        }
+    }
+}
+
+impl Drop for RelayGuard {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        self.state.relays().end(&self.instance, self.outcome, now);
+        self.state.metrics.relay(self.outcome);
+    }
+}
+
+/// Relays a request and returns the response of the instance that handles it.
+///
+/// # Errors
+///
+/// Returns a rejection if no other instance handles the request, or its response was interrupted.
+pub(crate) async fn forward(mut request: ActiveRequest) -> Result<Response<Body>, Rejection> {
+    let state = Arc::clone(&request.state);
+    let mut tried: Vec<Arc<str>> = Vec::new();
+    if state.relays().is_empty() {
+        membership::refresh(&state).await;
+    }
+    while tried.len() < MAX_INSTANCES && request.remaining_ms() > 0 {
+        let domain = &state.settings.failure_domain;
+        let now = state.now();
+        let selected = state.relays().select(domain, &tried, rand::random(), now);
+        let Some(instance) = selected else {
+            break;
+        };
+        tried.push(Arc::clone(&instance));
+        let mut guard = RelayGuard::start(&state, &instance);
+        let error = match exchange(&request, &instance).await {
+            Ok((response, _)) if relay::is_declined(response.headers()) => {
+                guard.outcome = Outcome::Declined;
+                RelayError::NotSent("declined".into())
+            }
+            Ok((response, _))
+                if relay::is_unserved(response.headers()) && request.kind.is_idempotent() =>
+            {
+                guard.outcome = Outcome::Handled;
+                RelayError::Broken("no upstream responded there".into())
+            }
+            // It did not run there, but may have run before.
+            Ok((response, _))
+                if request.attempts.possibly_ran > 0
+                    && caller::promises_not_run(response.status()) =>
+            {
+                guard.outcome = Outcome::Handled;
+                request.mark_logged();
+                return Err(Rejection::Unknown);
+            }
+            Ok((response, connection)) => {
+                guard.outcome = Outcome::Handled;
+                return Ok(pass_on(request, response, connection, guard));
+            }
+            Err(error) => {
+                guard.outcome = Outcome::Failed;
+                error
+            }
+        };
+        log_failure(&request, &instance, &error);
+        match error {
+            RelayError::NotSent(_) => {}
+            RelayError::Broken(_) | RelayError::Late => {
+                request.attempts.possibly_ran += hop_attempts(&request);
+                let is_over = request.attempts.possibly_ran >= request.max_attempts;
+                if is_over || !request.kind.is_idempotent() {
+                    request.mark_logged();
+                    let is_late = request.remaining_ms() == 0;
+                    return Err(if is_late {
+                        Rejection::TimedOut
+                    } else {
+                        Rejection::Unknown
+                    });
+                }
+            }
+        }
+    }
+    // Addresses and certificates may have changed.
+    tokio::spawn(async move { membership::refresh(&state).await });
+    request.mark_logged();
+    Err(request.attempts.rejection(NO_INSTANCE_RETRY_MS))
+}
+
+/// Why there is no response of another instance.
+#[derive(Debug)]
+enum RelayError {
+    /// Nothing was handled there.
+    NotSent(String),
+    /// The connection failed after a part of the request was sent.
+    Broken(String),
+    /// No response arrived in time.
+    Late,
+}
+
+/// A connection in use, with what its reuse needs.
+struct Connection {
+    sender: Sender,
+    member: Member,
+}
+
+async fn exchange(
+    request: &ActiveRequest,
+    instance: &Arc<str>,
+) -> Result<(Response<Incoming>, Connection), RelayError> {
+    let state = &request.state;
+    let unknown = || RelayError::NotSent("the instance is gone".into());
+    let member = state.membership.get(instance).ok_or_else(unknown)?;
+    let idle = state.connections.take(instance, &member);
+    let mut sender = match idle {
+        Some(sender) => sender,
+        None => tokio::time::timeout(CONNECT_TIMEOUT, connect(state, &member))
+            .await
+            .map_err(|_| RelayError::NotSent("timed out".into()))?
+            .map_err(|error| RelayError::NotSent(format!("{error:#}")))?,
+    };
+    let ready = sender.ready().await;
+    ready.map_err(|error| RelayError::NotSent(error.to_string()))?;
+    let limit = Duration::from_millis(response_timeout_ms(request));
+    let response = sender.try_send_request(build_request(request));
+    match tokio::time::timeout(limit, response).await {
+        Ok(Ok(response)) => Ok((response, Connection { sender, member })),
+        Ok(Err(mut error)) => {
+            let is_unsent = error.take_message().is_some();
+            let text = error.into_error().to_string();
+            Err(if is_unsent {
+                RelayError::NotSent(text)
+            } else {
+                RelayError::Broken(text)
+            })
+        }
+        Err(_) => Err(RelayError::Late),
+    }
+}
+
+async fn connect(state: &State, member: &Member) -> eyre::Result<Sender> {
+    let stream = TcpStream::connect(member.address).await?;
+    connection::set_socket_options(&stream)?;
+    let connector = state.identity.connector(member.certificate)?;
+    let stream = connector.connect(peer_tls::server_name()?, stream).await?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    // Connection errors are also returned to the pending request, so they are ignored here.
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Returns the number of upstreams that the next instance may send a request to. If the request may be
+/// repeated, one is left for another instance.
+fn hop_attempts(request: &ActiveRequest) -> u32 {
+    let possibly_ran = request.attempts.possibly_ran;
+    let remaining = request.max_attempts.saturating_sub(possibly_ran);
+    let kept = u32::from(request.may_abandon_attempt());
+    remaining.saturating_sub(kept).max(1)
+}
+
+/// Returns how long the next instance may take until its response begins.
+fn response_timeout_ms(request: &ActiveRequest) -> u64 {
+    let remaining_ms = request.remaining_ms();
+    if request.may_abandon_attempt() {
+        remaining_ms.min(MIN_RESPONSE_TIMEOUT_MS.max(remaining_ms / 2))
+    } else {
+        remaining_ms + DEADLINE_MARGIN_MS
+    }
+}
+
+fn build_request(request: &ActiveRequest) -> Request<Full<Bytes>> {
+    let body = request.identity.body().clone();
+    let remaining_ms = request.remaining_ms();
+    let mut relayed = upstream::build_relayed_request(&request.parts, body, remaining_ms);
+    let headers = relay::Request {
+        caller: request.identity.caller(),
+        attempts: hop_attempts(request),
+    };
+    headers.insert_into(relayed.headers_mut());
+    relayed
+}
+
+/// A response that is passed on.
+struct Passage {
+    request: ActiveRequest,
+    body: Incoming,
+    connection: Connection,
+    guard: RelayGuard,
+    status: u16,
+}
+
+fn pass_on(
+    mut request: ActiveRequest,
+    response: Response<Incoming>,
+    connection: Connection,
+    guard: RelayGuard,
+) -> Response<Body> {
+    request.release_body();
+    let (mut head, body) = response.into_parts();
+    header::remove_hop_by_hop(&mut head.headers);
+    relay::remove_headers(&mut head.headers);
+    let passage = Passage {
+        request,
+        body,
+        connection,
+        guard,
+        status: head.status.as_u16(),
+    };
+    let frames = stream::unfold(Some(passage), |passage| async move {
+        let mut passage = passage?;
+        match passage.next_frame().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(passage))),
+            Ok(None) => {
+                passage.finish();
+                None
+            }
+            Err(error) => {
+                passage.abort(&error);
+                // The connection is closed at once for the error. Before that, it writes what it has.
+                tokio::task::yield_now().await;
+                Some((Err(ResponseAborted), None))
+            }
+        }
+    });
+    Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
+}
+
+impl Passage {
+    async fn next_frame(&mut self) -> Result<Option<Bytes>, RelayError> {
+        loop {
+            let limit_ms = self.request.remaining_ms() + DEADLINE_MARGIN_MS;
+            let limit = Duration::from_millis(limit_ms);
+            let frame = tokio::time::timeout(limit, self.body.frame()).await;
+            match frame.map_err(|_| RelayError::Late)? {
+                None => return Ok(None),
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Ok(Some(bytes));
+                    }
+                }
+                Some(Err(error)) => return Err(RelayError::Broken(error.to_string())),
+            }
+        }
+    }
+
+    fn finish(self) {
+        let request = &self.request;
+        request.record_relayed(&self.guard.instance, self.status);
+        let Connection { sender, member } = self.connection;
+        let connections = &request.state.connections;
+        connections.release(&self.guard.instance, member, sender);
+    }
+
+    fn abort(&mut self, error: &RelayError) {
+        self.guard.outcome = Outcome::Failed;
+        log_failure(&self.request, &self.guard.instance, error);
+        self.request.mark_logged();
+        let ms = self.request.elapsed_ms();
+        let metrics = &self.request.state.metrics;
+        metrics.request(&self.request.service, metric::Outcome::Broken, ms);
+    }
+}
+
+fn log_failure(request: &ActiveRequest, instance: &Arc<str>, error: &RelayError) {
+    let (failure, text) = match error {
+        RelayError::NotSent(text) => (Failure::NotSent, &**text),
+        RelayError::Broken(text) => (Failure::Unknown, &**text),
+        RelayError::Late => (Failure::Unknown, "no answer in time"),
+    };
+    if request.state.allows_log_line(Event::RelayFailed) {
+        event!(
+            request.state.log,
+            Event::RelayFailed,
+            "request" => &*request.attempt_id,
+            "by" => instance.to_string(),
+            "ran" => if failure.did_not_run() { "no" } else { "unknown" },
+            "error" => text.to_owned()
+        );
+    }
+}
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -14,7 +14,7 @@
 use crate::server::{self, Audience, OpenConnections};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{feed, suspect};
+use crate::{feed, membership, peer_server, suspect};
 
 /// Minimum time from a stop signal to the exit. The platform's load balancer needs two probes, one
 /// second apart, to send new connections elsewhere. Requests that arrive after this time are
@@ -48,20 +48,33 @@
     let callers = server::bind(settings.callers)?;
     let ready = server::bind(settings.ready)?;
     let metrics = server::bind(settings.metrics)?;
+    let peers = settings.peers.map(server::bind).transpose()?;
     let stop_ms = settings.stop_ms;
     event!(
         log,
         Event::Listening,
         "callers" => callers.local_addr()?.to_string(),
         "metrics" => metrics.local_addr()?.to_string(),
+        "peers" => peers.as_ref().and_then(|peers| Some(peers.local_addr().ok()?.to_string())),
         "ready" => ready.local_addr()?.to_string(),
         "store" => settings.store.to_string()
     );
-    let state = State::open(settings, log, Metrics::open()?);
+    let state = State::open(settings, log, Metrics::open()?)?;
     let observed = Arc::clone(&state);
     let count_suspects = move || observed.suspects.table().len() as u64;
     state.metrics.observe_suspects(count_suspects);
     let connections = OpenConnections::default();
+    let relayed_requests = OpenConnections::default();
+    if let Some(peers) = peers {
+        state.set_peer_address(peers.local_addr()?);
+        tokio::spawn(peer_server::serve(
+            Arc::clone(&state),
+            peers,
+            state.identity.acceptor()?,
+            relayed_requests.clone(),
+        ));
+        tokio::spawn(supervise(&state, "membership", membership::announce));
+    }
     let (stop, stopping) = watch::channel(false);
     tokio::spawn(supervise(&state, "configuration feed", feed::follow_config));
     tokio::spawn(supervise(&state, "upstream feed", feed::follow_fleet));
@@ -89,7 +102,8 @@
     state.stop();
     // The listener task holds a receiver and outlives this send.
     let _ = stop.send(true);
-    wait_until_drained(&connections, stop_ms).await;
+    membership::withdraw(&state).await;
+    wait_until_drained(&connections, &relayed_requests, stop_ms).await;
     event!(state.log, Event::Stopped, "connections" => connections.count());
     Ok(())
 }
@@ -123,13 +137,17 @@
 }
 
 /// Waits until every caller has its response and the load balancer has noticed the shutdown.
-async fn wait_until_drained(connections: &OpenConnections, stop_ms: u64) {
+async fn wait_until_drained(
+    connections: &OpenConnections,
+    relayed_requests: &OpenConnections,
+    stop_ms: u64,
+) {
+    let is_drained = || connections.count() + relayed_requests.count() == 0;
     let started = tokio::time::Instant::now();
     let min_wait = Duration::from_millis(MIN_SHUTDOWN_MS.min(stop_ms / 2));
     // The last twelfth is left for the exit of the process.
     let max_wait = Duration::from_millis(stop_ms - stop_ms / 12);
-    while started.elapsed() < max_wait && (started.elapsed() < min_wait || connections.count() > 0)
-    {
+    while started.elapsed() < max_wait && (started.elapsed() < min_wait || !is_drained()) {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::handler::Origin;
 use crate::log_event::Event;
 use crate::state::State;
 use crate::{handler, operator};
@@ -32,7 +33,7 @@
 const BACKLOG: u32 = 1_024;
 
 /// Delay after a failed accept, which is usually due to a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Share of the file descriptors for callers' connections, in percent. The others are for probes,
 /// the store and upstreams, which must not wait for idle callers to leave.
@@ -59,13 +60,16 @@
         self.0.load(Ordering::Relaxed)
     }
 
-    fn track(&self) -> ConnectionGuard {
+    /// Counts a connection or request until the guard is dropped.
+    pub(crate) fn track(&self) -> ConnectionGuard {
         self.0.fetch_add(1, Ordering::Relaxed);
         ConnectionGuard(self.clone())
     }
 }
 
-struct ConnectionGuard(OpenConnections);
+/// Ends a count when dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionGuard(OpenConnections);
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
@@ -139,7 +143,7 @@
     let is_stopping = *stopping.borrow();
     let service = service_fn(move |request: Request<Incoming>| {
         let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(handler::handle(state, caller, request).await) }
+        async move { Ok::<_, Infallible>(handler::handle(state, Origin::Caller(caller), request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -17,6 +17,8 @@
     pub ready: SocketAddr,
     /// Address for metrics.
     pub metrics: SocketAddr,
+    /// Address for other instances. Without one, requests are not relayed between instances.
+    pub peers: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Memory limit of the process, in MB.
@@ -47,6 +49,7 @@
     let callers = ingress.required("callers", value::address);
     let ready = ingress.required("ready", value::address);
     let metrics = ingress.required("metrics", value::address);
+    let peers = ingress.optional("peers", value::address);
     let store = ingress.required("store", value::remote_address);
     let memory_mb = ingress.required("memory_mb", value::count);
     let stop_ms = ingress.required("stop_s", value::seconds_as_ms);
@@ -61,6 +64,7 @@
         callers: callers?,
         ready: ready?,
         metrics: metrics?,
+        peers,
         store: store?,
         memory_mb: memory_mb?,
         stop_ms: stop_ms?,
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -1,7 +1,8 @@
 //! State shared by all requests of an instance.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
 use basilramp_adapter::store;
@@ -12,12 +13,14 @@
     self, CallLatency, StoreHealth, Transition, Unavailable, Wait,
 };
 use basilramp_core::dispatch::path::Path;
+use basilramp_core::dispatch::relay::Relays;
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_core::dispatch::route::RouteTable;
 use basilramp_process::clock::Clock;
 use basilramp_process::event;
 use basilramp_process::log::Handle;
 use basilramp_process::log_rate::LogRateLimiter;
+use eyre::Result;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,8 +28,12 @@
 use crate::buffer::Memory;
 use crate::crash::Probes;
 use crate::log_event::Event;
+use crate::membership::Membership;
 use crate::metric::Metrics;
+use crate::path::Checks;
+use crate::peer_tls::Identity;
 use crate::pool::Pool;
+use crate::relay::Connections;
 use crate::run::MIN_SHUTDOWN_MS;
 use crate::settings::Settings;
 use crate::stream_version::StreamVersions;
@@ -50,6 +57,16 @@
     pub(crate) memory: Arc<Memory>,
     fleet: Mutex<Fleet>,
     path: Mutex<Path>,
+    pub(crate) checks: Checks,
+    /// Time of the latest sign of any upstream, in milliseconds.
+    sign_at: AtomicU64,
+    /// Certificate for connections between instances.
+    pub(crate) identity: Identity,
+    /// Address at which other instances reach this one.
+    peer_address: OnceLock<SocketAddr>,
+    pub(crate) membership: Membership,
+    relays: Mutex<Relays>,
+    pub(crate) connections: Connections,
     admission: Mutex<AdmissionControl>,
     read_latency: Mutex<CallLatency>,
     write_latency: Mutex<CallLatency>,
@@ -67,12 +84,16 @@
 
 impl State {
     /// Creates the initial state, without configuration and upstreams.
-    pub(crate) fn open(settings: Settings, log: Handle, metrics: Metrics) -> Arc<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the certificate of this instance can't be created.
+    pub(crate) fn open(settings: Settings, log: Handle, metrics: Metrics) -> Result<Arc<Self>> {
         let memory_bytes = settings.memory_mb * 1_024 * 1_024;
         let cache_bytes = memory_bytes / CACHE_MEMORY_DIVISOR;
         let memory = Memory::new(memory_bytes / BUFFER_MEMORY_DIVISOR);
         metrics.observe_buffers(Arc::clone(&memory));
-        Arc::new(Self {
+        Ok(Arc::new(Self {
             clock: Clock::start(),
             log,
             store: store::Client::open(settings.store),
@@ -85,6 +106,13 @@
             memory,
             fleet: Mutex::default(),
             path: Mutex::default(),
+            checks: Checks::default(),
+            sign_at: AtomicU64::new(0),
+            identity: Identity::generate()?,
+            peer_address: OnceLock::new(),
+            membership: Membership::default(),
+            relays: Mutex::default(),
+            connections: Connections::default(),
             admission: Mutex::default(),
             read_latency: Mutex::default(),
             write_latency: Mutex::default(),
@@ -96,7 +124,7 @@
             health: Mutex::default(),
             store_suspected: Notify::new(),
             settings,
-        })
+        }))
     }
 
     /// Returns the current time.
@@ -129,6 +157,33 @@
         lock(&self.path)
     }
 
+    /// Records a sign of an upstream, such as a part of a response.
+    pub(crate) fn record_sign(&self) {
+        self.sign_at.store(self.now().as_ms(), Ordering::Relaxed);
+    }
+
+    /// Returns the milliseconds since the latest sign of any upstream.
+    pub(crate) fn quiet_ms(&self) -> u64 {
+        let sign_at = Time::from_ms(self.sign_at.load(Ordering::Relaxed));
+        self.now().since(sign_at)
+    }
+
+    /// Locks the instances that may handle requests of this one.
+    pub(crate) fn relays(&self) -> MutexGuard<'_, Relays> {
+        lock(&self.relays)
+    }
+
+    /// Sets the address at which other instances reach this one.
+    pub(crate) fn set_peer_address(&self, address: SocketAddr) {
+        // It is set once, when the listener is bound.
+        let _ = self.peer_address.set(address);
+    }
+
+    /// Returns the address at which other instances reach this one, if there is one.
+    pub(crate) fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer_address.get().copied()
+    }
+
     /// Locks the admission control.
     pub(crate) fn admission(&self) -> MutexGuard<'_, AdmissionControl> {
         lock(&self.admission)
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -23,6 +23,7 @@
 use crate::handler::{Body, ResponseAborted};
 use crate::log_event::Event;
 use crate::metric;
+use crate::path::{self, WaitError};
 use crate::{crash, suspect, turn_store};
 
 /// Minimum gap between events after which a resumable stream continues at another upstream.
@@ -85,6 +86,8 @@
     OutOfMemory,
     /// No event arrived before the caller's deadline.
     Late,
+    /// The path to all upstreams was lost.
+    PathLost,
     /// There is no upstream any more.
     NoUpstream,
 }
@@ -97,6 +100,7 @@
             Self::EventTooLong => "an event is too long",
             Self::OutOfMemory => "no memory is left for the event",
             Self::Late => "no event in time",
+            Self::PathLost => "path to upstreams lost",
             Self::NoUpstream => "no upstream",
         }
     }
@@ -104,9 +108,11 @@
     const fn failure(self) -> Failure {
         match self {
             Self::BrokenOff | Self::EndedWithinEvent => Failure::Interrupted,
-            Self::EventTooLong | Self::OutOfMemory | Self::Late | Self::NoUpstream => {
-                Failure::Unknown
-            }
+            Self::EventTooLong
+            | Self::OutOfMemory
+            | Self::Late
+            | Self::PathLost
+            | Self::NoUpstream => Failure::Unknown,
         }
     }
 }
@@ -123,9 +129,15 @@
         timeout_ms: u64,
     ) -> Result<Self, Failure> {
         let mut decoder = Decoder::default();
-        let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
+        let limit_ms = timeout_ms.min(request.remaining_ms());
         let read = first_event(&mut response, &mut decoder);
-        let read = tokio::time::timeout(limit, read).await;
+        let read = path::wait(
+            &request.state,
+            limit_ms,
+            request.may_abandon_attempt(),
+            read,
+        )
+        .await;
         let (outcome, error) = match read {
             Ok(Ok(first_event)) => {
                 response.guard.record_response(response.head.status);
@@ -136,7 +148,8 @@
                 });
             }
             Ok(Err(error)) => (AttemptOutcome::Broken, error),
-            Err(_) => (AttemptOutcome::Silent, ReadError::Late),
+            Err(WaitError::Late) => (AttemptOutcome::Silent, ReadError::Late),
+            Err(WaitError::PathLost) => (AttemptOutcome::Abandoned, ReadError::PathLost),
         };
         response.guard.fail(outcome);
         let failure = error.failure();
@@ -218,6 +231,7 @@
         }
         match response.body.frame().await {
             Some(Ok(frame)) => {
+                response.guard.record_sign();
                 if let Some(bytes) = frame.data_ref() {
                     decoder.push(bytes);
                 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod frame;
 pub mod operator;
 pub mod record;
+pub mod relay;
 pub mod sse;
 pub mod table;
--- /dev/null
+++ b/crates/wire/src/relay.rs
@@ -0,0 +1,123 @@
+//! Headers of requests that one instance relays to another, and the row by which instances find each
+//! other.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+use serde::{Deserialize, Serialize};
+
+/// Address of the caller.
+const CALLER: HeaderName = HeaderName::from_static("relay-caller");
+
+/// Number of upstreams that may still run the request.
+const ATTEMPTS: HeaderName = HeaderName::from_static("relay-attempts");
+
+/// Set in a response if the instance did not handle the request; holds the reason.
+const DECLINED: HeaderName = HeaderName::from_static("relay-declined");
+
+/// Set in a response if no upstream responded to the request, which may have run.
+const UNSERVED: HeaderName = HeaderName::from_static("relay-unserved");
+
+/// What a relaying instance adds to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Address of the caller.
+    pub caller: IpAddr,
+    /// Number of upstreams that may still run the request.
+    pub attempts: u32,
+}
+
+/// The headers of a relayed request are missing or invalid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+impl Request {
+    /// Adds the headers to a request.
+    pub fn insert_into(self, headers: &mut HeaderMap) {
+        // The text of an address is a valid header value.
+        if let Ok(caller) = HeaderValue::from_str(&self.caller.to_string()) {
+            headers.insert(CALLER, caller);
+        }
+        headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
+    }
+}
+
+impl TryFrom<&HeaderMap> for Request {
+    type Error = Malformed;
+
+    fn try_from(headers: &HeaderMap) -> Result<Self, Malformed> {
+        let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+        let caller = text(&CALLER).and_then(|text| text.parse().ok());
+        let attempts = text(&ATTEMPTS).and_then(|text| text.parse().ok());
+        Ok(Self {
+            caller: caller.ok_or(Malformed)?,
+            attempts: attempts.ok_or(Malformed)?,
+        })
+    }
+}
+
+/// Why an instance does not handle a relayed request. Nothing of it has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decline {
+    /// The instance has lost its path to the upstreams too.
+    NoPath,
+    /// The instance is stopping.
+    Stopping,
+    /// The instance has no configuration yet, or does not reach the store.
+    NotReady,
+}
+
+impl Decline {
+    /// Returns the text of the reason.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::NoPath => "no path",
+            Self::Stopping => "stopping",
+            Self::NotReady => "not ready",
+        }
+    }
+
+    /// Adds the header to a response.
+    pub fn insert_into(self, headers: &mut HeaderMap) {
+        headers.insert(DECLINED, HeaderValue::from_static(self.label()));
+    }
+}
+
+/// Returns whether the instance that responded did not handle the request.
+#[must_use]
+pub fn is_declined(headers: &HeaderMap) -> bool {
+    headers.contains_key(DECLINED)
+}
+
+/// Marks a response to a request to which no upstream responded.
+pub fn mark_unserved(headers: &mut HeaderMap) {
+    headers.insert(UNSERVED, HeaderValue::from_static("1"));
+}
+
+/// Returns whether no upstream responded to the request, which may have run.
+#[must_use]
+pub fn is_unserved(headers: &HeaderMap) -> bool {
+    headers.contains_key(UNSERVED)
+}
+
+/// Removes the headers of relayed requests and their responses.
+pub fn remove_headers(headers: &mut HeaderMap) {
+    for name in [CALLER, ATTEMPTS, DECLINED, UNSERVED] {
+        headers.remove(name);
+    }
+}
+
+/// Row of an instance, under its id.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Address for other instances.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Fingerprint of its certificate.
+    pub certificate: String,
+    /// Time of the latest write by the store's clock, in milliseconds.
+    pub renewed_ms: u64,
+}
