Continue streams through another instance when the path is lost

What callers saw: streams in progress at the moment of a cut stalled for 1.6 s, tried upstreams that can't be reached, and broke off. Cause: only new requests were relayed. Change: a stream that may be resumed goes on at another instance after its last event, as soon as silence and a check show that the path is lost; the other instance takes tokens and checks the version for the rest itself. A turn whose transcript is kept here is not moved.

--- a/crates/daemon/tests/ingress/lost_path.rs
+++ b/crates/daemon/tests/ingress/lost_path.rs
@@ -529,3 +529,35 @@
     }
     assert_eq!(crashes(), 3);
 }
+
+/// Streams have begun when the path is lost. Those that may be resumed go on through the other
+/// instance, without a missing or repeated event.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_that_have_begun_go_on_through_another_instance() {
+    let slow = Behaviour::Respond {
+        events: 10,
+        interval_ms: 100,
+    };
+    for failure in [Failure::Silence, Failure::Reset] {
+        let site = Site::spawn_with(2, slow).await;
+        let attempts: Vec<_> = (0..6).map(|number| format!("t-{number}")).collect();
+        let turns = attempts.iter().map(|attempt| {
+            let turn = Turn::first("advice", attempt).request();
+            site.instances[0].send(turn)
+        });
+        let cut = async {
+            sleep(Duration::from_millis(450)).await;
+            site.cut(0, failure);
+        };
+        let (replies, ()) = tokio::join!(futures_util::future::join_all(turns), cut);
+        for (attempt, reply) in attempts.iter().zip(replies) {
+            let reply = reply.unwrap();
+            assert_eq!(reply.status, StatusCode::OK, "{failure:?}");
+            assert!(reply.is_complete, "{failure:?}: {}", reply.body);
+            let ids = reply.body.lines();
+            let ids = ids.filter_map(|line| line.strip_prefix("id: ")?.parse::<u32>().ok());
+            assert_eq!(ids.collect::<Vec<_>>(), (1..=10).collect::<Vec<_>>());
+            assert_eq!(site.runs(attempt).len(), 2);
+        }
+    }
+}
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -37,7 +37,7 @@
 /// Records an attempt in the fleet's state; dropping it ends the attempt.
 #[derive(Debug)]
 pub(crate) struct AttemptGuard {
-    state: Arc<State>,
+    pub(crate) state: Arc<State>,
     key: UpstreamKey,
     unread_tokens: u64,
     is_suspect: bool,
@@ -57,11 +57,6 @@
         }
     }
 
-    /// Records a sign of the upstream.
-    pub(crate) fn record_sign(&self) {
-        self.state.record_sign();
-    }
-
     /// Records that the response has started. The latency of a success relative to the expected one
     /// updates the upstream's state. Returns the latency in milliseconds.
     pub(crate) fn record_response(&mut self, status: StatusCode) -> f64 {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -25,6 +25,7 @@
 use tokio::net::TcpStream;
 
 use crate::active_request::ActiveRequest;
+use crate::buffer::Reservation;
 use crate::handler::{Body, ResponseAborted};
 use crate::log_event::Event;
 use crate::membership::{self, Member};
@@ -136,12 +137,81 @@
     }
 }
 
+/// Response of another instance that handles a request.
+struct Answer {
+    response: Response<Incoming>,
+    connection: Connection,
+    guard: RelayGuard,
+}
+
 /// Relays a request and returns the response of the instance that handles it.
 ///
 /// # Errors
 ///
 /// Returns a rejection if no other instance handles the request, or its response was interrupted.
 pub(crate) async fn forward(mut request: ActiveRequest) -> Result<Response<Body>, Rejection> {
+    match send(&mut request, None).await {
+        Ok(answer) => Ok(pass_on(request, answer)),
+        Err(rejection) => {
+            request.mark_logged();
+            Err(rejection)
+        }
+    }
+}
+
+/// The rest of a stream, as another instance passes it on.
+pub(crate) struct Continuation {
+    body: Incoming,
+    connection: Connection,
+    guard: RelayGuard,
+    memory: Reservation,
+}
+
+/// Continues a stream through another instance after the event `last_event`. Returns `None` if no
+/// instance continues it.
+pub(crate) async fn continue_stream(
+    request: &mut ActiveRequest,
+    last_event: u64,
+) -> Option<Continuation> {
+    let answer = send(request, Some(last_event)).await.ok()?;
+    if !answer.response.status().is_success() {
+        return None;
+    }
+    Some(Continuation {
+        body: answer.response.into_body(),
+        connection: answer.connection,
+        guard: answer.guard,
+        memory: request.state.memory.reservation(),
+    })
+}
+
+impl Continuation {
+    /// Returns the id of the instance.
+    pub(crate) const fn instance(&self) -> &Arc<str> {
+        &self.guard.instance
+    }
+
+    /// Records that the stream was interrupted.
+    pub(crate) const fn fail(&mut self) {
+        self.guard.outcome = Outcome::Failed;
+    }
+
+    /// Returns the body, and the memory for its buffered part.
+    pub(crate) const fn body(&mut self) -> (&mut Incoming, &mut Reservation) {
+        (&mut self.body, &mut self.memory)
+    }
+
+    /// Keeps the connection of a completely read stream.
+    pub(crate) fn finish(self) {
+        let Connection { sender, member } = self.connection;
+        let connections = &self.guard.state.connections;
+        connections.release(&self.guard.instance, member, sender);
+    }
+}
+
+/// Sends a request to one instance after the other, until one of them handles it. `last_event` is the
+/// last event that the caller has, if a stream is continued.
+async fn send(request: &mut ActiveRequest, last_event: Option<u64>) -> Result<Answer, Rejection> {
     let state = Arc::clone(&request.state);
     let mut tried: Vec<Arc<str>> = Vec::new();
     if state.relays().is_empty() {
@@ -156,7 +226,7 @@
         };
         tried.push(Arc::clone(&instance));
         let mut guard = RelayGuard::start(&state, &instance);
-        let error = match exchange(&request, &instance).await {
+        let error = match exchange(request, &instance, last_event).await {
             Ok((response, _)) if relay::is_declined(response.headers()) => {
                 guard.outcome = Outcome::Declined;
                 RelayError::NotSent("declined".into())
@@ -173,26 +243,28 @@
                     && caller::promises_not_run(response.status()) =>
             {
                 guard.outcome = Outcome::Handled;
-                request.mark_logged();
                 return Err(Rejection::Unknown);
             }
             Ok((response, connection)) => {
                 guard.outcome = Outcome::Handled;
-                return Ok(pass_on(request, response, connection, guard));
+                return Ok(Answer {
+                    response,
+                    connection,
+                    guard,
+                });
             }
             Err(error) => {
                 guard.outcome = Outcome::Failed;
                 error
             }
         };
-        log_failure(&request, &instance, &error);
+        log_failure(request, &instance, &error);
         match error {
             RelayError::NotSent(_) => {}
             RelayError::Broken(_) | RelayError::Late => {
-                request.attempts.possibly_ran += hop_attempts(&request);
+                request.attempts.possibly_ran += hop_attempts(request);
                 let is_over = request.attempts.possibly_ran >= request.max_attempts;
                 if is_over || !request.kind.is_idempotent() {
-                    request.mark_logged();
                     let is_late = request.remaining_ms() == 0;
                     return Err(if is_late {
                         Rejection::TimedOut
@@ -205,7 +277,6 @@
     }
     // Addresses and certificates may have changed.
     tokio::spawn(async move { membership::refresh(&state).await });
-    request.mark_logged();
     Err(request.attempts.rejection(NO_INSTANCE_RETRY_MS))
 }
 
@@ -229,6 +300,7 @@
 async fn exchange(
     request: &ActiveRequest,
     instance: &Arc<str>,
+    last_event: Option<u64>,
 ) -> Result<(Response<Incoming>, Connection), RelayError> {
     let state = &request.state;
     let unknown = || RelayError::NotSent("the instance is gone".into());
@@ -244,7 +316,7 @@
     let ready = sender.ready().await;
     ready.map_err(|error| RelayError::NotSent(error.to_string()))?;
     let limit = Duration::from_millis(response_timeout_ms(request));
-    let response = sender.try_send_request(build_request(request));
+    let response = sender.try_send_request(build_request(request, last_event));
     match tokio::time::timeout(limit, response).await {
         Ok(Ok(response)) => Ok((response, Connection { sender, member })),
         Ok(Err(mut error)) => {
@@ -292,10 +364,15 @@
     }
 }
 
-fn build_request(request: &ActiveRequest) -> Request<Full<Bytes>> {
+fn build_request(request: &ActiveRequest, last_event: Option<u64>) -> Request<Full<Bytes>> {
     let body = request.identity.body().clone();
     let remaining_ms = request.remaining_ms();
     let mut relayed = upstream::build_relayed_request(&request.parts, body, remaining_ms);
+    if let Some(last_event) = last_event {
+        let begun_by = request.headers.resumed_attempt.as_deref();
+        let begun_by = begun_by.unwrap_or(&request.attempt_id);
+        upstream::resume_stream(relayed.headers_mut(), begun_by, last_event);
+    }
     let headers = relay::Request {
         caller: request.identity.caller(),
         attempts: hop_attempts(request),
@@ -313,21 +390,16 @@
     status: u16,
 }
 
-fn pass_on(
-    mut request: ActiveRequest,
-    response: Response<Incoming>,
-    connection: Connection,
-    guard: RelayGuard,
-) -> Response<Body> {
+fn pass_on(mut request: ActiveRequest, answer: Answer) -> Response<Body> {
     request.release_body();
-    let (mut head, body) = response.into_parts();
+    let (mut head, body) = answer.response.into_parts();
     header::remove_hop_by_hop(&mut head.headers);
     relay::remove_headers(&mut head.headers);
     let passage = Passage {
         request,
         body,
-        connection,
-        guard,
+        connection: answer.connection,
+        guard: answer.guard,
         status: head.status.as_u16(),
     };
     let frames = stream::unfold(Some(passage), |passage| async move {
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -1,6 +1,6 @@
 //! Relays event streams from upstreams to callers.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use basilramp_adapter::header;
 use basilramp_core::clock::Time;
@@ -16,14 +16,18 @@
 use http::{Response, response};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
 
 use crate::active_request::ActiveRequest;
 use crate::attempt::{self, UpstreamResponse};
 use crate::budget::ReservedTokens;
+use crate::buffer::Reservation;
 use crate::handler::{Body, ResponseAborted};
 use crate::log_event::Event;
 use crate::metric;
 use crate::path::{self, WaitError};
+use crate::relay::{self, Continuation};
+use crate::state::State;
 use crate::{crash, suspect, turn_store};
 
 /// Minimum gap between events after which a resumable stream continues at another upstream.
@@ -48,7 +52,8 @@
 struct StreamRelay {
     request: ActiveRequest,
     placement: Placement,
-    response: Option<UpstreamResponse>,
+    source: Option<Source>,
+    status: u16,
     decoder: Decoder,
     first_event: Option<SseEvent>,
     last_event: Option<u64>,
@@ -59,6 +64,41 @@
     transcript: Option<TranscriptBuilder>,
 }
 
+/// Where the events come from.
+enum Source {
+    Upstream(Box<UpstreamResponse>),
+    /// Another instance, while this one has no path to the upstreams.
+    Relay(Box<Continuation>),
+}
+
+impl Source {
+    fn body(&mut self) -> (&mut Incoming, &mut Reservation) {
+        match self {
+            Self::Upstream(response) => (&mut response.body, &mut response.memory),
+            Self::Relay(continuation) => continuation.body(),
+        }
+    }
+
+    /// Returns the id of the upstream or instance.
+    fn id(&self) -> &Arc<str> {
+        match self {
+            Self::Upstream(response) => &response.upstream,
+            Self::Relay(continuation) => continuation.instance(),
+        }
+    }
+
+    fn fail(&mut self, outcome: AttemptOutcome) {
+        match self {
+            Self::Upstream(response) => response.guard.fail(outcome),
+            Self::Relay(continuation) => continuation.fail(),
+        }
+    }
+
+    const fn is_upstream(&self) -> bool {
+        matches!(self, Self::Upstream(_))
+    }
+}
+
 /// Result of reading from the upstream.
 enum ReadResult {
     /// Complete events.
@@ -175,7 +215,8 @@
         let relay = StreamRelay {
             request,
             placement,
-            response: Some(self.response),
+            source: Some(Source::Upstream(Box::new(self.response))),
+            status: head.status.as_u16(),
             decoder: self.decoder,
             first_event: self.first_event,
             last_event,
@@ -207,7 +248,8 @@
     decoder: &mut Decoder,
 ) -> Result<Option<SseEvent>, ReadError> {
     loop {
-        match next_event(response, decoder).await? {
+        let (body, memory) = (&mut response.body, &mut response.memory);
+        match next_event(&response.guard.state, body, memory, decoder).await? {
             Some(event) if !event.has_data() => {}
             event => return Ok(event),
         }
@@ -216,7 +258,9 @@
 
 /// Reads until the next event is complete. Returns `None` at the end of the stream.
 async fn next_event(
-    response: &mut UpstreamResponse,
+    state: &State,
+    body: &mut Incoming,
+    memory: &mut Reservation,
     decoder: &mut Decoder,
 ) -> Result<Option<SseEvent>, ReadError> {
     loop {
@@ -226,12 +270,12 @@
         if decoder.is_event_too_long() {
             return Err(ReadError::EventTooLong);
         }
-        if response.memory.resize(decoder.buffered_bytes()).is_err() {
+        if memory.resize(decoder.buffered_bytes()).is_err() {
             return Err(ReadError::OutOfMemory);
         }
-        match response.body.frame().await {
+        match body.frame().await {
             Some(Ok(frame)) => {
-                response.guard.record_sign();
+                state.record_sign();
                 if let Some(bytes) = frame.data_ref() {
                     decoder.push(bytes);
                 }
@@ -283,12 +327,14 @@
         } else {
             remaining_ms
         };
-        let Some(response) = &mut self.response else {
+        let Some(source) = &mut self.source else {
             return ReadResult::Broken(ReadError::NoUpstream);
         };
-        let limit = Duration::from_millis(limit_ms);
-        let next = next_event(response, &mut self.decoder);
-        match tokio::time::timeout(limit, next).await {
+        let state = &self.request.state;
+        let may_move = may_resume && source.is_upstream() && self.request.may_abandon_attempt();
+        let (body, memory) = source.body();
+        let next = next_event(state, body, memory, &mut self.decoder);
+        match path::wait(state, limit_ms, may_move, next).await {
             Ok(Ok(Some(event))) => {
                 let mut events = vec![event];
                 while let Some(event) = self.decoder.next_event() {
@@ -298,8 +344,9 @@
             }
             Ok(Ok(None)) => ReadResult::End,
             Ok(Err(error)) => ReadResult::Broken(error),
-            Err(_) if limit_ms < remaining_ms => ReadResult::Idle,
-            Err(_) => ReadResult::Broken(ReadError::Late),
+            Err(WaitError::PathLost) => ReadResult::Broken(ReadError::PathLost),
+            Err(WaitError::Late) if limit_ms < remaining_ms => ReadResult::Idle,
+            Err(WaitError::Late) => ReadResult::Broken(ReadError::Late),
         }
     }
 
@@ -342,10 +389,16 @@
         let cause = error.cause();
         let mut failure = error.failure();
         let mut key = self.placement.key;
-        if let Some(mut response) = self.response.take() {
-            response.guard.fail(AttemptOutcome::Broken);
-            let upstream = &response.upstream;
-            attempt::record_failure(&self.request, upstream, failure, cause);
+        if let Some(mut source) = self.source.take() {
+            source.fail(match error {
+                ReadError::PathLost => AttemptOutcome::Abandoned,
+                _ => AttemptOutcome::Broken,
+            });
+            attempt::record_failure(&self.request, source.id(), failure, cause);
+            if !source.is_upstream() && failure == Failure::Interrupted {
+                // The connection to the other instance ended, not that to the upstream.
+                failure = Failure::Unknown;
+            }
         }
         loop {
             let may_resume = self.request.kind.is_idempotent() && self.last_event.is_some();
@@ -360,6 +413,9 @@
             if is_over {
                 return Err(self.abort(cause));
             }
+            if self.request.state.path().is_lost() {
+                return self.resume_elsewhere(cause).await;
+            }
             let Some(placement) = self.request.place().await else {
                 return Err(self.abort(cause));
             };
@@ -378,7 +434,7 @@
                 Ok(response) if response.head.status.is_success() => {
                     self.decoder = Decoder::default();
                     self.last_event_at = self.request.state.now();
-                    self.response = Some(response);
+                    self.source = Some(Source::Upstream(Box::new(response)));
                     let begun_version = std::mem::replace(&mut self.placement, placement).version;
                     self.request.log_continuation(
                         &self.placement,
@@ -397,6 +453,24 @@
         }
     }
 
+    /// Continues the stream through another instance.
+    async fn resume_elsewhere(&mut self, cause: &'static str) -> Result<(), ResponseAborted> {
+        let may_relay = self.request.relayed_by.is_none() && self.transcript.is_none();
+        let Some(last_event) = self.last_event.filter(|_| may_relay) else {
+            return Err(self.abort(cause));
+        };
+        let continued = relay::continue_stream(&mut self.request, last_event).await;
+        let Some(continuation) = continued else {
+            return Err(self.abort(cause));
+        };
+        // The other instance takes tokens for the rest of the stream itself.
+        self.reserved = None;
+        self.decoder = Decoder::default();
+        self.last_event_at = self.request.state.now();
+        self.source = Some(Source::Relay(Box::new(continuation)));
+        Ok(())
+    }
+
     fn abort(&self, cause: &'static str) -> ResponseAborted {
         self.request.mark_logged();
         let ms = self.request.elapsed_ms();
@@ -450,11 +524,17 @@
 
     /// Stores the turn, then ends the response.
     async fn finish(&mut self) -> Result<Option<Bytes>, ResponseAborted> {
-        let Some(response) = self.response.take() else {
-            return Ok(None);
+        let response = match self.source.take() {
+            None => return Ok(None),
+            Some(Source::Relay(continuation)) => {
+                let instance = Arc::clone(continuation.instance());
+                continuation.finish();
+                self.request.record_relayed(&instance, self.status);
+                return Ok(None);
+            }
+            Some(Source::Upstream(response)) => response,
         };
         let upstream = response.upstream.clone();
-        let status = response.head.status.as_u16();
         self.request.timings.last_event_ms = self.request.elapsed_ms();
         response.finish();
         self.record_turn_timing();
@@ -477,7 +557,7 @@
             }
         }
         self.request
-            .record_completion(&self.placement, status, self.events);
+            .record_completion(&self.placement, self.status, self.events);
         Ok(None)
     }
 }
