Check the path to the upstreams sooner

What callers saw: in the first second and a half after a cut, requests were still sent on connections that hang, and those that may not be repeated were lost. Cause: silence counted only after 250 ms, only for requests that may be repeated and not within a second of a new connection; a connection that is not accepted was waited for 300 ms. Change: 200 ms, every request, 400 ms; after 100 ms without an answer to a connection the path is checked beside it.

--- a/crates/core/src/dispatch/path.rs
+++ b/crates/core/src/dispatch/path.rs
@@ -17,11 +17,11 @@
 
 /// Time without a sign of any upstream from which on the path is in doubt, in milliseconds. At usual
 /// loads, signs arrive much more often.
-const QUIET_MS: u64 = 250;
+const QUIET_MS: u64 = 200;
 
 /// Time for which a path that was found sound is not in doubt again for silence alone, in
 /// milliseconds. An instance with few requests hears of its upstreams seldom.
-const TRUST_MS: u64 = 1_000;
+const TRUST_MS: u64 = 400;
 
 /// Maximum number of upstreams that are probed to check the path.
 const MAX_TARGETS: usize = 6;
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -12,7 +12,6 @@
 
 use crate::active_request::ActiveRequest;
 use crate::path::{self, WaitError};
-use crate::pool;
 
 /// Head and body of a response, and the connection that it arrives on.
 pub(crate) type Exchanged = (response::Parts, Incoming, Sender);
@@ -95,16 +94,9 @@
         .take_idle(placement.key, is_idempotent, state.now());
     let mut sender = match idle {
         Some(sender) => sender,
-        None => match pool::connect(address, request.remaining_ms()).await {
-            Ok(sender) => {
-                path::record_connected(state);
-                sender
-            }
-            Err(error) => {
-                path::record_unreached(state, placement.key).await;
-                return Err(ExchangeError::Unreachable(error.to_string()));
-            }
-        },
+        None => path::connect(state, placement.key, address, request.remaining_ms())
+            .await
+            .map_err(|error| ExchangeError::Unreachable(error.to_string()))?,
     };
     sender
         .ready()
--- a/crates/ingress/src/path.rs
+++ b/crates/ingress/src/path.rs
@@ -1,10 +1,11 @@
 //! Checks whether this instance has lost its path to the upstreams, and when it is back.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use basilramp_adapter::connection;
+use basilramp_adapter::connection::{self, Sender};
 use basilramp_adapter::upstream::ConnectionReuse;
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::fleet::UpstreamKey;
@@ -16,6 +17,7 @@
 
 use crate::log_event::Event;
 use crate::membership;
+use crate::pool;
 use crate::state::{State, lock};
 
 /// Time within which the first probe of a check is accepted, in milliseconds: many round trips.
@@ -64,6 +66,39 @@
     PathLost,
 }
 
+/// Opens a connection to an upstream. If the path is lost meanwhile, it is not waited for any longer.
+///
+/// # Errors
+///
+/// Fails if the upstream does not accept a connection in time.
+pub(crate) async fn connect(
+    state: &Arc<State>,
+    key: UpstreamKey,
+    address: SocketAddr,
+    limit_ms: u64,
+) -> io::Result<Sender> {
+    let mut connection = std::pin::pin!(pool::connect(address, limit_ms));
+    let usual = Duration::from_millis(FIRST_PROBE_TIMEOUT_MS);
+    let result = match tokio::time::timeout(usual, connection.as_mut()).await {
+        Ok(result) => result,
+        Err(_) if state.quiet_ms() < FIRST_PROBE_TIMEOUT_MS => connection.await,
+        Err(_) => tokio::select! {
+            biased;
+            result = connection.as_mut() => result,
+            is_lost = check(state) => if is_lost {
+                Err(io::ErrorKind::NetworkUnreachable.into())
+            } else {
+                connection.await
+            }
+        },
+    };
+    match &result {
+        Ok(_) => record_connected(state),
+        Err(_) => record_unreached(state, key).await,
+    }
+    result
+}
+
 /// Waits for an upstream's response. If the path is lost meanwhile, a request that may be repeated is
 /// not held any longer.
 ///
@@ -88,14 +123,13 @@
             return Err(WaitError::Late);
         }
         let now = state.now();
-        let is_doubtful = state.path().is_doubtful(state.quiet_ms(), now);
-        if !is_repeatable || !is_doubtful {
+        if !state.path().is_doubtful(state.quiet_ms(), now) {
             continue;
         }
         tokio::select! {
             biased;
             response = response.as_mut() => return Ok(response),
-            is_lost = check(state) => if is_lost {
+            is_lost = check(state) => if is_lost && is_repeatable {
                 return Err(WaitError::PathLost);
             }
         }
@@ -110,7 +144,7 @@
 }
 
 /// Records that an upstream accepted no connection, and checks the path if that puts it in doubt.
-pub(crate) async fn record_unreached(state: &Arc<State>, key: UpstreamKey) {
+async fn record_unreached(state: &Arc<State>, key: UpstreamKey) {
     let is_doubtful = state.path().record_unreached(key, state.quiet_ms());
     if is_doubtful {
         check(state).await;
