Probe up to sixteen upstreams before the path counts as lost

What callers saw: 503 from an instance whose path was sound, after some upstreams had crashed. Cause: two upstreams of each service were probed; with three of eight down, both were down once in ten times. Evidence: a test failed once (the_same_request_of_another_caller_is_another_request, 5 December 2026, 04:03); in 48 runs beside load it failed again, with E0761 and the rejection that follows from it in the log. Change: one of every service first, then one of every service in another failure domain, then others, sixteen in all. All known upstreams of a small fleet are probed.

--- a/crates/core/src/dispatch/path.rs
+++ b/crates/core/src/dispatch/path.rs
@@ -5,7 +5,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -23,8 +22,8 @@
 /// milliseconds. An instance with few requests hears of its upstreams seldom.
 const TRUST_MS: u64 = 400;
 
-/// Maximum number of upstreams that are probed to check the path.
-const MAX_TARGETS: usize = 6;
+/// Maximum number of upstreams that are probed before the path counts as lost. Many may have crashed.
+const MAX_TARGETS: usize = 16;
 
 /// State of the path to the upstreams.
 #[derive(Debug, Default)]
@@ -95,8 +94,9 @@
     QUIET_MS
 }
 
-/// Returns the upstreams whose connections tell whether the path is lost: of every service two, in
-/// different failure domains if there are any. `draw` is a random number that selects among them.
+/// Returns the upstreams whose connections tell whether the path is lost, in the order of their use:
+/// one of every service, then one of every service in another failure domain, then others. `draw` is a
+/// random number that selects among them.
 #[must_use]
 pub fn targets(fleet: &Fleet, draw: u64, now: Time) -> Vec<(UpstreamKey, SocketAddr)> {
     let mut services: BTreeMap<&str, Vec<(UpstreamKey, &UpstreamState)>> = BTreeMap::new();
@@ -104,22 +104,24 @@
         let service = services.entry(&entry.upstream.service).or_default();
         service.push((key, entry));
     }
-    let mut first = Vec::new();
-    let mut second = Vec::new();
-    for mut upstreams in services.into_values() {
-        let order = |id: &Arc<str>| xxh3_64_with_seed(id.as_bytes(), draw);
-        upstreams.sort_by_key(|(_, entry)| order(&entry.upstream.id));
-        let Some((key, selected)) = upstreams.first() else {
-            continue;
-        };
-        first.push((*key, selected.upstream.address));
-        let domain = &selected.upstream.failure_domain;
-        let mut others = upstreams[1..].iter();
-        let other = others
-            .clone()
-            .find(|(_, entry)| entry.upstream.failure_domain != *domain)
-            .or_else(|| others.next());
-        second.extend(other.map(|(key, entry)| (*key, entry.upstream.address)));
+    let mut ranked = Vec::new();
+    for (service, mut upstreams) in services {
+        upstreams.sort_by_key(|(_, entry)| xxh3_64_with_seed(entry.upstream.id.as_bytes(), draw));
+        let domain = &upstreams[0].1.upstream.failure_domain;
+        let other = upstreams
+            .iter()
+            .position(|(_, entry)| entry.upstream.failure_domain != *domain);
+        if let Some(other) = other {
+            upstreams.swap(1, other);
+        }
+        let service = xxh3_64_with_seed(service.as_bytes(), draw);
+        let upstreams = upstreams.into_iter().enumerate();
+        ranked.extend(upstreams.map(|(rank, (key, entry))| {
+            let address = entry.upstream.address;
+            ((rank, service), (key, address))
+        }));
     }
-    first.into_iter().chain(second).take(MAX_TARGETS).collect()
+    ranked.sort_by_key(|(rank, _)| *rank);
+    let targets = ranked.into_iter().map(|(_, target)| target);
+    targets.take(MAX_TARGETS).collect()
 }
--- a/crates/daemon/tests/ingress/lost_path.rs
+++ b/crates/daemon/tests/ingress/lost_path.rs
@@ -343,6 +343,23 @@
     }
 }
 
+/// Most upstreams of each service have crashed; the path to the others is sound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstreams_that_crashed_are_no_lost_path() {
+    let site = Site::spawn(1).await;
+    for index in [0, 1, 2, 4] {
+        for link in site.links.iter().map(|links| &links[index]) {
+            link.set_door(Door::Refusing);
+        }
+    }
+    for number in 0..40 {
+        let request = request(number, &format!("t-{number}"));
+        let reply = site.instances[0].send(request).await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK, "{number}");
+    }
+    assert!(site.instances[0].events("E0761").is_empty());
+}
+
 /// The instance that handles requests of another one is killed or paused while they run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_at_a_relay_that_fails_run_at_most_once_and_end_in_time() {
