Limit the lines about unreadable rows

Looked for with a test of the process: nested 20,000 levels deep, numbers and ports out of range, no text, written again and again. Found on the way: each write of such an entry made a log line without limit; these lines now have the limit of all others.

--- a/crates/daemon/tests/ingress/discovery.rs
+++ b/crates/daemon/tests/ingress/discovery.rs
@@ -188,3 +188,70 @@
     })
     .await;
 }
+
+/// Another writer left entries that no upstream writes, and writes them again and again. The instance
+/// runs on, follows the others, and does not fill its log.
+#[tokio::test]
+async fn odd_entries_of_other_writers_do_not_end_an_instance_or_its_feed() {
+    let (store, [_first]) = start_site("app", [IMMEDIATE_RESPONSE]);
+    let entry = |slots: &str, address: &str, born: &str| {
+        format!(
+            r#"{{"service": "app", "address": "{address}", "zone": "z1", "version": "v1",
+                "slots": {slots}, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": {born}}}"#
+        )
+    };
+    let nested = |depth: usize| "[".repeat(depth) + &"]".repeat(depth);
+    let odd = [
+        nested(20_000),
+        "{\"a\":".repeat(9_000),
+        format!("{{\"service\": {}}}", nested(20_000)),
+        entry("8", "127.0.0.1:9", "7")
+            .replace("\"seq\": 1", &format!("\"seq\": {}", nested(9_000))),
+        entry("99999999999999999999999999", "127.0.0.1:9", "7"),
+        entry("1e999", "127.0.0.1:9", "7"),
+        entry("-1", "127.0.0.1:9", "7"),
+        entry("8", "127.0.0.1:70000", "7"),
+        entry("8", "127.0.0.1:-1", "7"),
+        entry("8", "127.0.0.1", "7"),
+        entry("8", "127.0.0.1:9", "18446744073709551616"),
+        entry("8", "127.0.0.1:9", "1.5e400"),
+        "\u{0}\u{1}".to_owned(),
+        String::new(),
+    ];
+    let write_all = || {
+        for (index, text) in odd.iter().enumerate() {
+            store.put("servers", &format!("odd-{index}"), text.as_bytes());
+        }
+        // A valid entry whose id can't be named in a request.
+        let valid = entry("8", "127.0.0.1:9", "7");
+        store.put("servers", "odd\u{7}\nid", valid.as_bytes());
+    };
+    write_all();
+    let instance = Instance::spawn(&store, "a").await;
+    for _ in 0..20 {
+        write_all();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let added = Upstream::spawn(&store, "i-2", "app", IMMEDIATE_RESPONSE);
+    wait_for("the instance follows the entries", || async {
+        let joined = instance.events("E0731");
+        joined
+            .iter()
+            .any(|line| line["upstream"] == "i-2")
+            .then_some(())
+    })
+    .await;
+    for number in 0..20 {
+        let reply = instance.send(plain_request("pay", &format!("t{number}")));
+        assert_eq!(reply.await.unwrap().status, StatusCode::OK, "{number}");
+    }
+    assert!(!added.requests().is_empty());
+    let joined = instance.events("E0731");
+    assert!(
+        joined
+            .iter()
+            .all(|line| !line["upstream"].as_str().unwrap().starts_with("odd"))
+    );
+    assert!(instance.events("E0708").is_empty());
+    assert!(instance.is_ready().await);
+}
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -291,6 +291,9 @@
 
 /// Logs a row that is skipped, as it can't be decoded.
 pub(crate) fn log_unreadable(state: &State, table: &'static str, row: &Row, error: &str) {
+    if !state.allows_log_line(Event::RowUnreadable) {
+        return;
+    }
     event!(
         state.log,
         Event::RowUnreadable,
