--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -250,7 +250,7 @@
         arrived,
         deadline,
         version: None,
-        stream_span_ms: STREAM_SPAN_FACTOR * route.timeout_ms,
+        stream_span_ms: route.timeout_ms.saturating_mul(STREAM_SPAN_FACTOR),
         starts_program: false,
         attempts: Attempts::default(),
         tried: Vec::new(),
