Take a refusal without an id for proof only on a new connection

The test: the next request, which the upstream reads, got 503 (and without a caller's retry would have gone elsewhere). Change: a refusal with another id is never the attempt's, one without an id only if it is the first response on its connection, where nothing earlier can have been written; anything else means that the request may have run, and the connection is closed.

--- a/crates/daemon/tests/ingress/scripted_upstream.rs
+++ b/crates/daemon/tests/ingress/scripted_upstream.rs
@@ -37,7 +37,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    requests: usize,
+    /// Attempt ids of the requests that were read, in order.
+    requests: Vec<String>,
     /// Connections that were closed by the other side while the script ran.
     closed: usize,
 }
@@ -72,7 +73,12 @@
 
     /// Returns the number of requests that it has read.
     pub(crate) fn requests(&self) -> usize {
-        self.state.lock().unwrap().requests
+        self.state.lock().unwrap().requests.len()
+    }
+
+    /// Returns the attempt ids of the requests that it has read.
+    pub(crate) fn attempts(&self) -> Vec<String> {
+        self.state.lock().unwrap().requests.clone()
     }
 
     /// Returns the number of connections that were closed while it still sent.
@@ -84,7 +90,7 @@
 async fn serve(stream: TcpStream, script: Vec<Step>, state: Arc<Mutex<State>>) {
     let mut stream = BufReader::new(stream);
     while let Some(attempt_id) = read_request(&mut stream).await {
-        state.lock().unwrap().requests += 1;
+        state.lock().unwrap().requests.push(attempt_id.clone());
         for step in &script {
             let result = match step {
                 Step::Send(text) => {
--- a/crates/daemon/tests/ingress/upstream_faults.rs
+++ b/crates/daemon/tests/ingress/upstream_faults.rs
@@ -346,3 +346,49 @@
     let reply = instance.send(plain_request("pay", "small")).await.unwrap();
     assert_eq!(reply.status, StatusCode::OK);
 }
+
+/// A refusal is written once more when its connection is in use for the next request, which the
+/// upstream runs. That request is not told to be not run, and runs nowhere else.
+#[tokio::test]
+async fn a_refusal_that_is_repeated_is_no_refusal_of_the_next_request() {
+    let with_id = "attempt-id: {id}\r\n";
+    for (status, id) in [
+        ("503 Service Unavailable", ""),
+        ("503 Service Unavailable", with_id),
+        ("421 Misdirected Request", ""),
+        ("421 Misdirected Request", with_id),
+    ] {
+        let refusal =
+            format!("HTTP/1.1 {status}\r\n{id}not-executed: 1\r\ncontent-length: 0\r\n\r\n");
+        let script = vec![
+            send(&refusal),
+            Step::Wait(Duration::from_millis(60)),
+            send(&refusal),
+        ];
+        let (store, faulty) = site("app", script).await;
+        let instance = Instance::spawn(&store, "a").await;
+        let first = instance.send(plain_request("pay", "t1")).await.unwrap();
+        assert_eq!(first.status, StatusCode::SERVICE_UNAVAILABLE, "{refusal}");
+        let healthy = Upstream::spawn(&store, "i-2", "app", IMMEDIATE_RESPONSE);
+        let second = instance.send(plain_request("pay", "t2")).await.unwrap();
+        if faulty.attempts().contains(&"t2".to_owned()) {
+            assert_eq!(second.status, StatusCode::BAD_GATEWAY, "{refusal}");
+            assert!(healthy.requests().is_empty(), "{refusal}");
+        }
+    }
+}
+
+/// The same on the first connection: nothing earlier can have been written there.
+#[tokio::test]
+async fn a_refusal_on_a_new_connection_is_proof_also_without_an_id() {
+    let refusal = "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n\
+                   connection: close\r\ncontent-length: 0\r\n\r\n";
+    let (store, _full) = site("app", vec![send(refusal)]).await;
+    let _healthy = Upstream::spawn(&store, "i-2", "app", IMMEDIATE_RESPONSE);
+    let instance = Instance::spawn(&store, "a").await;
+    for number in 0..6 {
+        let request = plain_request("pay", &format!("t{number}"));
+        let reply = instance.send(request).await.unwrap();
+        assert_eq!(reply.body, "done by i-2");
+    }
+}
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -248,14 +248,14 @@
 async fn respond(shared: Arc<Shared>, request: Request<Incoming>) -> HandlerResult {
     let behaviour = *lock(&shared.behaviour);
     match behaviour {
-        Behaviour::Full => {
-            let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, "");
-            set_header(&mut response, "not-executed", "1");
-            return Ok(response);
-        }
-        Behaviour::OtherUpstream => return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, "")),
+        Behaviour::Full => return Ok(refusal(&request, StatusCode::SERVICE_UNAVAILABLE)),
+        Behaviour::OtherUpstream => return Ok(refusal(&request, StatusCode::MISDIRECTED_REQUEST)),
         _ => {}
     }
+    let expected = request.headers().get("expect-instance");
+    if expected.is_some_and(|expected| expected != lock(&shared.incarnation).id.as_str()) {
+        return Ok(refusal(&request, StatusCode::MISDIRECTED_REQUEST));
+    }
     let (parts, body) = request.into_parts();
     let body = body
         .collect()
@@ -267,9 +267,6 @@
         Some(value.to_owned())
     };
     let upstream_id = lock(&shared.incarnation).id.clone();
-    if header_text("expect-instance").is_some_and(|expected| expected != upstream_id) {
-        return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, ""));
-    }
     let attempt_id = header_text("attempt-id").unwrap_or_default();
     let last_event = header_text("last-event-id").and_then(|text| text.parse().ok());
     let forged_headers = INTERNAL_HEADERS
@@ -352,6 +349,17 @@
     Ok(response)
 }
 
+/// Returns a rejection of a request that was not run, with its attempt id.
+fn refusal(request: &Request<Incoming>, status: StatusCode) -> Response<Body> {
+    let mut response = full_response(status, "");
+    set_header(&mut response, "not-executed", "1");
+    if let Some(attempt_id) = request.headers().get("attempt-id") {
+        let headers = response.headers_mut();
+        headers.insert("attempt-id", attempt_id.clone());
+    }
+    response
+}
+
 fn set_header(response: &mut Response<Body>, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         response.headers_mut().insert(name, value);
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -17,10 +17,11 @@
 
 use crate::active_request::ActiveRequest;
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
+use crate::exchange::{self, Exchanged};
 use crate::log_event::Event;
 use crate::metric::AttemptKind;
 use crate::state::State;
-use crate::{exchange, rate_limit, suspect};
+use crate::{rate_limit, suspect};
 
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -155,7 +156,12 @@
         });
     }
     let result = exchange::exchange(request, placement, last_event, timeout_ms).await;
-    let (head, body, sender) = match result {
+    let Exchanged {
+        head,
+        body,
+        sender,
+        is_first,
+    } = match result {
         Ok(answer) => answer,
         Err(error) => {
             guard.fail(error.outcome());
@@ -164,7 +170,7 @@
         }
     };
     let reuse = upstream::parse_reuse(&head);
-    let class = upstream::classify_response(&head, &request.attempt_id);
+    let class = upstream::classify_response(&head, &request.attempt_id, is_first);
     rate_limit::observe(state, &placement.id, class, &head, now);
     let (failure, outcome) = match class {
         ResponseClass::Matching => {
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -13,8 +13,15 @@
 use crate::active_request::ActiveRequest;
 use crate::path::{self, WaitError};
 
-/// Head and body of a response, and the connection that it arrives on.
-pub(crate) type Exchanged = (response::Parts, Incoming, Sender);
+/// A response whose body has not been read yet.
+pub(crate) struct Exchanged {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    /// The connection that it arrives on.
+    pub(crate) sender: Sender,
+    /// Whether it is the first response on its connection.
+    pub(crate) is_first: bool,
+}
 
 /// Why an exchange with an upstream ended without a response head.
 #[derive(Debug)]
@@ -92,6 +99,7 @@
     let idle = state
         .pool
         .take_idle(placement.key, is_idempotent, state.now());
+    let is_first = idle.is_none();
     let mut sender = match idle {
         Some(sender) => sender,
         None => path::connect(state, placement.key, address, request.remaining_ms())
@@ -114,7 +122,12 @@
         Ok(Ok(response)) => {
             state.record_sign();
             let (head, body) = response.into_parts();
-            Ok((head, body, sender))
+            Ok(Exchanged {
+                head,
+                body,
+                sender,
+                is_first,
+            })
         }
         Ok(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
