Break off a stream whose body holds the head of another answer

An error answer of the next upstream is never passed on, in any framing (upstream_faults::an_error_is_never_a_part_of_a_stream, six forms, passes on the code before). The head could get through another way: an upstream that writes an answer into the body of its stream without a length; the decoder took it for a comment. Change: the decoder ends at bytes that begin like a response's head; the stream goes on elsewhere or is broken off. Measured: upstream_faults::an_answer_within_a_stream_breaks_it_off failed before (the head in the caller's body), passes; sse::the_head_of_a_response_ends_the_events for every split.

--- a/crates/core/src/dispatch/sse.rs
+++ b/crates/core/src/dispatch/sse.rs
@@ -3,6 +3,9 @@
 /// Maximum size of an event that is buffered, many times that of a usual one.
 const MAX_EVENT_BYTES: usize = 256 * 1_024;
 
+/// Start of the head of an HTTP response. A faulty upstream may write one into the body of its stream.
+const RESPONSE_HEAD: &[u8] = b"HTTP/1.";
+
 /// Splits the bytes of an event stream into complete events.
 ///
 /// An event ends with an empty line, as the HTML standard defines for `text/event-stream`.
@@ -11,6 +14,8 @@
     pending: Vec<u8>,
     /// Number of bytes of `pending` that were already searched for an event end.
     searched: usize,
+    /// Whether the stream holds the head of a response in place of an event.
+    is_malformed: bool,
 }
 
 /// A complete event.
@@ -30,8 +35,12 @@
         self.pending.extend_from_slice(bytes);
     }
 
-    /// Returns the next complete event.
+    /// Returns the next complete event. There is none after bytes that are no event.
     pub fn next_event(&mut self) -> Option<Event> {
+        self.is_malformed |= self.pending.starts_with(RESPONSE_HEAD);
+        if self.is_malformed {
+            return None;
+        }
         let end = self.find_event_end()?;
         let rest = self.pending.split_off(end);
         let bytes = std::mem::replace(&mut self.pending, rest);
@@ -39,6 +48,12 @@
         Some(Event::parse(bytes))
     }
 
+    /// Returns whether the stream holds bytes that are no event.
+    #[must_use]
+    pub const fn is_malformed(&self) -> bool {
+        self.is_malformed
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
--- a/crates/core/tests/dispatch/sse.rs
+++ b/crates/core/tests/dispatch/sse.rs
@@ -25,6 +25,23 @@
     assert_eq!((events[1].id, &events[1].data), (None, &None));
 }
 
+/// The head of a response is no event, in whatever pieces it arrives.
+#[test]
+fn the_head_of_a_response_ends_the_events() {
+    let text = b"id: 1\ndata: HTTP/1.1\n\nHTTP/1.1 500 Oops\r\n\r\nid: 2\ndata: b\n\n";
+    for split in 0..text.len() {
+        let mut decoder = Decoder::default();
+        let mut events = Vec::new();
+        for piece in [&text[..split], &text[split..]] {
+            decoder.push(piece);
+            events.extend(std::iter::from_fn(|| decoder.next_event()));
+        }
+        assert_eq!(events.len(), 1, "{split}");
+        assert_eq!(events[0].data.as_deref(), Some(&b"HTTP/1.1"[..]));
+        assert!(decoder.is_malformed(), "{split}");
+    }
+}
+
 #[test]
 fn partial_event_is_not_returned() {
     let (events, has_partial_event) = decode(&[b"id: 1\ndata: a\n\nid: 2\ndata: b\n"]);
--- a/crates/daemon/tests/ingress/upstream_faults.rs
+++ b/crates/daemon/tests/ingress/upstream_faults.rs
@@ -392,3 +392,88 @@
         assert_eq!(reply.body, "done by i-2");
     }
 }
+
+/// Answers a stream that is taken up with an error, after the first upstream broke off.
+async fn site_with_error(first: Vec<Step>, error: Vec<Step>) -> (Store, [ScriptedUpstream; 2]) {
+    let (store, broken) = site("engine", first).await;
+    let failing = ScriptedUpstream::spawn(&store, "i-2", "engine", error).await;
+    (store, [broken, failing])
+}
+
+/// A stream has begun and breaks off; the next upstream answers with an error. The caller gets
+/// nothing of the error, and the stream does not look complete.
+#[tokio::test]
+async fn an_error_is_never_a_part_of_a_stream() {
+    let head = |framing: &str| {
+        format!(
+            "HTTP/1.1 500 Internal Server Error\r\nattempt-id: {{id}}\r\nserver-signature: sig\r\n\
+             {framing}\r\n"
+        )
+    };
+    let text = "data: oops\n\nid: 9\ndata: all failed\n\n";
+    let with_length = head(&format!("content-length: {}\r\n", text.len())) + text;
+    let in_chunks = head("transfer-encoding: chunked\r\n") + &chunk(text) + "0\r\n\r\n";
+    let without_length = head("connection: close\r\n") + text;
+    let empty = head("content-length: 0\r\n");
+    let unsigned = "HTTP/1.1 502 Bad Gateway\r\ncontent-length: 4\r\n\r\noops".to_owned();
+    let no_answer = "oops, not HTTP at all\r\n\r\n".to_owned();
+    for error in [
+        with_length,
+        in_chunks,
+        without_length,
+        empty,
+        unsigned,
+        no_answer,
+    ] {
+        let first = vec![
+            send(CHUNKED_HEAD),
+            send(&chunk(&(event(1) + "id: 2\nda"))),
+            Step::Wait(Duration::from_millis(30)),
+            Step::Reset,
+        ];
+        let (store, upstreams) = site_with_error(
+            first,
+            vec![
+                send(&error),
+                Step::Wait(Duration::from_millis(50)),
+                Step::Reset,
+            ],
+        )
+        .await;
+        let instance = Instance::spawn(&store, "a").await;
+        for number in 0..4 {
+            let attempt = format!("t{number}");
+            let reply = instance.send(Turn::first("advice", &attempt).request());
+            let reply = reply.await.unwrap();
+            assert!(!reply.body.contains("HTTP"), "{error}: {reply:?}");
+            if reply.status.is_success() {
+                assert!(!reply.body.contains("oops"), "{error}: {reply:?}");
+                assert_eq!(event_ids(&reply), ["1"], "{error}");
+                assert!(!reply.is_complete, "{error}: {reply:?}");
+            }
+        }
+        assert!(upstreams.iter().all(|upstream| upstream.requests() > 0));
+    }
+}
+
+/// An upstream writes a whole error into the body of its stream, which has no length.
+#[tokio::test]
+async fn an_answer_within_a_stream_breaks_it_off() {
+    let error = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
+    for text in [error.to_owned(), format!("{error}oops\n\n")] {
+        let script = vec![
+            send(HEAD),
+            send(&event(1)),
+            Step::Wait(Duration::from_millis(30)),
+            send(&text),
+        ];
+        let (store, _upstream) = site("engine", script).await;
+        let instance = Instance::spawn(&store, "a").await;
+        for route in ["advice", "chat"] {
+            let reply = instance.send(Turn::first(route, "t1").request());
+            let reply = reply.await.unwrap();
+            assert!(!reply.body.contains("HTTP"), "{route}: {reply:?}");
+            assert!(!reply.is_complete, "{route}: {reply:?}");
+        }
+    }
+}
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -120,6 +120,8 @@
     BrokenOff,
     /// The connection or the body ended within an event.
     EndedWithinEvent,
+    /// The body holds bytes that are no event.
+    Malformed,
     /// An event is longer than any valid one.
     EventTooLong,
     /// The memory for buffered bytes is used up.
@@ -137,6 +139,7 @@
         match self {
             Self::BrokenOff => "the stream broke off",
             Self::EndedWithinEvent => "the stream ended within an event",
+            Self::Malformed => "the body holds another answer",
             Self::EventTooLong => "an event is too long",
             Self::OutOfMemory => "no memory is left for the event",
             Self::Late => "no event in time",
@@ -148,7 +151,8 @@
     const fn failure(self) -> Failure {
         match self {
             Self::BrokenOff | Self::EndedWithinEvent => Failure::Interrupted,
-            Self::EventTooLong
+            Self::Malformed
+            | Self::EventTooLong
             | Self::OutOfMemory
             | Self::Late
             | Self::PathLost
@@ -267,6 +271,9 @@
         if let Some(event) = decoder.next_event() {
             return Ok(Some(event));
         }
+        if decoder.is_malformed() {
+            return Err(ReadError::Malformed);
+        }
         if decoder.is_event_too_long() {
             return Err(ReadError::EventTooLong);
         }
