Soak: requests that crash upstreams, upstreams that crash, links of one instance to all upstreams

A caller sends a request that crashes upstreams throughout; crashed ones start again under other ids; the links of an instance to all upstreams fall silent, are reset or refuse, beside all other faults. After the last fault the request may reach at most three more upstreams than it is allowed to crash.

--- a/crates/daemon/tests/ingress/soak.rs
+++ b/crates/daemon/tests/ingress/soak.rs
@@ -28,6 +28,9 @@
 /// Time after the last fault within which each instance has to serve every kind of request.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Time for which crashed upstreams are still started again after the last fault.
+const RESTART_MARGIN: Duration = Duration::from_secs(3);
+
 /// Number of concurrent callers.
 const CALLERS: u64 = 8;
 
@@ -72,11 +75,12 @@
         let random = ChaCha8Rng::seed_from_u64(seed * 1_000 + 500 + index);
         fault::inject_faults(&environment, random, deadline)
     });
-    for name in futures_util::future::join_all(fault_tasks)
-        .await
-        .into_iter()
-        .flatten()
-    {
+    let (faults, (), ()) = tokio::join!(
+        futures_util::future::join_all(fault_tasks),
+        caller::send_crashing_request(&environment, deadline),
+        environment.keep_upstreams_running(deadline + RESTART_MARGIN)
+    );
+    for name in faults.into_iter().flatten() {
         *coverage.faults.entry(name).or_default() += 1;
     }
     environment.heal().await;
@@ -87,6 +91,11 @@
     let recovered = caller::wait_for_recovery(&environment, RECOVERY_TIMEOUT).await;
     let mut violations = check::find_violations(&records, &environment.runs());
     violations.extend(recovered.err());
+    let (stopped, ()) = tokio::join!(
+        caller::check_crashing_request(&environment),
+        environment.keep_upstreams_running(Instant::now() + RECOVERY_TIMEOUT / 2)
+    );
+    violations.extend(stopped.err());
     coverage.record(&records);
     violations
 }
--- a/crates/daemon/tests/ingress/soak/caller.rs
+++ b/crates/daemon/tests/ingress/soak/caller.rs
@@ -1,6 +1,7 @@
 //! Callers that run programs with turns and plain requests, with the retries that the platform's
 //! documentation allows.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use http::{Request, StatusCode};
@@ -10,7 +11,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::environment::{Environment, INSTANCES};
-use crate::support::{Reply, Turn, plain_request, send};
+use crate::support::{Reply, Turn, plain_request, send, send_from};
 
 /// Time that a caller waits for a response; longer than the deadline that it states.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(4_500);
@@ -205,6 +206,58 @@
     }
 }
 
+/// Address of the caller whose request crashes upstreams.
+const FAULTY_CALLER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
+/// Upstreams that a request may crash before every instance has to reject it.
+const MAX_CRASHES: usize = 3;
+
+/// Attempts that may reach upstreams after that.
+const MAX_LATER_ATTEMPTS: usize = 3;
+
+/// Time after the last fault within which all instances have to know of the crashes.
+const STABLE: Duration = Duration::from_secs(3);
+
+/// Sends a request that crashes upstreams to the instances, until the deadline.
+pub(super) async fn send_crashing_request(environment: &Environment, deadline: Instant) {
+    let mut number = 0;
+    while Instant::now() < deadline {
+        number += 1;
+        send_crashing_try(environment, number).await;
+        sleep(Duration::from_millis(400)).await;
+    }
+}
+
+async fn send_crashing_try(environment: &Environment, number: usize) {
+    let request = plain_request("read", &format!("crash-{number}"));
+    let request = request.map(|_| Full::from("CRASH now"));
+    let sent = send_from(
+        FAULTY_CALLER,
+        environment.address(number % INSTANCES),
+        request,
+    );
+    // Its response is of no interest, only what it does to upstreams.
+    let _ = timeout(RESPONSE_TIMEOUT, sent).await;
+}
+
+/// Checks, without further faults, that the request that crashes upstreams is stopped.
+pub(super) async fn check_crashing_request(environment: &Environment) -> Result<(), String> {
+    sleep(STABLE).await;
+    let earlier = environment.crashes();
+    for number in 0..4 * INSTANCES {
+        send_crashing_try(environment, 1_000 + number).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    let later = environment.crashes() - earlier;
+    let allowed = MAX_CRASHES.saturating_sub(earlier) + MAX_LATER_ATTEMPTS;
+    if later > allowed {
+        return Err(format!(
+            "{later} crashes by a request that had crashed {earlier} upstreams"
+        ));
+    }
+    Ok(())
+}
+
 /// Waits until each instance serves every kind of request. Fails after `max_wait`.
 pub(super) async fn wait_for_recovery(
     environment: &Environment,
--- a/crates/daemon/tests/ingress/soak/environment.rs
+++ b/crates/daemon/tests/ingress/soak/environment.rs
@@ -4,15 +4,20 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use basilramp_fakes::relay::{self, Relay};
-use basilramp_fakes::user_platform::{Mode, RequestRecord, Store, Upstream};
+use basilramp_fakes::user_platform::{Mode, RequestRecord, Store, Upstream, View};
 use tokio::sync::Mutex;
+use tokio::time::{Instant, sleep};
 
 use crate::support::{IMMEDIATE_RESPONSE, Instance, configure, wait_for};
 
 pub(super) const INSTANCES: usize = 3;
 
+/// Time after which a crashed upstream is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(600);
+
 /// Number of upstreams: engines first, then plain services.
 pub(super) const UPSTREAMS: usize = 6;
 
@@ -29,6 +34,9 @@
     pub(super) store_relays: Vec<Relay>,
     pub(super) upstreams: Vec<Upstream>,
     pub(super) upstream_relays: Vec<Relay>,
+    /// Links of each instance to each upstream, in front of the upstream's relay.
+    pub(super) links: Vec<Vec<Relay>>,
+    _views: Vec<View>,
     pub(super) instances: Vec<Mutex<Instance>>,
     /// Current caller addresses of the instances; a restart changes them.
     addresses: std::sync::Mutex<Vec<SocketAddr>>,
@@ -61,8 +69,19 @@
         for (upstream, relay) in upstreams.iter().zip(&upstream_relays) {
             upstream.register_at(&store, "ready", relay.address());
         }
-        let store_relays: Vec<_> = (0..INSTANCES)
-            .map(|_| relay::spawn(store.address()))
+        let mut links = Vec::new();
+        let mut views = Vec::new();
+        for _ in 0..INSTANCES {
+            let own = upstream_relays.iter();
+            let own: Vec<_> = own.map(|relay| relay::spawn(relay.address())).collect();
+            let addresses = upstream_relays.iter().zip(&own);
+            let addresses = addresses.map(|(relay, link)| (relay.address(), link.address()));
+            views.push(store.spawn_view(addresses.collect()));
+            links.push(own);
+        }
+        let store_relays: Vec<_> = views
+            .iter()
+            .map(|view| relay::spawn(view.address()))
             .collect();
         let mut instances = Vec::new();
         let mut addresses = Vec::new();
@@ -77,6 +96,8 @@
             store_relays,
             upstreams,
             upstream_relays,
+            links,
+            _views: views,
             instances,
             addresses: std::sync::Mutex::new(addresses),
         }));
@@ -101,6 +122,7 @@
         self.store_relays
             .iter()
             .chain(&self.upstream_relays)
+            .chain(self.links.iter().flatten())
             .for_each(Relay::heal);
         for (upstream, relay) in self.upstreams.iter().zip(&self.upstream_relays) {
             upstream.set_behaviour(IMMEDIATE_RESPONSE);
@@ -110,6 +132,37 @@
         self.wait_ready().await;
     }
 
+    /// Starts crashed upstreams again some time after their crash, until the deadline.
+    pub(super) async fn keep_upstreams_running(&self, deadline: Instant) {
+        let mut restarts = 0;
+        while Instant::now() < deadline {
+            self.restart_upstreams(&mut restarts, RESTART_DELAY);
+            sleep(Duration::from_millis(20)).await;
+        }
+        self.restart_upstreams(&mut restarts, Duration::ZERO);
+    }
+
+    fn restart_upstreams(&self, restarts: &mut u32, delay: Duration) {
+        for (upstream, relay) in self.upstreams.iter().zip(&self.upstream_relays) {
+            let crashed_at = upstream.crashes().last().map(|crash| crash.at);
+            let is_due = crashed_at.is_none_or(|at| at.elapsed() >= delay);
+            if !upstream.is_running() && is_due {
+                *restarts += 1;
+                upstream.restart(&self.store, &format!("r-{restarts}"));
+                upstream.register_at(&self.store, "ready", relay.address());
+            }
+        }
+    }
+
+    /// Returns the number of crashes that requests caused.
+    pub(super) fn crashes(&self) -> usize {
+        let crashes = self
+            .upstreams
+            .iter()
+            .map(|upstream| upstream.crashes().len());
+        crashes.sum()
+    }
+
     /// Starts a new process in place of an instance that has exited.
     pub(super) async fn restart(&self, index: usize, instance: &mut Instance) {
         let address = self.store_relays[index].address();
--- a/crates/daemon/tests/ingress/soak/fault.rs
+++ b/crates/daemon/tests/ingress/soak/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use basilramp_fakes::relay::Cut;
+use basilramp_fakes::relay::{Cut, Door, Relay};
 use basilramp_fakes::user_platform::{Behaviour, Mode};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -15,7 +15,7 @@
 pub(super) struct Fault;
 
 impl Fault {
-    pub(super) const NAMES: [&'static str; 20] = [
+    pub(super) const NAMES: [&'static str; 24] = [
         "instance killed",
         "instance stopped",
         "instance paused",
@@ -36,6 +36,10 @@
         "upstream draining",
         "upstream limited",
         "configuration changed",
+        "links silent",
+        "links reset",
+        "links refused",
+        "upstream crashed",
     ];
 }
 
@@ -56,6 +60,7 @@
             Some(("store", "link cut" | "link cut one way" | "link slow" | "link reset")) => {
                 inject_store_link_fault(environment, name, duration, &mut random).await;
             }
+            Some(("links", _)) => inject_link_fault(environment, name, duration, &mut random).await,
             Some(("upstream", _)) => {
                 inject_upstream_fault(environment, name, duration, &mut random).await
             }
@@ -113,6 +118,31 @@
     relay.heal();
 }
 
+/// Lets the links of an instance to all upstreams fail.
+async fn inject_link_fault(
+    environment: &Environment,
+    name: &str,
+    duration: Duration,
+    random: &mut ChaCha8Rng,
+) {
+    let links = &environment.links[random.random_range(0..INSTANCES)];
+    for link in links {
+        match name {
+            "links silent" => {
+                link.cut(Cut::Both);
+                link.set_door(Door::Silent);
+            }
+            "links reset" => {
+                link.set_door(Door::Refusing);
+                link.reset_connections();
+            }
+            _ => link.set_door(Door::Refusing),
+        }
+    }
+    sleep(2 * duration).await;
+    links.iter().for_each(Relay::heal);
+}
+
 async fn inject_store_fault(environment: &Environment, name: &str, duration: Duration) {
     let store = &environment.store;
     match name {
@@ -160,6 +190,12 @@
     match name {
         "upstream link cut" => relay.cut(Cut::Both),
         "upstream link reset" => relay.reset_connections(),
+        "upstream crashed" => {
+            // It is started again like one that a request crashed.
+            upstream.crash();
+            relay.reset_connections();
+            return;
+        }
         "upstream draining" => {
             upstream.register_at(&environment.store, "draining", relay.address())
         }
