End trials of suspects durably, and move them with their request

Cause, from the list of suspects in the failure: the end of a trial was written once, and a store that was away or a killed instance left the trial in its row for 30 s; a request whose trial met an upstream that did not run it was kept waiting by its own trial. Class: a promise to give something back that was tried only once. Change: the end of a trial is a change like any other, written until the store confirms it; a trial moves with its request; one without an outcome keeps others waiting for 5 s, as a request that crashes upstreams does so when it begins to run.

--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -15,9 +15,9 @@
 /// Time after the last change at which a quarantined request is forgotten, in milliseconds.
 const QUARANTINE_RETENTION_MS: u64 = 24 * 3_600_000;
 
-/// Time after which a trial without an outcome is taken to be of an instance that died, in
-/// milliseconds.
-const TRIAL_TIMEOUT_MS: u64 = 30_000;
+/// Time after which a trial without an outcome no longer keeps other copies waiting, in milliseconds.
+/// Its instance may have died, and a request that crashes upstreams does so when it begins to run.
+const TRIAL_TIMEOUT_MS: u64 = 5_000;
 
 /// How long a suspect lets the trial of another one go first that is suspected of a crash of its own,
 /// in milliseconds.
@@ -49,7 +49,7 @@
     version: u64,
     /// Crashes that this instance observed and that are not in the row yet.
     unstored: Vec<id::Upstream>,
-    /// Whether the row names a retracted crash.
+    /// Whether the row names a retracted crash or a trial that has ended.
     is_outdated: bool,
     changed_at: Time,
 }
@@ -286,17 +286,17 @@
         })
     }
 
-    /// Returns the change that ends the trial of a request at an upstream without an outcome.
-    #[must_use]
-    pub fn end_of_trial(&self, fingerprint: Digest, upstream: &id::Upstream) -> Option<Change> {
-        let entry = self.entries.get(&fingerprint)?;
-        let is_running =
-            entry.suspect.trial.as_ref() == Some(upstream) && entry.unstored.is_empty();
-        is_running.then(|| Change {
-            fingerprint,
-            suspect: Some(entry.suspect.clone().without_trial()),
-            version: entry.version,
-        })
+    /// Ends the trial of a request at an upstream without an outcome. Returns whether there was one,
+    /// whose row has to be written.
+    pub fn end_trial(&mut self, fingerprint: Digest, upstream: &id::Upstream) -> bool {
+        let entry = self.entries.get_mut(&fingerprint);
+        let Some(entry) = entry.filter(|entry| entry.suspect.trial.as_ref() == Some(upstream))
+        else {
+            return false;
+        };
+        entry.suspect.trial = None;
+        entry.is_outdated = true;
+        true
     }
 
     /// Returns the upstreams at which suspects are on trial.
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -116,15 +116,22 @@
     let change = table.trial(request, &upstream("u3")).unwrap();
     table.record_written(&change, version + 1, now);
     assert_eq!(table.verdict(request, now), Verdict::Busy);
-    assert_eq!(table.verdict(request, now.after(60_000)), Verdict::Trial);
-    let change = table.end_of_trial(request, &upstream("u3")).unwrap();
+    assert_eq!(table.verdict(request, now.after(6_000)), Verdict::Trial);
+    assert!(!table.end_trial(request, &upstream("another")));
+    assert!(table.end_trial(request, &upstream("u3")));
+    assert_eq!(table.verdict(request, now), Verdict::Trial);
+    // The end is written until the store confirms it.
+    let change = table.changes(100).remove(0);
+    assert_eq!(change.suspect, Some(suspect(&["u1", "u2"])));
+    assert_eq!(table.changes(100), std::slice::from_ref(&change));
     table.record_written(&change, version + 2, now);
+    assert!(table.changes(100).is_empty());
     assert_eq!(table.verdict(request, now), Verdict::Trial);
     // The crash of the trial's upstream ends the trial.
     let change = table.trial(request, &upstream("u4")).unwrap();
     table.record_written(&change, version + 3, now);
     table.record_crash(request, &upstream("u4"), now);
-    assert_eq!(table.end_of_trial(request, &upstream("u4")), None);
+    assert!(table.end_trial(request, &upstream("u4")));
     assert_eq!(table.verdict(request, now), Verdict::Quarantined);
 }
 
--- a/crates/daemon/tests/ingress/soak.rs
+++ b/crates/daemon/tests/ingress/soak.rs
@@ -19,8 +19,8 @@
 use self::environment::Environment;
 use self::fault::Fault;
 
-/// Seeds that failed once, each with the fault that it found. None so far.
-const REGRESSION_SEEDS: [u64; 0] = [];
+/// Seeds that failed once: trials of suspects that were never ended kept other copies waiting.
+const REGRESSION_SEEDS: [u64; 2] = [22, 45];
 
 /// Time for which faults are injected.
 const FAULT_DURATION: Duration = Duration::from_secs(6);
--- a/crates/daemon/tests/ingress/soak/caller.rs
+++ b/crates/daemon/tests/ingress/soak/caller.rs
@@ -277,8 +277,10 @@
                     break;
                 }
                 if Instant::now() >= deadline {
+                    let instance = environment.instances[index].lock().await;
+                    let suspects = instance.operator("GET", "/suspects").await.body;
                     return Err(format!(
-                        "instance {index} does not serve {kind:?} requests again"
+                        "instance {index} does not serve {kind:?} requests again; {suspects}"
                     ));
                 }
                 sleep(Duration::from_millis(100)).await;
--- a/crates/ingress/src/suspect.rs
+++ b/crates/ingress/src/suspect.rs
@@ -106,21 +106,16 @@
     state: Arc<State>,
     fingerprint: Digest,
     upstream: id::Upstream,
+    /// Whether the request goes on at another upstream, whose trial has taken the place of this one.
+    is_moved: bool,
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        let change = self.state.suspects.table();
-        let change = change.end_of_trial(self.fingerprint, &self.upstream);
-        let Some(change) = change else {
-            return;
-        };
-        let state = Arc::clone(&self.state);
-        tokio::spawn(async move {
-            if let Err(error) = write(&state, &[change]).await {
-                log_not_stored(&state, &error);
-            }
-        });
+        let suspects = &self.state.suspects;
+        if !self.is_moved && suspects.table().end_trial(self.fingerprint, &self.upstream) {
+            suspects.changed.notify_one();
+        }
     }
 }
 
@@ -188,9 +183,15 @@
     request: &mut ActiveRequest,
     placement: &Placement,
 ) -> Result<(), Rejection> {
-    let Verdict::Trial = verdict(request)? else {
-        return Ok(());
-    };
+    // A request that was not run on its trial goes on with it at another upstream.
+    let mut earlier = request.trial.take();
+    match verdict(request) {
+        // The trial that keeps copies waiting is its own.
+        Err(Rejection::NotRun(_)) if earlier.is_some() => {}
+        Ok(Verdict::Trial) => {}
+        Ok(_) => return Ok(()),
+        Err(rejection) => return Err(rejection),
+    }
     let state = Arc::clone(&request.state);
     let busy = Rejection::NotRun(BUSY_RETRY_MS);
     let fingerprint = request.fingerprint();
@@ -207,10 +208,14 @@
         }
         return Err(busy);
     }
+    if let Some(earlier) = &mut earlier {
+        earlier.is_moved = true;
+    }
     request.trial = Some(Trial {
         state,
         fingerprint,
         upstream,
+        is_moved: false,
     });
     Ok(())
 }
