Let only the added upstream serve in the test of odd entries; measurements

The check was wrong, not the code: now the first upstream drains, and each of the twenty has to be served by the added one, which is stricter.

--- a/crates/daemon/tests/ingress/discovery.rs
+++ b/crates/daemon/tests/ingress/discovery.rs
@@ -193,7 +193,7 @@
 /// runs on, follows the others, and does not fill its log.
 #[tokio::test]
 async fn odd_entries_of_other_writers_do_not_end_an_instance_or_its_feed() {
-    let (store, [_first]) = start_site("app", [IMMEDIATE_RESPONSE]);
+    let (store, [first]) = start_site("app", [IMMEDIATE_RESPONSE]);
     let entry = |slots: &str, address: &str, born: &str| {
         format!(
             r#"{{"service": "app", "address": "{address}", "zone": "z1", "version": "v1",
@@ -232,7 +232,7 @@
         write_all();
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    let added = Upstream::spawn(&store, "i-2", "app", IMMEDIATE_RESPONSE);
+    let _added = Upstream::spawn(&store, "i-2", "app", IMMEDIATE_RESPONSE);
     wait_for("the instance follows the entries", || async {
         let joined = instance.events("E0731");
         joined
@@ -241,11 +241,14 @@
             .then_some(())
     })
     .await;
+    first.register(&store, "draining");
+    instance.wait_for_event("E0732").await;
     for number in 0..20 {
         let reply = instance.send(plain_request("pay", &format!("t{number}")));
-        assert_eq!(reply.await.unwrap().status, StatusCode::OK, "{number}");
+        let reply = reply.await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK, "{number}");
+        assert_eq!(reply.body, "done by i-2", "{number}");
     }
-    assert!(!added.requests().is_empty());
     let joined = instance.events("E0731");
     assert!(
         joined
