--- /dev/null
+++ b/review/standins/src/runner.rs
@@ -0,0 +1,363 @@
+//! A runner: a model engine or a plain service that registers in the store.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{AbortHandle, JoinSet};
+
+use crate::http::{Connection, Head};
+use crate::{Record, Store, lock, sleep_ms};
+
+/// How a runner works.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Milliseconds of work before the answer of a plain request or an event of a stream.
+    pub work_ms: u64,
+    /// Events of a stream.
+    pub events: u64,
+    /// Whether it says in its answers that it leaves.
+    pub is_leaving: bool,
+    /// Bodies above this length are rejected before they are in, and read on slowly later.
+    pub early: Option<Early>,
+    /// Size of its connections' receive buffers, in bytes.
+    pub receive_buffer: Option<u32>,
+}
+
+/// An answer that comes before its request's body was read.
+#[derive(Clone, Copy, Debug)]
+pub struct Early {
+    /// Length of a body from which it is rejected early.
+    pub from_bytes: u64,
+    /// Milliseconds after the answer at which the runner reads on.
+    pub pause_ms: u64,
+    /// Bytes that it then reads each 100 ms.
+    pub bytes_per_step: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            work_ms: 20,
+            events: 8,
+            is_leaving: false,
+            early: None,
+            receive_buffer: None,
+        }
+    }
+}
+
+/// A request that a runner has begun to run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub at_ms: u64,
+    pub runner: String,
+    pub version: String,
+    pub attempt: String,
+    pub path: String,
+    pub body: Vec<u8>,
+    pub previous: Option<String>,
+    pub last_event: Option<u64>,
+    /// Whether the whole answer was written.
+    pub is_done: bool,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    service: String,
+    zone: String,
+    version: String,
+    born: u64,
+    record: Record,
+    store: Store,
+    plan: Mutex<Plan>,
+    runs: Mutex<Vec<Run>>,
+    seq: Mutex<u64>,
+    state: Mutex<&'static str>,
+}
+
+/// A running runner.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    tasks: Arc<Mutex<Vec<AbortHandle>>>,
+}
+
+impl Runner {
+    /// Starts a runner and registers it as ready. It writes its entry again at each heartbeat.
+    pub async fn start(
+        record: &Record,
+        store: &Store,
+        id: &str,
+        service: &str,
+        version: &str,
+        plan: Plan,
+    ) -> Self {
+        let socket = TcpSocket::new_v4().expect("runner");
+        if let Some(bytes) = plan.receive_buffer {
+            socket.set_recv_buffer_size(bytes).expect("runner");
+        }
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
+        socket.bind(any).expect("runner");
+        let listener = socket.listen(1_024).expect("runner");
+        let address = listener.local_addr().expect("address");
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: "z-a".to_owned(),
+            version: version.to_owned(),
+            born: born.map_or(0, |time| time.as_millis() as u64),
+            record: record.clone(),
+            store: store.clone(),
+            plan: Mutex::new(plan),
+            runs: Mutex::default(),
+            seq: Mutex::default(),
+            state: Mutex::new("ready"),
+        });
+        let runner = Self {
+            address,
+            shared: Arc::clone(&shared),
+            tasks: Arc::default(),
+        };
+        runner.beat();
+        record.line(format!(
+            "runner {id} of {service}, software {version}, at {address}"
+        ));
+        let serving = tokio::spawn(serve(Arc::clone(&shared), listener));
+        let own = runner.clone();
+        let beating = tokio::spawn(async move {
+            loop {
+                sleep_ms(1_200).await;
+                own.beat();
+            }
+        });
+        *lock(&runner.tasks) = vec![serving.abort_handle(), beating.abort_handle()];
+        runner
+    }
+
+    fn beat(&self) {
+        let shared = &self.shared;
+        let state = *lock(&shared.state);
+        if state == "gone" {
+            return;
+        }
+        let mut seq = lock(&shared.seq);
+        *seq += 1;
+        let entry: Value = json!({
+            "service": shared.service, "address": self.address.to_string(), "zone": shared.zone,
+            "version": shared.version, "slots": 24, "state": state, "cold_left_ms": 0,
+            "seq": *seq, "born": shared.born,
+        });
+        shared.store.put("servers", &shared.id, &entry);
+    }
+
+    /// Reports `draining`, and says in all answers from now on that it leaves.
+    pub fn drain(&self) {
+        *lock(&self.shared.state) = "draining";
+        lock(&self.shared.plan).is_leaving = true;
+        self.beat();
+        let id = &self.shared.id;
+        self.shared
+            .record
+            .line(format!("runner {id} reported draining"));
+    }
+
+    /// Leaves without a report: its entry is removed, and it continues to serve.
+    pub fn leave_silently(&self) {
+        *lock(&self.shared.state) = "gone";
+        lock(&self.shared.plan).is_leaving = true;
+        self.shared.store.remove("servers", &self.shared.id);
+        let id = &self.shared.id;
+        self.shared.record.line(format!(
+            "runner {id}: its entry was removed, it continues to serve"
+        ));
+    }
+
+    /// Ends: closes its listener and all connections, and its entry goes.
+    pub fn exit(&self) {
+        *lock(&self.shared.state) = "gone";
+        for task in lock(&self.tasks).iter() {
+            task.abort();
+        }
+        self.shared.store.remove("servers", &self.shared.id);
+        let id = &self.shared.id;
+        self.shared.record.line(format!("runner {id} exited"));
+    }
+
+    /// Changes how it works.
+    pub fn set_plan(&self, plan: Plan) {
+        *lock(&self.shared.plan) = plan;
+    }
+
+    /// Returns its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.shared.id
+    }
+
+    /// Returns what it ran.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.shared.runs).clone()
+    }
+}
+
+async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    // Dropped with the task, which ends all connections.
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                let shared = Arc::clone(&shared);
+                connections.spawn(async move {
+                    let mut connection = Connection::new(stream);
+                    while let Ok(true) = serve_one(&shared, &mut connection).await {}
+                });
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+/// Serves one request. Returns whether another may follow.
+async fn serve_one(shared: &Shared, connection: &mut Connection) -> io::Result<bool> {
+    let Some(head) = connection.read_head().await? else {
+        return Ok(false);
+    };
+    let plan = lock(&shared.plan).clone();
+    let attempt = head.get("attempt-id").unwrap_or_default().to_owned();
+    let leaving = if plan.is_leaving { "1" } else { "" };
+    let mut common = vec![("Attempt-Id", attempt.as_str())];
+    if plan.is_leaving {
+        common.push(("Server-Leaving", leaving));
+    }
+    if let Some(early) = plan.early
+        && head.number("content-length").unwrap_or(0) >= early.from_bytes
+    {
+        return reject_early(shared, connection, &head, early)
+            .await
+            .map(|()| true);
+    }
+    let mut body = Vec::new();
+    connection.read_body(&head, &mut body).await?;
+    if head
+        .get("expect-instance")
+        .is_some_and(|id| id != shared.id)
+    {
+        common.push(("Not-Executed", "1"));
+        connection
+            .respond("421 Misdirected Request", &common, b"")
+            .await?;
+        return Ok(true);
+    }
+    let (_, path) = head.target();
+    let run = Run {
+        at_ms: shared.record.now_ms(),
+        runner: shared.id.clone(),
+        version: shared.version.clone(),
+        attempt: attempt.clone(),
+        path: path.to_owned(),
+        body,
+        previous: head.get("previous-turn").map(str::to_owned),
+        last_event: head.number("last-event-id"),
+        is_done: false,
+    };
+    shared.record.line(format!(
+        "runner {} runs {attempt} {path} (last event {:?})",
+        shared.id, run.last_event
+    ));
+    let index = {
+        let mut runs = lock(&shared.runs);
+        runs.push(run.clone());
+        runs.len() - 1
+    };
+    let signature = format!("sig.{}.{attempt}", shared.id);
+    common.push(("Server-Signature", &signature));
+    if head.get("token-usage").is_some() {
+        stream(connection, &plan, &common, &run).await?;
+    } else {
+        sleep_ms(plan.work_ms).await;
+        let text = format!("{} by {}", run.attempt, shared.id);
+        connection
+            .respond("200 OK", &common, text.as_bytes())
+            .await?;
+    }
+    lock(&shared.runs)[index].is_done = true;
+    Ok(true)
+}
+
+async fn stream(
+    connection: &mut Connection,
+    plan: &Plan,
+    common: &[(&str, &str)],
+    run: &Run,
+) -> io::Result<()> {
+    let mut text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+        Transfer-Encoding: chunked\r\n"
+        .to_owned();
+    for (name, value) in common {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    for event in run.last_event.unwrap_or(0) + 1..=plan.events {
+        // A runner drops a run when its connection closes.
+        let mut byte = [0];
+        tokio::select! {
+            () = sleep_ms(plan.work_ms) => {}
+            peeked = connection.stream.peek(&mut byte) => if peeked? == 0 {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+        }
+        let data = format!("id: {event}\ndata: {}.{event}\n\n", run.version);
+        text.push_str(&format!("{:x}\r\n{data}\r\n", data.len()));
+        connection.write(text.as_bytes()).await?;
+        text.clear();
+    }
+    text.push_str("0\r\n\r\n");
+    connection.write(text.as_bytes()).await
+}
+
+/// Rejects a request before its body is in, keeps the connection and reads on later.
+async fn reject_early(
+    shared: &Shared,
+    connection: &mut Connection,
+    head: &Head,
+    early: Early,
+) -> io::Result<()> {
+    let attempt = head.get("attempt-id").unwrap_or_default().to_owned();
+    shared.record.line(format!(
+        "runner {} rejects {attempt} before its body is in",
+        shared.id
+    ));
+    let headers = [("Attempt-Id", attempt.as_str()), ("Not-Executed", "1")];
+    connection
+        .respond("503 Service Unavailable", &headers, b"")
+        .await?;
+    sleep_ms(early.pause_ms).await;
+    let len = head.number("content-length").unwrap_or(0) as usize;
+    let mut read = 0;
+    while read < len {
+        let step = early.bytes_per_step.min(len - read);
+        let piece = Head {
+            start: String::new(),
+            headers: BTreeMap::from([("content-length".to_owned(), step.to_string())])
+                .into_iter()
+                .collect(),
+        };
+        connection.read_body(&piece, &mut Vec::new()).await?;
+        read += step;
+        sleep_ms(100).await;
+    }
+    shared.record.line(format!(
+        "runner {} has read the body of {attempt}",
+        shared.id
+    ));
+    Ok(())
+}
