--- a/review/standins/src/bin/case-versions.rs
+++ b/review/standins/src/bin/case-versions.rs
@@ -24,6 +24,7 @@
     let old = Runner::start(&record, store, "i-old", "lm-pool", "v1", plan.clone()).await;
     let (front_a, view_a) = site.machine("front-a", "z-a").await;
     let (front_b, _view_b) = site.machine("front-b", "z-b").await;
+    let (front_d, _view_d) = site.machine("front-d", "z-c").await;
     // Traffic starts 10 s after the machines do.
     sleep_ms(10_000).await;
     let mut connections = Vec::new();
@@ -100,7 +101,7 @@
         joined += usize::from(v1 > 0 && v2 > 0);
     }
     view_a.set_rejecting(false);
-    for machine in [front_a, front_b, front_c] {
+    for machine in [front_a, front_b, front_c, front_d] {
         machine.stop().await;
     }
     new.exit();
