--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod http;
 pub mod machine;
+pub mod proxy;
 pub mod record;
 pub mod runner;
 pub mod site;
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -24,6 +24,10 @@
     pub is_leaving: bool,
     /// Bodies above this length are rejected before they are in, and read on slowly later.
     pub early: Option<Early>,
+    /// Of each this many runs, one ends without an answer; 0 for none.
+    pub loses_one_in: usize,
+    /// Of each this many answers, one comes again later on its connection; 0 for none.
+    pub repeats_one_in: usize,
     /// Size of its connections' receive buffers, in bytes.
     pub receive_buffer: Option<u32>,
 }
@@ -46,6 +50,8 @@
             events: 8,
             is_leaving: false,
             early: None,
+            loses_one_in: 0,
+            repeats_one_in: 0,
             receive_buffer: None,
         }
     }
@@ -284,10 +290,19 @@
         stream(connection, &plan, &common, &run).await?;
     } else {
         sleep_ms(plan.work_ms).await;
+        if plan.loses_one_in > 0 && index.is_multiple_of(plan.loses_one_in) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let text = format!("{} by {}", run.attempt, shared.id);
         connection
             .respond("200 OK", &common, text.as_bytes())
             .await?;
+        if plan.repeats_one_in > 0 && index % plan.repeats_one_in == 1 {
+            sleep_ms(index as u64 % 7 * 5).await;
+            connection
+                .respond("200 OK", &common, text.as_bytes())
+                .await?;
+        }
     }
     lock(&shared.runs)[index].is_done = true;
     Ok(true)
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -53,6 +53,11 @@
         (machine, view)
     }
 
+    /// Starts a machine, or starts it again, with a view of the store.
+    pub async fn machine_with(&self, name: &str, zone: &str, view: &View) -> Machine {
+        Machine::start(&self.record, &self.folder, name, zone, view).await
+    }
+
     /// Says whether the rule was broken, and ends the program.
     pub fn end(self, broken: bool, text: &str) -> ! {
         let verdict = if broken { "BROKEN" } else { "held" };
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -45,6 +45,8 @@
 pub struct View {
     pub address: SocketAddr,
     is_rejecting: Arc<AtomicU64>,
+    /// Addresses of runners, and those at which this machine reaches them through a proxy.
+    proxies: Arc<Mutex<BTreeMap<String, String>>>,
 }
 
 impl View {
@@ -54,6 +56,26 @@
             .store(u64::from(is_rejecting), Ordering::SeqCst);
     }
 
+    /// Lets the machine reach a runner through a proxy.
+    pub fn set_proxy(&self, runner: SocketAddr, proxy: SocketAddr) {
+        lock(&self.proxies).insert(runner.to_string(), proxy.to_string());
+    }
+
+    fn replace_addresses(&self, answer: &mut Value) {
+        let proxies = lock(&self.proxies);
+        let rows = answer["rows"].as_array_mut().into_iter().flatten();
+        for row in rows.filter(|row| row["table"] == "servers" && !proxies.is_empty()) {
+            let value = STANDARD.decode(row["value"].as_str().unwrap_or_default());
+            let entry = serde_json::from_slice::<Value>(&value.unwrap_or_default());
+            let Ok(mut entry) = entry else { continue };
+            let address = entry["address"].as_str().unwrap_or_default();
+            if let Some(proxy) = proxies.get(address) {
+                entry["address"] = json!(proxy);
+                row["value"] = json!(STANDARD.encode(entry.to_string()));
+            }
+        }
+    }
+
     fn rejects(&self) -> bool {
         self.is_rejecting.load(Ordering::SeqCst) != 0
     }
@@ -80,6 +102,7 @@
         let view = View {
             address: listener.local_addr().expect("address"),
             is_rejecting: Arc::default(),
+            proxies: Arc::default(),
         };
         let (store, own) = (self.clone(), view.clone());
         tokio::spawn(async move {
@@ -92,7 +115,8 @@
                         if connection.read_body(&head, &mut body).await.is_err() {
                             return;
                         }
-                        let (status, answer) = store.handle(&view, &head, &body).await;
+                        let (status, mut answer) = store.handle(&view, &head, &body).await;
+                        view.replace_addresses(&mut answer);
                         let text = answer.to_string();
                         let json = [("Content-Type", "application/json")];
                         let sent = connection.respond(status, &json, text.as_bytes());
