--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -14,6 +14,8 @@
     Open,
     /// Connections hang, and new ones are refused.
     Hangs,
+    /// Connections hang, new ones too: nothing answers them.
+    Silent,
     /// Connections are reset, and new ones are refused.
     Reset,
     /// Connections live on, and new ones are refused.
@@ -74,11 +76,33 @@
                 if *way.borrow() != Way::Open {
                     open = None;
                 }
+                if *way.borrow() == Way::Silent {
+                    fall_silent(address, &mut way).await;
+                }
             }
         }
     }
 }
 
+/// Listens with a full queue, so that the system drops what asks for a connection.
+async fn fall_silent(address: SocketAddr, way: &mut watch::Receiver<Way>) {
+    let socket = TcpSocket::new_v4().expect("socket");
+    let _ = socket.set_reuseaddr(true);
+    let Some(_full) = socket
+        .bind(address)
+        .ok()
+        .and_then(|()| socket.listen(0).ok())
+    else {
+        return;
+    };
+    let mut fillers = Vec::new();
+    for _ in 0..2 {
+        let filler = TcpStream::connect(address);
+        fillers.push(tokio::time::timeout(Duration::from_millis(50), filler).await);
+    }
+    while *way.borrow() == Way::Silent && way.changed().await.is_ok() {}
+}
+
 async fn pass(machine: TcpStream, runner: SocketAddr, mut way: watch::Receiver<Way>) {
     let Ok(upstream) = TcpStream::connect(runner).await else {
         return;
@@ -88,7 +112,7 @@
     let (mut from_runner, mut to_runner) = upstream.into_split();
     let (mut there, mut back) = (vec![0; 16_384], vec![0; 16_384]);
     loop {
-        let is_hanging = *way.borrow() == Way::Hangs;
+        let is_hanging = matches!(*way.borrow(), Way::Hangs | Way::Silent);
         tokio::select! {
             changed = way.changed() => {
                 if changed.is_err() || *way.borrow() == Way::Reset {
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -34,6 +34,12 @@
     began: Instant,
     /// How many times longer than usual answers take.
     slowness: AtomicU64,
+    /// Of each 100 transactions, how many are done without an answer, and how many are done late.
+    lost: AtomicU64,
+    late: AtomicU64,
+    calls: AtomicU64,
+    /// Partitions whose names end with this character are unavailable; 0 for none.
+    unavailable: AtomicU64,
 }
 
 /// The store.
@@ -91,6 +97,10 @@
             changed: Notify::new(),
             began: Instant::now(),
             slowness: AtomicU64::new(1),
+            lost: AtomicU64::new(0),
+            late: AtomicU64::new(0),
+            calls: AtomicU64::new(0),
+            unavailable: AtomicU64::new(0),
         }))
     }
 }
@@ -135,6 +145,28 @@
         self.0.slowness.store(times, Ordering::SeqCst);
     }
 
+    /// Leaves a share of the transactions without an answer, in percent: `lost` of them are done at
+    /// once, `late` of them one to six seconds later.
+    pub fn set_lost(&self, lost: u64, late: u64) {
+        self.0.lost.store(lost, Ordering::SeqCst);
+        self.0.late.store(late, Ordering::SeqCst);
+    }
+
+    /// Makes the partitions unavailable whose names end with a character.
+    pub fn set_unavailable(&self, end: Option<char>) {
+        let end = end.map_or(0, u64::from);
+        self.0.unavailable.store(end, Ordering::SeqCst);
+    }
+
+    fn is_unavailable(&self, part: &str) -> bool {
+        let end = self.0.unavailable.load(Ordering::SeqCst);
+        end != 0
+            && part
+                .chars()
+                .last()
+                .is_some_and(|last| u64::from(last) == end)
+    }
+
     /// Writes a row, as the operator or a runner does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let value = Some(STANDARD.encode(value.to_string()));
@@ -184,6 +216,9 @@
         let get = |name: &str| query.get(name).cloned().unwrap_or_default();
         match path {
             "/rows-get" => {
+                if self.is_unavailable(&get("part")) {
+                    return (REJECTED, json!({}));
+                }
                 // A read is as of the moment of its arrival.
                 let answer = self.read(&get("table"), &get("part"), &get("from"), &get("to"));
                 sleep_ms(READ_MS * slowness).await;
@@ -192,7 +227,26 @@
             "/rows-tx" => {
                 // A transaction takes effect at its end.
                 sleep_ms(TX_MS * slowness).await;
-                let transaction = serde_json::from_slice(body).unwrap_or_default();
+                let transaction: Value = serde_json::from_slice(body).unwrap_or_default();
+                if self.is_unavailable(transaction["writes"][0]["part"].as_str().unwrap_or("")) {
+                    return (REJECTED, json!({}));
+                }
+                // Spreads the faults evenly over the calls.
+                let call = self.0.calls.fetch_add(1, Ordering::SeqCst);
+                let draw = call.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+                let lost = self.0.lost.load(Ordering::SeqCst);
+                if draw % 100 < lost {
+                    let _ = self.apply(&transaction);
+                    return std::future::pending().await;
+                }
+                if draw % 100 < lost + self.0.late.load(Ordering::SeqCst) {
+                    let store = self.clone();
+                    tokio::spawn(async move {
+                        sleep_ms(1_000 + draw / 100 % 5_000).await;
+                        let _ = store.apply(&transaction);
+                    });
+                    return std::future::pending().await;
+                }
                 self.apply(&transaction)
             }
             "/rows-feed" => {
