--- a/review/standins/src/machine.rs
+++ b/review/standins/src/machine.rs
@@ -118,6 +118,12 @@
         probe.send(self.ready).await.status == 200
     }
 
+    /// Returns the id of the process; 0 if it has ended.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.process.id().unwrap_or(0)
+    }
+
     /// Sends a signal by its name.
     pub async fn signal(&self, name: &str) {
         if let Some(id) = self.process.id() {
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -8,6 +8,7 @@
 
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::Notify;
 use tokio::task::{AbortHandle, JoinSet};
 
 use crate::http::{Connection, Head};
@@ -24,6 +25,10 @@
     pub is_leaving: bool,
     /// Bodies above this length are rejected before they are in, and read on slowly later.
     pub early: Option<Early>,
+    /// Answers have neither a length nor chunks, and end so.
+    pub unframed: Option<Ending>,
+    /// A request whose body holds this text ends the runner as it begins to run it.
+    pub crashes_on: Option<&'static str>,
     /// Of each this many runs, one ends without an answer; 0 for none.
     pub loses_one_in: usize,
     /// Of each this many answers, one comes again later on its connection; 0 for none.
@@ -32,6 +37,21 @@
     pub receive_buffer: Option<u32>,
 }
 
+/// How an answer without a length ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// After its last byte, with its connection.
+    Whole,
+    /// In its middle, by a reset.
+    Reset,
+    /// In its middle, by a reset after a whole event.
+    ResetAfterEvent,
+    /// Its connection ends within an event.
+    InsideEvent,
+    /// Its connection ends without the empty line of the last event.
+    NoEmptyLine,
+}
+
 /// An answer that comes before its request's body was read.
 #[derive(Clone, Copy, Debug)]
 pub struct Early {
@@ -50,6 +70,8 @@
             events: 8,
             is_leaving: false,
             early: None,
+            unframed: None,
+            crashes_on: None,
             loses_one_in: 0,
             repeats_one_in: 0,
             receive_buffer: None,
@@ -85,6 +107,7 @@
     runs: Mutex<Vec<Run>>,
     seq: Mutex<u64>,
     state: Mutex<&'static str>,
+    crashed: Arc<Notify>,
 }
 
 /// A running runner.
@@ -93,6 +116,7 @@
     pub address: SocketAddr,
     shared: Arc<Shared>,
     tasks: Arc<Mutex<Vec<AbortHandle>>>,
+    crashed: Arc<Notify>,
 }
 
 impl Runner {
@@ -126,11 +150,13 @@
             runs: Mutex::default(),
             seq: Mutex::default(),
             state: Mutex::new("ready"),
+            crashed: Arc::default(),
         });
         let runner = Self {
             address,
             shared: Arc::clone(&shared),
             tasks: Arc::default(),
+            crashed: Arc::clone(&shared.crashed),
         };
         runner.beat();
         record.line(format!(
@@ -197,6 +223,18 @@
         self.shared.record.line(format!("runner {id} exited"));
     }
 
+    /// Waits until a request crashes the runner, and ends it. Its entry stays for three heartbeats.
+    pub async fn end_at_crash(&self) {
+        self.crashed.notified().await;
+        *lock(&self.shared.state) = "gone";
+        lock(&self.tasks).iter().for_each(AbortHandle::abort);
+        let (store, id) = (self.shared.store.clone(), self.shared.id.clone());
+        tokio::spawn(async move {
+            sleep_ms(3_600).await;
+            store.remove("servers", &id);
+        });
+    }
+
     /// Changes how it works.
     pub fn set_plan(&self, plan: Plan) {
         *lock(&self.shared.plan) = plan;
@@ -284,8 +322,23 @@
         runs.push(run.clone());
         runs.len() - 1
     };
+    if plan
+        .crashes_on
+        .is_some_and(|text| String::from_utf8_lossy(&run.body).contains(text))
+    {
+        shared.record.line(format!("runner {} crashes", shared.id));
+        shared.crashed.notify_one();
+        // The process ends, and its connections with it.
+        return std::future::pending().await;
+    }
     let signature = format!("sig.{}.{attempt}", shared.id);
     common.push(("Server-Signature", &signature));
+    if let Some(ending) = plan.unframed {
+        let is_stream = head.get("token-usage").is_some();
+        let is_done = answer_unframed(connection, &plan, &common, &run, is_stream, ending).await?;
+        lock(&shared.runs)[index].is_done = is_done;
+        return Ok(false);
+    }
     if head.get("token-usage").is_some() {
         stream(connection, &plan, &common, &run).await?;
     } else {
@@ -339,6 +392,61 @@
     connection.write(text.as_bytes()).await
 }
 
+/// Answers without a length. Returns whether the answer is whole.
+async fn answer_unframed(
+    connection: &mut Connection,
+    plan: &Plan,
+    common: &[(&str, &str)],
+    run: &Run,
+    is_stream: bool,
+    ending: Ending,
+) -> io::Result<bool> {
+    let mut text = "HTTP/1.1 200 OK\r\n".to_owned();
+    for (name, value) in common {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    connection.write(text.as_bytes()).await?;
+    let mut pieces = Vec::new();
+    if is_stream {
+        let events = run.last_event.unwrap_or(0) + 1..=plan.events;
+        pieces
+            .extend(events.map(|event| format!("id: {event}\ndata: {}.{event}\n\n", run.version)));
+    } else {
+        pieces.push(format!("{} by", run.attempt));
+        pieces.push(format!(" {}", run.runner));
+    }
+    let half = pieces.len() / 2;
+    // A stream that is taken up again ends whole.
+    let ending = if run.last_event.is_some() {
+        Ending::Whole
+    } else {
+        ending
+    };
+    for (at, piece) in pieces.iter().enumerate() {
+        sleep_ms(plan.work_ms).await;
+        let is_last = at + 1 == pieces.len();
+        let cut = match ending {
+            Ending::Reset if at == half => Some(piece.len() / 2),
+            Ending::ResetAfterEvent if at == half => Some(0),
+            Ending::InsideEvent if at == half => Some(piece.len() / 2),
+            Ending::NoEmptyLine if is_last => Some(piece.len() - 1),
+            _ => None,
+        };
+        connection
+            .write(&piece.as_bytes()[..cut.unwrap_or(piece.len())])
+            .await?;
+        if cut.is_some() {
+            sleep_ms(5).await;
+            if matches!(ending, Ending::Reset | Ending::ResetAfterEvent) {
+                connection.stream.set_zero_linger()?;
+            }
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Rejects a request before its body is in, keeps the connection and reads on later.
 async fn reject_early(
     shared: &Shared,
