--- a/review/standins/src/bin/case-early.rs
+++ b/review/standins/src/bin/case-early.rs
@@ -10,7 +10,7 @@
 /// Time limit of the route for short requests, and how long its clients wait.
 const TIMEOUT_MS: u64 = 1_200;
 const CLIENT_MS: u64 = 3_000;
-const ROUNDS: usize = 12;
+const ROUNDS: usize = 8;
 /// The rule has no lower bound; a few late requests are not taken for it.
 const MIN_HELD: usize = 4;
 
@@ -47,25 +47,31 @@
     sleep_ms(4_000).await;
     let front = machine.front;
     let mut sent = Vec::new();
+    let began_ms = record.now_ms();
     for round in 0..ROUNDS {
-        // A long upload, and several short requests at once some time later. At most 3 in 100 answers
-        // are early ones.
+        // A long upload, and short requests, several at once.
         let attempt = format!("upload-{round}");
         let request = Request::new("POST", "/upload/x", &attempt, 3_000);
         let request = request.body(vec![b'x'; 4_000_000]);
         let own = record.clone();
         sent.push((false, tokio::spawn(send(own, front, request))));
-        sleep_ms(600).await;
-        for batch in 0..9 {
-            for number in 0..12 {
+        sleep_ms(330).await;
+        for batch in 0..4 {
+            for number in 0..30 {
                 let attempt = format!("read-{round}-{batch}-{number}");
                 let request = Request::new("GET", "/read/x", &attempt, CLIENT_MS);
                 let own = record.clone();
                 sent.push((true, tokio::spawn(send(own, front, request))));
             }
-            sleep_ms(100).await;
+            sleep_ms(60).await;
         }
+        sleep_ms(60).await;
     }
+    let lasted_ms = record.now_ms() - began_ms;
+    for runner in &runners[..3] {
+        runner.set_plan(sound.clone());
+    }
+    record.say(format!("the runners spoiled answers for {lasted_ms} ms"));
     let (mut late, mut held, mut count) = (0, 0, 0);
     for (is_read, answer) in sent {
         let answer = answer.await.expect("answer");
@@ -76,6 +82,12 @@
         }
     }
     machine.stop().await;
+    let early: usize = runners.iter().map(Runner::early_answers).sum();
+    let others: usize = runners[..3].iter().map(|runner| runner.runs().len()).sum();
+    record.say(format!(
+        "{early} of {} answers of the three runners were early",
+        early + others
+    ));
     let text = format!(
         "of {count} short requests, {late} were unanswered at their route's timeout of {TIMEOUT_MS} ms, \
          and {held} of these had no answer half a second later"
--- a/review/standins/src/bin/case-leaving.rs
+++ b/review/standins/src/bin/case-leaving.rs
@@ -21,7 +21,7 @@
         ..Plan::default()
     };
     let mut runners = Vec::new();
-    for id in ["i-leaving", "i-staying"] {
+    for id in ["i-leaving", "i-staying-1", "i-staying-2"] {
         let store = &site.store;
         runners.push(Runner::start(&record, store, id, "shop-api", "v1", plan.clone()).await);
     }
@@ -42,6 +42,9 @@
         views[0].set_rejecting(true);
     }
     sleep_ms(500).await;
+    // A release of one runner of three: the new one starts first, then the old one drains.
+    let store = &site.store;
+    let _new = Runner::start(&record, store, "i-new", "shop-api", "v1", plan.clone()).await;
     runners[0].drain();
     // Each client sends one order, one after the other.
     let mut sent = Vec::new();
--- a/review/standins/src/bin/case-versions.rs
+++ b/review/standins/src/bin/case-versions.rs
@@ -21,7 +21,10 @@
         ..Plan::default()
     };
     let store = &site.store;
-    let old = Runner::start(&record, store, "i-old", "lm-pool", "v1", plan.clone()).await;
+    let mut old = Vec::new();
+    for id in ["i-old-1", "i-old-2", "i-old-3"] {
+        old.push(Runner::start(&record, store, id, "lm-pool", "v1", plan.clone()).await);
+    }
     let (front_a, view_a) = site.machine("front-a", "z-a").await;
     let (front_b, _view_b) = site.machine("front-b", "z-b").await;
     let (front_d, _view_d) = site.machine("front-d", "z-c").await;
@@ -36,11 +39,14 @@
         view_a.set_rejecting(true);
     }
     sleep_ms(500).await;
-    // The release: the new runner starts first, then the old one leaves.
-    let new = Runner::start(&record, store, "i-new", "lm-pool", "v2", plan.clone()).await;
-    sleep_ms(500).await;
-    old.leave_silently();
-    sleep_ms(500).await;
+    // Three releases of one runner of three each: the new runner starts first, then the old one leaves.
+    let mut new = Vec::new();
+    for (id, old) in ["i-new-1", "i-new-2", "i-new-3"].into_iter().zip(&old) {
+        new.push(Runner::start(&record, store, id, "lm-pool", "v2", plan.clone()).await);
+        sleep_ms(400).await;
+        old.leave_silently();
+    }
+    sleep_ms(400).await;
     // A machine is added.
     let (front_c, _view_c) = site.machine("front-c", "z-c").await;
     sleep_ms(1_500).await;
@@ -85,7 +91,7 @@
         }));
     }
     sleep_ms(1_000).await;
-    old.exit();
+    old.iter().for_each(Runner::exit);
     let mut joined = 0;
     for stream in streams {
         let (name, events) = stream.await.expect("stream");
@@ -104,7 +110,7 @@
     for machine in [front_a, front_b, front_c, front_d] {
         machine.stop().await;
     }
-    new.exit();
+    new.iter().for_each(Runner::exit);
     let text =
         format!("{joined} of {STREAMS} streams hold events of runners of two software versions");
     site.end(joined > 2, &text);
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -106,6 +107,7 @@
     plan: Mutex<Plan>,
     runs: Mutex<Vec<Run>>,
     seq: Mutex<u64>,
+    early_answers: AtomicUsize,
     state: Mutex<&'static str>,
     crashed: Arc<Notify>,
 }
@@ -149,6 +151,7 @@
             plan: Mutex::new(plan),
             runs: Mutex::default(),
             seq: Mutex::default(),
+            early_answers: AtomicUsize::new(0),
             state: Mutex::new("ready"),
             crashed: Arc::default(),
         });
@@ -246,6 +249,12 @@
         &self.shared.id
     }
 
+    /// Returns how many requests it rejected before their bodies were in.
+    #[must_use]
+    pub fn early_answers(&self) -> usize {
+        self.shared.early_answers.load(Ordering::SeqCst)
+    }
+
     /// Returns what it ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -455,6 +464,7 @@
     early: Early,
 ) -> io::Result<()> {
     let attempt = head.get("attempt-id").unwrap_or_default().to_owned();
+    shared.early_answers.fetch_add(1, Ordering::SeqCst);
     shared.record.line(format!(
         "runner {} rejects {attempt} before its body is in",
         shared.id
