Derive the version of streams without a record from a history in the store

Cause: whether a stream needs a record of its version, and which version a stream without one has, was taken from what one process had seen since its start. The writer did not know of v2, the reader not of v1.

Change: which versions a service had, and when by the store's clock, is a row (table `version`). A stream without a record belongs to the version that was alone two spans ago; streams begin without a record only if the service had one version for more than two spans, as of a view of the upstreams that is less than a span old. Without the store, streams that need it are relayed to an instance that reaches it. The timeout of an earlier configuration still counts.

The opposite has a test as well, and `core dispatch software_version` a model.

--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -4,7 +4,7 @@
 mod attempts;
 mod prefix_cache;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -14,7 +14,6 @@
 
 use super::outlier::{FailureRate, Health};
 use super::rate_limit::{RateLimits, RequestClass};
-use super::software_version::Versions;
 use super::speed::ServiceSpeed;
 use crate::clock::Time;
 use crate::id;
@@ -110,13 +109,11 @@
 struct ServiceState {
     failure_rate: FailureRate,
     speed: ServiceSpeed,
-    versions: Versions,
 }
 
 impl Fleet {
     /// Applies the current content of a discovery entry.
     pub fn observe(&mut self, upstream: Upstream, now: Time) -> Change {
-        record_version(&mut self.services, &upstream, now);
         let Some(&key) = self.by_id.get(&upstream.id) else {
             self.insert_entry(upstream, now);
             return Change::Joined;
@@ -175,14 +172,8 @@
     }
 
     /// Drops removed upstreams that get no new work and have no requests of this instance in
-    /// progress, and records which versions the others have.
+    /// progress.
     pub fn expire(&mut self, now: Time) {
-        for entry in self.entries.values() {
-            record_version(&mut self.services, &entry.upstream, now);
-        }
-        for state in self.services.values_mut() {
-            state.versions.expire(now);
-        }
         let expired: Vec<_> = self
             .entries
             .iter()
@@ -269,10 +260,18 @@
         &mut self.rate_limits
     }
 
-    /// Returns the software versions of a service.
+    /// Returns the services with the software versions of their upstreams, whether these accept
+    /// requests or are draining.
     #[must_use]
-    pub fn versions(&self, service: &str) -> Option<&Versions> {
-        self.services.get(service).map(|state| &state.versions)
+    pub fn versions(&self, now: Time) -> BTreeMap<Arc<str>, BTreeSet<Arc<str>>> {
+        let mut services = BTreeMap::<_, BTreeSet<_>>::new();
+        let entries = self.entries.values();
+        for entry in entries.filter(|entry| self.is_listed(entry, now)) {
+            let versions = services.entry(Arc::clone(&entry.upstream.service));
+            let versions = versions.or_default();
+            versions.insert(Arc::clone(&entry.upstream.version));
+        }
+        services
     }
 
     /// Returns whether an upstream of a service with a software version accepts requests.
@@ -290,9 +289,11 @@
     }
 
     fn accepts_work(&self, entry: &UpstreamState, now: Time) -> bool {
-        if entry.upstream.is_draining || entry.is_displaced {
-            return false;
-        }
+        !entry.upstream.is_draining && !entry.is_displaced && self.is_listed(entry, now)
+    }
+
+    /// Returns whether an upstream has an entry, or may have one again soon.
+    fn is_listed(&self, entry: &UpstreamState, now: Time) -> bool {
         let Some(removed_at) = entry.removed_at else {
             return true;
         };
@@ -332,11 +333,6 @@
     }
 }
 
-fn record_version(services: &mut BTreeMap<Arc<str>, ServiceState>, upstream: &Upstream, now: Time) {
-    let state = services.entry(Arc::clone(&upstream.service)).or_default();
-    state.versions.record(&upstream.version, now);
-}
-
 impl UpstreamState {
     /// Returns for how many more milliseconds other upstreams are preferred.
     #[must_use]
--- a/crates/core/src/dispatch/relay.rs
+++ b/crates/core/src/dispatch/relay.rs
@@ -40,6 +40,8 @@
     /// Requests in a row that it did not handle.
     failures: u32,
     avoid_until: Time,
+    /// Whether it did not reach the store when it declined its latest request.
+    lacks_store: bool,
 }
 
 /// Result of a request at another instance.
@@ -49,6 +51,8 @@
     Handled,
     /// The instance can't handle requests now.
     Declined,
+    /// The instance can't handle requests now, as it does not reach the store.
+    LacksStore,
     /// The instance was not reached, or its response was interrupted.
     Failed,
     /// The caller disconnected before the end.
@@ -66,6 +70,7 @@
                 is_proven: false,
                 failures: 0,
                 avoid_until: Time::ZERO,
+                lacks_store: false,
             });
             self.instances.insert(
                 id,
@@ -115,6 +120,14 @@
         other.or(proven).map(|(id, _)| Arc::clone(id))
     }
 
+    /// Returns whether no instance seems to reach the store: some that were asked don't, and none
+    /// handled its latest request.
+    #[must_use]
+    pub fn is_store_lost(&self) -> bool {
+        let mut instances = self.instances.values();
+        instances.clone().any(|known| known.lacks_store) && !instances.any(|known| known.is_proven)
+    }
+
     /// Records that a request is sent to an instance.
     pub fn start(&mut self, id: &str) {
         if let Some(instance) = self.instances.get_mut(id) {
@@ -128,6 +141,7 @@
             return;
         };
         instance.in_flight = instance.in_flight.saturating_sub(1);
+        instance.lacks_store = outcome == Outcome::LacksStore;
         let first_ms = match outcome {
             Outcome::Handled => {
                 instance.is_proven = true;
@@ -135,7 +149,7 @@
                 return;
             }
             Outcome::Abandoned => return,
-            Outcome::Declined => FIRST_DECLINE_MS,
+            Outcome::Declined | Outcome::LacksStore => FIRST_DECLINE_MS,
             Outcome::Failed => FIRST_FAILURE_MS,
         };
         let ms = (first_ms << instance.failures.min(4)).min(MAX_AVOID_MS);
--- a/crates/core/src/dispatch/route.rs
+++ b/crates/core/src/dispatch/route.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::config::{Config, Route};
+use super::config::{Config, Route, RouteKind};
 
 /// Index of a route in the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +40,18 @@
         &self.config
     }
 
+    /// Returns the longest timeout of the routes of a service whose streams can be resumed, in
+    /// milliseconds. Returns `None` if there is no such route.
+    #[must_use]
+    pub fn resumable_timeout_ms(&self, service: &str) -> Option<u64> {
+        let routes = self.config.routes.iter();
+        let resumable = routes.filter(|route| {
+            let mut targets = route.targets.iter();
+            route.kind == RouteKind::ResumableStream && targets.any(|(name, _)| **name == *service)
+        });
+        resumable.map(|route| route.timeout_ms).max()
+    }
+
     /// Returns the route of the host with the longest prefix of the path. A port in `host` is
     /// ignored.
     #[must_use]
--- a/crates/core/src/dispatch/software_version.rs
+++ b/crates/core/src/dispatch/software_version.rs
@@ -4,80 +4,167 @@
 //! version in a record, which is stored before the first event is sent to the caller. While a service
 //! has a single version, no records are written, and a stream without one belongs to that version.
 //!
-//! Instances learn of a new version at different times. A reader therefore looks for a record in any
-//! case, as the instance that began the stream may know a version that it does not, and assumes less
-//! than a writer leaves out. All times are multiples of `span_ms`, the longest time for which a
-//! stream and the requests that take it up again last.
+//! Which versions a service had, and when, is a [`History`] in the store, so that an instance that has
+//! just started knows as much as the others. All its times are those of the store's clock.
+//!
+//! Let the span be the longest time for which a stream and the requests that take it up again last. A
+//! stream is begun without a record only if its version has been alone for two spans, as far as the
+//! instance knows whose view of the upstreams is at most one span old. Of the time from two spans to
+//! one span before that, the view is up to date, so the version was alone then. A stream that is taken
+//! up was begun at most one span ago. All streams without a record thus belong to the version that
+//! was alone two spans ago.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use crate::clock::Time;
+/// Minimum span in milliseconds, so that the margin is small compared to it.
+const MIN_SPAN_MS: u64 = 8_000;
+
+/// Difference that is allowed for between the instances' readings of the store's clock, and for the
+/// time until an instance has noticed a change, in milliseconds.
+const MARGIN_MS: u64 = 2_000;
+
+/// Multiple of the span for which a version that left is remembered.
+const RETENTION_SPANS: u64 = 4;
 
-/// How long versions are remembered after their last upstream left, in milliseconds: more than any
-/// stream lasts.
-const HISTORY_MS: u64 = 600_000;
+/// Maximum number of presences in a history. The oldest ones are forgotten first.
+const MAX_PRESENCES: usize = 64;
 
-/// Versions of a service's upstreams, as seen by this instance.
-#[derive(Clone, Debug, Default)]
-pub struct Versions {
-    seen: BTreeMap<Arc<str>, Seen>,
+/// Returns the age up to which a view of the upstreams allows streams without a record, in
+/// milliseconds.
+#[must_use]
+pub const fn max_view_age_ms(span_ms: u64) -> u64 {
+    effective_span_ms(span_ms) - MARGIN_MS
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Seen {
-    first: Time,
-    last: Time,
+const fn effective_span_ms(span_ms: u64) -> u64 {
+    if span_ms > MIN_SPAN_MS {
+        span_ms
+    } else {
+        MIN_SPAN_MS
+    }
 }
 
-impl Versions {
-    /// Records that an upstream has a version.
-    pub fn record(&mut self, version: &Arc<str>, now: Time) {
-        match self.seen.get_mut(version) {
-            Some(seen) => seen.last = now,
-            None => {
-                let seen = Seen {
-                    first: now,
-                    last: now,
-                };
-                self.seen.insert(Arc::clone(version), seen);
+/// Time during which a service had upstreams of a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Presence {
+    /// The version.
+    pub version: Arc<str>,
+    /// When the first upstream was seen, in milliseconds; 0 if it was there before the history began.
+    pub first_ms: u64,
+    /// When the last upstream was found to have left, in milliseconds. `None` if there are some.
+    pub left_ms: Option<u64>,
+}
+
+/// The versions that a service has and had lately.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct History {
+    /// The presences, in the order of their beginnings.
+    pub presences: Vec<Presence>,
+    /// Longest span of the service's streams so far, in milliseconds.
+    pub span_ms: u64,
+}
+
+impl History {
+    /// Returns the history with the versions that the service has at `now_ms`, or `None` if it says
+    /// the same already. `span_ms` is the span of the service's streams at present.
+    ///
+    /// Without any upstream, nothing is known to have changed.
+    #[must_use]
+    pub fn update(&self, present: &BTreeSet<Arc<str>>, span_ms: u64, now_ms: u64) -> Option<Self> {
+        let mut updated = self.clone();
+        updated.span_ms = self.span_ms.max(effective_span_ms(span_ms));
+        if !present.is_empty() {
+            let is_first = self.presences.is_empty();
+            for version in present {
+                updated.open(version, if is_first { 0 } else { now_ms }, now_ms);
             }
+            for presence in &mut updated.presences {
+                if !present.contains(&presence.version) {
+                    presence.left_ms.get_or_insert(now_ms);
+                }
+            }
+        }
+        if updated == *self {
+            return None;
         }
+        updated.forget(now_ms);
+        Some(updated)
     }
 
-    /// Forgets versions whose last upstream left long ago.
-    pub fn expire(&mut self, now: Time) {
-        self.seen
-            .retain(|_, seen| now.since(seen.last) < HISTORY_MS);
+    /// Records that there are upstreams of a version. After a gap in which no other version can have
+    /// become the only one, the earlier presence continues.
+    fn open(&mut self, version: &Arc<str>, first_ms: u64, now_ms: u64) {
+        let span_ms = self.span_ms;
+        let mut presences = self.presences.iter_mut();
+        let latest = presences.rfind(|presence| presence.version == *version);
+        match latest {
+            Some(Presence { left_ms: None, .. }) => {}
+            Some(presence)
+                if presence
+                    .left_ms
+                    .is_some_and(|left_ms| now_ms < left_ms + span_ms - MARGIN_MS) =>
+            {
+                presence.left_ms = None;
+            }
+            _ => self.presences.push(Presence {
+                version: Arc::clone(version),
+                first_ms,
+                left_ms: None,
+            }),
+        }
     }
 
-    /// Returns whether the version of a stream that begins now has to be stored. This is so unless
-    /// all instances have known a single version for long enough.
-    #[must_use]
-    pub fn needs_record(&self, span_ms: u64, now: Time) -> bool {
-        let single = single(self.recent(2 * span_ms, now));
-        single.is_none_or(|(_, seen)| now.since(seen.first) < span_ms)
+    fn forget(&mut self, now_ms: u64) {
+        let horizon_ms = now_ms.saturating_sub(RETENTION_SPANS * self.span_ms);
+        self.presences
+            .retain(|presence| presence.left_ms.is_none_or(|left_ms| left_ms > horizon_ms));
+        let excess = self.presences.len().saturating_sub(MAX_PRESENCES);
+        self.presences.drain(..excess);
     }
 
-    /// Returns the version of a stream that has no record, or `None` if it may be any of several.
+    /// Returns whether a stream that begins at an upstream of the only version in `present` needs no
+    /// record.
     #[must_use]
-    pub fn unrecorded(&self, span_ms: u64, now: Time) -> Option<&Arc<str>> {
-        // A stream without a record may have begun before the instances knew of the other versions.
-        let established = self
-            .recent(span_ms, now)
-            .filter(|(_, seen)| now.since(seen.first) >= span_ms);
-        let version = single(self.recent(span_ms, now)).or_else(|| single(established));
-        version.map(|(version, _)| version)
+    pub fn is_settled(&self, present: &BTreeSet<Arc<str>>, span_ms: u64, now_ms: u64) -> bool {
+        let mut present = present.iter();
+        let (Some(version), None) = (present.next(), present.next()) else {
+            return false;
+        };
+        let mut is_present = false;
+        let are_others_gone = self
+            .presences
+            .iter()
+            .all(|presence| match presence.left_ms {
+                None => {
+                    is_present |= presence.version == *version;
+                    presence.version == *version
+                }
+                Some(left_ms) => {
+                    presence.version == *version || left_ms + 2 * self.span_ms + MARGIN_MS <= now_ms
+                }
+            });
+        is_present && are_others_gone && self.span_ms >= effective_span_ms(span_ms)
     }
 
-    fn recent(&self, ms: u64, now: Time) -> impl Iterator<Item = (&Arc<str>, &Seen)> {
-        let seen = self.seen.iter();
-        seen.filter(move |(_, seen)| now.since(seen.last) < ms)
+    /// Returns the version of a stream that has no record and is taken up at `now_ms`, or `None` if it
+    /// is unknown.
+    #[must_use]
+    pub fn unrecorded(&self, now_ms: u64) -> Option<&Arc<str>> {
+        let point_ms = now_ms.saturating_sub(2 * self.span_ms);
+        let mut then = self.presences.iter().filter(|presence| {
+            let has_left = presence.left_ms.is_some_and(|left_ms| left_ms <= point_ms);
+            presence.first_ms <= point_ms && !has_left
+        });
+        let Some(first) = then.next() else {
+            // The service had no upstreams then. The first version after that was alone for a while.
+            let later = self.presences.iter();
+            let mut later = later.filter(|presence| presence.first_ms > point_ms);
+            let first = later.next()?;
+            let is_alone = later.all(|presence| presence.first_ms > first.first_ms);
+            return is_alone.then_some(&first.version);
+        };
+        then.all(|presence| presence.version == first.version)
+            .then_some(&first.version)
     }
 }
-
-/// Returns the item of an iterator that has exactly one.
-fn single<T>(mut items: impl Iterator<Item = T>) -> Option<T> {
-    let first = items.next();
-    first.filter(|_| items.next().is_none())
-}
--- a/crates/core/tests/dispatch/software_version.rs
+++ b/crates/core/tests/dispatch/software_version.rs
@@ -1,24 +1,21 @@
 //! Versions of streams: what is stored, and what is assumed of a stream without a record.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::fleet::{Fleet, Upstream};
 use basilramp_core::dispatch::placement::{PlacementRequest, has_candidate, select_upstream};
-use basilramp_core::dispatch::software_version::Versions;
+use basilramp_core::dispatch::software_version::{History, max_view_age_ms};
 use proptest::prelude::*;
 
 use crate::fleet::upstream;
 
 const SPAN_MS: u64 = 8_000;
 
-/// Interval at which an instance looks at the entries.
+/// Interval at which the instances look at the entries.
 const POLL_MS: u64 = 250;
 
-fn at(ms: u64) -> Time {
-    Time::from_ms(ms)
-}
-
 /// When upstreams of a version have entries, in milliseconds.
 #[derive(Clone, Debug)]
 struct Presence {
@@ -27,58 +24,86 @@
     until: u64,
 }
 
-/// Returns what an instance that has run since `started` knows at `now`, if it sees entries late by
-/// `lag_ms`.
-fn view(presences: &[Presence], started: u64, now: u64, lag_ms: u64) -> Versions {
-    let mut versions = Versions::default();
-    let mut poll = started;
-    while poll <= now {
-        let seen_at = poll.saturating_sub(lag_ms);
-        for presence in presences {
-            if (presence.from..presence.until).contains(&seen_at) {
-                versions.record(&presence.version, at(poll));
-            }
-        }
-        versions.expire(at(poll));
-        poll += POLL_MS;
+/// Returns the versions with entries at a time.
+fn present(presences: &[Presence], at: u64) -> BTreeSet<Arc<str>> {
+    let presences = presences.iter();
+    let present = presences.filter(|presence| (presence.from..presence.until).contains(&at));
+    present
+        .map(|presence| Arc::clone(&presence.version))
+        .collect()
+}
+
+/// Returns the row at `now`, if the instances that write it notice changes late by `lag_ms`.
+fn row(presences: &[Presence], now: u64, lag_ms: u64) -> History {
+    let mut history = History::default();
+    for poll in (0..=now).step_by(POLL_MS as usize) {
+        let present = present(presences, poll.saturating_sub(lag_ms));
+        history = history.update(&present, SPAN_MS, poll).unwrap_or(history);
     }
-    versions
+    history
+}
+
+/// Returns the version that an instance assumes of a stream without a record.
+fn assumed(history: &History, view: &BTreeSet<Arc<str>>, now: u64) -> Option<Arc<str>> {
+    let updated = history.update(view, SPAN_MS, now);
+    updated.as_ref().unwrap_or(history).unrecorded(now).cloned()
+}
+
+fn versions<const N: usize>(names: [&str; N]) -> BTreeSet<Arc<str>> {
+    names.into_iter().map(Arc::from).collect()
 }
 
 #[test]
 fn nothing_is_stored_while_there_is_a_single_version() {
-    let single = [Presence {
-        version: "v1".into(),
-        from: 0,
-        until: 900_000,
-    }];
-    let versions = view(&single, 0, 30_000, 0);
-    assert!(!versions.needs_record(SPAN_MS, at(30_000)));
-    assert_eq!(
-        versions.unrecorded(SPAN_MS, at(30_000)).unwrap().as_ref(),
-        "v1"
-    );
-    // An instance that has just started can't know which versions the others have seen.
-    let fresh = view(&single, 29_000, 30_000, 0);
-    assert!(fresh.needs_record(SPAN_MS, at(30_000)));
-    assert_eq!(
-        fresh.unrecorded(SPAN_MS, at(30_000)).unwrap().as_ref(),
-        "v1"
-    );
+    let single = versions(["v1"]);
+    // The first instance of a fleet has just written the row.
+    let history = History::default().update(&single, SPAN_MS, 900).unwrap();
+    assert!(history.is_settled(&single, SPAN_MS, 900));
+    assert_eq!(history.unrecorded(900).unwrap().as_ref(), "v1");
+    assert_eq!(history.update(&single, SPAN_MS, 90_000), None);
+    assert!(history.is_settled(&single, SPAN_MS, 90_000));
+    // Without a row, nothing is known.
+    assert!(!History::default().is_settled(&single, SPAN_MS, 900));
 }
 
 #[test]
 fn a_stream_from_before_a_release_belongs_to_the_earlier_version() {
-    let release = [("v1", 0), ("v2", 30_000)].map(|(version, from)| Presence {
-        version: version.into(),
-        from,
-        until: 900_000,
-    });
-    let soon = view(&release, 0, 33_000, 0);
-    assert!(soon.needs_record(SPAN_MS, at(33_000)));
-    assert_eq!(soon.unrecorded(SPAN_MS, at(33_000)).unwrap().as_ref(), "v1");
-    let late = view(&release, 0, 60_000, 0);
-    assert_eq!(late.unrecorded(SPAN_MS, at(60_000)), None);
+    let release =
+        [("v1", 0, 40_000), ("v2", 30_000, 900_000)].map(|(version, from, until)| Presence {
+            version: version.into(),
+            from,
+            until,
+        });
+    let at = |now| {
+        let history = row(&release, now, 0);
+        let view = present(&release, now);
+        let is_settled = history.is_settled(&view, SPAN_MS, now);
+        (is_settled, assumed(&history, &view, now))
+    };
+    for during in [31_000, 39_000, 41_000, 45_000] {
+        assert_eq!(at(during), (false, Some("v1".into())), "{during}");
+    }
+    // Sixteen seconds ago there were two versions, so that each stream had a record.
+    assert_eq!(at(55_000), (false, None));
+    // An instance that began such a stream without the store has stopped doing so for a span.
+    assert_eq!(at(57_000), (false, Some("v2".into())));
+    assert_eq!(at(59_000), (true, Some("v2".into())));
+}
+
+/// Streams of a longer timeout than now were begun with the earlier configuration.
+#[test]
+fn a_shorter_timeout_does_not_shorten_the_span() {
+    let history = History::default();
+    let history = history.update(&versions(["v1"]), 4 * SPAN_MS, 0).unwrap();
+    assert_eq!(history.update(&versions(["v1"]), SPAN_MS, 10), None);
+    let history = history.update(&versions(["v2"]), SPAN_MS, 20_000).unwrap();
+    let later = 20_000 + 6 * SPAN_MS;
+    assert!(!history.is_settled(&versions(["v2"]), SPAN_MS, later));
+    assert_eq!(history.unrecorded(later).unwrap().as_ref(), "v1");
+    // With a longer one, streams are recorded until the row says so.
+    let history = History::default();
+    let history = history.update(&versions(["v1"]), SPAN_MS, 0).unwrap();
+    assert!(!history.is_settled(&versions(["v1"]), 2 * SPAN_MS, 90_000));
 }
 
 #[test]
@@ -126,16 +151,16 @@
 }
 
 fn presences() -> impl Strategy<Value = Vec<Presence>> {
-    let times = prop::collection::vec((0_u64..90_000, 1_000_u64..90_000), 1..4);
+    let times = prop::collection::vec((0_u64..90_000, 1_000_u64..90_000, 1..4), 1..5);
     times.prop_map(|times| {
-        let presences = times.into_iter().enumerate();
         let first = Presence {
             version: "v0".into(),
             from: 0,
             until: 40_000,
         };
-        let others = presences.map(|(index, (from, ms))| Presence {
-            version: format!("v{}", index + 1).into(),
+        // A version may come back.
+        let others = times.into_iter().map(|(from, ms, number)| Presence {
+            version: format!("v{number}").into(),
             from,
             until: from + ms,
         });
@@ -144,34 +169,29 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(2_000))]
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
 
-    /// Instances see the entries at different times, and some have just started.
+    /// An instance that may have lost the store some time ago begins a stream. It is taken up at
+    /// another instance, which may have started since then.
     #[test]
     fn no_instance_assumes_another_version_than_the_one_that_began_a_stream(
         presences in presences(),
-        uptime in prop_oneof![0_u64..20_000, Just(500_000)],
-        (begun, lasts) in (20_000_u64..100_000, 0..SPAN_MS / 2),
-        (writer_lag, reader_lag) in (0..SPAN_MS / 4, 0..SPAN_MS / 4),
+        (begun, lasts) in (20_000_u64..140_000, 0..SPAN_MS),
+        view_age in prop_oneof![Just(0), 0..20_000_u64],
+        (row_lag, reader_lag) in (0..600_u64, 0..600_u64),
     ) {
-        let started = begun.saturating_sub(uptime);
-        let writer = view(&presences, started, begun, writer_lag);
-        let serving: Vec<_> = presences
-            .iter()
-            .filter(|presence| {
-                let last_poll = begun - (begun - started) % POLL_MS;
-                let seen_at = last_poll.saturating_sub(writer_lag);
-                (presence.from..presence.until).contains(&seen_at)
-            })
-            .collect();
-        let taken_up = begun + lasts;
-        let reader = view(&presences, 0, taken_up, reader_lag);
-        for presence in serving {
-            // A record is always right, as the reader looks for it first.
-            if !writer.needs_record(SPAN_MS, at(begun)) {
-                let assumed = reader.unrecorded(SPAN_MS, at(taken_up));
-                prop_assert!(assumed.is_none_or(|version| *version == presence.version));
-            }
+        let synced = begun.saturating_sub(view_age);
+        let view = present(&presences, synced);
+        let writer = row(&presences, synced, row_lag);
+        let leaves_out_record =
+            view_age <= max_view_age_ms(SPAN_MS) && writer.is_settled(&view, SPAN_MS, begun);
+        let version = view.first().filter(|_| leaves_out_record);
+        if let Some(version) = version {
+            let taken_up = begun + lasts;
+            let reader = row(&presences, taken_up, row_lag);
+            let view = present(&presences, taken_up.saturating_sub(reader_lag));
+            let assumed = assumed(&reader, &view, taken_up);
+            prop_assert_eq!(assumed.as_ref(), Some(version));
         }
     }
 }
--- a/crates/daemon/tests/ingress/software_version.rs
+++ b/crates/daemon/tests/ingress/software_version.rs
@@ -1,6 +1,7 @@
 //! Upstreams of several software versions in one service: what one version began can't go on at
 //! another.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use basilramp_fakes::user_platform::{Behaviour, Mode, RequestRecord, Store, Upstream};
@@ -14,9 +15,23 @@
     Turn::first("advice", attempt).request()
 }
 
+/// Returns a stream's request that belongs to no program, so that it needs no budget.
+fn stream(attempt: &str) -> Request<Full<Bytes>> {
+    let mut request = turn(attempt);
+    for name in [
+        "program-id",
+        "session-id",
+        "program-deadline-ms",
+        "token-budget",
+    ] {
+        request.headers_mut().remove(name);
+    }
+    request
+}
+
 /// Returns the request with which a caller takes up the stream of an attempt after an event.
 fn resumption(attempt: &str, begun_by: &str, after: u64) -> Request<Full<Bytes>> {
-    let mut request = turn(attempt);
+    let mut request = stream(attempt);
     let headers = request.headers_mut();
     headers.insert("resumes", begun_by.parse().unwrap());
     headers.insert("last-event-id", after.into());
@@ -181,3 +196,83 @@
     assert!(reply.status.is_server_error());
     assert!(reply.body.is_empty());
 }
+
+/// Longer than the time for which the configuration's streams and the requests that take them up last.
+const SPAN: Duration = Duration::from_millis(8_500);
+
+/// An instance without the store begins streams at upstreams that it alone still uses. An instance that
+/// has started since then must not take these streams for ones of the only version that it knows.
+#[tokio::test]
+async fn a_stream_begun_without_the_store_does_not_go_on_at_a_version_that_came_later() {
+    let slow = Behaviour::Respond {
+        events: 60,
+        interval_ms: 100,
+    };
+    let (store, [old]) = start_versions([("v1", slow)]);
+    let view = store.spawn_view(BTreeMap::new());
+    let cut_off = Instance::spawn_ready_at(view.address(), "a").await;
+    let restarted = Instance::spawn(&store, "b").await;
+    tokio::time::sleep(SPAN).await;
+    view.set_rejecting(true);
+    cut_off.wait_for_event("E0711").await;
+    let new = Upstream::spawn_version(&store, "i-2", "engine", "v2", slow);
+    let sent = cut_off.send(stream("t1"));
+    let (begun, (restarted, added)) = tokio::join!(sent, async {
+        wait_for("the stream begins", || async {
+            (!old.requests().is_empty()).then_some(())
+        })
+        .await;
+        store.remove("servers", "i-1");
+        restarted.wait_for_event("E0732").await;
+        restarted.signal("KILL");
+        let started = tokio::join!(Instance::spawn(&store, "b"), Instance::spawn(&store, "c"));
+        old.crash();
+        started
+    });
+    let begun = begun.unwrap();
+    assert!(!begun.body.is_empty() && !begun.is_complete);
+    for (instance, attempt) in [(&added, "u1"), (&restarted, "u2")] {
+        let reply = instance.send(resumption(attempt, "t1", 2)).await.unwrap();
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(continuations(&new), 0);
+}
+
+/// All instances start again, one after the other. A service of one version stays one of which every
+/// stream goes on at once.
+#[tokio::test]
+async fn streams_of_a_single_version_go_on_at_instances_that_have_just_started() {
+    let slow = Behaviour::Respond {
+        events: 8,
+        interval_ms: 60,
+    };
+    let (store, upstreams) = start_versions([("v1", slow), ("v1", slow)]);
+    let mut begun_at = Instance::spawn(&store, "a").await;
+    begun_at.wait_for_event("E0771").await;
+    for round in 0..4 {
+        let attempt = format!("t{round}");
+        let ran = |upstream: &Upstream| {
+            let requests = upstream.requests();
+            requests.iter().any(|run| run.attempt_id == attempt)
+        };
+        let (reply, ()) = tokio::join!(begun_at.send(turn(&attempt)), async {
+            wait_for("the stream begins", || async {
+                upstreams.iter().any(ran).then_some(())
+            })
+            .await;
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            begun_at.signal("KILL");
+        });
+        assert!(!reply.unwrap().is_complete);
+        let slowness = [Mode::Up, Mode::Slow(150)][round % 2];
+        let started = Instance::spawn(&store, &format!("b{round}")).await;
+        store.set_mode(slowness);
+        let taken_up = format!("u{round}");
+        let reply = started.send(resumption(&taken_up, &attempt, 2)).await;
+        let reply = reply.unwrap();
+        store.set_mode(Mode::Up);
+        assert_eq!(reply.status, StatusCode::OK, "round {round}");
+        assert!(reply.is_complete);
+        begun_at = started;
+    }
+}
--- a/crates/fakes/src/user_platform/store.rs
+++ b/crates/fakes/src/user_platform/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -121,6 +122,7 @@
 #[derive(Debug)]
 pub struct View {
     server: Server,
+    is_rejecting: Arc<AtomicBool>,
 }
 
 impl View {
@@ -129,6 +131,11 @@
     pub const fn address(&self) -> SocketAddr {
         self.server.address()
     }
+
+    /// Sets whether the store rejects the later requests of this instance with status 503.
+    pub fn set_rejecting(&self, is_rejecting: bool) {
+        self.is_rejecting.store(is_rejecting, Ordering::Relaxed);
+    }
 }
 
 impl Store {
@@ -137,15 +144,29 @@
     pub fn spawn_view(&self, addresses: BTreeMap<SocketAddr, SocketAddr>) -> View {
         let shared = Arc::clone(&self.shared);
         let addresses = Arc::new(addresses);
+        let is_rejecting = Arc::new(AtomicBool::new(false));
+        let rejects = Arc::clone(&is_rejecting);
         let handler = move |request| {
             let (shared, addresses) = (Arc::clone(&shared), Arc::clone(&addresses));
+            let rejects = Arc::clone(&rejects);
             async move {
+                let rejection = || json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+                if rejects.load(Ordering::Relaxed) {
+                    return Ok(rejection());
+                }
                 let response = handle_request(shared, request).await?;
+                // A feed may have waited meanwhile.
+                if rejects.load(Ordering::Relaxed) {
+                    return Ok(rejection());
+                }
                 replace_addresses(response, &addresses).await
             }
         };
         let server = Server::spawn(&ListenerControl::new(), handler);
-        View { server }
+        View {
+            server,
+            is_rejecting,
+        }
     }
 
     /// Starts an empty store on a free port of 127.0.0.1.
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -5,6 +5,7 @@
 
 use basilramp_adapter::store::{Error, Page, PartitionKey, Row};
 use basilramp_adapter::{config, discovery};
+use basilramp_core::clock::Time;
 use basilramp_core::dispatch::fleet::Change;
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::route::RouteTable;
@@ -56,6 +57,8 @@
     /// Highest version seen so far. A response with a lower version is stale.
     max_version: u64,
     failures: u32,
+    /// Time as of which the table is known.
+    read_at: Time,
 }
 
 /// Follows the configuration. Never returns.
@@ -76,10 +79,12 @@
     loop {
         if let Some((page, is_full_table)) = feed.next(&state).await {
             apply_entries(&state, &page, is_full_table);
+            state.record_fleet_view(feed.read_at);
         }
         let known = |key| state.fleet().get(key).is_some();
         let now = state.now();
         state.fleet().expire(now);
+        state.version_histories.record_view();
         state.pool.expire(known, now);
         state.budgets.expire(now);
     }
@@ -133,6 +138,7 @@
             after: None,
             max_version: 0,
             failures: 0,
+            read_at: Time::ZERO,
         }
     }
 
@@ -172,6 +178,7 @@
                     self.backoff().await;
                     return None;
                 }
+                self.read_at = began;
                 self.after = Some(page.version);
                 self.max_version = page.version;
                 Some((page, after.is_none()))
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -30,10 +30,11 @@
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
 use crate::log_event::Event;
 use crate::metric::Outcome;
+use crate::relay::Delegation;
 use crate::server::ConnectionGuard;
 use crate::state::State;
 use crate::stream::Stream;
-use crate::{attempt, crash, prepare, relay, stream_version, suspect};
+use crate::{attempt, crash, prepare, relay, stream_version, suspect, version_history};
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
 const START_RETRY_MS: u64 = 300;
@@ -46,10 +47,6 @@
 /// several requests.
 const MEMORY_RETRY_MS: u64 = 500;
 
-/// Multiple of a route's timeout for which a stream and the requests that take it up again last. A
-/// caller's tries share its deadline, and an instance may learn of a new version late.
-const STREAM_SPAN_FACTOR: u64 = 2;
-
 /// Body of a response.
 pub(crate) type Body = UnsyncBoxBody<Bytes, ResponseAborted>;
 
@@ -250,7 +247,8 @@
         arrived,
         deadline,
         version: None,
-        stream_span_ms: route.timeout_ms.saturating_mul(STREAM_SPAN_FACTOR),
+        needs_no_record: false,
+        stream_span_ms: version_history::stream_span_ms(route.timeout_ms),
         starts_program: false,
         attempts: Attempts::default(),
         tried: Vec::new(),
@@ -266,6 +264,18 @@
     if state.path().is_lost() {
         return relay_or_reject(request).await;
     }
+    if stream_version::lacks_store(&request) {
+        if request.relayed_by.is_some() {
+            return relay_or_reject(request).await;
+        }
+        match relay::delegate(request).await? {
+            Delegation::Answered(response) => return Ok(response),
+            Delegation::Returned(returned) => request = *returned,
+        }
+        stream_version::await_store(&mut request)
+            .await
+            .inspect_err(|_| request.mark_logged())?;
+    }
     let prepared = tokio::try_join!(
         prepare::load_budget(&request),
         prepare::load_transcript(&request, route),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
 //! | `stream_version` | versions of streams in the store |
+//! | `version_history` | which versions the services had, in the store |
 //! | `turn_store`, `budget` | turns and token budgets in the store |
 //! | `feed` | follows configuration and upstream entries in the store |
 //! | `path` | checks the path to the upstreams |
@@ -59,6 +60,7 @@
 mod stream_version;
 mod suspect;
 mod turn_store;
+mod version_history;
 
 pub use log_event::Event;
 pub use run::run;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -85,6 +85,10 @@
     PeerRejected = "E0765", Warning, "peer rejected";
     /// A call of the store for the rows of the instances failed.
     MembershipFailed = "E0766", Warning, "membership call failed";
+    /// The versions of a service changed, and this instance stored it.
+    VersionsRecorded = "E0771", Info, "versions stored";
+    /// A call of the store for the histories of versions failed.
+    VersionsFailed = "E0772", Warning, "version history call failed";
 }
 
 impl basilramp_process::log::LogEvent for Event {
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -247,7 +247,7 @@
     pub(crate) fn relay(&self, outcome: relay::Outcome) {
         let label = match outcome {
             relay::Outcome::Handled => "handled",
-            relay::Outcome::Declined => "declined",
+            relay::Outcome::Declined | relay::Outcome::LacksStore => "declined",
             relay::Outcome::Failed => "failed",
             relay::Outcome::Abandoned => "abandoned",
         };
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -209,12 +209,37 @@
     }
 }
 
+/// Result of relaying a request that this instance could also handle itself.
+pub(crate) enum Delegation {
+    /// Another instance handles the request.
+    Answered(Response<Body>),
+    /// This instance has to handle it.
+    Returned(Box<ActiveRequest>),
+}
+
+/// Relays a stream whose version this instance can't store or look up. It is returned if no other
+/// instance handles it.
+///
+/// # Errors
+///
+/// Returns a rejection if no other instance handles the request, or its response was interrupted.
+pub(crate) async fn delegate(mut request: ActiveRequest) -> Result<Delegation, Rejection> {
+    match send(&mut request, None).await {
+        Ok(answer) => Ok(Delegation::Answered(pass_on(request, answer))),
+        Err(Rejection::NotRun(_)) => Ok(Delegation::Returned(Box::new(request))),
+        Err(rejection) => {
+            request.mark_logged();
+            Err(rejection)
+        }
+    }
+}
+
 /// Sends a request to one instance after the other, until one of them handles it. `last_event` is the
 /// last event that the caller has, if a stream is continued.
 async fn send(request: &mut ActiveRequest, last_event: Option<u64>) -> Result<Answer, Rejection> {
     let state = Arc::clone(&request.state);
     let mut tried: Vec<Arc<str>> = Vec::new();
-    if state.relays().is_empty() {
+    if state.relays().is_empty() && !state.is_store_down() {
         membership::refresh(&state).await;
     }
     while tried.len() < MAX_INSTANCES && request.remaining_ms() > 0 {
@@ -227,9 +252,12 @@
         tried.push(Arc::clone(&instance));
         let mut guard = RelayGuard::start(&state, &instance);
         let error = match exchange(request, &instance, last_event).await {
-            Ok((response, _)) if relay::is_declined(response.headers()) => {
-                guard.outcome = Outcome::Declined;
-                RelayError::NotSent("declined".into())
+            Ok((response, _)) if let Some(reason) = relay::decline_reason(response.headers()) => {
+                guard.outcome = match reason {
+                    Decline::NotReady => Outcome::LacksStore,
+                    Decline::NoPath | Decline::Stopping => Outcome::Declined,
+                };
+                RelayError::NotSent(format!("declined: {}", reason.label()))
             }
             Ok((response, _))
                 if relay::is_unserved(response.headers()) && request.kind.is_idempotent() =>
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -14,7 +14,7 @@
 use crate::server::{self, Audience, OpenConnections};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{feed, membership, peer_server, suspect};
+use crate::{feed, membership, peer_server, suspect, version_history};
 
 /// Minimum time from a stop signal to the exit. The platform's load balancer needs two probes, one
 /// second apart, to send new connections elsewhere. Requests that arrive after this time are
@@ -81,6 +81,11 @@
     tokio::spawn(supervise(&state, "rate limit feed", feed::follow_limits));
     tokio::spawn(supervise(&state, "suspect feed", feed::follow_suspects));
     tokio::spawn(supervise(&state, "suspect writer", suspect::write_changes));
+    tokio::spawn(supervise(
+        &state,
+        "version writer",
+        version_history::write_changes,
+    ));
     tokio::spawn(server::serve_probes(
         Arc::clone(&state),
         ready,
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -39,6 +39,7 @@
 use crate::stream_version::StreamVersions;
 use crate::suspect::Suspects;
 use crate::turn_store::TurnStore;
+use crate::version_history::VersionHistories;
 
 /// State shared by all requests of an instance.
 #[derive(Debug)]
@@ -50,6 +51,7 @@
     pub(crate) pool: Pool,
     pub(crate) turns: TurnStore,
     pub(crate) stream_versions: StreamVersions,
+    pub(crate) version_histories: VersionHistories,
     pub(crate) budgets: Budgets,
     pub(crate) suspects: Suspects,
     pub(crate) probes: Probes,
@@ -75,6 +77,8 @@
     table: RwLock<Option<Arc<RouteTable>>>,
     /// Whether the table of upstreams was read completely at least once.
     is_fleet_loaded: AtomicBool,
+    /// Time as of which the upstreams are known, in milliseconds.
+    fleet_view_at: AtomicU64,
     /// Time of the stop request in milliseconds plus one; 0 if there was none.
     stop_requested_at: AtomicU64,
     health: Mutex<StoreHealth>,
@@ -100,6 +104,7 @@
             pool: Pool::default(),
             turns: TurnStore::open(cache_bytes),
             stream_versions: StreamVersions::default(),
+            version_histories: VersionHistories::default(),
             budgets: Budgets::default(),
             suspects: Suspects::default(),
             probes: Probes::default(),
@@ -120,6 +125,7 @@
             metrics,
             table: RwLock::default(),
             is_fleet_loaded: AtomicBool::new(false),
+            fleet_view_at: AtomicU64::new(0),
             stop_requested_at: AtomicU64::new(0),
             health: Mutex::default(),
             store_suspected: Notify::new(),
@@ -215,6 +221,17 @@
         self.is_fleet_loaded.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the upstreams are known as of a time.
+    pub(crate) fn record_fleet_view(&self, as_of: Time) {
+        self.fleet_view_at.store(as_of.as_ms(), Ordering::Relaxed);
+    }
+
+    /// Returns the age of what this instance knows of the upstreams, in milliseconds.
+    pub(crate) fn fleet_view_age_ms(&self) -> u64 {
+        let as_of = Time::from_ms(self.fleet_view_at.load(Ordering::Relaxed));
+        self.now().since(as_of)
+    }
+
     /// Starts the shutdown.
     pub(crate) fn stop(&self) {
         let stop_time = self.now().as_ms() + 1;
--- a/crates/ingress/src/stream_version.rs
+++ b/crates/ingress/src/stream_version.rs
@@ -13,6 +13,7 @@
 use crate::active_request::{ActiveRequest, NO_VERSION_RETRY_MS};
 use crate::log_event::Event;
 use crate::state::{Backoff, State, StoreCall, lock, partition_key};
+use crate::version_history;
 
 /// Table of the versions; the row key is the attempt id of the request that began the stream.
 const TABLE: &str = "stream";
@@ -38,11 +39,24 @@
         return Ok(None);
     }
     let state = &request.state;
-    let recorded = match &request.headers.resumed_attempt {
-        Some(attempt) => find(state, attempt, request.deadline).await?,
-        None => None,
+    let find_recorded = async {
+        match &request.headers.resumed_attempt {
+            Some(attempt) => find(state, attempt, request.deadline).await,
+            None => Ok(None),
+        }
+    };
+    let find_unrecorded = version_history::unrecorded_version(
+        state,
+        &request.service,
+        request.stream_span_ms,
+        request.deadline,
+    );
+    let (recorded, unrecorded) = tokio::join!(find_recorded, find_unrecorded);
+    let version = match recorded? {
+        Some(version) => Some(version),
+        // The state records what a failed call means for the store's health.
+        None => unrecorded.ok().flatten(),
     };
-    let version = recorded.or_else(|| unrecorded_version(request));
     if version.is_none() && state.allows_log_line(Event::VersionUnknown) {
         event!(
             state.log,
@@ -59,6 +73,45 @@
     }
 }
 
+/// Returns whether a stream can't begin or go on at this instance at present, as its version can be
+/// neither stored nor looked up.
+pub(crate) fn lacks_store(request: &ActiveRequest) -> bool {
+    let is_concerned = request.kind == RouteKind::ResumableStream && request.state.is_store_down();
+    is_concerned && (request.headers.last_event.is_some() || needs_record(request))
+}
+
+/// Waits until the store is available for a stream whose version has to be stored. If no instance
+/// seems to reach the store, none learns of versions that this one does not know, so that a stream may
+/// begin without a record.
+///
+/// # Errors
+///
+/// Returns a rejection if the request should not wait any longer.
+pub(crate) async fn await_store(request: &mut ActiveRequest) -> Result<(), Rejection> {
+    let state = &request.state;
+    if request.headers.last_event.is_some() {
+        // The version is looked up later, which waits.
+        return Ok(());
+    }
+    if state.relays().is_store_lost() {
+        request.needs_no_record = true;
+        return Ok(());
+    }
+    let partition = partition_key(&request.attempt_id);
+    let began = state.now();
+    state
+        .wait_until_available(&partition, began, request.deadline)
+        .await
+}
+
+fn needs_record(request: &ActiveRequest) -> bool {
+    if request.needs_no_record {
+        return false;
+    }
+    let (state, span_ms) = (&request.state, request.stream_span_ms);
+    !version_history::is_settled(state, &request.service, span_ms)
+}
+
 /// Stores the version of a stream before its first event is sent, if other instances could not tell
 /// it otherwise.
 ///
@@ -110,21 +163,6 @@
     Ok(())
 }
 
-fn needs_record(request: &ActiveRequest) -> bool {
-    let now = request.state.now();
-    let fleet = request.state.fleet();
-    fleet
-        .versions(&request.service)
-        .is_some_and(|versions| versions.needs_record(request.stream_span_ms, now))
-}
-
-fn unrecorded_version(request: &ActiveRequest) -> Option<Arc<str>> {
-    let now = request.state.now();
-    let fleet = request.state.fleet();
-    let versions = fleet.versions(&request.service)?;
-    versions.unrecorded(request.stream_span_ms, now).cloned()
-}
-
 /// Returns the recorded version of the stream that an attempt began.
 async fn find(state: &State, attempt: &str, deadline: Time) -> Result<Option<Arc<str>>, Rejection> {
     let began = state.now();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod relay;
 pub mod sse;
 pub mod table;
+pub mod version;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -85,10 +85,13 @@
     }
 }
 
-/// Returns whether the instance that responded did not handle the request.
+/// Returns why the instance that responded did not handle the request, or `None` if it did.
 #[must_use]
-pub fn is_declined(headers: &HeaderMap) -> bool {
-    headers.contains_key(DECLINED)
+pub fn decline_reason(headers: &HeaderMap) -> Option<Decline> {
+    let label = headers.get(DECLINED)?.as_bytes();
+    let mut reasons = [Decline::NotReady, Decline::NoPath].into_iter();
+    let known = reasons.find(|reason| reason.label().as_bytes() == label);
+    Some(known.unwrap_or(Decline::Stopping))
 }
 
 /// Marks a response to a request to which no upstream responded.
