Store the events of turns that can be taken up before they are sent

Cause: the transcript of a taken-up turn began with its input and held only what its last instance had sent; it was stored as the whole turn.

Whoever takes the stream up takes over that row, cuts off what the caller does not have, and begins the transcript with the rest. Earlier owners can't write any more. If the caller's last event is not in the row, the request is rejected at once and the turn is never stored.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -15,6 +15,7 @@
 //! | [`placement`] | selects the upstream of an attempt |
 //! | [`attempt`] | decides whether to retry a failed attempt |
 //! | [`token_budget`] | grants tokens from a program's budget to its turns |
+//! | [`event_log`] | holds the events of a stream that several instances send |
 //! | [`transcript`] | builds and caches transcripts of turns |
 //! | [`admission`] | rejects new programs while engines are overloaded |
 //! | [`retention`] | removes the rows of expired turns |
@@ -24,6 +25,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod config;
+pub mod event_log;
 pub mod fleet;
 pub mod outage;
 pub mod outlier;
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempt;
+mod event_log;
 mod fleet;
 mod outage;
 mod outlier;
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -15,4 +15,5 @@
 mod soak;
 mod software_version;
 mod support;
+mod taken_up_turn;
 mod upstream_faults;
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -296,8 +296,9 @@
     })
 }
 
-/// Puts a configuration in the store, with four routes: `read` (safe), `pay` (unsafe), `advice`
-/// (resumable stream) and `chat` (stream whose turns are retained for 60 s).
+/// Puts a configuration in the store, with five routes: `read` (safe), `pay` (unsafe), `advice`
+/// (resumable stream), `chat` (stream whose turns are retained for 60 s) and `varied` (both; the data of
+/// the fake upstreams' events differs between runs there).
 pub(crate) fn configure(store: &Store, version: u64) {
     configure_retention(store, version, 60.0);
 }
@@ -328,6 +329,7 @@
             route("pay", "unsafe", "app", false, false),
             route("advice", "stream", "engine", true, false),
             route("chat", "stream", "engine", false, true),
+            route("varied", "stream", "engine", true, true),
         ],
         "services": [
             {"name": "app", "health_path": "/healthz", "max_conns": 9, "protocol": "h1"},
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -109,6 +109,9 @@
 /// Start time of the first incarnation of each upstream, in milliseconds.
 const FIRST_START_MS: u64 = 7;
 
+/// Path on which the events of two runs have different data, as those of real engines.
+const VARIED_PATH: &str = "/varied/";
+
 /// Internal headers that must be removed from callers' requests.
 const INTERNAL_HEADERS: [&str; 5] = ["hold", "pin-ms", "kv-from", "kv-backup", "request-priority"];
 
@@ -319,6 +322,11 @@
             events,
             interval_ms,
             breaks_off,
+            suffix: if parts.uri.path().starts_with(VARIED_PATH) {
+                format!(".{attempt_id}")
+            } else {
+                String::new()
+            },
         };
         Response::new(stream.into_body())
     } else {
@@ -374,11 +382,13 @@
     events: u64,
     interval_ms: u64,
     breaks_off: bool,
+    /// Text at the end of each event's data.
+    suffix: String,
 }
 
 impl EventStream {
     /// Returns the body. Event ids count from one across all attempts of a request; event N has
-    /// the data `tN`.
+    /// the data `tN`, followed by the attempt id on the path for varied data.
     fn into_body(self) -> Body {
         let last = if self.breaks_off {
             self.last_event + self.events
@@ -396,7 +406,7 @@
                 return None;
             }
             tokio::time::sleep(Duration::from_millis(stream.interval_ms)).await;
-            let event = format!("id: {next}\ndata: t{next}\n\n");
+            let event = format!("id: {next}\ndata: t{next}{}\n\n", stream.suffix);
             Some((Ok(Frame::data(Bytes::from(event))), (next + 1, stream)))
         });
         BodyExt::boxed(StreamBody::new(frames))
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -34,7 +34,8 @@
 use crate::server::ConnectionGuard;
 use crate::state::State;
 use crate::stream::Stream;
-use crate::{attempt, crash, prepare, relay, stream_version, suspect, version_history};
+use crate::stream_log::StreamLog;
+use crate::{attempt, crash, prepare, relay, stream_log, stream_version, suspect, version_history};
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
 const START_RETRY_MS: u64 = 300;
@@ -279,9 +280,11 @@
     let prepared = tokio::try_join!(
         prepare::load_budget(&request),
         prepare::load_transcript(&request, route),
-        stream_version::load(&request)
+        stream_version::load(&request),
+        stream_log::open(&request, route)
     );
-    let (budget, transcript, version) = prepared.inspect_err(|_| request.mark_logged())?;
+    let (budget, transcript, version, stream_log) =
+        prepared.inspect_err(|_| request.mark_logged())?;
     request.version = version;
     request.timings.loaded_ms = request.elapsed_ms();
     request.previous_upstream = budget
@@ -293,20 +296,30 @@
         request.starts_program = budget.is_new();
     }
     let transcript = match transcript {
-        Some((transcript, upstream)) => {
+        Some((mut transcript, upstream)) => {
             request.previous_upstream = upstream.or(request.previous_upstream.take());
-            // The prompt exists twice, as the transcript grows while the prompt is sent.
-            let added = 2 * transcript.prompt().len();
+            let events = stream_log.as_ref().map_or(&[][..], StreamLog::events);
+            let event_bytes: usize = events.iter().map(|event| event.data.len()).sum();
+            // The prompt exists twice, as the transcript grows while the prompt is sent, and so do the
+            // events that the caller has, in their log.
+            let added = 2 * (transcript.prompt().len() + event_bytes);
             if request.memory.grow(added).is_err() {
                 request.mark_logged();
                 return Err(Rejection::NotRun(MEMORY_RETRY_MS));
             }
             request.body = Bytes::copy_from_slice(transcript.prompt());
+            for event in events {
+                transcript.push_event(&event.data);
+            }
             Some(transcript)
         }
         None => None,
     };
-    dispatch(request, budget, transcript).await
+    let turn = Turn {
+        transcript,
+        stream_log,
+    };
+    dispatch(request, budget, turn).await
 }
 
 /// Returns the key by which a split route selects the service: the program id, or else the attempt
@@ -337,10 +350,19 @@
         })
 }
 
+/// What is stored of a turn.
+#[derive(Debug)]
+pub(crate) struct Turn {
+    /// Transcript, if the turn is retained.
+    pub(crate) transcript: Option<TranscriptBuilder>,
+    /// Log of the events, if the turn can also be taken up by its caller.
+    pub(crate) stream_log: Option<StreamLog>,
+}
+
 async fn dispatch(
     mut request: ActiveRequest,
     mut budget: Option<budget::TurnBudget>,
-    transcript: Option<TranscriptBuilder>,
+    turn: Turn,
 ) -> Result<Response<Body>, Rejection> {
     let mut pending_grant = None;
     let mut reserved = None;
@@ -415,7 +437,7 @@
                 if let Some(pending_grant) = pending_grant {
                     reserved = Some(await_grant(&request, pending_grant).await?);
                 }
-                return Ok(stream.respond(request, placement, reserved, transcript));
+                return Ok(stream.respond(request, placement, reserved, turn));
             }
             Err(failure) => failure,
         };
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `suspect` | requests that may crash upstreams, shared by all instances |
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
+//! | `stream_log` | events of retained turns in the store, until the turns end |
 //! | `stream_version` | versions of streams in the store |
 //! | `version_history` | which versions the services had, in the store |
 //! | `turn_store`, `budget` | turns and token budgets in the store |
@@ -57,6 +58,7 @@
 mod settings;
 mod state;
 mod stream;
+mod stream_log;
 mod stream_version;
 mod suspect;
 mod turn_store;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -63,6 +63,8 @@
     VersionUnknown = "E0749", Info, "version of the stream unknown";
     /// The version of a stream could not be stored, so its first event was not sent.
     VersionNotStored = "E0750", Warning, "version of the stream not stored";
+    /// A turn can't be taken up, as not all events that its caller has are known.
+    EventsUnknown = "E0756", Info, "events of the stream unknown";
     /// A request was in flight when an upstream crashed; it is the request's crash number `crashes`.
     RequestSuspected = "E0751", Warning, "request suspected";
     /// A request is rejected, as it crashed upstreams.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -36,6 +36,7 @@
 use crate::relay::Connections;
 use crate::run::MIN_SHUTDOWN_MS;
 use crate::settings::Settings;
+use crate::stream_log::StreamLogs;
 use crate::stream_version::StreamVersions;
 use crate::suspect::Suspects;
 use crate::turn_store::TurnStore;
@@ -52,6 +53,7 @@
     pub(crate) turns: TurnStore,
     pub(crate) stream_versions: StreamVersions,
     pub(crate) version_histories: VersionHistories,
+    pub(crate) stream_logs: StreamLogs,
     pub(crate) budgets: Budgets,
     pub(crate) suspects: Suspects,
     pub(crate) probes: Probes,
@@ -105,6 +107,7 @@
             turns: TurnStore::open(cache_bytes),
             stream_versions: StreamVersions::default(),
             version_histories: VersionHistories::default(),
+            stream_logs: StreamLogs::default(),
             budgets: Budgets::default(),
             suspects: Suspects::default(),
             probes: Probes::default(),
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -9,7 +9,6 @@
 use basilramp_core::dispatch::fleet::AttemptOutcome;
 use basilramp_core::dispatch::placement::Placement;
 use basilramp_core::dispatch::sse::{Decoder, Event as SseEvent};
-use basilramp_core::dispatch::transcript::TranscriptBuilder;
 use basilramp_process::event;
 use bytes::Bytes;
 use futures_util::stream;
@@ -21,8 +20,8 @@
 use crate::active_request::ActiveRequest;
 use crate::attempt::{self, UpstreamResponse};
 use crate::budget::ReservedTokens;
-use crate::buffer::Reservation;
-use crate::handler::{Body, ResponseAborted};
+use crate::buffer::{Exhausted, Reservation};
+use crate::handler::{Body, ResponseAborted, Turn};
 use crate::log_event::Event;
 use crate::metric;
 use crate::path::{self, WaitError};
@@ -61,7 +60,7 @@
     last_event_at: Time,
     events: u64,
     reserved: Option<ReservedTokens>,
-    transcript: Option<TranscriptBuilder>,
+    turn: Turn,
 }
 
 /// Where the events come from.
@@ -207,7 +206,7 @@
         request: ActiveRequest,
         placement: Placement,
         reserved: Option<ReservedTokens>,
-        transcript: Option<TranscriptBuilder>,
+        turn: Turn,
     ) -> Response<Body> {
         let mut head: response::Parts = Response::new(()).into_parts().0;
         head.status = self.response.head.status;
@@ -227,7 +226,7 @@
             last_event_at,
             events: 0,
             reserved,
-            transcript,
+            turn,
         };
         let frames = stream::unfold((Some(relay), has_ended), |(relay, has_ended)| async move {
             let mut relay = relay?;
@@ -302,14 +301,14 @@
             while let Some(event) = self.decoder.next_event() {
                 events.push(event);
             }
-            return self.forward(events).map(Some);
+            return self.forward(events).await.map(Some);
         }
         if has_ended {
             return self.finish().await;
         }
         loop {
             match self.read_events().await {
-                ReadResult::Events(events) => return self.forward(events).map(Some),
+                ReadResult::Events(events) => return self.forward(events).await.map(Some),
                 ReadResult::End => return self.finish().await,
                 ReadResult::Idle => {}
                 ReadResult::Stalled => self.resume(ReadError::Late).await?,
@@ -363,7 +362,7 @@
 
     /// Records events as sent to the caller and returns their bytes. Comments are passed on, but
     /// are no progress of the stream and use no tokens.
-    fn forward(&mut self, events: Vec<SseEvent>) -> Result<Bytes, ResponseAborted> {
+    async fn forward(&mut self, events: Vec<SseEvent>) -> Result<Bytes, ResponseAborted> {
         let tokens_per_event = self
             .request
             .engine
@@ -381,16 +380,33 @@
             if let Some(reserved) = &mut self.reserved {
                 reserved.spend(u64::from(tokens_per_event));
             }
-            if let (Some(transcript), Some(data)) = (&mut self.transcript, &event.data) {
-                if self.request.memory.grow(data.len()).is_err() {
-                    return Err(self.abort("no memory is left for the turn"));
-                }
-                transcript.push_event(data);
+            if let Some(data) = &event.data
+                && self.record_event(event.id, data).is_err()
+            {
+                return Err(self.abort("no memory is left for the turn"));
             }
         }
+        if let Some(stream_log) = &mut self.turn.stream_log
+            && stream_log.flush().await.is_err()
+        {
+            return Err(self.abort("the caller took the stream up elsewhere"));
+        }
         Ok(bytes.into())
     }
 
+    /// Adds an event to what is stored of the turn.
+    fn record_event(&mut self, id: Option<u64>, data: &[u8]) -> Result<(), Exhausted> {
+        if let Some(transcript) = &mut self.turn.transcript {
+            self.request.memory.grow(data.len())?;
+            transcript.push_event(data);
+        }
+        if let Some(stream_log) = &mut self.turn.stream_log {
+            self.request.memory.grow(data.len())?;
+            stream_log.push(id, data);
+        }
+        Ok(())
+    }
+
     /// Continues the stream at another upstream after the last forwarded event.
     async fn resume(&mut self, error: ReadError) -> Result<(), ResponseAborted> {
         let cause = error.cause();
@@ -462,7 +478,7 @@
 
     /// Continues the stream through another instance.
     async fn resume_elsewhere(&mut self, cause: &'static str) -> Result<(), ResponseAborted> {
-        let may_relay = self.request.relayed_by.is_none() && self.transcript.is_none();
+        let may_relay = self.request.relayed_by.is_none() && self.turn.transcript.is_none();
         let Some(last_event) = self.last_event.filter(|_| may_relay) else {
             return Err(self.abort(cause));
         };
@@ -545,7 +561,7 @@
         self.request.timings.last_event_ms = self.request.elapsed_ms();
         response.finish();
         self.record_turn_timing();
-        if let Some(transcript) = self.transcript.take() {
+        if let Some(transcript) = self.turn.transcript.take() {
             let turn = turn_store::Turn {
                 transcript: transcript.finish(),
                 upstream,
