Send no requests to upstreams that say in their answers that they leave

Cause: the header had no reader. The fleet learned of leaving upstreams from their entries alone.

Change: the head of every answer that belongs to an upstream is read. The incarnation that said so gets no first try, retry or continuation any more; requests that waited since their placement are checked once more before they are sent. A relayed answer names the upstream, so that the relaying instance knows too. An instance without the store that knows no upstream of a service relays to another one.

--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -2,6 +2,7 @@
 //! attempts.
 
 mod attempts;
+mod leaving;
 mod prefix_cache;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,6 +10,7 @@
 use std::sync::Arc;
 
 pub use attempts::{AttemptOutcome, HealthChange};
+use leaving::Leaving;
 use prefix_cache::PrefixCache;
 use slotmap::{SlotMap, new_key_type};
 
@@ -100,6 +102,7 @@
     by_service: BTreeMap<Arc<str>, Vec<UpstreamKey>>,
     services: BTreeMap<Arc<str>, ServiceState>,
     rate_limits: RateLimits,
+    leaving: Leaving,
     /// When the store recovered from its latest outage.
     store_recovered_at: Option<Time>,
 }
@@ -174,6 +177,7 @@
     /// Drops removed upstreams that get no new work and have no requests of this instance in
     /// progress.
     pub fn expire(&mut self, now: Time) {
+        self.leaving.expire(now);
         let expired: Vec<_> = self
             .entries
             .iter()
@@ -289,7 +293,10 @@
     }
 
     fn accepts_work(&self, entry: &UpstreamState, now: Time) -> bool {
-        !entry.upstream.is_draining && !entry.is_displaced && self.is_listed(entry, now)
+        let has_left = entry.upstream.is_draining
+            || entry.is_displaced
+            || self.leaving.contains(&entry.upstream);
+        !has_left && self.is_listed(entry, now)
     }
 
     /// Returns whether an upstream has an entry, or may have one again soon.
--- a/crates/core/tests/dispatch/fleet.rs
+++ b/crates/core/tests/dispatch/fleet.rs
@@ -35,6 +35,31 @@
     assert!(serving(&fleet, Time::ZERO).is_empty());
 }
 
+/// The entry is older than the answer, but another incarnation is not barred.
+#[test]
+fn an_upstream_that_said_that_it_leaves_gets_no_work() {
+    let mut fleet = Fleet::default();
+    fleet.observe(upstream("a", "z1"), Time::ZERO);
+    assert!(fleet.record_leaving(&"a".into(), 7, Time::ZERO));
+    assert!(!fleet.record_leaving(&"a".into(), 7, Time::ZERO));
+    fleet.observe(upstream("a", "z1"), Time::ZERO);
+    assert!(serving(&fleet, Time::ZERO).is_empty());
+    fleet.remove("a", Time::from_ms(100));
+    fleet.expire(Time::from_ms(1_100));
+    fleet.observe(upstream("a", "z1"), Time::from_ms(1_200));
+    assert!(serving(&fleet, Time::from_ms(1_200)).is_empty());
+    let restarted = Upstream {
+        started_ms: 8,
+        ..upstream("a", "z1")
+    };
+    fleet.observe(restarted, Time::from_ms(1_300));
+    assert_eq!(serving(&fleet, Time::from_ms(1_300)), ["a"]);
+    // It may be known from another instance before its entry is.
+    assert!(fleet.record_leaving(&"b".into(), 7, Time::ZERO));
+    fleet.observe(upstream("b", "z1"), Time::from_ms(1_300));
+    assert_eq!(serving(&fleet, Time::from_ms(1_300)), ["a"]);
+}
+
 #[test]
 fn entry_restored_within_the_grace_period_keeps_its_upstream() {
     let mut fleet = Fleet::default();
--- a/crates/daemon/tests/ingress/lost_path.rs
+++ b/crates/daemon/tests/ingress/lost_path.rs
@@ -578,3 +578,35 @@
         }
     }
 }
+
+/// An answer that came through another instance says that its upstream leaves. Both instances have passed
+/// it on, so neither sends to that upstream any more, also when the path is back and the store away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_leaves_is_known_to_both_instances_of_a_relayed_request() {
+    let site = Site::spawn(2).await;
+    site.cut_and_wait(0, Failure::Refusal).await;
+    site.views[0].set_rejecting(true);
+    // The upstreams of a service say that they leave, but for one.
+    let (leaving, staying) = (&site.upstreams[4], &site.upstreams[5]);
+    leaving.set_leaving(true);
+    wait_for("the upstream answers", || async {
+        let attempt = format!("r{}", rand::random::<u32>());
+        let reply = site.instances[0].send(plain_request("pay", &attempt)).await;
+        let reply = reply.filter(|reply| reply.header("server-leaving").is_some())?;
+        assert!(reply.header("relay-leaving").is_none());
+        Some(())
+    })
+    .await;
+    site.heal(0);
+    site.instances[0].wait_for_event("E0762").await;
+    let (left, stayed) = (leaving.arrivals().len(), staying.arrivals().len());
+    for number in 0..24 {
+        let attempt = format!("s{number}");
+        let reply = site.instances[number % 2]
+            .send(plain_request("pay", &attempt))
+            .await;
+        assert_eq!(reply.unwrap().status, StatusCode::OK);
+    }
+    assert_eq!(leaving.arrivals().len(), left);
+    assert_eq!(staying.arrivals().len(), stayed + 24);
+}
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod forwarding;
 mod history;
+mod leaving;
 mod lost_path;
 mod outage;
 mod process;
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -1,6 +1,7 @@
 //! Fake model engine or plain service of the users' platform.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -76,6 +77,8 @@
     behaviour: Mutex<Behaviour>,
     /// Value of the header that names the rate limit.
     rate_limit: Mutex<Option<String>>,
+    /// Whether its answers say that it leaves.
+    is_leaving: AtomicBool,
     arrivals: Mutex<Vec<Instant>>,
     requests: Mutex<Vec<RequestRecord>>,
 }
@@ -142,6 +145,7 @@
             crashes: Mutex::default(),
             behaviour: Mutex::new(behaviour),
             rate_limit: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
             arrivals: Mutex::default(),
             requests: Mutex::default(),
         });
@@ -222,6 +226,11 @@
         *lock(&self.shared.rate_limit) = text.map(str::to_owned);
     }
 
+    /// Sets whether later answers say that it leaves. Its entry stays as it is.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.shared.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
     /// Returns when each request arrived, in order, whether it was run or not.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
@@ -245,6 +254,9 @@
     if let Some(text) = lock(&shared.rate_limit).as_deref() {
         set_header(&mut response, "server-limit", text);
     }
+    if shared.is_leaving.load(Ordering::Relaxed) {
+        set_header(&mut response, "server-leaving", "1");
+    }
     Ok(response)
 }
 
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -344,6 +344,18 @@
         }
     }
 
+    /// Returns whether another instance may know upstreams of the service while this one, which does not
+    /// reach the store, knows none any more.
+    pub(crate) fn lacks_upstreams(&self) -> bool {
+        let may_relay = self.relayed_by.is_none() && self.attempts.possibly_ran == 0;
+        if !may_relay || !self.state.is_store_down() {
+            return false;
+        }
+        let now = self.state.now();
+        let fleet = self.state.fleet();
+        fleet.serving_upstreams(&self.service, now).next().is_none()
+    }
+
     /// Returns whether the request could be sent to another upstream if the present attempt failed
     /// after the request may have run.
     pub(crate) fn has_alternative(&self) -> bool {
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::log_event::Event;
 use crate::metric::AttemptKind;
 use crate::state::State;
-use crate::{rate_limit, suspect};
+use crate::{leaving, rate_limit, suspect};
 
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -157,7 +157,7 @@
     }
     let result = exchange::exchange(request, placement, last_event, timeout_ms).await;
     let Exchanged {
-        head,
+        mut head,
         body,
         sender,
         is_first,
@@ -172,6 +172,7 @@
     let reuse = upstream::parse_reuse(&head);
     let class = upstream::classify_response(&head, &request.attempt_id, is_first);
     rate_limit::observe(state, &placement.id, class, &head, now);
+    leaving::observe(request, placement.key, class, &mut head.headers);
     let (failure, outcome) = match class {
         ResponseClass::Matching => {
             return Ok(UpstreamResponse {
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -110,6 +110,10 @@
         .ready()
         .await
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+    // The request may have waited since its upstream was selected.
+    if !state.fleet().is_serving(placement.key, state.now()) {
+        return Err(ExchangeError::UpstreamLeft);
+    }
     let order = ForwardParameters {
         upstream: &placement.id,
         deadline_ms: request.remaining_ms(),
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -276,7 +276,8 @@
     }
 }
 
-fn log_change(state: &State, id: &Arc<str>, change: Change, cause: &'static str) {
+/// Logs how an upstream's serving changes.
+pub(crate) fn log_change(state: &State, id: &Arc<str>, change: Change, cause: &'static str) {
     let event = match change {
         Change::None => return,
         Change::Joined => Event::UpstreamJoined,
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -376,6 +376,9 @@
             if let Some(error) = server_error {
                 return Ok(complete(&request, error));
             }
+            if request.lacks_upstreams() {
+                return relay_or_reject(request).await;
+            }
             request.mark_logged();
             return Err(request.attempts.rejection(request.retry_after_ms()));
         };
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `exchange` | sends one request to an upstream |
 //! | `crash` | finds out whether an upstream crashed under a request |
 //! | `suspect` | requests that may crash upstreams, shared by all instances |
+//! | `leaving` | upstreams that say in their answers that they leave |
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
 //! | `stream_log` | events of retained turns in the store, until the turns end |
@@ -42,6 +43,7 @@
 mod exchange;
 mod feed;
 mod handler;
+mod leaving;
 mod log_event;
 mod membership;
 mod metric;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::active_request::ActiveRequest;
 use crate::buffer::Reservation;
 use crate::handler::{Body, ResponseAborted};
+use crate::leaving;
 use crate::log_event::Event;
 use crate::membership::{self, Member};
 use crate::metric;
@@ -251,7 +252,11 @@
         };
         tried.push(Arc::clone(&instance));
         let mut guard = RelayGuard::start(&state, &instance);
-        let error = match exchange(request, &instance, last_event).await {
+        let result = exchange(request, &instance, last_event).await;
+        if let Ok((response, _)) = &result {
+            leaving::observe_relayed(&state, response.headers());
+        }
+        let error = match result {
             Ok((response, _)) if let Some(reason) = relay::decline_reason(response.headers()) => {
                 guard.outcome = match reason {
                     Decline::NotReady => Outcome::LacksStore,
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -19,6 +19,9 @@
 /// Set in a response if no upstream responded to the request, which may have run.
 const UNSERVED: HeaderName = HeaderName::from_static("relay-unserved");
 
+/// Set in a response if the upstream that sent it says that it leaves; names it.
+const LEAVING: HeaderName = HeaderName::from_static("relay-leaving");
+
 /// What a relaying instance adds to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -105,9 +108,39 @@
     headers.contains_key(UNSERVED)
 }
 
+/// The upstream that sent a relayed response, and says in it that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leaving {
+    /// Id of the upstream.
+    pub upstream: Arc<str>,
+    /// Start time of its present incarnation.
+    pub started_ms: u64,
+}
+
+impl Leaving {
+    /// Adds the header to a response.
+    pub fn insert_into(&self, headers: &mut HeaderMap) {
+        // An id that fits in no header gets no requests.
+        if let Ok(value) = HeaderValue::from_str(&format!("{} {}", self.started_ms, self.upstream))
+        {
+            headers.insert(LEAVING, value);
+        }
+    }
+
+    /// Reads the header of a response, if there is a valid one.
+    #[must_use]
+    pub fn read(headers: &HeaderMap) -> Option<Self> {
+        let (started_ms, upstream) = headers.get(LEAVING)?.to_str().ok()?.split_once(' ')?;
+        Some(Self {
+            upstream: upstream.into(),
+            started_ms: started_ms.parse().ok()?,
+        })
+    }
+}
+
 /// Removes the headers of relayed requests and their responses.
 pub fn remove_headers(headers: &mut HeaderMap) {
-    for name in [CALLER, ATTEMPTS, DECLINED, UNSERVED] {
+    for name in [CALLER, ATTEMPTS, DECLINED, UNSERVED, LEAVING] {
         headers.remove(name);
     }
 }
