Count the tokens of the write of a grant that was done

Cause: a grant without a response was computed again and written under the same id. The first write was done late, the second failed on its condition, and the turn took the tokens of the second.

Change: the same write is repeated until the row has another version than it requires; then none of the writes so far can still be done. Each write has its own id, and the row keeps the ids of the grants before its latest, which earlier builds ignore and drop, so that a grant is found under those of other instances.

--- a/crates/core/src/dispatch/token_budget.rs
+++ b/crates/core/src/dispatch/token_budget.rs
@@ -75,6 +75,70 @@
     Grant::Tokens(missing + advance, row)
 }
 
+/// A write of a grant. Its id is in the row that it writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantWrite {
+    /// Random id of the write.
+    pub id: u64,
+    /// Version that the row must have.
+    pub base: u64,
+    /// Number of tokens granted by it.
+    pub tokens: u64,
+    /// The program's new totals.
+    pub totals: GrantedTokens,
+}
+
+/// A grant until a write of it is known to be done.
+///
+/// A write without a response may be done later, as long as the row has the version that it requires.
+/// Until the row has another version, the same write is repeated; what is computed again, with another
+/// mean for example, would not be what the store counts. Once the row has another version, either a
+/// write was done, or none of the writes so far will be.
+#[derive(Clone, Debug, Default)]
+pub struct PendingGrant {
+    writes: Vec<GrantWrite>,
+}
+
+impl PendingGrant {
+    /// Returns the next write, or `None` if the budget is spent. `granted` and `base` are the totals and
+    /// the version of the row as last read; `id` is a new random id.
+    pub fn next_write(
+        &mut self,
+        granted: GrantedTokens,
+        base: u64,
+        budget: u64,
+        missing: u64,
+        mean_turn_tokens: f64,
+        id: u64,
+    ) -> Option<GrantWrite> {
+        if let Some(write) = self.writes.last()
+            && write.base == base
+        {
+            return Some(*write);
+        }
+        let Grant::Tokens(tokens, totals) =
+            decide_grant(granted, budget, missing, mean_turn_tokens)
+        else {
+            return None;
+        };
+        let write = GrantWrite {
+            id,
+            base,
+            tokens,
+            totals,
+        };
+        self.writes.push(write);
+        Some(write)
+    }
+
+    /// Returns the write that was done, if a row holds the id of one.
+    #[must_use]
+    pub fn find_done(&self, ids: &[u64]) -> Option<GrantWrite> {
+        let mut writes = self.writes.iter();
+        writes.find(|write| ids.contains(&write.id)).copied()
+    }
+}
+
 /// Unused granted tokens and session upstreams of a program at this instance.
 #[derive(Debug, Default)]
 struct ProgramTokens {
--- a/crates/core/tests/dispatch/token_budget.rs
+++ b/crates/core/tests/dispatch/token_budget.rs
@@ -1,7 +1,9 @@
 //! Token budgets shared by several instances, with crashes and lost responses.
 
 use basilramp_core::clock::Time;
-use basilramp_core::dispatch::token_budget::{Grant, GrantedTokens, TokenLedger, decide_grant};
+use basilramp_core::dispatch::token_budget::{
+    Grant, GrantWrite, GrantedTokens, PendingGrant, TokenLedger, decide_grant,
+};
 use proptest::prelude::*;
 
 /// One turn at an instance.
@@ -74,6 +76,219 @@
     }
 }
 
+/// Maximum number of tokens of a turn in the model of writes.
+const MAX_TOKENS: u64 = 40;
+
+/// What happens to a write.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Done,
+    /// It is done, and its response is lost.
+    Lost,
+    /// It has no response, and may be done at any later time.
+    Late,
+    NotDone,
+}
+
+/// A step of two instances that run turns of one program.
+#[derive(Clone, Copy, Debug)]
+enum WriteStep {
+    /// A turn begins, unless one of the instance waits for its grant.
+    Begin {
+        instance: usize,
+        used: u64,
+    },
+    /// The instance sends its next write.
+    Write {
+        instance: usize,
+        fate: Fate,
+    },
+    /// The instance reads the row.
+    Read {
+        instance: usize,
+    },
+    /// A write without a response is done now, if its condition holds. It may be done again.
+    Arrive {
+        write: usize,
+    },
+    /// Turns of other programs end at an instance, which changes its mean.
+    Drift {
+        instance: usize,
+        tokens: u64,
+    },
+    Kill {
+        instance: usize,
+    },
+}
+
+fn write_step() -> impl Strategy<Value = WriteStep> {
+    let instance = || 0..2_usize;
+    let fate = prop_oneof![
+        3 => Just(Fate::Done),
+        2 => Just(Fate::Lost),
+        3 => Just(Fate::Late),
+        1 => Just(Fate::NotDone),
+    ];
+    prop_oneof![
+        4 => (instance(), 0..=MAX_TOKENS).prop_map(|(instance, used)| WriteStep::Begin { instance, used }),
+        6 => (instance(), fate).prop_map(|(instance, fate)| WriteStep::Write { instance, fate }),
+        3 => instance().prop_map(|instance| WriteStep::Read { instance }),
+        4 => (0..6_usize).prop_map(|write| WriteStep::Arrive { write }),
+        2 => (instance(), 0..=60_u64).prop_map(|(instance, tokens)| WriteStep::Drift { instance, tokens }),
+        1 => instance().prop_map(|instance| WriteStep::Kill { instance }),
+    ]
+}
+
+/// The program's row in the store.
+#[derive(Clone, Debug, Default)]
+struct ModelRow {
+    granted: GrantedTokens,
+    ids: Vec<u64>,
+    version: u64,
+}
+
+impl ModelRow {
+    fn apply(&mut self, write: &GrantWrite) -> bool {
+        if write.base != self.version {
+            return false;
+        }
+        self.granted = write.totals;
+        self.ids.push(write.id);
+        self.version += 1;
+        true
+    }
+}
+
+/// A turn that waits for its grant.
+#[derive(Debug)]
+struct Waiting {
+    pending: PendingGrant,
+    row: ModelRow,
+    reserved: u64,
+    used: u64,
+}
+
+#[derive(Debug, Default)]
+struct ModelInstance {
+    ledger: TokenLedger,
+    waiting: Option<Waiting>,
+}
+
+impl ModelInstance {
+    /// Runs the waiting turn with the tokens of a write that was done. Returns the tokens used.
+    fn run(&mut self, tokens: u64) -> u64 {
+        let Some(turn) = self.waiting.take() else {
+            return 0;
+        };
+        let (program, now) = ("p1".into(), Time::ZERO);
+        let left = turn.reserved + tokens - turn.used;
+        self.ledger.release(&program, left, turn.used, now);
+        turn.used
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(3_000))]
+
+    /// Writes are lost, late and done twice, instances are killed meanwhile, and what the next grant
+    /// would be changes. The tokens that turns have used and instances hold never exceed the row.
+    #[test]
+    fn instances_hold_no_tokens_that_the_row_does_not_count(
+        steps in prop::collection::vec(write_step(), 1..120),
+        budget in 60..900_u64,
+    ) {
+        let program: std::sync::Arc<str> = "p1".into();
+        let now = Time::ZERO;
+        let mut store = ModelRow::default();
+        let mut unanswered: Vec<GrantWrite> = Vec::new();
+        let mut instances = [ModelInstance::default(), ModelInstance::default()];
+        let (mut used, mut next_id) = (0, 0);
+        for step in steps {
+            match step {
+                WriteStep::Begin { instance, used: uses } => {
+                    let instance = &mut instances[instance];
+                    if instance.waiting.is_some() {
+                        continue;
+                    }
+                    let reserved = instance.ledger.reserve(&program, MAX_TOKENS, now);
+                    instance.waiting = Some(Waiting {
+                        pending: PendingGrant::default(),
+                        row: store.clone(),
+                        reserved,
+                        used: uses,
+                    });
+                    if reserved == MAX_TOKENS {
+                        used += instance.run(0);
+                    }
+                }
+                WriteStep::Write { instance, fate } => {
+                    let instance = &mut instances[instance];
+                    let mean = instance.ledger.mean_turn_tokens();
+                    let Some(turn) = &mut instance.waiting else {
+                        continue;
+                    };
+                    next_id += 1;
+                    let missing = MAX_TOKENS - turn.reserved;
+                    let row = &turn.row;
+                    let write = turn.pending.next_write(row.granted, row.version, budget, missing, mean, next_id);
+                    let Some(write) = write else {
+                        // The budget is spent.
+                        let reserved = turn.reserved;
+                        instance.waiting = None;
+                        instance.ledger.release(&program, reserved, 0, now);
+                        continue;
+                    };
+                    match fate {
+                        Fate::Done if store.apply(&write) => used += instance.run(write.tokens),
+                        Fate::Done => {
+                            // The response to a conflict holds the row.
+                            match turn.pending.find_done(&store.ids) {
+                                Some(done) => used += instance.run(done.tokens),
+                                None => turn.row = store.clone(),
+                            }
+                        }
+                        Fate::Lost => {
+                            store.apply(&write);
+                        }
+                        Fate::Late => unanswered.push(write),
+                        Fate::NotDone => {}
+                    }
+                }
+                WriteStep::Read { instance } => {
+                    let instance = &mut instances[instance];
+                    let Some(turn) = &mut instance.waiting else {
+                        continue;
+                    };
+                    match turn.pending.find_done(&store.ids) {
+                        Some(done) => used += instance.run(done.tokens),
+                        None => turn.row = store.clone(),
+                    }
+                }
+                WriteStep::Arrive { write } => {
+                    if let Some(write) = unanswered.get(write) {
+                        store.apply(write);
+                    }
+                }
+                WriteStep::Drift { instance, tokens } => {
+                    let other = std::sync::Arc::from("other");
+                    instances[instance].ledger.release(&other, 0, tokens, now);
+                }
+                WriteStep::Kill { instance } => instances[instance] = ModelInstance::default(),
+            }
+            let held: u64 = instances
+                .iter_mut()
+                .map(|instance| {
+                    let tokens = instance.ledger.reserve(&program, u64::MAX, now);
+                    instance.ledger.release(&program, tokens, 0, now);
+                    tokens + instance.waiting.as_ref().map_or(0, |turn| turn.reserved)
+                })
+                .sum();
+            prop_assert!(used + held <= store.granted.tokens);
+            prop_assert!(used <= budget + MAX_TOKENS);
+        }
+    }
+}
+
 /// Granted tokens of a program without advance grants.
 const fn granted(tokens: u64) -> GrantedTokens {
     GrantedTokens { tokens, advance: 0 }
--- a/crates/daemon/tests/ingress/budget.rs
+++ b/crates/daemon/tests/ingress/budget.rs
@@ -1,5 +1,8 @@
 //! A program never receives more tokens than its budget plus the maximum output of one turn.
 
+use std::time::Duration;
+
+use basilramp_fakes::user_platform::{Behaviour, Mode};
 use http::StatusCode;
 
 use crate::support::{EVENT_TOKENS, IMMEDIATE_RESPONSE, Instance, Turn, start_site};
@@ -98,3 +101,63 @@
     let ran = upstreams[0].requests();
     assert!(ran.iter().all(|run| !rejected.contains(&run.attempt_id)));
 }
+
+/// Writes of grants are done after their writer has given up on them, while turns that end change what
+/// the next grant would be. The turns get what the row counts, not what was computed last.
+#[tokio::test]
+async fn a_grant_that_is_written_late_is_the_one_that_counts() {
+    const EVENTS: u64 = 12;
+    const MAX_TOKENS: u64 = EVENTS * EVENT_TOKENS;
+    const LIMIT: u64 = 8 * MAX_TOKENS;
+    let slow = Behaviour::Respond {
+        events: EVENTS,
+        interval_ms: 25,
+    };
+    let (store, upstreams) = start_site("engine", [slow, slow]);
+    let instance = Instance::spawn(&store, "a").await;
+    let turn = |program: &str, attempt: &str| {
+        let turn = Turn {
+            program,
+            budget: LIMIT,
+            max_output: MAX_TOKENS,
+            ..turn(attempt)
+        };
+        turn.request()
+    };
+    let short: Vec<_> = (0..16).map(|index| format!("short-{index}")).collect();
+    let long: Vec<_> = (0..6).map(|index| format!("long-{index}")).collect();
+    let earlier = async {
+        let sent = short.iter().map(|name| instance.send(turn(name, name)));
+        futures_util::future::join_all(sent).await
+    };
+    let first = async {
+        tokio::time::sleep(Duration::from_millis(270)).await;
+        store.set_mode(Mode::AppliesLate(130));
+        let sent = long.iter().map(|name| instance.send(turn(name, name)));
+        let replies = tokio::join!(futures_util::future::join_all(sent), async {
+            tokio::time::sleep(Duration::from_millis(900)).await;
+            store.set_mode(Mode::Up);
+        });
+        replies.0
+    };
+    let (_, first) = tokio::join!(earlier, first);
+    for (program, reply) in long.iter().zip(first) {
+        let mut bodies = vec![reply.map(|reply| reply.body).unwrap_or_default()];
+        for number in 0..24 {
+            let attempt = format!("{program}-{number}");
+            let reply = instance.send(turn(program, &attempt)).await.unwrap();
+            if reply.status == StatusCode::PAYMENT_REQUIRED {
+                break;
+            }
+            bodies.push(reply.body);
+        }
+        let tokens = bodies.concat().matches("data:").count() as u64 * EVENT_TOKENS;
+        assert!(tokens <= LIMIT + MAX_TOKENS, "{program} got {tokens}");
+        assert!(tokens >= LIMIT / 2, "{program} got {tokens}");
+    }
+    assert!(
+        upstreams
+            .iter()
+            .all(|upstream| !upstream.requests().is_empty())
+    );
+}
--- a/crates/fakes/src/user_platform/store.rs
+++ b/crates/fakes/src/user_platform/store.rs
@@ -33,6 +33,9 @@
     Slow(u64),
     /// Applies transactions and closes their connections without a response.
     LosesResponses,
+    /// Closes the connections of transactions without a response, and applies them after this many
+    /// milliseconds, if their conditions hold by then.
+    AppliesLate(u64),
 }
 
 /// Table, partition and key of a row.
@@ -368,7 +371,7 @@
         Mode::Unavailable => return Ok(json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
         Mode::Unresponsive => std::future::pending::<()>().await,
         Mode::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-        Mode::Up | Mode::LosesResponses => {}
+        Mode::Up | Mode::LosesResponses | Mode::AppliesLate(_) => {}
     }
     let query = parse_query(request.uri().query().unwrap_or_default());
     let is_blocked = shared.lock().blocked_table.as_ref() == query.get("table");
@@ -388,7 +391,7 @@
             Ok(json_response(StatusCode::OK, &state.read(&query)))
         }
         "/rows-feed" => Ok(handle_feed(&shared, &query).await),
-        "/rows-tx" => handle_transaction(&shared, request, mode).await,
+        "/rows-tx" => handle_transaction(shared, request, mode).await,
         _ => Ok(json_response(StatusCode::NOT_FOUND, &json!({}))),
     }
 }
@@ -418,7 +421,7 @@
 }
 
 async fn handle_transaction(
-    shared: &Shared,
+    shared: Arc<Shared>,
     request: Request<Incoming>,
     mode: Mode,
 ) -> HandlerResult {
@@ -431,6 +434,15 @@
     let Ok(transaction) = serde_json::from_slice::<Transaction>(&body) else {
         return Ok(json_response(StatusCode::BAD_REQUEST, &json!({})));
     };
+    if let Mode::AppliesLate(ms) = mode {
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            // Its sender has given up.
+            let _ = shared.lock().apply(transaction);
+            shared.changed.notify_waiters();
+        });
+        return Err(ConnectionClosed);
+    }
     let (result, version, now_ms) = {
         let mut state = shared.lock();
         state.writes += 1;
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -5,10 +5,12 @@
 
 use std::sync::{Arc, Mutex};
 
-use basilramp_adapter::store::{Client, Error, PartitionKey, Transaction};
+use basilramp_adapter::store::{Client, Error, Page, PartitionKey, Transaction};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::request::{Program, Rejection};
-use basilramp_core::dispatch::token_budget::{Grant, GrantedTokens, TokenLedger, decide_grant};
+use basilramp_core::dispatch::token_budget::{
+    Grant, GrantWrite, GrantedTokens, PendingGrant, TokenLedger, decide_grant,
+};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -28,24 +30,44 @@
 /// Maximum number of sessions in a program's row.
 const MAX_SESSIONS: usize = 12;
 
+/// Maximum number of earlier grants in a program's row: more than other instances make while a writer
+/// waits for its response.
+const MAX_EARLIER_GRANTS: usize = 8;
+
 /// Row of a program.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Row {
     /// Number of tokens granted to all turns.
     granted: u64,
     /// Number of those tokens that were granted in advance.
     #[serde(rename = "ahead")]
     advance: u64,
-    /// Random id of the grant that wrote the row. It tells a writer whose response was lost that
-    /// its write succeeded.
+    /// Random id of the write of a grant that wrote the row. It tells a writer whose response was lost
+    /// that its write succeeded.
     grant: u64,
     /// Sessions with their upstreams, the latest last.
     #[serde(rename = "lines")]
     sessions: Vec<Session>,
 }
 
+/// What follows a [`Row`] in the stored bytes. Builds without it ignore and drop it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct RowTail {
+    /// Ids of the writes before that of the row, the latest last.
+    earlier_grants: Vec<u64>,
+}
+
+/// A program's row as read from the store.
+#[derive(Clone, Debug, Default)]
+struct StoredRow {
+    row: Row,
+    tail: RowTail,
+    /// Version of the row; 0 if there is none.
+    version: u64,
+}
+
 /// Latest upstream of a session.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Session {
     /// Hash of the session id.
     id: u64,
@@ -80,8 +102,7 @@
     /// Latest upstream of the session, if it ran at this instance.
     previous_upstream: Option<Arc<str>>,
     /// The program's row as last read. Empty if nothing has to be granted.
-    row: Row,
-    version: u64,
+    stored: StoredRow,
 }
 
 /// Why a turn was granted no tokens.
@@ -151,8 +172,7 @@
         limit,
         session,
         previous_upstream,
-        row: Row::default(),
-        version: 0,
+        stored: StoredRow::default(),
     };
     if budget.missing == 0 && budget.previous_upstream.is_some() {
         return Ok(budget);
@@ -170,15 +190,14 @@
             result => result?,
         }
         match read_row(state, &program.id, deadline).await {
-            Ok((row, version)) => {
-                budget.row = row;
-                budget.version = version;
+            Ok(stored) => {
+                budget.stored = stored;
                 break;
             }
             Err(_) => backoff.wait().await,
         }
     }
-    if budget.missing > 0 && budget.next_grant() == Grant::Spent {
+    if budget.missing > 0 && budget.is_spent() {
         return Err(Rejection::BudgetSpent);
     }
     Ok(budget)
@@ -187,7 +206,7 @@
 impl TurnBudget {
     /// Returns the latest upstream of the session, or else the latest one of the program.
     pub(crate) fn previous_upstream(&self) -> Option<&Arc<str>> {
-        let sessions = &self.row.sessions;
+        let sessions = &self.stored.row.sessions;
         let session_entry = sessions.iter().find(|session| session.id == self.session);
         let stored = session_entry
             .or(sessions.last())
@@ -197,12 +216,13 @@
 
     /// Returns whether the program has had no turn yet at any instance.
     pub(crate) const fn is_new(&self) -> bool {
-        self.version == 0 && self.missing == self.max_tokens
+        self.stored.version == 0 && self.missing == self.max_tokens
     }
 
     /// Returns whether turns in progress elsewhere may spend the rest of the budget.
     pub(crate) const fn is_nearly_spent(&self) -> bool {
-        self.missing > 0 && self.row.granted + MAX_CONCURRENT_TURNS * self.max_tokens >= self.limit
+        let granted = self.stored.row.granted;
+        self.missing > 0 && granted + MAX_CONCURRENT_TURNS * self.max_tokens >= self.limit
     }
 
     /// Grants the missing tokens in the store and records the session's upstream.
@@ -218,43 +238,51 @@
             return Ok(self.reserved);
         }
         let deadline = state.now().after(GRANT_TIMEOUT_MS);
-        let grant_id = rand::random();
+        let mut pending = PendingGrant::default();
         let mut backoff = Backoff::default();
         loop {
-            let Grant::Tokens(tokens, granted) = self.next_grant() else {
-                return Err(GrantError::Spent);
-            };
-            let row = self
-                .row
+            let mean_turn_tokens = lock(&state.budgets.ledger).mean_turn_tokens();
+            let write = pending.next_write(
+                self.stored.row.granted_tokens(),
+                self.stored.version,
+                self.limit,
+                self.missing,
+                mean_turn_tokens,
+                rand::random(),
+            );
+            let write = write.ok_or(GrantError::Spent)?;
+            let next = self
+                .stored
                 .clone()
-                .with_grant(granted, grant_id, self.session, &upstream);
-            let error = match write_row(&state, &program, &row, self.version, deadline).await {
-                Ok(()) => return Ok(self.reserve_granted(tokens)),
-                Err(error) => error,
-            };
-            if !matches!(error, Error::Conflict(_)) {
-                if state.now() >= deadline {
-                    return Err(GrantError::Store(error));
+                .with_grant(&write, self.session, &upstream);
+            let read = match write_row(&state, &program, &next, deadline).await {
+                Ok(()) => return Ok(self.reserve_granted(write.tokens)),
+                Err(Error::Conflict(page)) => find_row(page, &program),
+                Err(error) if state.now() >= deadline => Err(error),
+                Err(_) => {
+                    backoff.wait().await;
+                    read_row(&state, &program, deadline).await
                 }
-                backoff.wait().await;
-            }
-            if let Ok((row, version)) = read_row(&state, &program, deadline).await {
-                if row.grant == grant_id {
-                    return Ok(self.reserve_granted(tokens));
+            };
+            let stored = match read {
+                Ok(stored) => stored,
+                Err(error) if state.now() >= deadline => return Err(GrantError::Store(error)),
+                Err(_) => {
+                    backoff.wait().await;
+                    continue;
                 }
-                self.row = row;
-                self.version = version;
+            };
+            if let Some(done) = pending.find_done(&stored.grant_ids()) {
+                return Ok(self.reserve_granted(done.tokens));
             }
+            self.stored = stored;
         }
     }
 
-    fn next_grant(&self) -> Grant {
-        let granted = GrantedTokens {
-            tokens: self.row.granted,
-            advance: self.row.advance,
-        };
-        let mean_turn_tokens = lock(&self.reserved.state.budgets.ledger).mean_turn_tokens();
-        decide_grant(granted, self.limit, self.missing, mean_turn_tokens)
+    /// Returns whether the budget has no tokens left for the turn.
+    fn is_spent(&self) -> bool {
+        let granted = self.stored.row.granted_tokens();
+        decide_grant(granted, self.limit, self.missing, 0.0) == Grant::Spent
     }
 
     /// Reserves the tokens that the turn needs and releases the advance for later turns.
@@ -268,35 +296,64 @@
 }
 
 impl Row {
-    fn with_grant(
-        mut self,
-        granted: GrantedTokens,
-        grant: u64,
-        id: u64,
-        upstream: &Arc<str>,
-    ) -> Self {
-        self.sessions.retain(|session| session.id != id);
-        if self.sessions.len() >= MAX_SESSIONS {
-            self.sessions.remove(0);
+    const fn granted_tokens(&self) -> GrantedTokens {
+        GrantedTokens {
+            tokens: self.granted,
+            advance: self.advance,
         }
-        self.sessions.push(Session {
-            id,
+    }
+}
+
+impl StoredRow {
+    /// Returns the row that a write of a grant replaces this one with.
+    fn with_grant(mut self, write: &GrantWrite, session: u64, upstream: &Arc<str>) -> Self {
+        let sessions = &mut self.row.sessions;
+        sessions.retain(|known| known.id != session);
+        if sessions.len() >= MAX_SESSIONS {
+            sessions.remove(0);
+        }
+        sessions.push(Session {
+            id: session,
             upstream: Arc::clone(upstream),
         });
-        Self {
-            granted: granted.tokens,
-            advance: granted.advance,
-            grant,
-            sessions: self.sessions,
+        if self.version > 0 {
+            let earlier_grants = &mut self.tail.earlier_grants;
+            earlier_grants.push(self.row.grant);
+            let excess = earlier_grants.len().saturating_sub(MAX_EARLIER_GRANTS);
+            earlier_grants.drain(..excess);
         }
+        self.row.granted = write.totals.tokens;
+        self.row.advance = write.totals.advance;
+        self.row.grant = write.id;
+        self
+    }
+
+    /// Returns the ids of the latest writes of grants.
+    fn grant_ids(&self) -> Vec<u64> {
+        let mut ids = self.tail.earlier_grants.clone();
+        ids.push(self.row.grant);
+        ids
+    }
+
+    fn encode(&self) -> Result<Vec<u8>, Error> {
+        postcard::to_stdvec(&(&self.row, &self.tail))
+            .map_err(|error| Error::Malformed(error.to_string()))
+    }
+
+    fn decode(bytes: &[u8], version: u64) -> Result<Self, Error> {
+        let (row, rest) = postcard::take_from_bytes(bytes)
+            .map_err(|error| Error::Malformed(error.to_string()))?;
+        // A build that does not know the tail leaves it out.
+        let tail = postcard::from_bytes(rest).unwrap_or_default();
+        Ok(Self { row, tail, version })
     }
 }
 
+/// Writes a row on the condition that it has the version that it was read with.
 async fn write_row(
     state: &State,
     program: &str,
-    row: &Row,
-    version: u64,
+    stored: &StoredRow,
     deadline: Time,
 ) -> Result<(), Error> {
     let partition = partition_key(program);
@@ -304,10 +361,9 @@
         table: TABLE,
         partition: &partition,
     };
-    let value = postcard::to_stdvec(row).map_err(|error| Error::Malformed(error.to_string()))?;
     let change = Transaction::default()
-        .require_version(place, program, version)
-        .write(place, program, &value);
+        .require_version(place, program, stored.version)
+        .write(place, program, &stored.encode()?);
     let call = async |store: &Client, limit_ms| store.commit(&change, limit_ms).await;
     state
         .call(StoreCall::Write, &partition, deadline, call)
@@ -315,8 +371,8 @@
         .map(|_| ())
 }
 
-/// Reads a program's row and its version. Returns an empty row with version 0 if there is none.
-async fn read_row(state: &State, program: &str, deadline: Time) -> Result<(Row, u64), Error> {
+/// Reads a program's row.
+async fn read_row(state: &State, program: &str, deadline: Time) -> Result<StoredRow, Error> {
     let partition = partition_key(program);
     let place = PartitionKey {
         table: TABLE,
@@ -331,11 +387,13 @@
     let page = state
         .call(StoreCall::Read, &partition, deadline, call)
         .await?;
-    let Some(row) = page.rows.into_iter().find(|row| &*row.key == program) else {
-        return Ok((Row::default(), 0));
-    };
-    let value = row.value.unwrap_or_default();
-    let content =
-        postcard::from_bytes(&value).map_err(|error| Error::Malformed(error.to_string()))?;
-    Ok((content, row.version))
+    find_row(page, program)
+}
+
+/// Returns a program's row in a response; an empty one with version 0 if there is none.
+fn find_row(page: Page, program: &str) -> Result<StoredRow, Error> {
+    match page.rows.into_iter().find(|row| &*row.key == program) {
+        Some(row) => StoredRow::decode(&row.value.unwrap_or_default(), row.version),
+        None => Ok(StoredRow::default()),
+    }
 }
