Never replace the record of a stream's version

What callers could see: a stream that is taken up goes on at another version (ORDER), if its attempt was relayed to two instances and the first one's record is written late.

Cause: the record was written without a condition, so a late write of an instance that had given the request up replaced that of the one whose events the caller got.

Change: the record is written on the condition that there is none. One of the same version counts as written; one of another version fails the request before its first event.

--- a/crates/daemon/tests/ingress/software_version.rs
+++ b/crates/daemon/tests/ingress/software_version.rs
@@ -276,3 +276,50 @@
         begun_at = started;
     }
 }
+
+/// An instance that a relaying one has given up writes the version of the stream late, after another
+/// instance has begun the stream under the same attempt at another version.
+#[tokio::test]
+async fn a_late_record_does_not_replace_that_of_the_stream_that_callers_got() {
+    let slow = Behaviour::Respond {
+        events: 4,
+        interval_ms: 30,
+    };
+    let (store, upstreams) = start_versions([("v1", slow), ("v2", slow)]);
+    let survivor = Instance::spawn(&store, "c").await;
+    let mut checked = 0;
+    for round in 0..12 {
+        let given_up = Instance::spawn(&store, "a").await;
+        let attempt = format!("t{round}");
+        store.set_mode(Mode::AppliesLate(700));
+        tokio::join!(given_up.send(stream(&attempt)), async {
+            wait_for("the stream runs", || async {
+                let runs = upstreams.iter().flat_map(Upstream::requests);
+                let mut runs = runs.filter(|run| run.attempt_id == attempt);
+                runs.next().map(|_| ())
+            })
+            .await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            given_up.signal("KILL");
+        });
+        store.set_mode(Mode::Up);
+        let reply = survivor.send(stream(&attempt)).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let runs: Vec<_> = upstreams.iter().flat_map(Upstream::requests).collect();
+        let versions = runs.iter().filter(|run| run.attempt_id == attempt);
+        let versions: Vec<_> = versions.map(|run| run.version.clone()).collect();
+        if reply.status != StatusCode::OK || versions.len() != 2 || versions[0] == versions[1] {
+            continue;
+        }
+        checked += 1;
+        let version = reply.header("server-signature").unwrap() == "sig-i-1";
+        let version = if version { "v1" } else { "v2" };
+        let taken_up = format!("u{round}");
+        let reply = survivor.send(resumption(&taken_up, &attempt, 2)).await;
+        assert_eq!(reply.unwrap().status, StatusCode::OK);
+        let runs: Vec<_> = upstreams.iter().flat_map(Upstream::requests).collect();
+        let run = runs.iter().find(|run| run.attempt_id == taken_up).unwrap();
+        assert_eq!(run.version, version, "round {round}");
+    }
+    assert!(checked > 0);
+}
--- a/crates/ingress/src/stream_version.rs
+++ b/crates/ingress/src/stream_version.rs
@@ -128,29 +128,39 @@
     let partition = partition_key(attempt);
     let place = place(&partition);
     let deadline = request.deadline.min(state.now().after(RECORD_TIMEOUT_MS));
-    let expired = lock(&state.stream_versions.retention).take_expired(&partition, state.now());
-    let change = expired
-        .iter()
-        .fold(Transaction::default(), |change, stored| {
-            change.remove(place, &stored.attempt)
-        });
-    let change = change.write(place, attempt, version.as_bytes());
+    // A record is never replaced. Another instance may have written one for the same attempt, if that
+    // was relayed to both.
+    let change = Transaction::default()
+        .require_version(place, attempt, 0)
+        .write(place, attempt, version.as_bytes());
+    let mut expired = lock(&state.stream_versions.retention).take_expired(&partition, state.now());
     let mut backoff = Backoff::default();
     loop {
+        // If a row is already gone, the removal may fail the write.
+        let change = std::mem::take(&mut expired)
+            .iter()
+            .fold(change.clone(), |change, stored| {
+                change.remove(place, &stored.attempt)
+            });
         let call = async |store: &Client, limit_ms| store.commit(&change, limit_ms).await;
         let result = state
             .call(StoreCall::Write, &partition, deadline, call)
             .await;
-        match result {
+        let error = match result {
             Ok(_) => break,
-            Err(error) if state.now() >= deadline => return Err(error),
-            Err(_) => backoff.wait().await,
+            Err(error) => error,
+        };
+        if state.now() >= deadline {
+            return Err(error);
+        }
+        if !matches!(error, Error::Conflict(_)) {
+            backoff.wait().await;
         }
         // The response to a write that was done may be lost.
-        if let Ok(Some(stored)) = read(state, attempt, deadline).await
-            && *stored == *version
-        {
-            break;
+        match read(state, attempt, deadline).await {
+            Ok(Some(stored)) if *stored == *version => break,
+            Ok(Some(_)) => return Err(error),
+            Ok(None) | Err(_) => {}
         }
     }
     lock(&state.stream_versions.retention).record(
