Relay retained turns to one instance only

A retained turn that can be resumed and is relayed to a second instance, after a first one did not respond in time, could be stored twice under the same attempt with different events; the later write counted. Such a turn is not sent to a second instance any more once the first may have handled it; the caller's next try has an attempt of its own.

--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -297,7 +297,7 @@
             RelayError::Broken(_) | RelayError::Late => {
                 request.attempts.possibly_ran += hop_attempts(request);
                 let is_over = request.attempts.possibly_ran >= request.max_attempts;
-                if is_over || !request.kind.is_idempotent() {
+                if is_over || !may_repeat_elsewhere(request) {
                     let is_late = request.remaining_ms() == 0;
                     return Err(if is_late {
                         Rejection::TimedOut
@@ -378,19 +378,30 @@
     Ok(sender)
 }
 
+/// Returns whether a request that may have been handled by another instance may be sent to a further
+/// one. Both would store a retained turn under the same attempt, with different events.
+const fn may_repeat_elsewhere(request: &ActiveRequest) -> bool {
+    request.kind.is_idempotent() && request.retention_ms == 0
+}
+
+/// Returns whether the next instance may be given up and the request still be sent to a further one.
+const fn may_go_on_elsewhere(request: &ActiveRequest) -> bool {
+    may_repeat_elsewhere(request) && request.may_abandon_attempt()
+}
+
 /// Returns the number of upstreams that the next instance may send a request to. If the request may be
 /// repeated, one is left for another instance.
 fn hop_attempts(request: &ActiveRequest) -> u32 {
     let possibly_ran = request.attempts.possibly_ran;
     let remaining = request.max_attempts.saturating_sub(possibly_ran);
-    let kept = u32::from(request.may_abandon_attempt());
+    let kept = u32::from(may_go_on_elsewhere(request));
     remaining.saturating_sub(kept).max(1)
 }
 
 /// Returns how long the next instance may take until its response begins.
 fn response_timeout_ms(request: &ActiveRequest) -> u64 {
     let remaining_ms = request.remaining_ms();
-    if request.may_abandon_attempt() {
+    if may_go_on_elsewhere(request) {
         remaining_ms.min(MIN_RESPONSE_TIMEOUT_MS.max(remaining_ms / 2))
     } else {
         remaining_ms + DEADLINE_MARGIN_MS
