Add a test of heads that stop in the middle

It can't happen here: hyper fails such a response on new and used connections, after informational ones, with a length, chunked and with neither, and the request is answered 502 or repeated. Instances read each other's heads with the same parser. Nothing in the product changes.

--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -17,4 +17,5 @@
 mod software_version;
 mod support;
 mod taken_up_turn;
+mod truncated_head;
 mod upstream_faults;
