Take no unrepeatable request that may outlast a shutdown

Cause: whether a request ends in time was decided by a fixed three seconds when its head arrived, not by its deadline, the length of the shutdown, or when it was sent. At the exit, connections were dropped.

Change: `core::dispatch::shutdown` decides. A request that must not be repeated is sent only if its deadline lies before the end of the shutdown; others are taken for three seconds or three eighths of the shutdown, with their deadline cut to its end. What has no response shortly before the exit gets 502.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -19,6 +19,7 @@
 //! | [`transcript`] | builds and caches transcripts of turns |
 //! | [`admission`] | rejects new programs while engines are overloaded |
 //! | [`retention`] | removes the rows of expired turns |
+//! | [`shutdown`] | decides which requests are taken during a shutdown |
 //! | [`outage`] | tracks store outages and how long requests wait for recovery |
 //! | [`sse`] | decodes server-sent events |
 
@@ -36,6 +37,7 @@
 pub mod request;
 pub mod retention;
 pub mod route;
+pub mod shutdown;
 pub mod software_version;
 pub mod speed;
 pub mod sse;
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod retention;
 mod route;
+mod shutdown;
 mod software_version;
 mod speed;
 mod sse;
--- a/crates/daemon/tests/ingress/process.rs
+++ b/crates/daemon/tests/ingress/process.rs
@@ -2,12 +2,17 @@
 
 use std::time::{Duration, Instant};
 
-use basilramp_fakes::user_platform::Behaviour;
-use http::StatusCode;
+use basilramp_fakes::user_platform::{Behaviour, Store, Upstream};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::support::{IMMEDIATE_RESPONSE, Instance, plain_request, start_site, wait_for};
+use crate::support::{
+    IMMEDIATE_RESPONSE, Instance, Reply, Turn, configure_timeout, plain_request, start_site,
+    wait_for,
+};
 
 #[tokio::test]
 async fn shutdown_completes_running_requests() {
@@ -124,6 +129,143 @@
     assert_eq!(upstream.requests().len(), 1);
 }
 
+/// Routes of all kinds, with requests that may last longer than a shutdown.
+fn long_request(route: &str, attempt: &str, deadline_ms: u64) -> Request<Full<Bytes>> {
+    let mut request = match route {
+        "read" | "pay" => plain_request(route, attempt),
+        _ => Turn::first(route, attempt).request(),
+    };
+    let headers = request.headers_mut();
+    headers.insert("deadline-ms", deadline_ms.into());
+    request
+}
+
+/// A store with routes of a long timeout, and an upstream of each service that responds late.
+fn start_slow_site(response_ms: u64) -> (Store, [Upstream; 2]) {
+    let store = Store::spawn();
+    configure_timeout(&store, 3, 20_000);
+    let slow = Behaviour::Respond {
+        events: 1,
+        interval_ms: response_ms,
+    };
+    let upstreams = [("i-1", "app"), ("i-2", "engine")]
+        .map(|(id, service)| Upstream::spawn(&store, id, service, slow));
+    (store, upstreams)
+}
+
+fn has_run(upstreams: &[Upstream], attempt: &str) -> bool {
+    let mut runs = upstreams.iter().flat_map(Upstream::requests);
+    runs.any(|run| run.attempt_id == attempt)
+}
+
+/// The end of a shutdown would cut off a request that can't be repeated, and its caller would not know
+/// whether it has run. One that can't end in time is not sent; the others get a response.
+#[tokio::test]
+async fn no_unrepeatable_request_is_cut_off_by_the_end_of_a_shutdown() {
+    let (store, upstreams) = start_slow_site(9_000);
+    let instance = Instance::spawn(&store, "a").await;
+    instance.signal("TERM");
+    let send = async |at_ms: u64, route: &str, deadline_ms: u64| {
+        tokio::time::sleep(Duration::from_millis(at_ms)).await;
+        let attempt = format!("{route}-{at_ms}");
+        let request = long_request(route, &attempt, deadline_ms);
+        let reply: Option<Reply> = instance.send(request).await;
+        (attempt, reply)
+    };
+    let (pay, chat, late_pay, late_chat, read, short) = tokio::join!(
+        send(900, "pay", 12_000),
+        send(900, "chat", 12_000),
+        send(2_700, "pay", 5_000),
+        send(2_700, "chat", 5_000),
+        send(1_000, "read", 12_000),
+        send(1_100, "pay", 3_000),
+    );
+    for (attempt, reply) in [pay, chat, late_pay, late_chat] {
+        let reply = reply.unwrap_or_else(|| panic!("{attempt} was cut off"));
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{attempt}");
+        assert!(!has_run(&upstreams, &attempt), "{attempt}");
+    }
+    // What may run again is taken and has a response before the end, and so has what ends in time.
+    for (attempt, reply) in [read, short] {
+        let reply = reply.unwrap_or_else(|| panic!("{attempt} was cut off"));
+        assert!(reply.is_complete && reply.status.is_server_error());
+        assert!(has_run(&upstreams, &attempt), "{attempt}");
+    }
+}
+
+/// Requests that were sent before the stop signal, and last longer than the shutdown.
+#[tokio::test]
+async fn requests_that_outlast_a_shutdown_get_an_error_before_its_end() {
+    let (store, upstreams) = start_slow_site(12_000);
+    let instance = Instance::spawn(&store, "a").await;
+    let stop = async {
+        wait_for("the requests run", || async {
+            let has_run = |attempt| has_run(&upstreams, attempt);
+            (has_run("pay") && has_run("read") && has_run("chat")).then_some(())
+        })
+        .await;
+        instance.signal("TERM");
+    };
+    let send = async |route: &str| instance.send(long_request(route, route, 15_000)).await;
+    let (pay, read, chat, ()) = tokio::join!(send("pay"), send("read"), send("chat"), stop);
+    for reply in [pay, read, chat] {
+        let reply = reply.expect("the request was cut off");
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+        assert!(reply.is_complete);
+    }
+}
+
+/// The body of a request arrives late in the shutdown, after its head was read early.
+#[tokio::test]
+async fn a_request_whose_body_arrives_late_in_a_shutdown_is_answered() {
+    let (store, _upstreams) = start_slow_site(700);
+    let instance = Instance::spawn(&store, "a").await;
+    instance.signal("TERM");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut connections = Vec::new();
+    for (number, deadline_ms) in [(0, 6_000), (1, 9_000)] {
+        let mut connection = TcpStream::connect(instance.callers).await.unwrap();
+        let head = format!(
+            "POST /pay/x HTTP/1.1\r\nhost: a.example\r\nattempt-id: t{number}\r\n\
+             deadline-ms: {deadline_ms}\r\ncontent-length: 2\r\n\r\n"
+        );
+        connection.write_all(head.as_bytes()).await.unwrap();
+        connections.push(connection);
+    }
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    for (number, mut connection) in connections.into_iter().enumerate() {
+        // The second one is rejected already.
+        let _ = connection.write_all(b"hi").await;
+        let reply = read_reply(&mut connection).await;
+        let expected = ["HTTP/1.1 200", "HTTP/1.1 503"][number];
+        assert!(reply.starts_with(expected), "{number}: {reply:?}");
+    }
+}
+
+/// The platform allows less time than its load balancer takes to notice.
+#[tokio::test]
+async fn a_short_shutdown_cuts_nothing_off() {
+    let (store, upstreams) = start_slow_site(1_000);
+    let instance = Instance::spawn_with_stop(&store, "a", 3.0).await;
+    instance.signal("TERM");
+    let sent = (0..30).map(|number| {
+        let (instance, upstreams) = (&instance, &upstreams);
+        async move {
+            tokio::time::sleep(Duration::from_millis(100 * number)).await;
+            let attempt = format!("t{number}");
+            let reply = instance.send(long_request("pay", &attempt, 1_600)).await;
+            let status = reply.map(|reply| reply.status);
+            if has_run(upstreams, &attempt) {
+                assert_eq!(status, Some(StatusCode::OK), "{attempt}");
+            }
+            status
+        }
+    });
+    let statuses = futures_util::future::join_all(sent).await;
+    assert!(statuses.contains(&Some(StatusCode::OK)));
+    assert!(statuses.contains(&Some(StatusCode::SERVICE_UNAVAILABLE)));
+}
+
 #[tokio::test]
 async fn shutdown_ends_within_its_timeout() {
     let (store, _upstreams) = start_site("app", [IMMEDIATE_RESPONSE]);
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -21,6 +21,9 @@
 /// Timeout of a wait for a condition; long enough for a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Seconds from a stop signal to the forced end of an instance.
+const STOP_S: f64 = 8.0;
+
 /// Tokens in each event of the fake upstream's streams.
 pub(crate) const EVENT_TOKENS: u64 = 4;
 
@@ -77,7 +80,16 @@
         let mut shell = Command::new("sh");
         let script = format!("ulimit -n {limit} && exec \"$0\" \"$1\"");
         shell.args(["-c", &script, env!("CARGO_BIN_EXE_basilrampd")]);
-        let instance = Self::spawn_command(shell, store.address(), name).await;
+        let instance = Self::spawn_command(shell, store.address(), name, STOP_S).await;
+        instance.wait_ready().await;
+        instance
+    }
+
+    /// Starts an instance whose shutdown ends by force after `stop_s` seconds, and waits until it is
+    /// ready.
+    pub(crate) async fn spawn_with_stop(store: &Store, name: &str, stop_s: f64) -> Self {
+        let daemon = Command::new(env!("CARGO_BIN_EXE_basilrampd"));
+        let instance = Self::spawn_command(daemon, store.address(), name, stop_s).await;
         instance.wait_ready().await;
         instance
     }
@@ -85,17 +97,22 @@
     /// Starts an instance that uses the store at an address, and waits until it listens.
     pub(crate) async fn spawn_at(store: SocketAddr, name: &str) -> Self {
         let daemon = Command::new(env!("CARGO_BIN_EXE_basilrampd"));
-        Self::spawn_command(daemon, store, name).await
+        Self::spawn_command(daemon, store, name, STOP_S).await
     }
 
-    async fn spawn_command(mut command: Command, store: SocketAddr, name: &str) -> Self {
+    async fn spawn_command(
+        mut command: Command,
+        store: SocketAddr,
+        name: &str,
+        stop_s: f64,
+    ) -> Self {
         let settings_dir = tempfile::tempdir().unwrap();
         let settings = json!({
             "instance": {"id": name, "failure_domain": "z1"},
             "ingress": {
                 "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
                 "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0",
-                "store": store.to_string(), "memory_mb": 130, "stop_s": 8.0,
+                "store": store.to_string(), "memory_mb": 130, "stop_s": stop_s,
             },
             "log": {"level": "debug"},
         });
@@ -305,19 +322,30 @@
 
 /// Like [`configure`], with turns of `chat` retained for `retention_s` seconds.
 pub(crate) fn configure_retention(store: &Store, version: u64, retention_s: f64) {
-    configure_limits(store, version, retention_s, 100_000);
+    configure_limits(store, version, retention_s, 100_000, 4_000);
 }
 
 /// Like [`configure`], with bodies of at most `max_body_bytes` bytes.
 pub(crate) fn configure_body_limit(store: &Store, version: u64, max_body_bytes: usize) {
-    configure_limits(store, version, 60.0, max_body_bytes);
+    configure_limits(store, version, 60.0, max_body_bytes, 4_000);
+}
+
+/// Like [`configure`], with requests of at most `timeout_ms` milliseconds.
+pub(crate) fn configure_timeout(store: &Store, version: u64, timeout_ms: u64) {
+    configure_limits(store, version, 60.0, 100_000, timeout_ms);
 }
 
-fn configure_limits(store: &Store, version: u64, retention_s: f64, max_body_bytes: usize) {
+fn configure_limits(
+    store: &Store,
+    version: u64,
+    retention_s: f64,
+    max_body_bytes: usize,
+    timeout_ms: u64,
+) {
     let route = |name: &str, kind: &str, service: &str, resumable: bool, retained: bool| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": kind,
-            "service": service, "timeout_ms": 4000, "slo_ms": 200, "priority": 1,
+            "service": service, "timeout_ms": timeout_ms, "slo_ms": 200, "priority": 1,
             "max_attempts": 2, "retained": retained, "retention_s": retention_s, "sticky": true,
             "resumable": resumable, "gap_target_ms": 400,
         })
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -90,7 +90,8 @@
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        if self.is_logged.load(Ordering::Relaxed) {
+        // At the exit, the handler logs the requests that it ends.
+        if self.is_logged.load(Ordering::Relaxed) || self.state.is_exiting() {
             return;
         }
         let ms = self.elapsed_ms();
@@ -344,6 +345,17 @@
         }
     }
 
+    /// Returns whether the request has not run and can't end before the instance exits. It may have
+    /// waited since before the shutdown.
+    pub(crate) fn outlasts_shutdown(&self) -> bool {
+        let is_repeatable = self.kind.is_idempotent();
+        let shutdown = self.state.shutdown();
+        let outlasts = shutdown.is_some_and(|shutdown| {
+            !shutdown.may_send(self.deadline, is_repeatable, self.state.now())
+        });
+        outlasts && self.attempts.possibly_ran == 0
+    }
+
     /// Returns whether another instance may know upstreams of the service while this one, which does not
     /// reach the store, knows none any more.
     pub(crate) fn lacks_upstreams(&self) -> bool {
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -99,7 +99,13 @@
     // The end of a chunked body is defined by its sender alone. Close the connection, so that bytes
     // after it are not read as another request (request smuggling).
     let is_chunked = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let result = prepare_and_dispatch(&state, source, parts, headers, body, arrived).await;
+    let handling = prepare_and_dispatch(&state, source, parts, headers, body, arrived);
+    let result = tokio::select! {
+        biased;
+        result = handling => result,
+        // It may have run.
+        () = state.wait_for_exit() => Err(Rejection::Unknown),
+    };
     let mut response = match result {
         Ok(response) => response,
         Err(rejection) => {
@@ -208,7 +214,8 @@
     arrived: Time,
 ) -> Result<Response<Body>, Rejection> {
     let attempt_id = headers.attempt_id.clone().ok_or(Rejection::Malformed)?;
-    if state.rejects_new_requests() {
+    let shutdown = state.shutdown();
+    if shutdown.is_some_and(|shutdown| arrived >= shutdown.accept_until()) {
         return Err(Rejection::NotRun(SHUTDOWN_RETRY_MS));
     }
     let table = state.table().ok_or(Rejection::NotRun(START_RETRY_MS))?;
@@ -220,7 +227,13 @@
         .deadline_ms
         .unwrap_or(u64::MAX)
         .min(route.timeout_ms);
-    let deadline = arrived.after(limit_ms);
+    let mut deadline = arrived.after(limit_ms);
+    if let Some(shutdown) = shutdown {
+        if !shutdown.may_send(deadline, route.kind.is_idempotent(), arrived) {
+            return Err(Rejection::NotRun(SHUTDOWN_RETRY_MS));
+        }
+        deadline = deadline.min(shutdown.respond_by());
+    }
     let time_limit = Duration::from_millis(limit_ms);
     let max_bytes = table.config().limits.max_body_bytes;
     let mut memory = state.memory.reservation();
@@ -372,6 +385,10 @@
         if server_error.is_none() && request.state.path().is_lost() {
             return relay_or_reject(request).await;
         }
+        if request.outlasts_shutdown() {
+            request.mark_logged();
+            return Err(Rejection::NotRun(SHUTDOWN_RETRY_MS));
+        }
         let Some(placement) = request.place().await else {
             if let Some(error) = server_error {
                 return Ok(complete(&request, error));
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use basilramp_core::dispatch::shutdown::Shutdown;
 use basilramp_process::event;
 use basilramp_process::{log, supervisor};
 use eyre::{Result, WrapErr};
@@ -16,11 +17,6 @@
 use crate::state::State;
 use crate::{feed, membership, peer_server, suspect, version_history};
 
-/// Minimum time from a stop signal to the exit. The platform's load balancer needs two probes, one
-/// second apart, to send new connections elsewhere. Requests that arrive after this time are
-/// rejected, so that each accepted one can use the rest of the shutdown.
-pub(crate) const MIN_SHUTDOWN_MS: u64 = 3_000;
-
 /// Interval at which the number of open connections is checked during shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -49,7 +45,6 @@
     let ready = server::bind(settings.ready)?;
     let metrics = server::bind(settings.metrics)?;
     let peers = settings.peers.map(server::bind).transpose()?;
-    let stop_ms = settings.stop_ms;
     event!(
         log,
         Event::Listening,
@@ -104,11 +99,11 @@
     ));
     let signal = wait_for_stop_signal(&state).await?;
     event!(state.log, Event::Stopping, "signal" => signal, "connections" => connections.count());
-    state.stop();
+    let shutdown = state.stop();
     // The listener task holds a receiver and outlives this send.
     let _ = stop.send(true);
     membership::withdraw(&state).await;
-    wait_until_drained(&connections, &relayed_requests, stop_ms).await;
+    wait_until_drained(&state, shutdown, &connections, &relayed_requests).await;
     event!(state.log, Event::Stopped, "connections" => connections.count());
     Ok(())
 }
@@ -141,18 +136,26 @@
     }
 }
 
-/// Waits until every caller has its response and the load balancer has noticed the shutdown.
+/// Waits until every caller has its response and the load balancer has noticed the shutdown. Requests
+/// that are still without a response shortly before the exit get an error.
 async fn wait_until_drained(
+    state: &State,
+    shutdown: Shutdown,
     connections: &OpenConnections,
     relayed_requests: &OpenConnections,
-    stop_ms: u64,
 ) {
     let is_drained = || connections.count() + relayed_requests.count() == 0;
-    let started = tokio::time::Instant::now();
-    let min_wait = Duration::from_millis(MIN_SHUTDOWN_MS.min(stop_ms / 2));
-    // The last twelfth is left for the exit of the process.
-    let max_wait = Duration::from_millis(stop_ms - stop_ms / 12);
-    while started.elapsed() < max_wait && (started.elapsed() < min_wait || !is_drained()) {
+    let mut is_ending = false;
+    loop {
+        let now = state.now();
+        let is_over = now >= shutdown.accept_until() && is_drained();
+        if is_over || now >= shutdown.exit_at() {
+            return;
+        }
+        if now >= shutdown.respond_by() && !is_ending {
+            is_ending = true;
+            state.end_requests();
+        }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -16,12 +16,13 @@
 use basilramp_core::dispatch::relay::Relays;
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_core::dispatch::route::RouteTable;
+use basilramp_core::dispatch::shutdown::Shutdown;
 use basilramp_process::clock::Clock;
 use basilramp_process::event;
 use basilramp_process::log::Handle;
 use basilramp_process::log_rate::LogRateLimiter;
 use eyre::Result;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budget::Budgets;
@@ -34,7 +35,6 @@
 use crate::peer_tls::Identity;
 use crate::pool::Pool;
 use crate::relay::Connections;
-use crate::run::MIN_SHUTDOWN_MS;
 use crate::settings::Settings;
 use crate::stream_log::StreamLogs;
 use crate::stream_version::StreamVersions;
@@ -81,8 +81,10 @@
     is_fleet_loaded: AtomicBool,
     /// Time as of which the upstreams are known, in milliseconds.
     fleet_view_at: AtomicU64,
-    /// Time of the stop request in milliseconds plus one; 0 if there was none.
-    stop_requested_at: AtomicU64,
+    /// The shutdown, if a stop was requested.
+    shutdown: OnceLock<Shutdown>,
+    /// Tells the requests without a response that the process is about to exit.
+    exit: watch::Sender<bool>,
     health: Mutex<StoreHealth>,
     /// Wakes the feeds when store calls fail, so that they find out whether the store is down.
     pub(crate) store_suspected: Notify,
@@ -129,7 +131,8 @@
             table: RwLock::default(),
             is_fleet_loaded: AtomicBool::new(false),
             fleet_view_at: AtomicU64::new(0),
-            stop_requested_at: AtomicU64::new(0),
+            shutdown: OnceLock::new(),
+            exit: watch::Sender::new(false),
             health: Mutex::default(),
             store_suspected: Notify::new(),
             settings,
@@ -235,23 +238,39 @@
         self.now().since(as_of)
     }
 
-    /// Starts the shutdown.
-    pub(crate) fn stop(&self) {
-        let stop_time = self.now().as_ms() + 1;
-        self.stop_requested_at.store(stop_time, Ordering::Relaxed);
+    /// Starts the shutdown, unless it has begun.
+    pub(crate) fn stop(&self) -> Shutdown {
+        let now = self.now();
+        *self
+            .shutdown
+            .get_or_init(|| Shutdown::begin(self.settings.stop_ms, now))
+    }
+
+    /// Returns the shutdown, if a stop was requested.
+    pub(crate) fn shutdown(&self) -> Option<Shutdown> {
+        self.shutdown.get().copied()
     }
 
     /// Returns whether a stop was requested.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stop_requested_at.load(Ordering::Relaxed) > 0
+        self.shutdown().is_some()
     }
 
-    /// Returns whether the shutdown is so far advanced that its end could cut off a new request.
-    pub(crate) fn rejects_new_requests(&self) -> bool {
-        match self.stop_requested_at.load(Ordering::Relaxed) {
-            0 => false,
-            since => self.now().since(Time::from_ms(since - 1)) >= MIN_SHUTDOWN_MS,
-        }
+    /// Ends all requests that have no response yet.
+    pub(crate) fn end_requests(&self) {
+        self.exit.send_replace(true);
+    }
+
+    /// Returns whether the process is about to exit.
+    pub(crate) fn is_exiting(&self) -> bool {
+        *self.exit.borrow()
+    }
+
+    /// Waits until the process is about to exit.
+    pub(crate) async fn wait_for_exit(&self) {
+        let mut exit = self.exit.subscribe();
+        // The sender lives as long as the state.
+        let _ = exit.wait_for(|is_exiting| *is_exiting).await;
     }
 
     /// Returns whether the instance is ready for new connections of callers.
