Wait for no connection on which an earlier body is still written

Cause: the connection was pooled while the request's body was still being written, and the wait for it to become ready had no limit.

Change: an idle connection that is not ready within 10 ms is dropped; the wait for a connection to another instance is limited too.

--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -5,6 +5,7 @@
 mod client_faults;
 mod crashing_request;
 mod discovery;
+mod early_rejection;
 mod forwarding;
 mod history;
 mod leaving;
--- a/crates/daemon/tests/ingress/scripted_upstream.rs
+++ b/crates/daemon/tests/ingress/scripted_upstream.rs
@@ -63,11 +63,7 @@
             }
         });
         let upstream = Self { state, address };
-        let entry = json!({
-            "service": service, "address": upstream.address.to_string(), "zone": "z1",
-            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 7,
-        });
-        store.put("servers", id, entry.to_string().as_bytes());
+        register(store, id, service, upstream.address);
         upstream
     }
 
@@ -121,7 +117,15 @@
 }
 
 /// Reads a request with its body. Returns its attempt id, or `None` at the end of the connection.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<String> {
+pub(crate) async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<String> {
+    let (attempt_id, length) = read_head(stream).await?;
+    stream.read_exact(&mut vec![0; length]).await.ok()?;
+    Some(attempt_id)
+}
+
+/// Reads the head of a request. Returns its attempt id and the length of its body, or `None` at the end
+/// of the connection.
+pub(crate) async fn read_head(stream: &mut BufReader<TcpStream>) -> Option<(String, usize)> {
     let mut attempt_id = String::new();
     let mut length = 0;
     loop {
@@ -131,7 +135,7 @@
         }
         let line = line.trim().to_ascii_lowercase();
         if line.is_empty() {
-            break;
+            return Some((attempt_id, length));
         }
         if let Some(value) = line.strip_prefix("attempt-id:") {
             value.trim().clone_into(&mut attempt_id);
@@ -140,7 +144,13 @@
             length = value.trim().parse().ok()?;
         }
     }
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).await.ok()?;
-    Some(attempt_id)
+}
+
+/// Registers an upstream as ready.
+pub(crate) fn register(store: &Store, id: &str, service: &str, address: SocketAddr) {
+    let entry = json!({
+        "service": service, "address": address.to_string(), "zone": "z1", "version": "v1",
+        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 7,
+    });
+    store.put("servers", id, entry.to_string().as_bytes());
 }
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -70,9 +71,8 @@
 
     /// Starts an instance that uses the store at an address, and waits until it is ready.
     pub(crate) async fn spawn_ready_at(store: SocketAddr, name: &str) -> Self {
-        let instance = Self::spawn_at(store, name).await;
-        instance.wait_ready().await;
-        instance
+        let program = Path::new(env!("CARGO_BIN_EXE_basilrampd"));
+        Self::spawn_build(program, store, name).await
     }
 
     /// Starts an instance with a limit on its file descriptors, and waits until it is ready.
@@ -85,6 +85,13 @@
         instance
     }
 
+    /// Starts an instance of another build, and waits until it is ready.
+    pub(crate) async fn spawn_build(program: &Path, store: SocketAddr, name: &str) -> Self {
+        let instance = Self::spawn_command(Command::new(program), store, name, STOP_S).await;
+        instance.wait_ready().await;
+        instance
+    }
+
     /// Starts an instance whose shutdown ends by force after `stop_s` seconds, and waits until it is
     /// ready.
     pub(crate) async fn spawn_with_stop(store: &Store, name: &str, stop_s: f64) -> Self {
--- a/crates/daemon/tests/ingress/truncated_head.rs
+++ b/crates/daemon/tests/ingress/truncated_head.rs
@@ -1,14 +1,13 @@
 //! Upstreams that stop in the middle of the head of a response. No caller gets a success from it.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use basilramp_fakes::user_platform::Store;
 use http::StatusCode;
-use serde_json::json;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::scripted_upstream::{read_request, register};
 use crate::support::{Instance, Turn, configure, plain_request};
 
 /// What the upstream sends and how it ends the connection then.
@@ -37,14 +36,6 @@
     plan
 }
 
-fn register(store: &Store, id: &str, service: &str, address: SocketAddr) {
-    let entry = json!({
-        "service": service, "address": address.to_string(), "zone": "z1", "version": "v1",
-        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 7,
-    });
-    store.put("servers", id, entry.to_string().as_bytes());
-}
-
 async fn serve(stream: TcpStream, plan: Plan) {
     let mut stream = BufReader::new(stream);
     while let Some(attempt) = read_request(&mut stream).await {
@@ -61,29 +52,6 @@
     }
 }
 
-/// Reads a request. Returns its attempt id, whose length is fixed.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<String> {
-    let (mut attempt, mut length) = (String::new(), 0);
-    loop {
-        let mut line = String::new();
-        if stream.read_line(&mut line).await.ok()? == 0 {
-            return None;
-        }
-        let line = line.trim().to_ascii_lowercase();
-        if line.is_empty() {
-            break;
-        }
-        if let Some(value) = line.strip_prefix("attempt-id:") {
-            value.trim().clone_into(&mut attempt);
-        }
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().ok()?;
-        }
-    }
-    stream.read_exact(&mut vec![0; length]).await.ok()?;
-    Some(attempt)
-}
-
 /// The head of a success. Each ends with the header that frames its body, if it has one.
 const HEADS: [&str; 3] = [
     "HTTP/1.1 200 OK\r\nattempt-id: ATTEMPT\r\nserver-signature: sig\r\ncontent-length: 20\r\n\r\n",
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends one request to an upstream over a pooled connection, up to the head of the response.
 
 use std::fmt;
+use std::time::Duration;
 
 use basilramp_adapter::connection::Sender;
 use basilramp_adapter::upstream::{self, ForwardParameters};
@@ -13,6 +14,9 @@
 use crate::active_request::ActiveRequest;
 use crate::path::{self, WaitError};
 
+/// Time for an idle connection to become ready: it takes a turn of its task after the last response.
+const READY_TIMEOUT: Duration = Duration::from_millis(10);
+
 /// A response whose body has not been read yet.
 pub(crate) struct Exchanged {
     pub(crate) head: response::Parts,
@@ -78,6 +82,22 @@
     }
 }
 
+/// Returns an idle connection that is ready for a request.
+async fn take_idle(request: &ActiveRequest, placement: &Placement) -> Option<Sender> {
+    let state = &request.state;
+    let is_idempotent = request.kind.is_idempotent();
+    loop {
+        let idle = state
+            .pool
+            .take_idle(placement.key, is_idempotent, state.now());
+        let mut sender = idle?;
+        // A connection on which the body of an earlier request is still being written is dropped.
+        if let Ok(Ok(())) = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await {
+            return Some(sender);
+        }
+    }
+}
+
 /// Sends the request of an attempt and waits for the head of the response.
 ///
 /// # Errors
@@ -95,10 +115,7 @@
         .get(placement.key)
         .map(|entry| entry.upstream.address);
     let address = address.ok_or(ExchangeError::UpstreamLeft)?;
-    let is_idempotent = request.kind.is_idempotent();
-    let idle = state
-        .pool
-        .take_idle(placement.key, is_idempotent, state.now());
+    let idle = take_idle(request, placement).await;
     let is_first = idle.is_none();
     let mut sender = match idle {
         Some(sender) => sender,
@@ -106,10 +123,6 @@
             .await
             .map_err(|error| ExchangeError::Unreachable(error.to_string()))?,
     };
-    sender
-        .ready()
-        .await
-        .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     // The request may have waited since its upstream was selected.
     if !state.fleet().is_serving(placement.key, state.now()) {
         return Err(ExchangeError::UpstreamLeft);
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -346,8 +346,11 @@
             .map_err(|_| RelayError::NotSent("timed out".into()))?
             .map_err(|error| RelayError::NotSent(format!("{error:#}")))?,
     };
-    let ready = sender.ready().await;
-    ready.map_err(|error| RelayError::NotSent(error.to_string()))?;
+    // The body of an earlier request may still be being written.
+    tokio::time::timeout(CONNECT_TIMEOUT, sender.ready())
+        .await
+        .map_err(|_| RelayError::NotSent("the connection is busy".into()))?
+        .map_err(|error| RelayError::NotSent(error.to_string()))?;
     let limit = Duration::from_millis(response_timeout_ms(request));
     let response = sender.try_send_request(build_request(request, last_event));
     match tokio::time::timeout(limit, response).await {
