Test instances of the users' build and of this one side by side

deploy/system.toml names the version that users run now. A test builds it from the history and runs it beside this build: turns and budgets of a program go on between both; streams that one of them began go on at the other, with one software version and with two; requests are relayed in both directions.

--- /dev/null
+++ b/crates/daemon/tests/upgrade/main.rs
@@ -0,0 +1,184 @@
+//! Instances of the build that users run now and of this one side by side, as during an upgrade or a
+//! return to the earlier build. The earlier one is built from the repository's history.
+
+// The helpers of the ingress tests have more callers there.
+#[allow(dead_code)]
+#[path = "../ingress/scripted_upstream.rs"]
+mod scripted_upstream;
+#[allow(dead_code)]
+#[path = "../ingress/support.rs"]
+mod support;
+
+mod earlier_build;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use basilramp_fakes::relay::{self, Door};
+use basilramp_fakes::user_platform::{Behaviour, Store, Upstream};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use crate::support::{
+    EVENT_TOKENS, IMMEDIATE_RESPONSE, Instance, Turn, configure, plain_request, start_site,
+    wait_for,
+};
+
+const SLOW: Behaviour = Behaviour::Respond {
+    events: 8,
+    interval_ms: 60,
+};
+
+async fn earlier(store: &Store, name: &str) -> Instance {
+    Instance::spawn_build(earlier_build::program(), store.address(), name).await
+}
+
+/// Turns of a program come through both builds in turn. Each finds the turns and the budget that the other
+/// one stored.
+#[tokio::test]
+async fn turns_and_budgets_go_on_between_builds() {
+    const MAX_OUTPUT: u64 = 20;
+    const BUDGET: u64 = 200;
+    let (store, [upstream]) = start_site("engine", [IMMEDIATE_RESPONSE]);
+    let instances = [
+        earlier(&store, "a").await,
+        Instance::spawn(&store, "b").await,
+    ];
+    let (mut previous, mut expected, mut tokens) = (None, String::new(), 0);
+    for number in 0..40 {
+        let (attempt, input) = (format!("t{number}"), format!("in{number},"));
+        let turn = Turn {
+            route: "chat",
+            attempt: &attempt,
+            program: "p1",
+            previous: previous.as_deref(),
+            budget: BUDGET,
+            max_output: MAX_OUTPUT,
+            input: &input,
+        };
+        // Two turns at one build, then two at the other.
+        let reply = instances[number / 2 % 2].send(turn.request()).await;
+        let reply = reply.unwrap();
+        if reply.status == StatusCode::PAYMENT_REQUIRED {
+            break;
+        }
+        assert_eq!(reply.status, StatusCode::OK, "{attempt}");
+        tokens += reply.body.matches("data:").count() as u64 * EVENT_TOKENS;
+        expected.push_str(&input);
+        let run = upstream.requests().pop().unwrap();
+        assert_eq!(String::from_utf8_lossy(&run.body), expected);
+        expected.push_str("t1\nt2\nt3\n");
+        previous = Some(attempt);
+    }
+    assert!(tokens <= BUDGET + MAX_OUTPUT, "{tokens}");
+    assert!(tokens >= BUDGET / 2, "{tokens}");
+}
+
+fn resumption(attempt: &str, begun_by: &str) -> Request<Full<Bytes>> {
+    let mut request = Turn::first("advice", attempt).request();
+    let headers = request.headers_mut();
+    headers.insert("resumes", begun_by.parse().unwrap());
+    headers.insert("last-event-id", 2.into());
+    request
+}
+
+/// A stream begins at one build, whose instance is killed, and goes on at the other, at the version that
+/// began it. The service has one version or two.
+#[tokio::test]
+async fn streams_go_on_between_builds() {
+    for versions in [["v1", "v1", "v1", "v1"], ["v1", "v2", "v1", "v2"]] {
+        let store = Store::spawn();
+        configure(&store, 3);
+        let mut number = 0;
+        let upstreams = versions.map(|version| {
+            number += 1;
+            Upstream::spawn_version(&store, &format!("i-{number}"), "engine", version, SLOW)
+        });
+        let version_of = |attempt: &str| {
+            let mut runs = upstreams.iter().flat_map(Upstream::requests);
+            let run = runs.find(|run| run.attempt_id == attempt);
+            run.map(|run| run.version)
+        };
+        for round in 0..4 {
+            let (victim, survivor) = if round % 2 == 0 {
+                (
+                    earlier(&store, "a").await,
+                    Instance::spawn(&store, "b").await,
+                )
+            } else {
+                (
+                    Instance::spawn(&store, "b").await,
+                    earlier(&store, "a").await,
+                )
+            };
+            let attempt = format!("t{round}");
+            let (reply, ()) = tokio::join!(
+                victim.send(Turn::first("advice", &attempt).request()),
+                async {
+                    wait_for("the stream begins", || async { version_of(&attempt) }).await;
+                    tokio::time::sleep(Duration::from_millis(250)).await;
+                    victim.signal("KILL");
+                }
+            );
+            assert!(!reply.unwrap().is_complete);
+            let taken_up = format!("u{round}");
+            let reply = survivor.send(resumption(&taken_up, &attempt)).await;
+            let reply = reply.unwrap();
+            assert_eq!(reply.status, StatusCode::OK, "{versions:?} {round}");
+            assert!(reply.is_complete);
+            assert_eq!(version_of(&attempt), version_of(&taken_up));
+        }
+    }
+}
+
+/// An instance without a path to the upstreams relays requests to one of the other build, whose
+/// upstreams leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_relayed_between_builds() {
+    for is_earlier_cut_off in [false, true] {
+        let store = Store::spawn();
+        configure(&store, 3);
+        let upstreams = ["app", "engine"].map(|service| {
+            let upstream = Upstream::spawn(&store, &format!("i-{service}"), service, SLOW);
+            upstream.set_leaving(service == "app");
+            upstream
+        });
+        let links = upstreams
+            .each_ref()
+            .map(|upstream| relay::spawn(upstream.address()));
+        let addresses = upstreams.iter().zip(&links);
+        let addresses: BTreeMap<_, _> = addresses
+            .map(|(upstream, link)| (upstream.address(), link.address()))
+            .collect();
+        let view = store.spawn_view(addresses);
+        let (cut_off, _other) = if is_earlier_cut_off {
+            let program = earlier_build::program();
+            let cut_off = Instance::spawn_build(program, view.address(), "a").await;
+            (cut_off, Instance::spawn(&store, "b").await)
+        } else {
+            let cut_off = Instance::spawn_ready_at(view.address(), "a").await;
+            (cut_off, earlier(&store, "b").await)
+        };
+        for link in &links {
+            link.set_door(Door::Refusing);
+        }
+        wait_for("the loss is noticed", || async {
+            let requests = (0..4).map(|_| {
+                let attempt = format!("probe-{}", rand::random::<u32>());
+                cut_off.send(plain_request("read", &attempt))
+            });
+            futures_util::future::join_all(requests).await;
+            (!cut_off.events("E0761").is_empty()).then_some(())
+        })
+        .await;
+        let turn = Turn::first("chat", "turn").request();
+        let reply = cut_off.send(turn).await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK, "{is_earlier_cut_off}");
+        assert!(reply.is_complete);
+        let reply = cut_off
+            .send(Turn::first("advice", "stream").request())
+            .await;
+        assert_eq!(reply.unwrap().status, StatusCode::OK);
+    }
+}
