--- a/crates/core/src/dispatch/rate_limit.rs
+++ b/crates/core/src/dispatch/rate_limit.rs
@@ -113,6 +113,8 @@
     share_at: Time,
     schedule: Schedule,
     schedule_version: u64,
+    /// Version of the schedule's row that this instance wrote for its latest permit.
+    permit_version: u64,
     schedule_read_at: Option<Time>,
     /// Until when requests of each class get no permit, by the number of the class.
     blocked_until: [Time; RequestClass::COUNT],
@@ -261,6 +263,14 @@
         }
     }
 
+    /// Records that this instance took a permit, which moved the schedule.
+    pub fn record_permit(&mut self, upstream: &str, schedule: Schedule, version: u64, now: Time) {
+        self.record_schedule(upstream, schedule, version, now);
+        if let Some(limit) = self.limits.get_mut(upstream) {
+            limit.permit_version = version;
+        }
+    }
+
     /// Records that a request to an upstream of `service` got a permit, for which it waited since
     /// `began`.
     pub fn record_grant(&mut self, service: &Arc<str>, began: Time, now: Time) {
@@ -270,7 +280,8 @@
 
     /// Records that no permit was available for a request to an upstream of `service`, and none will
     /// be for `wait_ms`. Requests of its class and of those behind it try again after a random time
-    /// beyond that, which grows with the share of tries that fail. `draw` is a random number.
+    /// beyond that, which grows with the share of tries that fail for permits of other instances.
+    /// `draw` is a random number.
     pub fn record_denial(
         &mut self,
         upstream: &str,
@@ -280,8 +291,14 @@
         draw: u64,
         now: Time,
     ) {
+        let limit = self.limits.get(upstream);
+        let is_own_permit = limit.is_some_and(|limit| {
+            limit.permit_version > 0 && limit.permit_version == limit.schedule_version
+        });
         let permits = self.service_mut(service);
-        permits.record_denial();
+        if !is_own_permit {
+            permits.record_denial();
+        }
         let contention = permits.contention();
         let Some(limit) = self.limits.get_mut(upstream) else {
             return;
--- a/crates/core/tests/dispatch/rate_limit.rs
+++ b/crates/core/tests/dispatch/rate_limit.rs
@@ -166,15 +166,22 @@
         let Some((limit, _, _)) = limits.schedule("u1") else {
             return;
         };
+        // The row is read, or a conflict returns it.
+        let row = self.row;
+        limits.record_schedule("u1", row.schedule, row.version, at(now));
         let wait_ms = match self.row.schedule.take(limit, class, store_ms) {
             Err(wait_ms) => wait_ms,
-            Ok(_) if loses_race => 0,
+            Ok(_) if loses_race => {
+                // Another instance has moved the schedule.
+                limits.record_schedule("u1", row.schedule, row.version + 1, at(now));
+                0
+            }
             Ok(schedule) => {
                 self.row = Row {
                     schedule,
                     version: self.row.version + 1,
                 };
-                limits.record_schedule("u1", schedule, self.row.version, at(now));
+                limits.record_permit("u1", schedule, self.row.version, at(now));
                 limits.record_grant(&service, at(now), at(now));
                 let delay_ms = self.random.random_range(5..400);
                 self.arrivals.push(now + delay_ms);
--- a/crates/ingress/src/rate_limit.rs
+++ b/crates/ingress/src/rate_limit.rs
@@ -260,7 +260,11 @@
             .write(place, upstream, &encode(next.next_us()));
         match commit(state, &partition, &transaction).await {
             Ok(version) => {
-                record_schedule(state, upstream, next, version);
+                let now = state.now();
+                state
+                    .fleet()
+                    .rate_limits_mut()
+                    .record_permit(upstream, next, version, now);
                 let is_late = state.now().since(began) >= CALL_TIMEOUT_MS;
                 return if is_late { Err(Denial::Failed) } else { Ok(()) };
             }
