Read the versions of services once per poll; repeat the read of their history

Whether a stream needs a record was computed from all upstreams for each stream; the versions are now derived once when the upstreams are read. A failed read of the history was not repeated, so that a stream that is taken up was rejected after a single lost response; it is repeated like that of the record. The process stays for half of a short shutdown again, so that new connections are not refused while the load balancer still sends them.

--- a/crates/core/src/dispatch/shutdown.rs
+++ b/crates/core/src/dispatch/shutdown.rs
@@ -35,7 +35,13 @@
         }
     }
 
-    /// Returns until when requests are taken, and for how long the process stays at least.
+    /// Returns until when the process stays at least, so that new connections are not refused.
+    #[must_use]
+    pub fn stay_until(self) -> Time {
+        self.began.after(REROUTE_MS.min(self.stop_ms / 2))
+    }
+
+    /// Returns until when requests are taken.
     #[must_use]
     pub fn accept_until(self) -> Time {
         let share_ms = self.stop_ms * ACCEPT_PERCENT / 100;
--- a/crates/core/tests/dispatch/shutdown.rs
+++ b/crates/core/tests/dispatch/shutdown.rs
@@ -20,7 +20,8 @@
 fn the_load_balancer_has_time_to_notice_and_responses_to_leave() {
     for stop_ms in [1, 11, 500, 2_000, 8_000, 60_000] {
         let shutdown = Shutdown::begin(stop_ms, at(0));
-        assert!(shutdown.accept_until() <= shutdown.respond_by());
+        assert!(shutdown.accept_until() <= shutdown.stay_until());
+        assert!(shutdown.stay_until() <= shutdown.respond_by());
         assert!(shutdown.respond_by() <= shutdown.exit_at());
         assert!(shutdown.exit_at() <= at(stop_ms));
     }
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -148,7 +148,7 @@
     let mut is_ending = false;
     loop {
         let now = state.now();
-        let is_over = now >= shutdown.accept_until() && is_drained();
+        let is_over = now >= shutdown.stay_until() && is_drained();
         if is_over || now >= shutdown.exit_at() {
             return;
         }
--- a/crates/ingress/src/stream_version.rs
+++ b/crates/ingress/src/stream_version.rs
@@ -51,12 +51,9 @@
         request.stream_span_ms,
         request.deadline,
     );
-    let (recorded, unrecorded) = tokio::join!(find_recorded, find_unrecorded);
-    let version = match recorded? {
-        Some(version) => Some(version),
-        // The state records what a failed call means for the store's health.
-        None => unrecorded.ok().flatten(),
-    };
+    // Both are read at the same time, as the store may be slow.
+    let (recorded, unrecorded) = tokio::try_join!(find_recorded, find_unrecorded)?;
+    let version = recorded.or(unrecorded);
     if version.is_none() && state.allows_log_line(Event::VersionUnknown) {
         event!(
             state.log,
--- a/crates/ingress/src/version_history.rs
+++ b/crates/ingress/src/version_history.rs
@@ -9,6 +9,7 @@
 
 use basilramp_adapter::store::{Client, Error, Page, PartitionKey, Row, Transaction};
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::request::Rejection;
 use basilramp_core::dispatch::software_version::{History, max_view_age_ms};
 use basilramp_process::event;
 use basilramp_wire::version;
@@ -17,7 +18,7 @@
 
 use crate::feed;
 use crate::log_event::Event;
-use crate::state::{State, StoreCall, lock};
+use crate::state::{Backoff, State, StoreCall, lock};
 
 /// Table of the histories; the row key is the service's name.
 const TABLE: &str = "version";
@@ -50,6 +51,8 @@
 /// The histories as this instance knows them.
 #[derive(Debug, Default)]
 pub(crate) struct VersionHistories {
+    /// Versions of each service's upstreams when these were last read.
+    present: Mutex<BTreeMap<Arc<str>, BTreeSet<Arc<str>>>>,
     stored: Mutex<BTreeMap<Arc<str>, Stored>>,
     /// When the rows were read.
     read: tokio::sync::Mutex<Option<Time>>,
@@ -64,11 +67,13 @@
     row_version: u64,
 }
 
-impl VersionHistories {
-    /// Wakes the writer after the upstreams were read.
-    pub(crate) fn record_view(&self) {
-        self.view_changed.notify_one();
-    }
+/// Records which versions the services have, after the upstreams were read, and wakes the writer.
+pub(crate) fn record_view(state: &State) {
+    let now = state.now();
+    let present = state.fleet().versions(now);
+    let histories = &state.version_histories;
+    *lock(&histories.present) = present;
+    histories.view_changed.notify_one();
 }
 
 /// Writes the changes of versions to their rows. Never returns.
@@ -121,14 +126,23 @@
 ///
 /// # Errors
 ///
-/// Fails if the history can't be read in time.
+/// Returns a rejection if the history can't be read in time.
 pub(crate) async fn unrecorded_version(
     state: &State,
     service: &Arc<str>,
     span_ms: u64,
     deadline: Time,
-) -> Result<Option<Arc<str>>, Error> {
-    refresh(state, deadline).await?;
+) -> Result<Option<Arc<str>>, Rejection> {
+    let began = state.now();
+    let mut backoff = Backoff::default();
+    loop {
+        state.wait_until_available(TABLE, began, deadline).await?;
+        // The state records what a failed call means for the store's health.
+        match refresh(state, deadline).await {
+            Ok(()) => break,
+            Err(_) => backoff.wait().await,
+        }
+    }
     let now_ms = state.store.now_ms().unwrap_or_default();
     let present = present_versions(state, service);
     let history = lock(&state.version_histories.stored)
@@ -140,9 +154,8 @@
 }
 
 fn present_versions(state: &State, service: &str) -> BTreeSet<Arc<str>> {
-    let now = state.now();
-    let versions = state.fleet().versions(now);
-    versions.get(service).cloned().unwrap_or_default()
+    let present = lock(&state.version_histories.present);
+    present.get(service).cloned().unwrap_or_default()
 }
 
 /// Returns the changes that the rows lack, by service.
@@ -150,10 +163,9 @@
     let (Some(table), Some(now_ms)) = (state.table(), state.store.now_ms()) else {
         return BTreeMap::new();
     };
-    let now = state.now();
-    let versions = state.fleet().versions(now);
+    let present = lock(&state.version_histories.present).clone();
     let stored = lock(&state.version_histories.stored);
-    let changes = versions.into_iter().filter_map(|(service, present)| {
+    let changes = present.into_iter().filter_map(|(service, present)| {
         // Without streams that can be resumed, the versions don't matter.
         let span_ms = stream_span_ms(table.resumable_timeout_ms(&service)?);
         let known = stored.get(&service).cloned().unwrap_or_default();
