Don't reuse a connection after the rejection of a long body

Nothing tells what the upstream has read, so a connection is not reused after the rejection of a body above 64 KB.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -33,6 +33,10 @@
 /// Limits on the body of a rejection that is read for its connection to be reused: several times the
 /// usual size, and a few round trips.
 const MAX_DRAIN_BYTES: usize = 64 * 1_024;
+
+/// Size of a rejected request's body up to which the connection is reused. The upstream may not have
+/// read a longer one, and what follows on the connection would wait behind it in the sockets' buffers.
+const MAX_REJECTED_BODY_BYTES: usize = 64 * 1_024;
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Records an attempt in the fleet's state; dropping it ends the attempt.
@@ -196,7 +200,7 @@
         failure,
         &format!("{} {failure:?}", head.status),
     );
-    if failure == Failure::NotRun {
+    if failure == Failure::NotRun && request.body.len() <= MAX_REJECTED_BODY_BYTES {
         tokio::spawn(drain(Arc::clone(state), body, placement.key, sender, reuse));
     }
     Err(failure)
