Read single rows through one function; name what begins without a record

Found on a second reading of the change: the read of one row by its key, with its end key and the record of the call, stood in stream_version, budget and rate_limit and was written once more in stream_log; all four call `State::read_row` now. The flag `needs_no_record` is `begins_unrecorded`, as `needs_record` is something else; the log of a stream is created with its key in place of setting it twice; the errors of `relay::delegate` are described as they are. Tests of chained turns build them with `Turn::chained`.

No behaviour changes.

--- a/crates/daemon/tests/ingress/history.rs
+++ b/crates/daemon/tests/ingress/history.rs
@@ -6,15 +6,7 @@
 use crate::support::{IMMEDIATE_RESPONSE, Instance, Turn, configure_retention, start_site};
 
 fn chat_turn<'a>(attempt: &'a str, previous: Option<&'a str>, input: &'a str) -> Turn<'a> {
-    Turn {
-        route: "chat",
-        attempt,
-        program: "p1",
-        previous,
-        budget: 10_000,
-        max_output: 100,
-        input,
-    }
+    Turn::chained("chat", attempt, previous, input)
 }
 
 async fn run_turn(instance: &Instance, turn: Turn<'_>) -> StatusCode {
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -435,6 +435,26 @@
     }
 }
 
+impl<'a> Turn<'a> {
+    /// Returns a turn of the program `p1` that continues the turn `previous`, if there is one.
+    pub(crate) const fn chained(
+        route: &'a str,
+        attempt: &'a str,
+        previous: Option<&'a str>,
+        input: &'a str,
+    ) -> Self {
+        Self {
+            route,
+            attempt,
+            program: "p1",
+            previous,
+            budget: 10_000,
+            max_output: 100,
+            input,
+        }
+    }
+}
+
 impl Turn<'_> {
     /// Builds the request of the turn.
     pub(crate) fn request(&self) -> Request<Full<Bytes>> {
--- a/crates/daemon/tests/ingress/taken_up_turn.rs
+++ b/crates/daemon/tests/ingress/taken_up_turn.rs
@@ -21,15 +21,7 @@
 };
 
 fn turn<'a>(attempt: &'a str, previous: Option<&'a str>, input: &'a str) -> Turn<'a> {
-    Turn {
-        route: "varied",
-        attempt,
-        program: "p1",
-        previous,
-        budget: 10_000,
-        max_output: 100,
-        input,
-    }
+    Turn::chained("varied", attempt, previous, input)
 }
 
 /// Returns the request with which a caller takes up the first turn, of which it has some events.
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -66,7 +66,7 @@
     /// an earlier attempt.
     pub(crate) version: Option<Arc<str>>,
     /// Whether the stream begins without a record of its version, whatever the versions are.
-    pub(crate) needs_no_record: bool,
+    pub(crate) begins_unrecorded: bool,
     /// How long a stream of the route and the requests that take it up again last, in milliseconds.
     pub(crate) stream_span_ms: u64,
     pub(crate) arrived: Time,
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -378,15 +378,7 @@
         table: TABLE,
         partition: &partition,
     };
-    let end = format!("{program}\u{1}");
-    let call = async |store: &Client, limit_ms| {
-        store
-            .read_range(place, Some(program), Some(&end), limit_ms)
-            .await
-    };
-    let page = state
-        .call(StoreCall::Read, &partition, deadline, call)
-        .await?;
+    let page = state.read_row(place, program, deadline).await?;
     find_row(page, program)
 }
 
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -261,7 +261,7 @@
         arrived,
         deadline,
         version: None,
-        needs_no_record: false,
+        begins_unrecorded: false,
         stream_span_ms: version_history::stream_span_ms(route.timeout_ms),
         starts_program: false,
         attempts: Attempts::default(),
--- a/crates/ingress/src/rate_limit.rs
+++ b/crates/ingress/src/rate_limit.rs
@@ -283,17 +283,8 @@
     place: PartitionKey<'_>,
     upstream: &Arc<str>,
 ) -> Result<(), Denial> {
-    let end = format!("{upstream}\u{1}");
-    let call = async |store: &Client, limit_ms| {
-        store
-            .read_range(place, Some(upstream), Some(&end), limit_ms)
-            .await
-    };
     let deadline = state.now().after(CALL_TIMEOUT_MS);
-    let result = state
-        .call(StoreCall::Read, place.partition, deadline, call)
-        .await;
-    match result {
+    match state.read_row(place, upstream, deadline).await {
         Ok(page) => {
             apply_schedule(state, upstream, &page);
             Ok(())
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -223,7 +223,7 @@
 ///
 /// # Errors
 ///
-/// Returns a rejection if no other instance handles the request, or its response was interrupted.
+/// Returns a rejection if the request may have run at another instance, which did not respond.
 pub(crate) async fn delegate(mut request: ActiveRequest) -> Result<Delegation, Rejection> {
     match send(&mut request, None).await {
         Ok(answer) => Ok(Delegation::Answered(pass_on(request, answer))),
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
-use basilramp_adapter::store;
+use basilramp_adapter::store::{self, Page, PartitionKey};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::admission::AdmissionControl;
 use basilramp_core::dispatch::fleet::Fleet;
@@ -321,6 +321,27 @@
         result
     }
 
+    /// Reads the row with a key. The page holds that row, or none if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the call.
+    pub(crate) async fn read_row(
+        &self,
+        partition: PartitionKey<'_>,
+        key: &str,
+        deadline: Time,
+    ) -> Result<Page, store::Error> {
+        let end = format!("{key}\u{1}");
+        let call = async |store: &store::Client, limit_ms| {
+            store
+                .read_range(partition, Some(key), Some(&end), limit_ms)
+                .await
+        };
+        self.call(StoreCall::Read, partition.partition, deadline, call)
+            .await
+    }
+
     /// Returns whether a partition is unavailable, so that calls to it should be skipped.
     pub(crate) fn is_unavailable(&self, partition: &str) -> bool {
         lock(&self.health)
--- a/crates/ingress/src/stream_log.rs
+++ b/crates/ingress/src/stream_log.rs
@@ -97,17 +97,18 @@
         return Ok(None);
     }
     let state = &request.state;
+    let last_event = request.headers.last_event;
     let resumed = request.headers.resumed_attempt.as_ref();
+    let begun_by = resumed.filter(|_| last_event.is_some());
     let mut stream_log = StreamLog {
         state: Arc::clone(state),
-        begun_by: Arc::clone(resumed.unwrap_or(&request.attempt_id)),
+        begun_by: Arc::clone(begun_by.unwrap_or(&request.attempt_id)),
         log: EventLog::begin(rand::random()),
         row_version: 0,
         span_ms: request.stream_span_ms,
         is_written: false,
     };
-    let Some(last) = request.headers.last_event else {
-        stream_log.begun_by = Arc::clone(&request.attempt_id);
+    let Some(last) = last_event else {
         return Ok(Some(stream_log));
     };
     if !stream_log.take_up(last, request.deadline).await? {
@@ -251,21 +252,8 @@
 
     async fn read(&self, deadline: Time) -> Result<Option<(EventLog, u64)>, Error> {
         let partition = partition_key(&self.begun_by);
-        let end = format!("{}\u{1}", self.begun_by);
-        let call = async |store: &Client, limit_ms| {
-            store
-                .read_range(
-                    place(&partition),
-                    Some(&self.begun_by),
-                    Some(&end),
-                    limit_ms,
-                )
-                .await
-        };
-        let page = self
-            .state
-            .call(StoreCall::Read, &partition, deadline, call)
-            .await?;
+        let place = place(&partition);
+        let page = self.state.read_row(place, &self.begun_by, deadline).await?;
         Ok(self.find_row(page.rows))
     }
 
--- a/crates/ingress/src/stream_version.rs
+++ b/crates/ingress/src/stream_version.rs
@@ -91,7 +91,7 @@
         return Ok(());
     }
     if state.relays().is_store_lost() {
-        request.needs_no_record = true;
+        request.begins_unrecorded = true;
         return Ok(());
     }
     let partition = partition_key(&request.attempt_id);
@@ -102,7 +102,7 @@
 }
 
 fn needs_record(request: &ActiveRequest) -> bool {
-    if request.needs_no_record {
+    if request.begins_unrecorded {
         return false;
     }
     let (state, span_ms) = (&request.state, request.stream_span_ms);
@@ -189,15 +189,7 @@
 
 async fn read(state: &State, attempt: &str, deadline: Time) -> Result<Option<Arc<str>>, Error> {
     let partition = partition_key(attempt);
-    let end = format!("{attempt}\u{1}");
-    let call = async |store: &Client, limit_ms| {
-        store
-            .read_range(place(&partition), Some(attempt), Some(&end), limit_ms)
-            .await
-    };
-    let page = state
-        .call(StoreCall::Read, &partition, deadline, call)
-        .await?;
+    let page = state.read_row(place(&partition), attempt, deadline).await?;
     let row = page.rows.into_iter().find(|row| &*row.key == attempt);
     let text = row.and_then(|row| String::from_utf8(row.value?).ok());
     Ok(text.map(Arc::from))
