Find the client account of a request by its key

Cause: the configuration's accounts and keys were not read. On deployments with accounts every request reached its upstream with the caller's key and without the account's name.

Change: core::dispatch::account holds the accounts by digests of their keys. With accounts in the configuration, a request on a route that is not public needs a key; upstreams get the account's name and never the key. Turns, budgets and logged streams are stored under ids scoped by account. Relayed requests carry the account, the digest of the key and the configuration's version.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | purpose |
 //! |---|---|
+//! | [`account`] | client accounts, their keys and quotas |
 //! | [`config`] | routes, services and limits set by the operator |
 //! | [`request`] | parsed request headers and the rejections sent by this system |
 //! | [`route`] | selects the route and service of a request |
@@ -23,6 +24,7 @@
 //! | [`outage`] | tracks store outages and how long requests wait for recovery |
 //! | [`sse`] | decodes server-sent events |
 
+pub mod account;
 pub mod admission;
 pub mod attempt;
 pub mod config;
--- /dev/null
+++ b/crates/core/src/dispatch/account.rs
@@ -0,0 +1,174 @@
+//! Client accounts: who a caller's key belongs to, and what the account may use.
+//!
+//! Only digests of keys are kept. A lookup compares digests, so its duration tells nothing about how
+//! much of a wrong key is right.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::sync::Arc;
+
+use super::rate_limit::Rate;
+use crate::history::Digest;
+
+/// Maximum length of a key, in bytes. A longer one does not fit into a request's head.
+pub const MAX_KEY_BYTES: usize = 4_096;
+
+/// Maximum rate and burst of a quota: far above what all instances together can handle.
+pub const MAX_QUOTA: f64 = 1_000_000.0;
+
+/// Hexadecimal digits of the account's digest in a scoped id.
+const SCOPE_DIGITS: usize = 16;
+
+/// Digest of a caller's key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyDigest(Digest);
+
+impl KeyDigest {
+    /// Hashes a key.
+    #[must_use]
+    pub fn of(key: &[u8]) -> Self {
+        Self(Digest::from_parts([key]))
+    }
+}
+
+impl From<Digest> for KeyDigest {
+    fn from(digest: Digest) -> Self {
+        Self(digest)
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Requests that an account may make through all instances together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quota {
+    /// Sustained rate.
+    pub rate: Rate,
+    /// Requests beyond the rate that may come at once.
+    pub burst: u32,
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// Name of the account.
+    pub name: Arc<str>,
+    /// Priority of its requests, which takes precedence over the route's; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Quota, if the account has one.
+    pub quota: Option<Quota>,
+    /// Suffix of ids that belong to the account.
+    scope: Arc<str>,
+}
+
+impl Account {
+    /// Creates an account.
+    #[must_use]
+    pub fn new(name: Arc<str>, priority: Option<u8>, quota: Option<Quota>) -> Self {
+        let digest = Digest::from_parts([name.as_bytes()]).to_string();
+        let scope = format!("~{}", &digest[..SCOPE_DIGITS]).into();
+        Self {
+            name,
+            priority,
+            quota,
+            scope,
+        }
+    }
+
+    /// Returns an id under which the account's data is stored. Another account that names the same
+    /// `id` gets another result.
+    #[must_use]
+    pub fn scoped(&self, id: &str) -> Arc<str> {
+        format!("{id}{}", self.scope).into()
+    }
+}
+
+/// An account as the operator configured it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The account.
+    pub account: Account,
+    /// Digests of its keys.
+    pub keys: Vec<KeyDigest>,
+}
+
+/// Why a list of accounts is invalid.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Invalid {
+    /// Two accounts have this name.
+    DuplicateName(Arc<str>),
+    /// The accounts with these names share a key.
+    SharedKey(Arc<str>, Arc<str>),
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::DuplicateName(name) => write!(f, "two accounts have the name {name}"),
+            Self::SharedKey(first, second) => {
+                write!(f, "accounts {first} and {second} have the same key")
+            }
+        }
+    }
+}
+
+/// All accounts of a configuration, by the digest of their keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Accounts {
+    by_key: BTreeMap<KeyDigest, Arc<Account>>,
+    by_name: BTreeMap<Arc<str>, Arc<Account>>,
+}
+
+impl Accounts {
+    /// Builds the lookup table.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two accounts share a name or a key.
+    pub fn new(entries: impl IntoIterator<Item = Entry>) -> Result<Self, Invalid> {
+        let mut accounts = Self::default();
+        for Entry { account, keys } in entries {
+            let account = Arc::new(account);
+            let name = Arc::clone(&account.name);
+            if accounts.by_name.contains_key(&name) {
+                return Err(Invalid::DuplicateName(name));
+            }
+            for key in BTreeSet::from_iter(keys) {
+                if let Some(other) = accounts.by_key.insert(key, Arc::clone(&account)) {
+                    return Err(Invalid::SharedKey(Arc::clone(&other.name), name));
+                }
+            }
+            accounts.by_name.insert(name, account);
+        }
+        Ok(accounts)
+    }
+
+    /// Returns the account that a key belongs to.
+    #[must_use]
+    pub fn find(&self, key: KeyDigest) -> Option<&Arc<Account>> {
+        self.by_key.get(&key)
+    }
+
+    /// Returns the account with a name.
+    #[must_use]
+    pub fn find_by_name(&self, name: &str) -> Option<&Arc<Account>> {
+        self.by_name.get(name)
+    }
+
+    /// Returns the accounts by name, each with the number of its keys.
+    pub fn iter(&self) -> impl Iterator<Item = (&Arc<Account>, usize)> {
+        let mut keys = BTreeMap::<&str, usize>::new();
+        for account in self.by_key.values() {
+            *keys.entry(&account.name).or_default() += 1;
+        }
+        let accounts = self.by_name.values();
+        accounts.map(move |account| {
+            let count = keys.get(&*account.name).copied();
+            (account, count.unwrap_or_default())
+        })
+    }
+}
--- a/crates/core/src/dispatch/config.rs
+++ b/crates/core/src/dispatch/config.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::account::Accounts;
+
 /// A complete configuration version.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -14,6 +16,8 @@
     pub services: BTreeMap<Arc<str>, Service>,
     /// Limits on callers' connections and requests.
     pub limits: Limits,
+    /// Client accounts. `None` if callers need no key.
+    pub accounts: Option<Accounts>,
 }
 
 /// Maps requests of a host and path prefix to services.
@@ -27,6 +31,8 @@
     pub prefix: Arc<str>,
     /// Whether requests may run more than once, and whether responses are streamed.
     pub kind: RouteKind,
+    /// Whether callers need no key although there are accounts.
+    pub is_public: bool,
     /// Target services with their weights.
     pub targets: Vec<(Arc<str>, u32)>,
     /// Maximum duration of a request, in milliseconds.
--- a/crates/core/src/dispatch/request.rs
+++ b/crates/core/src/dispatch/request.rs
@@ -55,7 +55,9 @@
 pub enum Rejection {
     /// No route matches the request.
     NoRoute,
-    /// The turn to continue does not exist.
+    /// The request has no key, or one that belongs to no account. It did not run.
+    Unauthorized,
+    /// The turn to continue does not exist, or belongs to another account.
     NoTurn,
     /// The request is malformed.
     Malformed,
@@ -65,6 +67,9 @@
     BudgetSpent,
     /// The request did not run and will not run. The caller may retry after this many milliseconds.
     NotRun(u64),
+    /// The account has used up its quota. The request did not run and will not run; the caller may
+    /// retry after this many milliseconds.
+    OverQuota(u64),
     /// This instance has no path to the upstreams. The request did not run.
     Unreachable,
     /// The request may have run.
--- a/crates/core/tests/dispatch/route.rs
+++ b/crates/core/tests/dispatch/route.rs
@@ -11,6 +11,7 @@
         host: host.into(),
         prefix: prefix.into(),
         kind: RouteKind::Safe,
+        is_public: false,
         targets: vec![("app".into(), 90), ("next".into(), 10)],
         timeout_ms: 1_000,
         latency_objective_ms: 100,
@@ -35,6 +36,7 @@
             max_body_bytes: 1,
             idle_timeout_ms: 1,
         },
+        accounts: None,
     })
 }
 
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -17,6 +17,7 @@
 use http::request::Parts;
 
 use crate::buffer::Reservation;
+use crate::client::Client;
 use crate::log_event::Event;
 use crate::metric::Outcome;
 use crate::state::State;
@@ -51,6 +52,8 @@
     pub(crate) headers: RequestHeaders,
     pub(crate) attempt_id: Arc<str>,
     pub(crate) identity: Identity,
+    /// Client account, if callers of the route need a key.
+    pub(crate) client: Option<Client>,
     pub(crate) body: Bytes,
     /// Memory for the body and the transcript.
     pub(crate) memory: Reservation,
@@ -71,7 +74,7 @@
     pub(crate) stream_span_ms: u64,
     pub(crate) arrived: Time,
     pub(crate) deadline: Time,
-    /// Priority of the route; 0 is the most urgent.
+    /// Priority of the account or else of the route; 0 is the most urgent.
     pub(crate) priority: u8,
     /// Whether the request is the first one of its program.
     pub(crate) starts_program: bool,
@@ -167,6 +170,13 @@
         })
     }
 
+    /// Returns the id under which data of the request is stored: that of the caller, or one that only
+    /// the same account gets from it.
+    pub(crate) fn scoped(&self, id: &Arc<str>) -> Arc<str> {
+        let client = self.client.as_ref();
+        client.map_or_else(|| Arc::clone(id), |client| client.account.scoped(id))
+    }
+
     /// Returns the milliseconds until the caller's deadline.
     pub(crate) fn remaining_ms(&self) -> u64 {
         self.deadline.since(self.state.now())
@@ -198,6 +208,7 @@
             Event::Answered,
             "request" => &*self.attempt_id,
             "program" => program.map_or("", |program| &*program.id),
+            "account" => self.client.as_ref().map(|client| &*client.account.name),
             "service" => &*self.service,
             "rank" => self.priority,
             "upstream" => &*placement.id,
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -35,7 +35,9 @@
 use crate::state::State;
 use crate::stream::Stream;
 use crate::stream_log::StreamLog;
-use crate::{attempt, crash, prepare, relay, stream_log, stream_version, suspect, version_history};
+use crate::{
+    attempt, client, crash, prepare, relay, stream_log, stream_version, suspect, version_history,
+};
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
 const START_RETRY_MS: u64 = 300;
@@ -144,6 +146,8 @@
     /// Number of upstreams that may run the request, if that is less than its route allows.
     max_attempts: u32,
     relayed_by: Option<Arc<str>>,
+    /// Client account, as the relaying instance found it.
+    client: Option<wire::relay::Client>,
 }
 
 impl Source {
@@ -158,6 +162,7 @@
                 caller,
                 max_attempts: u32::MAX,
                 relayed_by: None,
+                client: None,
             },
             Origin::Instance(instance) => {
                 if let Some(reason) = relay::decline_reason(state) {
@@ -175,6 +180,7 @@
                     caller: request.caller,
                     max_attempts: request.attempts,
                     relayed_by: Some(instance),
+                    client: request.client,
                 }
             }
         };
@@ -223,6 +229,7 @@
     let route = table
         .select(host, parts.uri.path())
         .ok_or(Rejection::NoRoute)?;
+    let client = client::find(state, &table, route, source.client.as_ref(), &parts.headers)?;
     let limit_ms = headers
         .deadline_ms
         .unwrap_or(u64::MAX)
@@ -242,6 +249,10 @@
         .map_err(|_| Rejection::NotRun(NO_UPSTREAM_RETRY_MS))??;
     header::remove_hop_by_hop(&mut parts.headers);
     header::remove_internal(&mut parts.headers);
+    if table.config().accounts.is_some() {
+        let account = client.as_ref().map(|client| &*client.account.name);
+        caller::set_account(&mut parts.headers, account);
+    }
     let service = route::select_service(route, split_key(&headers, &attempt_id));
     let service = service.ok_or(Rejection::NotRun(NO_UPSTREAM_RETRY_MS))?;
     let service_config = table.config().services.get(service);
@@ -250,6 +261,11 @@
         parts,
         attempt_id,
         identity: Identity::new(source.caller, body.clone()),
+        priority: client
+            .as_ref()
+            .and_then(|client| client.account.priority)
+            .unwrap_or(route.priority),
+        client,
         body,
         memory,
         kind: route.kind,
@@ -271,7 +287,6 @@
         relayed_by: source.relayed_by,
         trial: None,
         is_logged: AtomicBool::new(false),
-        priority: route.priority,
         headers,
     };
     suspect::check(&request).inspect_err(|_| request.mark_logged())?;
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `server` | listeners and caller connections |
 //! | `handler` | handles one request from its headers to its response |
 //! | `prepare` | loads what a turn needs before it is placed |
+//! | `client` | finds the client account of a request |
 //! | `active_request` | a request in progress |
 //! | `buffer` | limits the memory for buffered bytes |
 //! | `attempt` | one attempt at an upstream |
@@ -39,6 +40,7 @@
 mod attempt;
 mod budget;
 mod buffer;
+mod client;
 mod crash;
 mod exchange;
 mod feed;
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -33,6 +33,8 @@
         match self {
             Self::Answered => "answered",
             Self::Rejected(Rejection::NoRoute) => "no_route",
+            Self::Rejected(Rejection::Unauthorized) => "unauthorized",
+            Self::Rejected(Rejection::OverQuota(_)) => "over_quota",
             Self::Rejected(Rejection::NoTurn) => "no_turn",
             Self::Rejected(Rejection::Malformed) => "malformed",
             Self::Rejected(Rejection::TooLong) => "too_long",
--- a/crates/ingress/src/prepare.rs
+++ b/crates/ingress/src/prepare.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use basilramp_core::dispatch::config::Route;
-use basilramp_core::dispatch::request::Rejection;
+use basilramp_core::dispatch::request::{Program, Rejection};
 use basilramp_core::dispatch::transcript::TranscriptBuilder;
 use basilramp_process::event;
 
@@ -31,9 +31,13 @@
         return Ok(None);
     };
     let max_tokens = u64::from(request.headers.max_output_tokens);
+    let program = Program {
+        id: request.scoped(&program.id),
+        ..program.clone()
+    };
     budget::load(
         &request.state,
-        program,
+        &program,
         budget,
         max_tokens,
         request.deadline,
@@ -93,7 +97,10 @@
         return Ok(None);
     }
     let previous_turn = match &request.headers.previous_turn {
-        Some(previous) => Some(turn_store::load(&request.state, previous, request.deadline).await?),
+        Some(previous) => {
+            let previous = request.scoped(previous);
+            Some(turn_store::load(&request.state, &previous, request.deadline).await?)
+        }
         None => None,
     };
     let transcript = previous_turn.as_ref().map(|turn| &*turn.transcript);
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -423,6 +423,11 @@
     let headers = relay::Request {
         caller: request.identity.caller(),
         attempts: hop_attempts(request),
+        client: request.client.as_ref().map(|client| relay::Client {
+            account: Arc::clone(&client.account.name),
+            key: client.key.to_string(),
+            version: client.version,
+        }),
     };
     headers.insert_into(relayed.headers_mut());
     relayed
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -569,7 +569,7 @@
             let request = &self.request;
             let committed = turn_store::commit(
                 &request.state,
-                &request.attempt_id,
+                &request.scoped(&request.attempt_id),
                 turn,
                 request.retention_ms,
                 request.deadline,
--- a/crates/ingress/src/stream_log.rs
+++ b/crates/ingress/src/stream_log.rs
@@ -102,7 +102,7 @@
     let begun_by = resumed.filter(|_| last_event.is_some());
     let mut stream_log = StreamLog {
         state: Arc::clone(state),
-        begun_by: Arc::clone(begun_by.unwrap_or(&request.attempt_id)),
+        begun_by: request.scoped(begun_by.unwrap_or(&request.attempt_id)),
         log: EventLog::begin(rand::random()),
         row_version: 0,
         span_ms: request.stream_span_ms,
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -13,6 +13,15 @@
 /// Number of upstreams that may still run the request.
 const ATTEMPTS: HeaderName = HeaderName::from_static("relay-attempts");
 
+/// Name of the client account that the relaying instance found for the caller's key.
+const ACCOUNT: HeaderName = HeaderName::from_static("relay-account");
+
+/// Digest of the caller's key.
+const KEY: HeaderName = HeaderName::from_static("relay-key");
+
+/// Version of the configuration in which the relaying instance found the key.
+const VERSION: HeaderName = HeaderName::from_static("relay-version");
+
 /// Set in a response if the instance did not handle the request; holds the reason.
 const DECLINED: HeaderName = HeaderName::from_static("relay-declined");
 
@@ -23,12 +32,48 @@
 const LEAVING: HeaderName = HeaderName::from_static("relay-leaving");
 
 /// What a relaying instance adds to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
     /// Address of the caller.
     pub caller: IpAddr,
     /// Number of upstreams that may still run the request.
     pub attempts: u32,
+    /// Client account, if callers need a key.
+    pub client: Option<Client>,
+}
+
+/// Client account of a relayed request, whose key is not passed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Client {
+    /// Name of the account.
+    pub account: Arc<str>,
+    /// Digest of the key, as text.
+    pub key: String,
+    /// Version of the configuration that holds the key.
+    pub version: u64,
+}
+
+impl Client {
+    fn insert_into(&self, headers: &mut HeaderMap) {
+        // The name fits into a header, or else the configuration would not be valid.
+        if let (Ok(account), Ok(key)) = (
+            HeaderValue::from_str(&self.account),
+            HeaderValue::from_str(&self.key),
+        ) {
+            headers.insert(ACCOUNT, account);
+            headers.insert(KEY, key);
+            headers.insert(VERSION, HeaderValue::from(self.version));
+        }
+    }
+
+    fn read(headers: &HeaderMap) -> Option<Self> {
+        let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+        Some(Self {
+            account: text(&ACCOUNT)?.into(),
+            key: text(&KEY)?.to_owned(),
+            version: text(&VERSION)?.parse().ok()?,
+        })
+    }
 }
 
 /// The headers of a relayed request are missing or invalid.
@@ -37,12 +82,15 @@
 
 impl Request {
     /// Adds the headers to a request.
-    pub fn insert_into(self, headers: &mut HeaderMap) {
+    pub fn insert_into(&self, headers: &mut HeaderMap) {
         // The text of an address is a valid header value.
         if let Ok(caller) = HeaderValue::from_str(&self.caller.to_string()) {
             headers.insert(CALLER, caller);
         }
         headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
+        if let Some(client) = &self.client {
+            client.insert_into(headers);
+        }
     }
 }
 
@@ -56,6 +104,7 @@
         Ok(Self {
             caller: caller.ok_or(Malformed)?,
             attempts: attempts.ok_or(Malformed)?,
+            client: Client::read(headers),
         })
     }
 }
@@ -140,7 +189,9 @@
 
 /// Removes the headers of relayed requests and their responses.
 pub fn remove_headers(headers: &mut HeaderMap) {
-    for name in [CALLER, ATTEMPTS, DECLINED, UNSERVED, LEAVING] {
+    for name in [
+        CALLER, ATTEMPTS, ACCOUNT, KEY, VERSION, DECLINED, UNSERVED, LEAVING,
+    ] {
         headers.remove(name);
     }
 }
