--- a/crates/daemon/tests/ingress/lost_path.rs
+++ b/crates/daemon/tests/ingress/lost_path.rs
@@ -23,7 +23,7 @@
 
 /// How the links of an instance fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Failure {
+pub(crate) enum Failure {
     /// Nothing passes on open connections, and new ones get no answer.
     Silence,
     /// Open connections are reset, and new ones are refused.
@@ -35,21 +35,21 @@
 const FAILURES: [Failure; 3] = [Failure::Silence, Failure::Reset, Failure::Refusal];
 
 /// Instances that each have links of their own to the upstreams.
-struct Site {
-    store: Store,
-    upstreams: Vec<Upstream>,
+pub(crate) struct Site {
+    pub(crate) store: Store,
+    pub(crate) upstreams: Vec<Upstream>,
     /// Links by instance and upstream.
     links: Vec<Vec<Relay>>,
-    views: Vec<View>,
-    instances: Vec<Instance>,
+    pub(crate) views: Vec<View>,
+    pub(crate) instances: Vec<Instance>,
 }
 
 impl Site {
-    async fn spawn(instances: usize) -> Self {
+    pub(crate) async fn spawn(instances: usize) -> Self {
         Self::spawn_with(instances, FAST_RESPONSE).await
     }
 
-    async fn spawn_with(instances: usize, behaviour: Behaviour) -> Self {
+    pub(crate) async fn spawn_with(instances: usize, behaviour: Behaviour) -> Self {
         let store = Store::spawn();
         configure(&store, 3);
         let upstreams = (0..6).map(|index| {
@@ -87,7 +87,7 @@
     }
 
     /// Lets the links of an instance to all upstreams fail.
-    fn cut(&self, index: usize, failure: Failure) {
+    pub(crate) fn cut(&self, index: usize, failure: Failure) {
         for link in &self.links[index] {
             match failure {
                 Failure::Silence => {
@@ -202,7 +202,7 @@
 }
 
 impl Site {
-    fn heal(&self, index: usize) {
+    pub(crate) fn heal(&self, index: usize) {
         self.links[index].iter().for_each(Relay::heal);
     }
 
@@ -219,7 +219,7 @@
     }
 
     /// Cuts an instance and waits until it has noticed.
-    async fn cut_and_wait(&self, index: usize, failure: Failure) {
+    pub(crate) async fn cut_and_wait(&self, index: usize, failure: Failure) {
         let instance = &self.instances[index];
         let known = instance.events("E0761").len();
         self.cut(index, failure);
@@ -236,7 +236,7 @@
     }
 
     /// Returns the runs of an attempt at all upstreams.
-    fn runs(&self, attempt: &str) -> Vec<RequestRecord> {
+    pub(crate) fn runs(&self, attempt: &str) -> Vec<RequestRecord> {
         let runs = self.upstreams.iter().flat_map(Upstream::requests);
         runs.filter(|run| run.attempt_id == attempt).collect()
     }
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -192,6 +192,22 @@
             .collect()
     }
 
+    /// Returns all log lines as text.
+    pub(crate) fn log_text(&self) -> String {
+        let lines = self.log_lines.lock().unwrap();
+        lines.iter().map(|line| format!("{line}\n")).collect()
+    }
+
+    /// Waits until a configuration version is in force.
+    pub(crate) async fn wait_for_config(&self, version: u64) {
+        wait_for("the configuration is in force", || async {
+            let lines = self.events("E0721");
+            let mut lines = lines.iter();
+            lines.any(|line| line["version"] == version).then_some(())
+        })
+        .await;
+    }
+
     /// Waits for a log line of an event and returns it.
     pub(crate) async fn wait_for_event(&self, code: &str) -> Value {
         wait_for(code, || async { self.events(code).into_iter().next() }).await
@@ -349,6 +365,43 @@
     max_body_bytes: usize,
     timeout_ms: u64,
 ) {
+    let config = build_config(version, retention_s, max_body_bytes, timeout_ms);
+    store.put("op", "config", config.to_string().as_bytes());
+}
+
+/// Host at which callers need no key, although there are accounts.
+pub(crate) const PUBLIC_HOST: &str = "open.example";
+
+/// Like [`configure`], with accounts. The same routes are public at [`PUBLIC_HOST`].
+pub(crate) fn configure_accounts(store: &Store, version: u64, accounts: &Value) {
+    let mut config = build_config(version, 60.0, 100_000, 4_000);
+    let routes = config["routes"].as_array_mut().unwrap();
+    let public = routes.clone().into_iter().map(|mut route| {
+        route["name"] = format!("open-{}", route["name"].as_str().unwrap()).into();
+        route["host"] = PUBLIC_HOST.into();
+        route["public"] = true.into();
+        route
+    });
+    routes.extend(public);
+    config["tenants"] = accounts.clone();
+    store.put("op", "config", config.to_string().as_bytes());
+}
+
+/// Adds a key to a request.
+pub(crate) fn with_key(mut request: Request<Full<Bytes>>, key: &str) -> Request<Full<Bytes>> {
+    let headers = request.headers_mut();
+    headers.append("credential", key.parse().unwrap());
+    request
+}
+
+/// Sends a request to the routes on which callers need no key.
+pub(crate) fn to_public_host(mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    let headers = request.headers_mut();
+    headers.insert("host", PUBLIC_HOST.parse().unwrap());
+    request
+}
+
+fn build_config(version: u64, retention_s: f64, max_body_bytes: usize, timeout_ms: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, resumable: bool, retained: bool| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": kind,
@@ -357,7 +410,7 @@
             "resumable": resumable, "gap_target_ms": 400,
         })
     };
-    let config = json!({
+    json!({
         "version": version,
         "routes": [
             route("read", "safe", "app", false, false),
@@ -373,8 +426,7 @@
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-    });
-    store.put("op", "config", config.to_string().as_bytes());
+    })
 }
 
 /// Starts a store with a configuration, and one upstream of a service for each behaviour. The
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -58,6 +58,10 @@
     pub last_event: Option<u64>,
     /// Names of internal headers that a caller sent and that were passed on.
     pub forged_headers: Vec<String>,
+    /// Name of the client account (`tenant`), with all values if the header is repeated.
+    pub account: Option<String>,
+    /// Whether the caller's key (`credential`) was passed on.
+    pub has_key: bool,
     /// Version of the upstream's software.
     pub version: String,
     /// Whether the whole response was sent.
@@ -116,7 +120,16 @@
 const VARIED_PATH: &str = "/varied/";
 
 /// Internal headers that must be removed from callers' requests.
-const INTERNAL_HEADERS: [&str; 5] = ["hold", "pin-ms", "kv-from", "kv-backup", "request-priority"];
+const INTERNAL_HEADERS: [&str; 8] = [
+    "hold",
+    "pin-ms",
+    "kv-from",
+    "kv-backup",
+    "request-priority",
+    "relay-account",
+    "relay-key",
+    "relay-version",
+];
 
 impl Upstream {
     /// Starts an upstream of a service on a free port of 127.0.0.1, and registers it as ready.
@@ -287,6 +300,10 @@
     let forged_headers = INTERNAL_HEADERS
         .iter()
         .filter(|name| parts.headers.contains_key(**name));
+    let accounts = parts.headers.get_all("tenant").iter();
+    let accounts: Vec<_> = accounts
+        .map(|value| String::from_utf8_lossy(value.as_bytes()))
+        .collect();
     let index = {
         let mut requests = lock(&shared.requests);
         requests.push(RequestRecord {
@@ -296,6 +313,8 @@
             deadline_ms: header_text("deadline-ms").and_then(|text| text.parse().ok()),
             last_event,
             forged_headers: forged_headers.map(|name| (*name).to_owned()).collect(),
+            account: (!accounts.is_empty()).then(|| accounts.join(", ")),
+            has_key: parts.headers.contains_key("credential"),
             version: shared.version.clone(),
             completed: false,
         });
