Keep the data of accounts apart, and revoked keys out

Cause, found by reading each path of a request: - A caller without a key could name the id under which the turn or the budget of an account is stored, on a public route, and read its turn or spend its budget. - The versions of streams were stored under unscoped ids: an attempt of another account with the same id made a stream fail, or learned its version. - Attempt ids that begin with a stored turn's id put rows between the rows of that turn, which was unreadable from then on. - A crash by one account quarantined equal requests of another one with the same address. - A request whose head came before its key was revoked, and whose body came after, was run. - A request that may have run before its instance lost the path was answered with 401 of another instance, which says that nothing was run. - Of a key that moved to another account, the older configuration of the serving instance decided. Without accounts there, a relayed request was served unscoped. Names beyond ASCII were rejected when relayed. - A build without accounts passes a caller's relay-account on when it relays, which was believed; and it forwards the digest of a key to upstreams when it serves. - The line of a bad configuration was logged again whenever the feed was interrupted; other lines than E0741 did not name the account.

Change: core's Scope gives ids to accounts and to public callers that no caller can name from elsewhere; the versions of streams use it. Rows of a turn are read by their exact keys. The fingerprint of a request holds its account. The newer configuration decides on relayed keys. Connection names the headers of the account, so that older builds remove them, and headers without it are ignored. A row of the configuration is applied once.

--- a/crates/core/src/dispatch/account.rs
+++ b/crates/core/src/dispatch/account.rs
@@ -87,6 +87,31 @@
     }
 }
 
+/// Whose data a request reads and writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// The deployment has no accounts.
+    Unscoped,
+    /// Callers without a key, on a deployment with accounts.
+    Public,
+    /// Callers with a key of the account.
+    Account(Arc<Account>),
+}
+
+impl Scope {
+    /// Returns the id under which data that callers name `id` is stored. It differs between scopes also
+    /// if a caller names an id under which data of another scope is stored: ids of accounts end with a
+    /// digest, and those of public callers with the separator.
+    #[must_use]
+    pub fn id(&self, id: &Arc<str>) -> Arc<str> {
+        match self {
+            Self::Unscoped => Arc::clone(id),
+            Self::Public => format!("{id}~").into(),
+            Self::Account(account) => account.scoped(id),
+        }
+    }
+}
+
 /// An account as the operator configured it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -153,6 +178,24 @@
         self.by_key.get(&key)
     }
 
+    /// Returns the account of a relayed request with a key. The relaying instance found the account
+    /// `name` in its configuration `relayed_version`; `version` is that of these accounts. The newer one
+    /// decides. Returns `None` if the key was revoked since.
+    #[must_use]
+    pub fn find_relayed(
+        &self,
+        key: KeyDigest,
+        version: u64,
+        name: &Arc<str>,
+        relayed_version: u64,
+    ) -> Option<Arc<Account>> {
+        if relayed_version <= version {
+            return self.find(key).cloned();
+        }
+        let known = self.find_by_name(name).cloned();
+        Some(known.unwrap_or_else(|| Arc::new(Account::new(Arc::clone(name), None, None))))
+    }
+
     /// Returns the account with a name.
     #[must_use]
     pub fn find_by_name(&self, name: &str) -> Option<&Arc<Account>> {
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatch decisions, under the load and failures that they are made for.
 
+mod account;
 mod admission;
 mod attempt;
 mod event_log;
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the ingress process against fakes of the store and the upstreams.
 
+mod accounts;
 mod admission;
 mod budget;
 mod client_faults;
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, OnceLock};
 
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::account::Scope;
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
 use basilramp_core::dispatch::config::{Engine, RouteKind};
 use basilramp_core::dispatch::fleet::UpstreamKey;
@@ -54,6 +55,8 @@
     pub(crate) identity: Identity,
     /// Client account, if callers of the route need a key.
     pub(crate) client: Option<Client>,
+    /// Whose data the request reads and writes.
+    pub(crate) scope: Scope,
     pub(crate) body: Bytes,
     /// Memory for the body and the transcript.
     pub(crate) memory: Reservation,
@@ -106,6 +109,7 @@
                 self.state.log,
                 Event::CallerLeft,
                 "request" => &*self.attempt_id,
+                "account" => self.account(),
                 "attempts" => self.tried.len(),
                 "ms" => ms
             );
@@ -113,7 +117,7 @@
     }
 }
 
-/// What is the same in every try of a request: its caller and the body as the caller sent it. The
+/// What is the same in every try of a request, beside its account: its caller and the body as the caller sent it. The
 /// target is in the request's head.
 #[derive(Debug)]
 pub(crate) struct Identity {
@@ -161,20 +165,26 @@
         *self.identity.fingerprint.get_or_init(|| {
             let caller = self.identity.caller.to_string();
             let target = self.parts.uri.path_and_query();
-            Digest::from_parts([
+            let parts = [
                 self.parts.method.as_str().as_bytes(),
                 target.map_or(&b""[..], |target| target.as_str().as_bytes()),
                 caller.as_bytes(),
                 &self.identity.body,
-            ])
+            ];
+            // A crash by one account must not keep another one's request from running.
+            Digest::from_parts(parts.into_iter().chain(self.account().map(str::as_bytes)))
         })
     }
 
+    /// Returns the name of the client account, if callers of the route need a key.
+    pub(crate) fn account(&self) -> Option<&str> {
+        self.client.as_ref().map(|client| &*client.account.name)
+    }
+
     /// Returns the id under which data of the request is stored: that of the caller, or one that only
     /// the same account gets from it.
     pub(crate) fn scoped(&self, id: &Arc<str>) -> Arc<str> {
-        let client = self.client.as_ref();
-        client.map_or_else(|| Arc::clone(id), |client| client.account.scoped(id))
+        self.scope.id(id)
     }
 
     /// Returns the milliseconds until the caller's deadline.
@@ -208,7 +218,7 @@
             Event::Answered,
             "request" => &*self.attempt_id,
             "program" => program.map_or("", |program| &*program.id),
-            "account" => self.client.as_ref().map(|client| &*client.account.name),
+            "account" => self.account(),
             "service" => &*self.service,
             "rank" => self.priority,
             "upstream" => &*placement.id,
@@ -348,6 +358,7 @@
                 self.state.log,
                 Event::RequestRelayed,
                 "request" => &*self.attempt_id,
+                "account" => self.account(),
                 "service" => &*self.service,
                 "by" => instance.to_owned(),
                 "status" => status,
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -245,6 +245,7 @@
         request.state.log,
         Event::AttemptFailed,
         "request" => &*request.attempt_id,
+        "account" => request.account(),
         "upstream" => upstream.to_owned(),
         "ran" => if failure.did_not_run() { "no" } else { "unknown" },
         "fingerprint" => (!failure.did_not_run()).then(|| request.fingerprint().to_string()),
--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use basilramp_adapter::caller;
-use basilramp_core::dispatch::account::{Account, Accounts, KeyDigest};
-use basilramp_core::dispatch::config::Route;
+use basilramp_core::dispatch::account::{Account, Accounts, KeyDigest, Scope};
+use basilramp_core::dispatch::config::{Config, Route};
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_core::dispatch::route::RouteTable;
@@ -40,11 +40,15 @@
     headers: &HeaderMap,
 ) -> Result<Option<Client>, Rejection> {
     let config = table.config();
+    // The route may be public, or need no account, in the older configuration of this instance alone.
+    if let Some(relayed) = relayed.filter(|relayed| relayed.version > config.version) {
+        return find_relayed(config, relayed).map(Some);
+    }
     let Some(accounts) = config.accounts.as_ref().filter(|_| !route.is_public) else {
         return Ok(None);
     };
     if let Some(relayed) = relayed {
-        return find_relayed(accounts, config.version, relayed).map(Some);
+        return find_relayed(config, relayed).map(Some);
     }
     let key = caller::parse_key(headers).map(KeyDigest::of);
     let key = key.ok_or(Rejection::Unauthorized)?;
@@ -59,26 +63,46 @@
     }
 }
 
-/// Returns the account of a relayed request. A key that this instance doesn't know was revoked, unless
-/// the other instance has a newer configuration.
-fn find_relayed(
-    accounts: &Accounts,
-    version: u64,
-    relayed: &relay::Client,
-) -> Result<Client, Rejection> {
+/// Checks that the key of a request was not revoked since the request arrived: its body and the store may
+/// take long.
+///
+/// # Errors
+///
+/// Returns a rejection if the key no longer belongs to the account.
+pub(crate) fn recheck(state: &State, client: Option<&Client>) -> Result<(), Rejection> {
+    let (Some(client), Some(table)) = (client, state.table()) else {
+        return Ok(());
+    };
+    let config = table.config();
+    let Some(accounts) = &config.accounts else {
+        return Ok(());
+    };
+    let account = accounts.find(client.key);
+    let is_valid = account.is_some_and(|account| account.name == client.account.name);
+    if is_valid || config.version <= client.version {
+        return Ok(());
+    }
+    Err(Rejection::Unauthorized)
+}
+
+/// Returns whose data a request reads and writes.
+pub(crate) fn scope(config: &Config, client: Option<&Client>) -> Scope {
+    match client {
+        Some(client) => Scope::Account(Arc::clone(&client.account)),
+        None if config.accounts.is_some() => Scope::Public,
+        None => Scope::Unscoped,
+    }
+}
+
+fn find_relayed(config: &Config, relayed: &relay::Client) -> Result<Client, Rejection> {
     let key = Digest::from_str(&relayed.key).map_err(|_| Rejection::Malformed)?;
     let key = KeyDigest::from(key);
-    let account = match accounts.find(key) {
-        Some(account) => Arc::clone(account),
-        None if relayed.version <= version => return Err(Rejection::Unauthorized),
-        None => accounts.find_by_name(&relayed.account).map_or_else(
-            || Arc::new(Account::new(Arc::clone(&relayed.account), None, None)),
-            Arc::clone,
-        ),
-    };
+    let none = Accounts::default();
+    let accounts = config.accounts.as_ref().unwrap_or(&none);
+    let account = accounts.find_relayed(key, config.version, &relayed.account, relayed.version);
     Ok(Client {
-        account,
+        account: account.ok_or(Rejection::Unauthorized)?,
         key,
-        version: version.max(relayed.version),
+        version: config.version.max(relayed.version),
     })
 }
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -64,10 +64,16 @@
 /// Follows the configuration. Never returns.
 pub(crate) async fn follow_config(state: Arc<State>) {
     let mut feed = Feed::new(config::TABLE, CONFIG_LONG_POLL_MS, 0);
+    // After each interruption of the feed, the same row is read again.
+    let mut row_version = 0;
     loop {
         if let Some((page, _)) = feed.next(&state).await {
-            for row in page.rows.iter().filter(|row| &*row.key == config::KEY) {
-                apply_config_row(&state, row);
+            let rows = page.rows.iter().filter(|row| &*row.key == config::KEY);
+            for row in rows {
+                if row.version > row_version {
+                    row_version = row.version;
+                    apply_config_row(&state, row);
+                }
             }
         }
     }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -1,13 +1,14 @@
 //! Handles one request from its headers to its response.
 
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use basilramp_adapter::store::Error;
 use basilramp_adapter::{caller, header};
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::account::Scope;
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::placement::Placement;
@@ -101,7 +102,8 @@
     // The end of a chunked body is defined by its sender alone. Close the connection, so that bytes
     // after it are not read as another request (request smuggling).
     let is_chunked = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let handling = prepare_and_dispatch(&state, source, parts, headers, body, arrived);
+    let account = OnceLock::new();
+    let handling = prepare_and_dispatch(&state, source, parts, headers, body, arrived, &account);
     let result = tokio::select! {
         biased;
         result = handling => result,
@@ -112,7 +114,8 @@
         Ok(response) => response,
         Err(rejection) => {
             let id = attempt_id.as_deref();
-            record_rejection(&state, id, rejection, arrived);
+            let account = account.get().map(|name: &Arc<str>| &**name);
+            record_rejection(&state, id, account, rejection, arrived);
             let mut response = caller::error_response(rejection, id).map(full_body);
             let headers = response.headers_mut();
             match rejection {
@@ -189,7 +192,13 @@
     }
 }
 
-fn record_rejection(state: &State, attempt: Option<&str>, rejection: Rejection, arrived: Time) {
+fn record_rejection(
+    state: &State,
+    attempt: Option<&str>,
+    account: Option<&str>,
+    rejection: Rejection,
+    arrived: Time,
+) {
     let ms = state.now().since(arrived);
     state.metrics.request("", Outcome::Rejected(rejection), ms);
     if !state.allows_log_line(Event::Refused) {
@@ -199,6 +208,7 @@
         state.log,
         Event::Refused,
         "request" => attempt.unwrap_or_default().to_owned(),
+        "account" => account,
         "refusal" => format!("{rejection:?}"),
         "store_down_ms" => state.store_outage_ms(),
         "ms" => ms
@@ -211,6 +221,7 @@
         .boxed_unsync()
 }
 
+/// Sets `account` to the name of the client account, once that is known.
 async fn prepare_and_dispatch(
     state: &Arc<State>,
     source: Source,
@@ -218,6 +229,7 @@
     headers: RequestHeaders,
     body: Incoming,
     arrived: Time,
+    account: &OnceLock<Arc<str>>,
 ) -> Result<Response<Body>, Rejection> {
     let attempt_id = headers.attempt_id.clone().ok_or(Rejection::Malformed)?;
     let shutdown = state.shutdown();
@@ -230,6 +242,9 @@
         .select(host, parts.uri.path())
         .ok_or(Rejection::NoRoute)?;
     let client = client::find(state, &table, route, source.client.as_ref(), &parts.headers)?;
+    if let Some(client) = &client {
+        account.get_or_init(|| Arc::clone(&client.account.name));
+    }
     let limit_ms = headers
         .deadline_ms
         .unwrap_or(u64::MAX)
@@ -249,7 +264,8 @@
         .map_err(|_| Rejection::NotRun(NO_UPSTREAM_RETRY_MS))??;
     header::remove_hop_by_hop(&mut parts.headers);
     header::remove_internal(&mut parts.headers);
-    if table.config().accounts.is_some() {
+    let scope = client::scope(table.config(), client.as_ref());
+    if scope != Scope::Unscoped {
         let account = client.as_ref().map(|client| &*client.account.name);
         caller::set_account(&mut parts.headers, account);
     }
@@ -266,6 +282,7 @@
             .and_then(|client| client.account.priority)
             .unwrap_or(route.priority),
         client,
+        scope,
         body,
         memory,
         kind: route.kind,
@@ -289,6 +306,11 @@
         is_logged: AtomicBool::new(false),
         headers,
     };
+    let recheck = |request: &ActiveRequest| {
+        let result = client::recheck(&request.state, request.client.as_ref());
+        result.inspect_err(|_| request.mark_logged())
+    };
+    recheck(&request)?;
     suspect::check(&request).inspect_err(|_| request.mark_logged())?;
     if state.path().is_lost() {
         return relay_or_reject(request).await;
@@ -313,6 +335,7 @@
     );
     let (budget, transcript, version, stream_log) =
         prepared.inspect_err(|_| request.mark_logged())?;
+    recheck(&request)?;
     request.version = version;
     request.timings.loaded_ms = request.elapsed_ms();
     request.previous_upstream = budget
--- a/crates/ingress/src/prepare.rs
+++ b/crates/ingress/src/prepare.rs
@@ -74,6 +74,7 @@
             state.log,
             Event::TurnedAway,
             "request" => &*request.attempt_id,
+            "account" => request.account(),
             "program" => &*program.id,
             "service" => &*request.service,
             "slowdown" => slowdown,
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -508,6 +508,7 @@
             self.request.state.log,
             Event::Broken,
             "request" => &*self.request.attempt_id,
+            "account" => self.request.account(),
             "events" => self.events,
             "cause" => cause,
             "ms" => self.request.state.now().since(self.request.arrived)
--- a/crates/ingress/src/stream_log.rs
+++ b/crates/ingress/src/stream_log.rs
@@ -21,7 +21,7 @@
 use crate::log_event::Event;
 use crate::state::{Backoff, State, StoreCall, lock, partition_key};
 
-/// Table of the logs; the row key is the attempt id of the request that began the stream.
+/// Table of the logs; the row key is the scoped attempt id of the request that began the stream.
 const TABLE: &str = "events";
 
 /// How long events wait until they are stored, in milliseconds. After that they are sent nevertheless: a
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub(crate) struct StreamLog {
     state: Arc<State>,
-    /// Attempt id of the request that began the stream.
+    /// Scoped attempt id of the request that began the stream.
     begun_by: Arc<str>,
     log: EventLog,
     row_version: u64,
@@ -117,7 +117,7 @@
                 state.log,
                 Event::EventsUnknown,
                 "request" => &*request.attempt_id,
-                "begun_by" => &*stream_log.begun_by,
+                "begun_by" => begun_by.map_or("", |begun_by| &**begun_by),
                 "after" => last
             );
         }
--- a/crates/ingress/src/stream_version.rs
+++ b/crates/ingress/src/stream_version.rs
@@ -15,7 +15,7 @@
 use crate::state::{Backoff, State, StoreCall, lock, partition_key};
 use crate::version_history;
 
-/// Table of the versions; the row key is the attempt id of the request that began the stream.
+/// Table of the versions; the row key is the scoped attempt id of the request that began the stream.
 const TABLE: &str = "stream";
 
 /// How long the first event of a stream waits for its record, in milliseconds. It is shorter than
@@ -41,7 +41,7 @@
     let state = &request.state;
     let find_recorded = async {
         match &request.headers.resumed_attempt {
-            Some(attempt) => find(state, attempt, request.deadline).await,
+            Some(attempt) => find(state, &request.scoped(attempt), request.deadline).await,
             None => Ok(None),
         }
     };
@@ -94,7 +94,7 @@
         request.begins_unrecorded = true;
         return Ok(());
     }
-    let partition = partition_key(&request.attempt_id);
+    let partition = partition_key(&request.scoped(&request.attempt_id));
     let began = state.now();
     state
         .wait_until_available(&partition, began, request.deadline)
@@ -121,7 +121,7 @@
         return Ok(());
     }
     let state = &request.state;
-    let attempt = &request.attempt_id;
+    let attempt = &request.scoped(&request.attempt_id);
     let partition = partition_key(attempt);
     let place = place(&partition);
     let deadline = request.deadline.min(state.now().after(RECORD_TIMEOUT_MS));
--- a/crates/ingress/src/turn_store.rs
+++ b/crates/ingress/src/turn_store.rs
@@ -218,6 +218,12 @@
     format!("{turn}/{index:03}")
 }
 
+fn is_row_of(turn: &str, key: &str) -> bool {
+    let rest = key.strip_prefix(turn);
+    let index = rest.and_then(|rest| rest.strip_prefix('/'));
+    index.is_some_and(|index| index.bytes().all(|byte| byte.is_ascii_digit()))
+}
+
 async fn read_turn(
     state: &State,
     turn: &str,
@@ -238,11 +244,16 @@
     let page = state
         .call(StoreCall::Read, partition, deadline, call)
         .await?;
-    if page.rows.is_empty() {
+    // Rows of other ids, which callers choose, may lie in the range.
+    let rows = page
+        .rows
+        .into_iter()
+        .filter(|row| is_row_of(turn, &row.key));
+    let rows: Vec<_> = rows.collect();
+    if rows.is_empty() {
         return Ok(None);
     }
-    let bytes: Vec<u8> = page
-        .rows
+    let bytes: Vec<u8> = rows
         .into_iter()
         .filter_map(|row| row.value)
         .flatten()
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 use serde::{Deserialize, Serialize};
 
 /// Address of the caller.
@@ -22,6 +22,11 @@
 /// Version of the configuration in which the relaying instance found the key.
 const VERSION: HeaderName = HeaderName::from_static("relay-version");
 
+/// Names of the headers of the client account. A build without accounts removes the headers that
+/// `Connection` names, and would forward others to upstreams.
+const CLIENT_HEADERS: HeaderValue =
+    HeaderValue::from_static("relay-account, relay-key, relay-version");
+
 /// Set in a response if the instance did not handle the request; holds the reason.
 const DECLINED: HeaderName = HeaderName::from_static("relay-declined");
 
@@ -63,13 +68,20 @@
             headers.insert(ACCOUNT, account);
             headers.insert(KEY, key);
             headers.insert(VERSION, HeaderValue::from(self.version));
+            headers.insert(header::CONNECTION, CLIENT_HEADERS);
         }
     }
 
     fn read(headers: &HeaderMap) -> Option<Self> {
+        // A build without accounts passes a caller's headers on, but never its `Connection`.
+        headers
+            .get(header::CONNECTION)
+            .filter(|names| **names == CLIENT_HEADERS)?;
         let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+        // A name may have characters beyond ASCII.
+        let account = std::str::from_utf8(headers.get(ACCOUNT)?.as_bytes()).ok()?;
         Some(Self {
-            account: text(&ACCOUNT)?.into(),
+            account: account.into(),
             key: text(&KEY)?.to_owned(),
             version: text(&VERSION)?.parse().ok()?,
         })
