Measure the lookup of accounts

Cause: the cost of a lookup must grow at most logarithmically with the number of keys, and not depend on how much of a wrong key is right.

Change: the benchmark `account` hashes and looks up valid keys, and keys that are wrong in the first or the last character, among 10, 2,500 and 10,000.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -1,9 +1,11 @@
-//! Cost of a scheduling decision by number of running programs and known upstreams.
+//! Cost of a scheduling decision by number of running programs and known upstreams, and of the lookup of an
+//! account by number of keys.
 
 use std::hint::black_box;
 use std::sync::Arc;
 
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::account::{Account, Accounts, Entry, KeyDigest};
 use basilramp_core::home::{Authority, Home, Report, SlotRequest, SlotResponse, Ticket};
 use basilramp_core::id;
 use basilramp_core::placement::{PlacementRequest, Placer, UpstreamState};
@@ -177,5 +179,42 @@
     group.finish();
 }
 
-criterion_group!(benches, bench_place, bench_queue);
+/// Numbers of keys, each of an account of its own.
+const KEYS: [usize; 3] = [10, 2_500, 10_000];
+
+fn key(number: usize) -> String {
+    format!("sk-{number:08}-5c1e07a291bd3f06e5b23fa877d29c41")
+}
+
+fn bench_account(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("account");
+    for count in KEYS {
+        let entries = (0..count).map(|number| Entry {
+            account: Account::new(format!("account-{number}").into(), None, None),
+            keys: vec![KeyDigest::of(key(number).as_bytes())],
+        });
+        let accounts = Accounts::new(entries).expect("distinct accounts");
+        let valid: Vec<_> = (0..count).map(key).collect();
+        // Wrong in the last character and in the first one.
+        let nearly_valid: Vec<_> = valid.iter().map(|key| format!("{}0", &key[..43])).collect();
+        let invalid: Vec<_> = valid.iter().map(|key| format!("x{}", &key[1..])).collect();
+        for (name, keys) in [
+            ("valid", valid),
+            ("last character wrong", nearly_valid),
+            ("first character wrong", invalid),
+        ] {
+            let mut number = 0;
+            group.bench_function(BenchmarkId::new(name, count), |bencher| {
+                bencher.iter(|| {
+                    number = (number + 7) % count;
+                    let digest = KeyDigest::of(black_box(keys[number].as_bytes()));
+                    black_box(accounts.find(digest))
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, bench_place, bench_queue, bench_account);
 criterion_main!(benches);
