Change keys in the soak while callers run

Cause: nothing showed that accounts hold while instances are killed, suspended and cut off.

Change: five of the eight callers use keys of two accounts, sometimes a revoked one; the others use the public routes. The fault "keys changed" revokes a key of each account and adds one. The check demands that upstreams see exactly the caller's account, or none on public routes, and never a key or a header of a relay; that 401 means not run; and, after the faults, that each instance serves the keys in force, rejects the revoked ones and has logged none.

--- a/crates/daemon/tests/ingress/soak.rs
+++ b/crates/daemon/tests/ingress/soak.rs
@@ -8,6 +8,7 @@
 mod check;
 mod environment;
 mod fault;
+mod keys;
 
 use std::time::Duration;
 
@@ -91,6 +92,7 @@
     let recovered = caller::wait_for_recovery(&environment, RECOVERY_TIMEOUT).await;
     let mut violations = check::find_violations(&records, &environment.runs());
     violations.extend(recovered.err());
+    violations.extend(caller::check_keys(&environment).await);
     let (stopped, ()) = tokio::join!(
         caller::check_crashing_request(&environment),
         environment.keep_upstreams_running(Instant::now() + RECOVERY_TIMEOUT / 2)
--- a/crates/daemon/tests/ingress/soak/caller.rs
+++ b/crates/daemon/tests/ingress/soak/caller.rs
@@ -4,6 +4,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use rand::Rng;
@@ -11,7 +12,11 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::environment::{Environment, INSTANCES};
-use crate::support::{Reply, Turn, plain_request, send, send_from};
+use super::keys::{ACCOUNTS, KEY_PREFIX};
+use crate::support::{Reply, Turn, plain_request, send, send_from, to_public_host, with_key};
+
+/// Number of callers that use accounts with keys.
+const KEYED_CALLERS: usize = 5;
 
 /// Time that a caller waits for a response; longer than the deadline that it states.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(4_500);
@@ -42,6 +47,8 @@
 #[derive(Debug)]
 pub(super) struct Record {
     pub(super) kind: Kind,
+    /// Name of the account of the key that was sent.
+    pub(super) account: Option<&'static str>,
     pub(super) attempt: String,
     pub(super) program: String,
     /// The body that the upstream has to receive.
@@ -63,6 +70,8 @@
 pub(super) struct Caller {
     environment: Environment,
     name: String,
+    /// Index of the caller's account; callers without one use the public routes.
+    account: Option<usize>,
     random: ChaCha8Rng,
     attempts: u32,
     records: Vec<Record>,
@@ -73,6 +82,10 @@
         Self {
             environment: environment.clone(),
             name: format!("c{index}"),
+            account: usize::try_from(index)
+                .ok()
+                .filter(|index| *index < KEYED_CALLERS)
+                .map(|index| index % ACCOUNTS.len()),
             random,
             attempts: 0,
             records: Vec::new(),
@@ -142,10 +155,12 @@
             let attempt = format!("{}-a{}", self.name, self.attempts);
             let index = self.random.random_range(0..INSTANCES);
             let request = request(kind, program, &attempt, body, previous.as_deref());
+            let request = self.add_key(request).await;
             let sent = send(self.environment.address(index), request);
             let reply = timeout(RESPONSE_TIMEOUT, sent).await.ok().flatten();
             let record = Record {
                 kind,
+                account: self.account.map(|account| ACCOUNTS[account]),
                 attempt: attempt.clone(),
                 program: program.to_owned(),
                 body: body.to_owned(),
@@ -162,6 +177,14 @@
         }
         None
     }
+
+    async fn add_key(&mut self, request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+        let Some(account) = self.account else {
+            return to_public_host(request);
+        };
+        let configuration = self.environment.configuration.lock().await;
+        with_key(request, &configuration.pick_key(account, &mut self.random))
+    }
 }
 
 /// Returns the delay before a request may be retried; `None` if it may not.
@@ -172,6 +195,8 @@
             let after = reply.and_then(Reply::retry_after).unwrap_or(0.1);
             Some(Duration::from_secs_f64(after.min(1.0)))
         }
+        // The key was revoked, or is not known everywhere yet.
+        Some(StatusCode::UNAUTHORIZED) => Some(Duration::from_millis(100)),
         Some(status) if status.is_client_error() => None,
         // A turn is resent from its start after a broken or missing response; an unsafe request
         // must not be resent.
@@ -186,7 +211,7 @@
     attempt: &str,
     body: &str,
     previous: Option<&str>,
-) -> Request<Full<bytes::Bytes>> {
+) -> Request<Full<Bytes>> {
     // A retained turn is sent with its new input only.
     let input = body.rsplit('\n').next().unwrap_or(body);
     let turn = |route, budget, max_output| Turn {
@@ -230,7 +255,7 @@
 
 async fn send_crashing_try(environment: &Environment, number: usize) {
     let request = plain_request("read", &format!("crash-{number}"));
-    let request = request.map(|_| Full::from("CRASH now"));
+    let request = to_public_host(request.map(|_| Full::from("CRASH now")));
     let sent = send_from(
         FAULTY_CALLER,
         environment.address(number % INSTANCES),
@@ -271,6 +296,7 @@
                 attempts += 1;
                 let attempt = format!("after-{index}-{kind:?}-{attempts}");
                 let request = request(kind, &attempt, &attempt, "input", None);
+                let request = to_public_host(request);
                 let sent = send(environment.address(index), request);
                 let reply = timeout(RESPONSE_TIMEOUT, sent).await.ok().flatten();
                 if reply.is_some_and(|reply| reply.status == StatusCode::OK) {
@@ -289,3 +315,48 @@
     }
     Ok(())
 }
+
+/// Time after the last fault within which all instances serve exactly the keys in force.
+const KEYS_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Returns a line for each instance that does not serve the keys in force, serves a revoked one, or has
+/// logged one.
+pub(super) async fn check_keys(environment: &Environment) -> Vec<String> {
+    let (valid, revoked) = {
+        let configuration = environment.configuration.lock().await;
+        (configuration.valid(), configuration.revoked())
+    };
+    let valid = valid.into_iter().map(|key| (key, StatusCode::OK));
+    let revoked = revoked.into_iter();
+    let revoked = revoked.map(|key| (key, StatusCode::UNAUTHORIZED));
+    let expected: Vec<_> = valid.chain(revoked).collect();
+    let deadline = Instant::now() + KEYS_TIMEOUT;
+    let mut violations = Vec::new();
+    for index in 0..INSTANCES {
+        for (number, ((account, key), status)) in expected.iter().enumerate() {
+            let mut tries = 0;
+            loop {
+                tries += 1;
+                let attempt = format!("key-{index}-{number}-{tries}");
+                let request = with_key(plain_request("read", &attempt), key);
+                let reply = send(environment.address(index), request).await;
+                let received = reply.map(|reply| reply.status);
+                if received == Some(*status) {
+                    break;
+                }
+                if Instant::now() >= deadline {
+                    let name = ACCOUNTS[*account];
+                    violations.push(format!(
+                        "instance {index}: {received:?} for {key} of {name}, not {status}"
+                    ));
+                    break;
+                }
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+        let log = environment.instances[index].lock().await.log_text();
+        let lines = log.lines().filter(|line| line.contains(KEY_PREFIX));
+        violations.extend(lines.map(|line| format!("instance {index} logged a key: {line}")));
+    }
+    violations
+}
--- a/crates/daemon/tests/ingress/soak/check.rs
+++ b/crates/daemon/tests/ingress/soak/check.rs
@@ -10,7 +10,8 @@
 use crate::support::EVENT_TOKENS;
 
 /// Statuses that guarantee that the request did not run and never will.
-const NOT_RUN: [StatusCode; 6] = [
+const NOT_RUN: [StatusCode; 7] = [
+    StatusCode::UNAUTHORIZED,
     StatusCode::SERVICE_UNAVAILABLE,
     StatusCode::TOO_MANY_REQUESTS,
     StatusCode::PAYMENT_REQUIRED,
@@ -61,7 +62,14 @@
         find_violation(record, ran)
             .map(|violation| format!("{}: {violation}: {record:?} ran {ran:?}", record.attempt))
     });
-    each.chain(overspent_programs(records)).collect()
+    each.chain(overspent_programs(records))
+        .chain(runs.values().flatten().filter_map(find_leak))
+        .collect()
+}
+
+/// Returns a line for a request with which its upstream received more than the name of an account.
+fn find_leak(run: &RequestRecord) -> Option<String> {
+    (run.has_key || !run.forged_headers.is_empty()).then(|| format!("received a key: {run:?}"))
 }
 
 fn find_violation(record: &Record, ran: &[RequestRecord]) -> Option<&'static str> {
@@ -75,6 +83,12 @@
     if ran.iter().any(|run| run.body != record.body) {
         return Some("ran with another body");
     }
+    if ran
+        .iter()
+        .any(|run| run.account.as_deref() != record.account)
+    {
+        return Some("ran with another account");
+    }
     let is_continued = ran.iter().any(|run| run.last_event.is_some());
     if is_continued && ran.iter().any(|run| run.version != ran[0].version) {
         return Some("went on at another software version");
--- a/crates/daemon/tests/ingress/soak/environment.rs
+++ b/crates/daemon/tests/ingress/soak/environment.rs
@@ -11,7 +11,8 @@
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep};
 
-use crate::support::{IMMEDIATE_RESPONSE, Instance, configure, wait_for};
+use super::keys::Configuration;
+use crate::support::{IMMEDIATE_RESPONSE, Instance, wait_for};
 
 pub(super) const INSTANCES: usize = 3;
 
@@ -29,7 +30,7 @@
 
 pub(super) struct State {
     pub(super) store: Store,
-    pub(super) version: Mutex<u64>,
+    pub(super) configuration: Mutex<Configuration>,
     /// Relays to the store, one for each instance.
     pub(super) store_relays: Vec<Relay>,
     pub(super) upstreams: Vec<Upstream>,
@@ -53,7 +54,8 @@
 impl Environment {
     pub(super) async fn spawn() -> Self {
         let store = Store::spawn();
-        configure(&store, 1);
+        let mut configuration = Configuration::new();
+        configuration.write(&store);
         let upstreams: Vec<_> = (0..UPSTREAMS)
             .map(|index| {
                 let service = if index < ENGINES { "engine" } else { "app" };
@@ -92,7 +94,7 @@
         }
         let environment = Self(Arc::new(State {
             store,
-            version: Mutex::new(1),
+            configuration: Mutex::new(configuration),
             store_relays,
             upstreams,
             upstream_relays,
--- a/crates/daemon/tests/ingress/soak/fault.rs
+++ b/crates/daemon/tests/ingress/soak/fault.rs
@@ -9,13 +9,13 @@
 use tokio::time::{Instant, sleep};
 
 use super::environment::{Environment, INSTANCES, UPSTREAMS};
-use crate::support::{IMMEDIATE_RESPONSE, configure};
+use crate::support::IMMEDIATE_RESPONSE;
 
 /// The injected faults, by name.
 pub(super) struct Fault;
 
 impl Fault {
-    pub(super) const NAMES: [&'static str; 24] = [
+    pub(super) const NAMES: [&'static str; 25] = [
         "instance killed",
         "instance stopped",
         "instance paused",
@@ -36,6 +36,7 @@
         "upstream draining",
         "upstream limited",
         "configuration changed",
+        "keys changed",
         "links silent",
         "links reset",
         "links refused",
@@ -153,9 +154,11 @@
         "store history expired" => store.discard_history(),
         "partitions unavailable" => store.set_unavailable_partitions(&['0', '3', '6', '9', 'c']),
         _ => {
-            let mut version = environment.version.lock().await;
-            *version += 1;
-            configure(store, *version);
+            let mut configuration = environment.configuration.lock().await;
+            if name == "keys changed" {
+                configuration.change_keys();
+            }
+            configuration.write(store);
         }
     }
     sleep(duration).await;
