--- a/crates/daemon/tests/ingress/accounts.rs
+++ b/crates/daemon/tests/ingress/accounts.rs
@@ -106,13 +106,21 @@
         ("relay-account", "beta"),
         ("relay-key", "00"),
         ("relay-version", "99"),
-        ("connection", "tenant, credential, relay-account, relay-key"),
     ] {
         headers.append(name, value.parse().unwrap());
     }
     request
 }
 
+/// Like [`forge`], and names the headers in `Connection`.
+fn forge_connection(request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    let mut request = forge(request);
+    let names = "tenant, credential, relay-account, relay-key, relay-version";
+    let headers = request.headers_mut();
+    headers.insert("connection", names.parse().unwrap());
+    request
+}
+
 fn assert_account(runs: &[RequestRecord], account: Option<&str>) {
     for run in runs {
         assert_eq!(run.account.as_deref(), account, "{run:?}");
@@ -135,15 +143,19 @@
     ] {
         let (store, upstreams) = start(service, [first, first]);
         let instance = Instance::spawn(&store, "a").await;
-        let request = |attempt: &str| {
-            forge(match service {
-                "app" => plain_request(route, attempt),
-                _ => Turn::first(route, attempt).request(),
-            })
+        let request = |attempt: &str| match service {
+            "app" => plain_request(route, attempt),
+            _ => Turn::first(route, attempt).request(),
         };
         for number in 0..ATTEMPTS {
             let attempt = format!("t{number}");
-            send(&instance, with_key(request(&attempt), ALPHA_KEY)).await;
+            let request = with_key(request(&attempt), ALPHA_KEY);
+            let forged = [
+                forge(request.clone()),
+                forge_connection(request.clone()),
+                request,
+            ];
+            send(&instance, forged[number % forged.len()].clone()).await;
         }
         let private = runs(&upstreams);
         assert!(private.len() >= ATTEMPTS, "{route}: {private:?}");
@@ -152,7 +164,7 @@
         }
         assert_account(&private, Some("alpha"));
         let public = to_public_host(with_key(request("open"), ALPHA_KEY));
-        send(&instance, public).await;
+        send(&instance, forge(public)).await;
         send(&instance, to_public_host(request("bare"))).await;
         let all = runs(&upstreams);
         let public = all
--- a/crates/daemon/tests/upgrade/main.rs
+++ b/crates/daemon/tests/upgrade/main.rs
@@ -14,15 +14,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use basilramp_fakes::relay::{self, Door};
-use basilramp_fakes::user_platform::{Behaviour, Store, Upstream};
+use basilramp_fakes::relay::{self, Door, Relay};
+use basilramp_fakes::user_platform::{Behaviour, RequestRecord, Store, Upstream, View};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use serde_json::json;
 
 use crate::support::{
-    EVENT_TOKENS, IMMEDIATE_RESPONSE, Instance, Turn, configure, plain_request, start_site,
-    wait_for,
+    EVENT_TOKENS, IMMEDIATE_RESPONSE, Instance, Turn, configure, configure_accounts, plain_request,
+    start_site, wait_for, with_key,
 };
 
 const SLOW: Behaviour = Behaviour::Respond {
@@ -132,11 +133,18 @@
     }
 }
 
-/// An instance without a path to the upstreams relays requests to one of the other build, whose
-/// upstreams leave.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn requests_are_relayed_between_builds() {
-    for is_earlier_cut_off in [false, true] {
+/// Two instances, one of each build. The first one has lost its path to the upstreams.
+struct CutOff {
+    store: Store,
+    upstreams: [Upstream; 2],
+    _links: [Relay; 2],
+    _view: View,
+    cut_off: Instance,
+    other: Instance,
+}
+
+impl CutOff {
+    async fn spawn(is_earlier_cut_off: bool) -> Self {
         let store = Store::spawn();
         configure(&store, 3);
         let upstreams = ["app", "engine"].map(|service| {
@@ -152,7 +160,7 @@
             .map(|(upstream, link)| (upstream.address(), link.address()))
             .collect();
         let view = store.spawn_view(addresses);
-        let (cut_off, _other) = if is_earlier_cut_off {
+        let (cut_off, other) = if is_earlier_cut_off {
             let program = earlier_build::program();
             let cut_off = Instance::spawn_build(program, view.address(), "a").await;
             (cut_off, Instance::spawn(&store, "b").await)
@@ -172,13 +180,90 @@
             (!cut_off.events("E0761").is_empty()).then_some(())
         })
         .await;
+        Self {
+            store,
+            upstreams,
+            _links: links,
+            _view: view,
+            cut_off,
+            other,
+        }
+    }
+}
+
+/// An instance without a path to the upstreams relays requests to one of the other build, whose
+/// upstreams leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_relayed_between_builds() {
+    for is_earlier_cut_off in [false, true] {
+        let site = CutOff::spawn(is_earlier_cut_off).await;
         let turn = Turn::first("chat", "turn").request();
-        let reply = cut_off.send(turn).await.unwrap();
+        let reply = site.cut_off.send(turn).await.unwrap();
         assert_eq!(reply.status, StatusCode::OK, "{is_earlier_cut_off}");
         assert!(reply.is_complete);
-        let reply = cut_off
+        let reply = site
+            .cut_off
             .send(Turn::first("advice", "stream").request())
             .await;
         assert_eq!(reply.unwrap().status, StatusCode::OK);
     }
 }
+
+/// Requests with keys are relayed to an instance of the other build. Guards against a key or its digest at
+/// an upstream, and against a caller that names an account in headers which the earlier build passes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accounts_hold_where_requests_are_relayed_between_builds() {
+    const KEY: &str = "sk-alpha-7f3a9c";
+    for is_earlier_cut_off in [false, true] {
+        let site = CutOff::spawn(is_earlier_cut_off).await;
+        let accounts = json!([{"name": "alpha", "api_keys": [KEY]}]);
+        configure_accounts(&site.store, 4, &accounts);
+        site.cut_off.wait_for_config(4).await;
+        site.other.wait_for_config(4).await;
+        let forged = |attempt: &str| {
+            let mut request = Turn::first("chat", attempt).request();
+            let names = "relay-account, relay-key, relay-version";
+            for (name, value) in [
+                ("tenant", "beta"),
+                ("relay-account", "alpha"),
+                ("relay-key", &*"0".repeat(64)),
+                ("relay-version", "99"),
+                ("connection", names),
+            ] {
+                request.headers_mut().insert(name, value.parse().unwrap());
+            }
+            request
+        };
+        let mut unnamed = forged("unnamed");
+        unnamed.headers_mut().remove("connection");
+        for request in [forged("named"), unnamed] {
+            let reply = site.cut_off.send(request).await.unwrap();
+            assert_eq!(
+                reply.status,
+                StatusCode::UNAUTHORIZED,
+                "{is_earlier_cut_off}"
+            );
+        }
+        for (attempt, request) in [
+            ("forged", with_key(forged("forged"), KEY)),
+            (
+                "plain",
+                with_key(Turn::first("chat", "plain").request(), KEY),
+            ),
+        ] {
+            let reply = site.cut_off.send(request).await.unwrap();
+            assert_eq!(
+                reply.status,
+                StatusCode::OK,
+                "{is_earlier_cut_off} {reply:?}"
+            );
+            let runs = site.upstreams.iter().flat_map(Upstream::requests);
+            let run = runs.filter(|run| run.attempt_id == attempt).last().unwrap();
+            assert_eq!(run.account.as_deref(), Some("alpha"), "{run:?}");
+            assert!(!run.has_key && run.forged_headers.is_empty(), "{run:?}");
+        }
+        let runs = site.upstreams.iter().flat_map(Upstream::requests);
+        let rejected = |run: &RequestRecord| run.attempt_id.ends_with("named");
+        assert_eq!(runs.filter(rejected).count(), 0);
+    }
+}
