Divide the tests of accounts by what they guard

Change: account_data.rs holds the tests of separate turns, budgets, streams and crash records, account_relay.rs those of relayed requests. The tests are unchanged.

--- a/crates/daemon/tests/ingress/accounts.rs
+++ b/crates/daemon/tests/ingress/accounts.rs
@@ -1,10 +1,8 @@
-//! Callers with the keys of accounts: who is served, what upstreams learn, and what an account sees of
-//! another one's data.
+//! Callers with the keys of accounts: who is served, and what upstreams and logs learn.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use basilramp_core::dispatch::account::Account;
 use basilramp_fakes::user_platform::{Behaviour, Mode, RequestRecord, Store, Upstream};
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -12,18 +10,16 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::lost_path::{Failure, Site};
 use crate::support::{
     IMMEDIATE_RESPONSE, Instance, Reply, Turn, configure_accounts, plain_request, start_site,
     to_public_host, wait_for, with_key,
 };
 
-const ALPHA_KEY: &str = "sk-alpha-7f3a9c";
-const ALPHA_SPARE_KEY: &str = "sk-alpha-spare-20be";
-const BETA_KEY: &str = "sk-beta-51d0e4";
-const NEW_KEY: &str = "sk-new-9a77c2";
+pub(crate) const ALPHA_KEY: &str = "sk-alpha-7f3a9c";
+pub(crate) const ALPHA_SPARE_KEY: &str = "sk-alpha-spare-20be";
+pub(crate) const BETA_KEY: &str = "sk-beta-51d0e4";
+pub(crate) const NEW_KEY: &str = "sk-new-9a77c2";
 
 /// Time after the store's acknowledgement within which a version is in force on small deployments.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -32,9 +28,9 @@
 const LONG_POLL: Duration = Duration::from_millis(1_500);
 
 /// Version of the first configuration with accounts.
-const VERSION: u64 = 4;
+pub(crate) const VERSION: u64 = 4;
 
-fn accounts() -> Value {
+pub(crate) fn accounts() -> Value {
     json!([
         {"name": "alpha", "api_keys": [ALPHA_KEY, ALPHA_SPARE_KEY], "priority": 0},
         {"name": "beta", "api_keys": [BETA_KEY]},
@@ -42,24 +38,27 @@
 }
 
 /// The accounts after a change of keys: one is revoked, and one is added.
-fn changed_accounts() -> Value {
+pub(crate) fn changed_accounts() -> Value {
     json!([
         {"name": "alpha", "api_keys": [ALPHA_SPARE_KEY, NEW_KEY]},
         {"name": "beta", "api_keys": [BETA_KEY]},
     ])
 }
 
-fn start<const N: usize>(service: &str, behaviours: [Behaviour; N]) -> (Store, [Upstream; N]) {
+pub(crate) fn start<const N: usize>(
+    service: &str,
+    behaviours: [Behaviour; N],
+) -> (Store, [Upstream; N]) {
     let (store, upstreams) = start_site(service, behaviours);
     configure_accounts(&store, VERSION, &accounts());
     (store, upstreams)
 }
 
-async fn send(instance: &Instance, request: Request<Full<Bytes>>) -> Reply {
+pub(crate) async fn send(instance: &Instance, request: Request<Full<Bytes>>) -> Reply {
     instance.send(request).await.unwrap()
 }
 
-fn runs<const N: usize>(upstreams: &[Upstream; N]) -> Vec<RequestRecord> {
+pub(crate) fn runs<const N: usize>(upstreams: &[Upstream; N]) -> Vec<RequestRecord> {
     upstreams.iter().flat_map(Upstream::requests).collect()
 }
 
@@ -98,7 +97,7 @@
 }
 
 /// Adds headers by which a caller pretends to be another account.
-fn forge(mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+pub(crate) fn forge(mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
     let headers = request.headers_mut();
     for (name, value) in [
         ("tenant", "beta"),
@@ -121,7 +120,7 @@
     request
 }
 
-fn assert_account(runs: &[RequestRecord], account: Option<&str>) {
+pub(crate) fn assert_account(runs: &[RequestRecord], account: Option<&str>) {
     for run in runs {
         assert_eq!(run.account.as_deref(), account, "{run:?}");
         assert!(!run.has_key, "{run:?}");
@@ -244,154 +243,6 @@
     }
 }
 
-/// Returns the id under which the rows of an account are stored, which callers can compute.
-fn scoped(account: &str, id: &str) -> String {
-    Account::new(account.into(), None, None)
-        .scoped(id)
-        .to_string()
-}
-
-/// Guards against an account, or a caller without one, that continues the turn of another account.
-#[tokio::test]
-async fn a_turn_of_another_account_does_not_exist() {
-    let (store, upstreams) = start("engine", [IMMEDIATE_RESPONSE]);
-    let instances = [
-        Instance::spawn(&store, "a").await,
-        Instance::spawn(&store, "b").await,
-    ];
-    let first = Turn::chained("chat", "t1", None, "secret").request();
-    let reply = send(&instances[0], with_key(first, ALPHA_KEY)).await;
-    assert_eq!(reply.status, StatusCode::OK);
-    let public = to_public_host(Turn::chained("chat", "open", None, "public").request());
-    assert_eq!(send(&instances[0], public).await.status, StatusCode::OK);
-    let stored = scoped("alpha", "t1");
-    let guess = |previous: &'static str| Turn::chained("chat", "guess", Some(previous), "more");
-    for instance in &instances {
-        let guess_stored = Turn::chained("chat", "guess", Some(&stored), "more");
-        let others = [
-            with_key(guess("t1").request(), BETA_KEY),
-            with_key(guess_stored.request(), BETA_KEY),
-            with_key(guess_stored.request(), ALPHA_KEY),
-            to_public_host(guess("t1").request()),
-            to_public_host(guess_stored.request()),
-            with_key(guess("open").request(), ALPHA_KEY),
-            with_key(guess("open~").request(), ALPHA_KEY),
-        ];
-        for (number, request) in others.into_iter().enumerate() {
-            let reply = send(instance, request).await;
-            assert_eq!(reply.status, StatusCode::NOT_FOUND, "{number}: {reply:?}");
-        }
-    }
-    assert_eq!(runs(&upstreams).len(), 2);
-    let attempts = ["own-a", "own-b"];
-    for (instance, attempt) in instances.iter().zip(attempts) {
-        let own = Turn::chained("chat", attempt, Some("t1"), "more").request();
-        let reply = send(instance, with_key(own, ALPHA_SPARE_KEY)).await;
-        assert_eq!(reply.status, StatusCode::OK);
-        let public = Turn::chained("chat", "public", Some("open"), "more").request();
-        let reply = send(instance, to_public_host(public)).await;
-        assert_eq!(reply.status, StatusCode::OK);
-    }
-}
-
-/// Attempt ids of another account that sort between the rows of a stored turn must not make the turn
-/// unreadable.
-#[tokio::test]
-async fn a_turn_is_read_without_rows_of_other_ids() {
-    let (store, _upstreams) = start("engine", [IMMEDIATE_RESPONSE]);
-    let writer = Instance::spawn(&store, "a").await;
-    let first = Turn::chained("chat", "t1", None, "input").request();
-    send(&writer, with_key(first, ALPHA_KEY)).await;
-    let stored = scoped("alpha", "t1");
-    let partition = |id: &str| xxh3_64(id.as_bytes()) % 256;
-    let attempts = (0..).map(|number| format!("{stored}/000{number}"));
-    let is_beside = |attempt: &String| partition(&scoped("beta", attempt)) == partition(&stored);
-    for attempt in attempts.filter(is_beside).take(2) {
-        let turn = Turn::chained("chat", &attempt, None, "injected").request();
-        let reply = send(&writer, with_key(turn, BETA_KEY)).await;
-        assert_eq!(reply.status, StatusCode::OK);
-    }
-    let reader = Instance::spawn(&store, "b").await;
-    let second = Turn::chained("chat", "t2", Some("t1"), "more").request();
-    let reply = send(&reader, with_key(second, ALPHA_KEY)).await;
-    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
-}
-
-/// Guards against an account that spends the budget of another one's program.
-#[tokio::test]
-async fn programs_of_two_accounts_with_the_same_id_have_separate_budgets() {
-    let (store, _upstreams) = start("engine", [IMMEDIATE_RESPONSE]);
-    let instance = Instance::spawn(&store, "a").await;
-    let turn = |attempt: &str, program: &str| {
-        let turn = Turn {
-            program,
-            budget: 60,
-            max_output: 20,
-            ..Turn::first("advice", attempt)
-        };
-        turn.request()
-    };
-    let stored = scoped("alpha", "p1");
-    for number in 0..10 {
-        let attempt = format!("public-{number}");
-        send(&instance, to_public_host(turn(&attempt, &stored))).await;
-        let attempt = format!("beta-{number}");
-        send(&instance, with_key(turn(&attempt, "p1"), BETA_KEY)).await;
-    }
-    let last = send(&instance, with_key(turn("beta-last", "p1"), BETA_KEY)).await;
-    assert_eq!(last.status, StatusCode::PAYMENT_REQUIRED);
-    let own = send(&instance, with_key(turn("alpha-1", "p1"), ALPHA_KEY)).await;
-    assert_eq!(own.status, StatusCode::OK);
-}
-
-/// The version of a stream is stored under its attempt id. Guards against an account whose attempt has
-/// the id of another one's stream: it must neither fail that stream nor learn its version.
-#[tokio::test]
-async fn streams_of_two_accounts_with_the_same_id_are_separate() {
-    let (store, _upstreams) = start("engine", [IMMEDIATE_RESPONSE]);
-    let _other = Upstream::spawn_version(&store, "i-9", "engine", "v2", IMMEDIATE_RESPONSE);
-    let instance = Instance::spawn(&store, "a").await;
-    for number in 0..12 {
-        let attempt = format!("t{number}");
-        for key in [BETA_KEY, ALPHA_KEY] {
-            let turn = Turn::first("advice", &attempt).request();
-            let reply = send(&instance, with_key(turn, key)).await;
-            assert_eq!(reply.status, StatusCode::OK, "{attempt}: {reply:?}");
-        }
-    }
-    let begun = Turn::first("advice", "own").request();
-    send(&instance, with_key(begun, ALPHA_KEY)).await;
-    let take_up = |attempt: &str| {
-        let mut request = Turn::first("advice", attempt).request();
-        request
-            .headers_mut()
-            .insert("resumes", "own".parse().unwrap());
-        request.headers_mut().insert("last-event-id", 1.into());
-        request
-    };
-    let reply = send(&instance, with_key(take_up("beta"), BETA_KEY)).await;
-    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{reply:?}");
-    let reply = send(&instance, with_key(take_up("alpha"), ALPHA_KEY)).await;
-    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
-}
-
-/// Guards against a crash of another account's request that keeps an equal request from running.
-#[tokio::test]
-async fn crashes_by_one_account_do_not_quarantine_requests_of_another() {
-    let (store, upstreams) = start("app", [IMMEDIATE_RESPONSE; 6]);
-    let instance = Instance::spawn(&store, "a").await;
-    let request = |attempt: &str| plain_request("read", attempt).map(|_| Full::from("CRASH"));
-    wait_for("the request is quarantined", || async {
-        let attempt = format!("t{}", rand::random::<u32>());
-        instance.send(with_key(request(&attempt), ALPHA_KEY)).await;
-        (!instance.events("E0752").is_empty()).then_some(())
-    })
-    .await;
-    instance.send(with_key(request("other"), BETA_KEY)).await;
-    let runs = runs(&upstreams);
-    assert!(runs.iter().any(|run| run.attempt_id == "other"));
-}
-
 async fn status_with(instance: &Instance, key: &str) -> StatusCode {
     let attempt = format!("t{}", rand::random::<u32>());
     let request = with_key(plain_request("pay", &attempt), key);
@@ -533,121 +384,3 @@
     assert_eq!(runs[0].account.as_deref(), Some("any"));
     assert_eq!(runs[1].account, None);
 }
-
-/// An instance that has lost its path and does not reach the store has an older configuration than the
-/// one that it relays to. Guards against a key that is accepted there though it was revoked.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_relayed_request_with_a_revoked_key_is_rejected() {
-    let site = Site::spawn(2).await;
-    site.cut_and_wait(0, Failure::Refusal).await;
-    configure_accounts(&site.store, VERSION, &accounts());
-    for instance in &site.instances {
-        instance.wait_for_config(VERSION).await;
-    }
-    let relaying = &site.instances[0];
-    let request =
-        |attempt: &str, key: &str| forge(with_key(Turn::first("chat", attempt).request(), key));
-    for (attempt, key, account) in [("t1", ALPHA_KEY, "alpha"), ("t2", BETA_KEY, "beta")] {
-        let reply = send(relaying, request(attempt, key)).await;
-        assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
-        let runs = site.runs(attempt);
-        assert_eq!(runs.len(), 1);
-        assert_account(&runs, Some(account));
-    }
-    let public = to_public_host(request("open", ALPHA_KEY));
-    assert_eq!(send(relaying, public).await.status, StatusCode::OK);
-    assert_account(&site.runs("open"), None);
-    // The turn is stored for its account alone.
-    let next = |attempt: &str, key: &str| {
-        with_key(
-            Turn::chained("chat", attempt, Some("t1"), "more").request(),
-            key,
-        )
-    };
-    let reply = send(&site.instances[1], next("n1", BETA_KEY)).await;
-    assert_eq!(reply.status, StatusCode::NOT_FOUND);
-    let reply = send(&site.instances[1], next("n2", ALPHA_KEY)).await;
-    assert_eq!(reply.status, StatusCode::OK);
-
-    site.views[0].set_rejecting(true);
-    relaying.wait_for_event("E0711").await;
-    configure_accounts(&site.store, VERSION + 1, &changed_accounts());
-    site.instances[1].wait_for_config(VERSION + 1).await;
-    let reply = send(relaying, request("revoked", ALPHA_KEY)).await;
-    assert_eq!(reply.status, StatusCode::UNAUTHORIZED, "{reply:?}");
-    assert!(site.runs("revoked").is_empty());
-    let reply = send(relaying, request("kept", ALPHA_SPARE_KEY)).await;
-    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
-    assert_account(&site.runs("kept"), Some("alpha"));
-    let reply = send(relaying, request("added", NEW_KEY)).await;
-    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{reply:?}");
-    for instance in &site.instances {
-        let log = instance.log_text();
-        for key in [ALPHA_KEY, ALPHA_SPARE_KEY, BETA_KEY, NEW_KEY] {
-            assert!(!log.contains(key));
-        }
-    }
-}
-
-/// A turn ran before its instance lost the path, and its key was revoked meanwhile. The response of the
-/// other instance, which did not run it, must not tell the caller that nothing ran.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_turn_that_may_have_run_is_not_rejected_as_unauthorized() {
-    let slow = Behaviour::Respond {
-        events: 3,
-        interval_ms: 1_200,
-    };
-    let site = Site::spawn_with(2, slow).await;
-    configure_accounts(&site.store, VERSION, &accounts());
-    for instance in &site.instances {
-        instance.wait_for_config(VERSION).await;
-    }
-    let cut = async {
-        wait_for("the turn runs", || async {
-            (!site.runs("t1").is_empty()).then_some(())
-        })
-        .await;
-        configure_accounts(&site.store, VERSION + 1, &changed_accounts());
-        site.instances[1].wait_for_config(VERSION + 1).await;
-        site.cut(0, Failure::Silence);
-    };
-    let request = with_key(Turn::first("advice", "t1").request(), ALPHA_KEY);
-    let (reply, ()) = tokio::join!(site.instances[0].send(request), cut);
-    let reply = reply.unwrap();
-    let may_have_run = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
-    assert!(may_have_run.contains(&reply.status), "{reply:?}");
-}
-
-/// A stream that the relaying instance began itself goes on through another instance.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_stream_that_goes_on_through_another_instance_keeps_its_account() {
-    let slow = Behaviour::Respond {
-        events: 3,
-        interval_ms: 300,
-    };
-    let site = Site::spawn_with(2, slow).await;
-    configure_accounts(&site.store, VERSION, &accounts());
-    for instance in &site.instances {
-        instance.wait_for_config(VERSION).await;
-    }
-    let request = with_key(forge(Turn::first("advice", "t1").request()), ALPHA_KEY);
-    let cut = async {
-        wait_for("the stream begins", || async {
-            (!site.runs("t1").is_empty()).then_some(())
-        })
-        .await;
-        tokio::time::sleep(Duration::from_millis(450)).await;
-        site.cut(0, Failure::Reset);
-    };
-    let started_at = Instant::now();
-    let (reply, ()) = tokio::join!(site.instances[0].send(request), cut);
-    let reply = reply.unwrap();
-    assert!(
-        reply.is_complete,
-        "{reply:?} after {:?}",
-        started_at.elapsed()
-    );
-    let runs = site.runs("t1");
-    assert!(runs.len() > 1, "{runs:?}");
-    assert_account(&runs, Some("alpha"));
-}
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the ingress process against fakes of the store and the upstreams.
 
+mod account_data;
+mod account_relay;
 mod accounts;
 mod admission;
 mod budget;
