Draft of the calendar of request permits

Cause: accounts have quotas that no instance enforces. Change: core::dispatch::quota holds the calendar, the held permits, the store's time and the demand.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -34,6 +34,7 @@
 pub mod outlier;
 pub mod path;
 pub mod placement;
+pub mod quota;
 pub mod rate_limit;
 pub mod relay;
 pub mod request;
--- /dev/null
+++ b/crates/core/src/dispatch/quota.rs
@@ -0,0 +1,114 @@
+//! Quotas of accounts over all instances.
+//!
+//! Each account with a quota has a [`Calendar`] of request permits in slots of store time, which all
+//! instances share as one row. An instance reserves permits by a conditional write of the row and
+//! sends a request only with a permit that it holds ([`Permits`]) and that is valid at every time that
+//! the store's clock may show ([`StoreClock`]). What to reserve follows from the [`Demand`] at the
+//! instance.
+
+mod account_permits;
+mod calendar;
+mod demand;
+mod permits;
+mod plan;
+mod store_clock;
+
+pub use account_permits::{AccountPermits, Full, Reservation, RowWrite};
+pub use calendar::{Calendar, Class, Granted, Wanted};
+pub use demand::{Demand, ProgramShape, ProgramShapes};
+pub use permits::{Permit, Permits};
+pub use plan::{Plan, Purpose, Reserved, needs_refill, take_surplus};
+pub use store_clock::{StoreClock, StoreTime};
+
+use super::account::Quota;
+
+/// Length of a slot in milliseconds.
+pub const SLOT_MS: u64 = 250;
+
+/// Number of slots after the present one that permits are reserved for: 6 s.
+pub const HORIZON_SLOTS: u64 = 24;
+
+/// Parts of a permit. The rate of a [`Quota`], in thousandths of a request per second, is the number
+/// of these parts per slot.
+pub const PERMIT_PARTS: i64 = 4_000;
+
+/// Maximum number of slots in which a permit is valid. A longer validity hardly reduces the number of
+/// permits that expire unused.
+const MAX_VALIDITY_SLOTS: u64 = 8;
+
+/// Window of the rule where the settings have none, in milliseconds.
+const DEFAULT_WINDOW_MS: u64 = 5_000;
+
+/// What the requests of an account in any window of time may number: at most
+/// (`rate` x window + `burst`) x (1 + `excess`) + `tolerance`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rule {
+    /// Length of the window in milliseconds.
+    pub window_ms: u64,
+    /// Accepted excess, as a fraction.
+    pub excess: f64,
+    /// Accepted number of further requests.
+    pub tolerance: u32,
+}
+
+impl Default for Rule {
+    fn default() -> Self {
+        Self {
+            window_ms: DEFAULT_WINDOW_MS,
+            excess: 0.0,
+            tolerance: 0,
+        }
+    }
+}
+
+/// Terms by which the permits of an account are reserved, from a version of the configuration.
+///
+/// The permits of every span of n slots number at most n x `rate` + `burst`. A window of the rule
+/// overlaps with the validity of the permits of at most window / slot + `validity` slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Parts of a permit per slot.
+    pub rate: i64,
+    /// Parts of a permit that a span of slots may have beyond the rate.
+    pub burst: i64,
+    /// Number of slots in which a permit is valid, the first one included.
+    pub validity: u64,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
+impl Terms {
+    /// Derives the terms from a quota, so that the rule holds without its tolerance.
+    ///
+    /// What the rule accepts beyond the rate is divided between the burst and the validity of permits.
+    /// A longer validity lets an instance absorb uneven arrivals with fewer unused permits, and takes
+    /// nothing from an account that was idle: the slots whose permits are still valid add up to what
+    /// the burst is short of.
+    #[must_use]
+    pub fn new(quota: Quota, rule: &Rule, version: u64) -> Self {
+        let rate = quota.rate.milli_per_s() as f64;
+        let burst = f64::from(quota.burst) * PERMIT_PARTS as f64;
+        let window_slots = rule.window_ms.div_ceil(SLOT_MS) as f64;
+        let accepted = {
+            let window = rule.window_ms as f64 / SLOT_MS as f64;
+            (rate * window + burst) * (1.0 + rule.excess)
+        };
+        let one = PERMIT_PARTS as f64;
+        let beyond = accepted - rate * window_slots;
+        let min_burst = (burst / 4.0).max(one);
+        let slots = ((beyond - min_burst) / rate).floor();
+        let validity = slots.clamp(1.0, MAX_VALIDITY_SLOTS as f64);
+        let burst = (beyond - validity * rate).min(burst).max(one);
+        // A burst of one permit may be more than the rule accepts beyond the rate.
+        let mut rate = rate.min((accepted - burst) / (window_slots + validity));
+        if rate < 1.0 && rule.tolerance > 0 {
+            rate = quota.rate.milli_per_s() as f64;
+        }
+        Self {
+            rate: rate as i64,
+            burst: burst as i64,
+            validity: validity as u64,
+            version,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/quota/permits.rs
@@ -0,0 +1,111 @@
+//! The permits that an instance holds for an account.
+
+use std::collections::BTreeMap;
+
+use super::{Granted, SLOT_MS, StoreTime};
+
+/// A permit for one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Permit {
+    /// First slot in which it is no longer valid. Permits are ordered by it.
+    until: u64,
+    /// Slot from which on it is valid.
+    slot: u64,
+}
+
+impl Permit {
+    /// Returns whether the permit is valid at each time that the store's clock may show.
+    #[must_use]
+    pub const fn is_valid(&self, now: StoreTime) -> bool {
+        now.lower_ms >= self.slot * SLOT_MS && now.upper_ms < self.until * SLOT_MS
+    }
+}
+
+/// Permits that were reserved and not used.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Permits {
+    counts: BTreeMap<Permit, u32>,
+    expired: u64,
+}
+
+impl Permits {
+    /// Adds permits that the store has confirmed.
+    pub fn add(&mut self, granted: &[Granted]) {
+        for granted in granted {
+            let permit = Permit {
+                until: granted.until,
+                slot: granted.slot,
+            };
+            *self.counts.entry(permit).or_default() += granted.count;
+        }
+    }
+
+    /// Takes the valid permit that expires first.
+    pub fn take(&mut self, now: StoreTime) -> Option<Permit> {
+        self.expire(now);
+        let permit = *self.counts.keys().find(|permit| permit.is_valid(now))?;
+        self.remove(permit, 1);
+        Some(permit)
+    }
+
+    /// Takes back a permit whose request no upstream ran.
+    pub fn give_back(&mut self, permit: Permit) {
+        *self.counts.entry(permit).or_default() += 1;
+    }
+
+    /// Removes permits of slots from `first` on for which `surplus` returns a number, so that they can
+    /// be returned to the calendar.
+    pub fn take_surplus(&mut self, mut surplus: impl FnMut(u64, u32) -> u32) -> Vec<Granted> {
+        let mut taken = Vec::new();
+        for (permit, count) in &mut self.counts {
+            let excess = surplus(permit.slot, *count).min(*count);
+            if excess > 0 {
+                *count -= excess;
+                taken.push(Granted {
+                    slot: permit.slot,
+                    until: permit.until,
+                    count: excess,
+                });
+            }
+        }
+        self.counts.retain(|_, count| *count > 0);
+        taken
+    }
+
+    /// Returns the number of permits by slot, in no order.
+    pub fn by_slot(&self) -> impl Iterator<Item = (u64, u32)> {
+        self.counts.iter().map(|(permit, count)| (permit.slot, *count))
+    }
+
+    /// Returns the number of permits.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.counts.values().copied().map(u64::from).sum()
+    }
+
+    /// Returns the number of permits that expired unused.
+    #[must_use]
+    pub const fn expired(&self) -> u64 {
+        self.expired
+    }
+
+    /// Drops the permits that may be over.
+    pub fn expire(&mut self, now: StoreTime) {
+        while let Some((permit, count)) = self.counts.first_key_value() {
+            if now.upper_ms < permit.until * SLOT_MS {
+                return;
+            }
+            self.expired += u64::from(*count);
+            self.counts.pop_first();
+        }
+    }
+
+    fn remove(&mut self, permit: Permit, count: u32) {
+        if let Some(held) = self.counts.get_mut(&permit) {
+            *held -= count;
+            if *held == 0 {
+                self.counts.remove(&permit);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -0,0 +1,265 @@
+//! Decides which permits an instance reserves.
+
+use super::{
+    Calendar, Class, Demand, Granted, HORIZON_SLOTS, Permits, ProgramShapes, SLOT_MS, StoreTime,
+    Wanted,
+};
+use crate::clock::Time;
+
+/// Number of slots for which permits are planned.
+const SLOTS: usize = HORIZON_SLOTS as usize;
+
+/// Number of slots whose demand is reserved at least: 2 s.
+const MIN_RESERVED_SLOTS: usize = 8;
+
+/// Permits beyond the mean demand, as a fraction of it. Permits expire unused while few requests come.
+const MARGIN: f64 = 0.1;
+
+/// Time for which a permit has to be valid when its reservation begins, in milliseconds: several times
+/// the duration of a store call.
+const CALL_MS: u64 = 50;
+
+/// Fraction of a new program's expected requests that the calendar must have room for.
+const MIN_START_FRACTION: f64 = 0.8;
+
+/// Slots after the present one in which a permit for a waiting request may begin.
+const WAIT_SLOTS: u64 = 1;
+
+/// Surplus up to which permits are not returned.
+const MIN_RETURNED: u32 = 2;
+
+/// Permits that an instance wants to reserve at a point in time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Waiting requests, programs in progress, and what else is expected, in this order.
+    pub wanted: Vec<Wanted>,
+    /// Number of permits for waiting requests.
+    immediate: u32,
+    /// Class of the waiting requests.
+    class: Class,
+    /// First slot of the calendar that is used.
+    first: u64,
+}
+
+/// Result of a plan on a calendar.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reserved {
+    /// The calendar to write, and what this instance holds once the store has confirmed it.
+    Write(Calendar, Vec<Granted>),
+    /// The calendar has no room; there is some after this many milliseconds.
+    Full(u64),
+}
+
+/// What permits are reserved for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Purpose {
+    /// Number of requests that wait for a permit.
+    pub waiting: u32,
+    /// Whether a program begins.
+    pub is_start: bool,
+}
+
+impl Plan {
+    /// Plans the permits for the requests that wait and those that are expected, less those that are
+    /// held.
+    #[must_use]
+    pub fn new(
+        purpose: Purpose,
+        demand: &Demand,
+        shapes: &ProgramShapes,
+        permits: &Permits,
+        validity: u64,
+        store_now: StoreTime,
+        now: Time,
+    ) -> Self {
+        let class = if purpose.is_start {
+            Class::Start
+        } else {
+            Class::Progress
+        };
+        let present = store_now.lower_ms / SLOT_MS;
+        let first = ((store_now.upper_ms + CALL_MS) / SLOT_MS + 1).saturating_sub(validity);
+        let mut plan = Self {
+            wanted: Vec::new(),
+            immediate: purpose.waiting,
+            class,
+            first,
+        };
+        if purpose.waiting > 0 {
+            plan.wanted.push(Wanted {
+                first,
+                last: present + WAIT_SLOTS,
+                count: purpose.waiting,
+                class,
+            });
+        }
+        let held = held_by_slot(permits, present);
+        let expected = Expected::new(demand, shapes, now);
+        let mut have = 0.0;
+        let mut firm = 0.0;
+        let mut total = expected.stock(validity);
+        let mut spare = Vec::new();
+        for (index, held) in held.into_iter().enumerate() {
+            let slot = present + index as u64;
+            firm += expected.firm[index];
+            total += expected.total[index];
+            have += f64::from(held);
+            let missing = (firm - have).floor().max(0.0);
+            if missing > 0.0 {
+                plan.wanted.push(Wanted {
+                    first: slot,
+                    last: slot + WAIT_SLOTS,
+                    count: missing as u32,
+                    class,
+                });
+                have += missing;
+            }
+            let missing = (total - have).floor().max(0.0);
+            if missing > 0.0 {
+                spare.push(Wanted {
+                    first: slot,
+                    last: slot,
+                    count: missing as u32,
+                    class: Class::Spare,
+                });
+                have += missing;
+            }
+            // Permits that are not used while they are valid are lost.
+            let usable = expected.total[index] * validity as f64;
+            have = have.min(total + usable);
+        }
+        plan.wanted.append(&mut spare);
+        plan
+    }
+
+    /// Returns the first slot whose permits can be used.
+    #[must_use]
+    pub const fn first_slot(&self) -> u64 {
+        self.first
+    }
+
+    /// Reserves the permits in a calendar.
+    #[must_use]
+    pub fn reserve(&self, calendar: &Calendar, returned: &[Granted]) -> Reserved {
+        let mut next = calendar.clone();
+        next.advance(self.first);
+        next.release(returned);
+        let mut granted = Vec::new();
+        let mut firm = 0;
+        let mut missing = 0;
+        for (index, wanted) in self.wanted.iter().enumerate() {
+            let new = next.reserve(&[*wanted]);
+            let count: u32 = new.iter().map(|new| new.count).sum();
+            granted.extend(new);
+            if index == 0 && self.immediate > 0 {
+                if count == 0 {
+                    return Reserved::Full(self.wait_ms(calendar, 1));
+                }
+            } else if wanted.class != Class::Spare {
+                firm += wanted.count;
+                missing += wanted.count - count;
+            }
+        }
+        let is_start = self.immediate > 0 && self.class == Class::Start;
+        if is_start && f64::from(missing) > f64::from(firm) * (1.0 - MIN_START_FRACTION) {
+            return Reserved::Full(self.wait_ms(calendar, 1 + firm));
+        }
+        if granted.is_empty() && returned.is_empty() {
+            return Reserved::Full(self.wait_ms(calendar, 1));
+        }
+        Reserved::Write(next, granted)
+    }
+
+    fn wait_ms(&self, calendar: &Calendar, count: u32) -> u64 {
+        (calendar.slots_until_free(self.first, count, self.class) * SLOT_MS).max(SLOT_MS)
+    }
+}
+
+/// Returns whether less than 2 s of the expected demand is reserved.
+#[must_use]
+pub fn needs_refill(
+    demand: &Demand,
+    shapes: &ProgramShapes,
+    permits: &Permits,
+    store_now: StoreTime,
+    now: Time,
+) -> bool {
+    let held = held_by_slot(permits, store_now.lower_ms / SLOT_MS);
+    let expected = Expected::new(demand, shapes, now);
+    let held: u32 = held[..MIN_RESERVED_SLOTS].iter().sum();
+    let need: f64 = expected.total[..MIN_RESERVED_SLOTS].iter().sum();
+    need - f64::from(held) >= 1.0
+}
+
+/// Returns the permits that are held for later slots beyond what is expected, and removes them.
+pub fn take_surplus(
+    permits: &mut Permits,
+    demand: &Demand,
+    shapes: &ProgramShapes,
+    validity: u64,
+    store_now: StoreTime,
+    now: Time,
+) -> Vec<Granted> {
+    let present = store_now.upper_ms / SLOT_MS;
+    let held = held_by_slot(permits, present);
+    let expected = Expected::new(demand, shapes, now);
+    let mut surplus = [0_u32; SLOTS];
+    let (mut have, mut total) = (0.0, 1.0 + expected.stock(validity));
+    for index in 0..SLOTS {
+        total += expected.total[index];
+        have += f64::from(held[index]);
+        if index > 0 {
+            let excess = (have - total).floor().clamp(0.0, f64::from(held[index]));
+            surplus[index] = excess as u32;
+            have -= excess;
+        }
+    }
+    if surplus.iter().sum::<u32>() < MIN_RETURNED {
+        return Vec::new();
+    }
+    permits.take_surplus(|slot, count| {
+        let index = slot.checked_sub(present).map(|index| index as usize);
+        let Some(surplus) = index.and_then(|index| surplus.get_mut(index)) else {
+            return 0;
+        };
+        let taken = count.min(*surplus);
+        *surplus -= taken;
+        taken
+    })
+}
+
+/// Requests that are expected per slot.
+struct Expected {
+    /// Of programs in progress.
+    firm: [f64; SLOTS],
+    /// Of these and of programs that begin later, with the margin.
+    total: [f64; SLOTS],
+}
+
+impl Expected {
+    fn new(demand: &Demand, shapes: &ProgramShapes, now: Time) -> Self {
+        let firm = demand.of_programs::<SLOTS>(shapes, now);
+        let mean = demand.per_slot(now);
+        // Programs that begin later replace those that end.
+        let total = firm.map(|firm| firm.max(mean) * (1.0 + MARGIN));
+        Self { firm, total }
+    }
+
+    /// Returns the permits beyond the demand that absorb uneven arrivals: half of what is used while a
+    /// permit is valid.
+    fn stock(&self, validity: u64) -> f64 {
+        self.total[0] * validity as f64 / 2.0
+    }
+}
+
+/// Returns the number of held permits by slot from `present` on. Those of earlier slots that are still
+/// valid count for the present one.
+fn held_by_slot(permits: &Permits, present: u64) -> [u32; SLOTS] {
+    let mut held = [0; SLOTS];
+    for (slot, count) in permits.by_slot() {
+        if let Some(held) = held.get_mut(slot.saturating_sub(present) as usize) {
+            *held += count;
+        }
+    }
+    held
+}
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod outlier;
 mod path;
 mod placement;
+mod quota;
 mod rate_limit;
 mod relay;
 mod retention;
--- /dev/null
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -0,0 +1,511 @@
+//! Simulated instances that share the row of one account in a simulated store.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+
+use basilramp_core::clock::Time;
+use basilramp_core::dispatch::quota::{
+    AccountPermits, Calendar, Permit, ProgramShapes, Purpose, Reservation, RowWrite, StoreClock,
+    StoreTime, Terms,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Time for which a program in progress waits for a permit.
+const MAX_WAIT_MS: u64 = 300;
+
+/// Timeout of a store call.
+const CALL_TIMEOUT_MS: u64 = 500;
+
+/// Time that the store spends on a transaction: it commits 150 a second.
+const TRANSACTION_MS: u64 = 7;
+
+/// Number of writes of a reservation.
+const MAX_WRITES: u32 = 6;
+
+/// Faults of the calls, in thousandths of them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    pub(crate) lost: u32,
+    pub(crate) late: u32,
+    pub(crate) duplicated: u32,
+}
+
+/// Programs of an account at one instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Programs {
+    pub(crate) requests: (u32, u32),
+    pub(crate) duration_ms: (u64, u64),
+}
+
+#[derive(Clone, Debug)]
+struct Program {
+    instance: usize,
+    requests: u32,
+    interval_ms: u64,
+    sent: u32,
+}
+
+#[derive(Clone, Debug)]
+enum Call {
+    Read,
+    Write(RowWrite),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// A program sends its next request.
+    Request { program: u64 },
+    /// A waiting request tries again, or is rejected.
+    Retry { instance: usize, waiter: Waiter },
+    /// The store executes a call.
+    Execute { call: u64, instance: usize, epoch: u32, kind: Call, is_lost: bool, sent_ms: u64 },
+    /// The response to a call arrives; the row and the store's time.
+    Response { call: u64, instance: usize, epoch: u32, is_done: bool, row: Option<(Calendar, u64)>, version: u64, now_ms: u64, sent_ms: u64 },
+    /// No response has arrived.
+    Timeout { call: u64, instance: usize, epoch: u32 },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    program: u64,
+    is_start: bool,
+    since_ms: u64,
+    epoch: u32,
+}
+
+/// A reservation whose call is in flight.
+#[derive(Clone, Debug)]
+struct InFlight {
+    call: u64,
+    reservation: Reservation,
+    write: Option<RowWrite>,
+    writes: u32,
+    is_start: bool,
+    rejects: Option<u64>,
+}
+
+#[derive(Default)]
+struct Instance {
+    permits: AccountPermits,
+    shapes: ProgramShapes,
+    clock: StoreClock,
+    /// Offset of the boot-time clock, and its drift in parts per million.
+    offset_ms: u64,
+    drift_ppm: i64,
+    epoch: u32,
+    suspended_until_ms: u64,
+    waiters: Vec<Waiter>,
+    in_flight: Option<InFlight>,
+    terms: Option<Terms>,
+}
+
+/// What happened to the requests.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) sent: u64,
+    pub(crate) rejected_programs: u64,
+    pub(crate) rejected_requests: u64,
+    pub(crate) finished_programs: u64,
+    pub(crate) broken_programs: u64,
+    pub(crate) begun_programs: u64,
+    pub(crate) calls: u64,
+    pub(crate) reserved: u64,
+    pub(crate) returned: u64,
+    pub(crate) waited_ms: Vec<u64>,
+}
+
+/// All instances and the store.
+pub(crate) struct Site {
+    pub(crate) now_ms: u64,
+    pub(crate) counts: Counts,
+    /// Store time of each request that was sent.
+    pub(crate) sent_at: Vec<u64>,
+    pub(crate) faults: Faults,
+    instances: Vec<Instance>,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    by_number: BTreeMap<u64, Event>,
+    next_number: u64,
+    programs: BTreeMap<u64, Program>,
+    next_program: u64,
+    row: Option<(Calendar, u64)>,
+    store_busy_until: u64,
+    done_calls: BTreeSet<u64>,
+    rng: StdRng,
+    route: Arc<str>,
+}
+
+impl Site {
+    pub(crate) fn new(instances: usize, terms: Terms, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let new = |_| Instance {
+            offset_ms: rng.random_range(0..1_000_000),
+            drift_ppm: rng.random_range(-400..400),
+            terms: Some(terms),
+            ..Instance::default()
+        };
+        Self {
+            now_ms: 10_000,
+            counts: Counts::default(),
+            sent_at: Vec::new(),
+            faults: Faults::default(),
+            instances: (0..instances).map(new).collect(),
+            events: BinaryHeap::new(),
+            by_number: BTreeMap::new(),
+            next_number: 0,
+            programs: BTreeMap::new(),
+            next_program: 0,
+            row: None,
+            store_busy_until: 0,
+            done_calls: BTreeSet::new(),
+            rng: StdRng::seed_from_u64(seed + 1),
+            route: "chat".into(),
+        }
+    }
+
+    /// Starts a program at an instance after a delay.
+    pub(crate) fn add_program(&mut self, instance: usize, programs: Programs, at_ms: u64) {
+        let requests = self.rng.random_range(programs.requests.0..=programs.requests.1);
+        let duration_ms = self.rng.random_range(programs.duration_ms.0..=programs.duration_ms.1);
+        self.next_program += 1;
+        let program = Program {
+            instance,
+            requests,
+            interval_ms: duration_ms / u64::from(requests),
+            sent: 0,
+        };
+        self.programs.insert(self.next_program, program);
+        let program = self.next_program;
+        self.push(at_ms, Event::Request { program });
+    }
+
+    /// Starts an instance with empty memory.
+    pub(crate) fn kill(&mut self, instance: usize) {
+        let old = &self.instances[instance];
+        let new = Instance {
+            offset_ms: old.offset_ms,
+            drift_ppm: old.drift_ppm,
+            epoch: old.epoch + 1,
+            terms: old.terms,
+            ..Instance::default()
+        };
+        self.instances[instance] = new;
+        self.programs.retain(|_, program| program.instance != instance);
+    }
+
+    /// Suspends an instance; what happens to it meanwhile, it processes afterwards.
+    pub(crate) fn suspend(&mut self, instance: usize, ms: u64) {
+        self.instances[instance].suspended_until_ms = self.now_ms + ms;
+    }
+
+    /// Sets the terms that an instance has from the configuration.
+    pub(crate) fn set_terms(&mut self, instance: usize, terms: Terms) {
+        self.instances[instance].terms = Some(terms);
+    }
+
+    /// Processes events until a time.
+    pub(crate) fn run_until(&mut self, until_ms: u64) {
+        while let Some(Reverse((at, number))) = self.events.peek().copied() {
+            if at > until_ms {
+                break;
+            }
+            self.events.pop();
+            self.now_ms = self.now_ms.max(at);
+            let Some(event) = self.by_number.remove(&number) else {
+                continue;
+            };
+            if let Some(instance) = self.instance_of(&event) {
+                let resumed_ms = self.instances[instance].suspended_until_ms;
+                if resumed_ms > self.now_ms {
+                    self.push(resumed_ms, event);
+                    continue;
+                }
+            }
+            self.handle(event);
+        }
+        self.now_ms = until_ms;
+    }
+
+    fn instance_of(&self, event: &Event) -> Option<usize> {
+        match event {
+            Event::Request { program } => Some(self.programs.get(program)?.instance),
+            Event::Retry { instance, .. }
+            | Event::Response { instance, .. }
+            | Event::Timeout { instance, .. } => Some(*instance),
+            Event::Execute { .. } => None,
+        }
+    }
+
+    fn push(&mut self, at_ms: u64, event: Event) {
+        self.next_number += 1;
+        self.by_number.insert(self.next_number, event);
+        self.events.push(Reverse((at_ms, self.next_number)));
+    }
+
+    /// Returns the boot time of an instance.
+    fn boot(&self, instance: usize) -> Time {
+        let instance = &self.instances[instance];
+        let drift = self.now_ms as i64 * instance.drift_ppm / 1_000_000;
+        Time::from_ms((instance.offset_ms + self.now_ms).saturating_add_signed(drift))
+    }
+
+    fn store_now(&self, instance: usize) -> Option<StoreTime> {
+        let now = self.instances[instance].clock.now(self.boot(instance))?;
+        assert!(now.lower_ms <= self.now_ms && self.now_ms <= now.upper_ms, "{now:?} {}", self.now_ms);
+        Some(now)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Request { program } => self.request(program),
+            Event::Retry { instance, waiter } => {
+                if self.instances[instance].epoch == waiter.epoch {
+                    self.acquire(instance, waiter);
+                }
+            }
+            Event::Execute { call, instance, epoch, kind, is_lost, sent_ms } => {
+                self.execute(call, (instance, epoch), kind, is_lost, sent_ms);
+            }
+            Event::Timeout { call, instance, epoch } => {
+                if self.is_current(call, instance, epoch) {
+                    // The outcome is unknown: nothing is granted.
+                    self.instances[instance].in_flight = None;
+                    self.wake(instance, None);
+                }
+            }
+            Event::Response { call, instance, epoch, is_done, row, version, now_ms, sent_ms } => {
+                if self.instances[instance].epoch != epoch {
+                    return;
+                }
+                let received = self.boot(instance);
+                let sent = Time::from_ms(sent_ms);
+                self.instances[instance].clock.record(sent, received, now_ms);
+                if self.is_current(call, instance, epoch) {
+                    self.respond(instance, is_done, row, version);
+                }
+            }
+        }
+    }
+
+    fn is_current(&self, call: u64, instance: usize, epoch: u32) -> bool {
+        let instance = &self.instances[instance];
+        instance.epoch == epoch && instance.in_flight.as_ref().is_some_and(|one| one.call == call)
+    }
+
+    fn request(&mut self, id: u64) {
+        let Some(program) = self.programs.get(&id).cloned() else {
+            return;
+        };
+        let now = self.boot(program.instance);
+        let instance = &mut self.instances[program.instance];
+        let is_first = instance.permits.record(Some(id), &self.route, &mut instance.shapes, now);
+        let waiter = Waiter {
+            program: id,
+            is_start: program.sent == 0 && is_first,
+            since_ms: self.now_ms,
+            epoch: instance.epoch,
+        };
+        if waiter.is_start && self.store_now(program.instance).is_some() {
+            self.instances[program.instance].waiters.push(waiter);
+            self.reserve(program.instance, true);
+        } else {
+            self.acquire(program.instance, waiter);
+        }
+    }
+
+    /// Takes a permit, or waits for one.
+    fn acquire(&mut self, instance: usize, waiter: Waiter) {
+        let store_now = self.store_now(instance);
+        let permit = store_now.and_then(|now| self.instances[instance].permits.take(now));
+        if let Some(permit) = permit {
+            self.send(waiter, permit);
+            let now = self.boot(instance);
+            let one = &mut self.instances[instance];
+            let is_idle = one.in_flight.is_none();
+            if is_idle && let Some(store_now) = store_now
+                && one.permits.start_refill(&one.shapes, store_now, now)
+            {
+                self.reserve(instance, false);
+            }
+            return;
+        }
+        if self.now_ms >= waiter.since_ms + MAX_WAIT_MS && self.instances[instance].in_flight.is_none() {
+            self.reject(waiter);
+            return;
+        }
+        self.instances[instance].waiters.push(waiter);
+        self.reserve(instance, false);
+    }
+
+    fn send(&mut self, waiter: Waiter, _permit: Permit) {
+        self.counts.sent += 1;
+        self.counts.waited_ms.push(self.now_ms - waiter.since_ms);
+        self.sent_at.push(self.now_ms);
+        let Some(program) = self.programs.get_mut(&waiter.program) else {
+            return;
+        };
+        if program.sent == 0 {
+            self.counts.begun_programs += 1;
+        }
+        program.sent += 1;
+        if program.sent == program.requests {
+            self.counts.finished_programs += 1;
+            self.programs.remove(&waiter.program);
+        } else {
+            let jitter = self.rng.random_range(50..150);
+            let at_ms = self.now_ms + program.interval_ms * jitter / 100;
+            self.push(at_ms, Event::Request { program: waiter.program });
+        }
+    }
+
+    fn reject(&mut self, waiter: Waiter) {
+        let Some(program) = self.programs.remove(&waiter.program) else {
+            return;
+        };
+        self.instances[program.instance].permits.cancel(waiter.program);
+        self.counts.rejected_requests += 1;
+        if program.sent == 0 {
+            self.counts.rejected_programs += 1;
+        } else {
+            self.counts.broken_programs += 1;
+        }
+    }
+
+    /// Starts a reservation if no call is in flight.
+    fn reserve(&mut self, instance: usize, is_start: bool) {
+        if self.instances[instance].in_flight.is_some() {
+            return;
+        }
+        let now = self.boot(instance);
+        let store_now = self.store_now(instance);
+        let one = &mut self.instances[instance];
+        let waiting = one.waiters.len() as u32;
+        let purpose = Purpose { waiting, is_start };
+        let (Some(store_now), Some(terms)) = (store_now, one.terms) else {
+            // The first call only tells the store's time.
+            let known = StoreTime { lower_ms: 0, upper_ms: 0 };
+            let terms = one.terms.unwrap();
+            let reservation = one.permits.plan(purpose, terms, &mut one.shapes, known, now);
+            return self.call(instance, Call::Read, reservation, 0, is_start);
+        };
+        let reservation = one.permits.plan(purpose, terms, &mut one.shapes, store_now, now);
+        self.write(instance, reservation, 0, is_start);
+    }
+
+    fn write(&mut self, instance: usize, reservation: Reservation, writes: u32, is_start: bool) {
+        let now = self.boot(instance);
+        match self.instances[instance].permits.write(&reservation, now) {
+            Ok(write) => self.call(instance, Call::Write(write), reservation, writes + 1, is_start),
+            Err(full) if full.is_certain || writes >= MAX_WRITES => {
+                self.instances[instance].permits.abandon(&reservation);
+                self.instances[instance].in_flight = None;
+                self.wake(instance, Some((is_start, full.wait_ms)));
+            }
+            Err(_) => self.call(instance, Call::Read, reservation, writes + 1, is_start),
+        }
+    }
+
+    fn call(&mut self, instance: usize, kind: Call, reservation: Reservation, writes: u32, is_start: bool) {
+        self.counts.calls += 1;
+        self.next_number += 1;
+        let call = self.next_number;
+        let epoch = self.instances[instance].epoch;
+        let sent_ms = self.boot(instance).as_ms();
+        let write = match &kind {
+            Call::Read => None,
+            Call::Write(write) => Some(write.clone()),
+        };
+        self.instances[instance].in_flight = Some(InFlight { call, reservation, write, writes, is_start, rejects: None });
+        let draw = self.rng.random_range(0..1_000);
+        let late_ms = if draw < self.faults.late { self.rng.random_range(500..6_000) } else { 0 };
+        let is_lost = self.rng.random_range(0..1_000) < self.faults.lost;
+        let at_ms = self.now_ms + self.rng.random_range(1..3) + late_ms;
+        let event = Event::Execute { call, instance, epoch, kind, is_lost, sent_ms };
+        if self.rng.random_range(0..1_000) < self.faults.duplicated {
+            let again_ms = at_ms + self.rng.random_range(1..4_000);
+            self.push(again_ms, event.clone());
+        }
+        self.push(at_ms, event);
+        self.push(self.now_ms + CALL_TIMEOUT_MS, Event::Timeout { call, instance, epoch });
+    }
+
+    fn execute(&mut self, call: u64, (instance, epoch): (usize, u32), kind: Call, is_lost: bool, sent_ms: u64) {
+        if let Call::Write(_) = kind && self.store_busy_until > self.now_ms {
+            let at_ms = self.store_busy_until;
+            return self.push(at_ms, Event::Execute { call, instance, epoch, kind, is_lost, sent_ms });
+        }
+        let mut is_done = true;
+        if let Call::Write(write) = kind {
+            self.store_busy_until = self.now_ms + TRANSACTION_MS;
+            let version = self.row.as_ref().map_or(0, |row| row.1);
+            is_done = version == write.version;
+            if is_done {
+                if self.done_calls.insert(call) {
+                    self.counts.reserved += write.granted.iter().map(|one| u64::from(one.count)).sum::<u64>();
+                }
+                self.next_number += 1;
+                self.row = Some((write.calendar, self.next_number));
+            }
+        }
+        if is_lost {
+            return;
+        }
+        let (row, version) = (self.row.clone(), self.row.as_ref().map_or(0, |row| row.1));
+        let at_ms = self.now_ms + self.rng.random_range(3..9);
+        let now_ms = self.now_ms;
+        self.push(at_ms, Event::Response { call, instance, epoch, is_done, row, version, now_ms, sent_ms });
+    }
+
+    fn respond(&mut self, instance: usize, is_done: bool, row: Option<(Calendar, u64)>, version: u64) {
+        let now = self.boot(instance);
+        let Some(in_flight) = self.instances[instance].in_flight.take() else {
+            return;
+        };
+        let permits = &mut self.instances[instance].permits;
+        match in_flight.write {
+            Some(write) if is_done => {
+                permits.confirm(write, version, now);
+                self.wake(instance, None);
+            }
+            _ => {
+                let is_first = in_flight.writes == 0;
+                permits.record_row(row, now);
+                if is_first {
+                    permits.abandon(&in_flight.reservation);
+                    return self.reserve(instance, in_flight.is_start);
+                }
+                if in_flight.writes >= MAX_WRITES {
+                    permits.abandon(&in_flight.reservation);
+                    return self.wake(instance, None);
+                }
+                self.write(instance, in_flight.reservation, in_flight.writes, in_flight.is_start);
+            }
+        }
+    }
+
+    /// Lets the waiting requests go on after a call. If the calendar is full, those that have to wait
+    /// too long are rejected.
+    fn wake(&mut self, instance: usize, full: Option<(bool, u64)>) {
+        for waiter in std::mem::take(&mut self.instances[instance].waiters) {
+            let store_now = self.store_now(instance);
+            let permits = &mut self.instances[instance].permits;
+            let permit = store_now.and_then(|now| permits.take(now));
+            let waited_ms = self.now_ms - waiter.since_ms;
+            match (permit, full) {
+                _ if waiter.is_start && full.is_some_and(|full| full.0) => {
+                    if let Some(permit) = permit {
+                        permits.give_back(permit);
+                    }
+                    self.reject(waiter);
+                }
+                (Some(permit), _) => self.send(waiter, permit),
+                (None, Some((_, wait_ms))) if waited_ms + wait_ms > MAX_WAIT_MS => self.reject(waiter),
+                (None, full) => {
+                    let wait_ms = full.map_or(20, |full| full.1);
+                    self.push(self.now_ms + wait_ms, Event::Retry { instance, waiter });
+                }
+            }
+        }
+    }
+}
