Rows per account by rate; programs in progress before new ones

Cause: at 86 instances the writes of one row conflict. Change: a large account has several rows; a program begins only if those in progress have permits.

--- a/crates/core/src/dispatch/quota.rs
+++ b/crates/core/src/dispatch/quota.rs
@@ -17,7 +17,8 @@
 pub use calendar::{Calendar, Class, Granted, Wanted};
 pub use demand::{Demand, ProgramShape, ProgramShapes};
 pub use permits::{Permit, Permits};
-pub use plan::{Plan, Purpose, Reserved, needs_refill, take_surplus};
+pub use plan::{Plan, Purpose, Reserved};
+use plan::{needs_refill, take_surplus, uncovered_requests};
 pub use store_clock::{StoreClock, StoreTime};
 
 use super::account::Quota;
@@ -36,6 +37,13 @@
 /// permits that expire unused.
 const MAX_VALIDITY_SLOTS: u64 = 8;
 
+/// Rate of a row, in requests per second, up to which instances rarely write it at the same time. A
+/// transaction takes 8 ms, and a program of some 20 requests about two of them.
+const MAX_ROW_RATE: f64 = 50.0;
+
+/// Maximum number of rows of an account.
+const MAX_ROWS: u32 = 32;
+
 /// Window of the rule where the settings have none, in milliseconds.
 const DEFAULT_WINDOW_MS: u64 = 5_000;
 
@@ -64,7 +72,8 @@
 /// Terms by which the permits of an account are reserved, from a version of the configuration.
 ///
 /// The permits of every span of n slots number at most n x `rate` + `burst`. A window of the rule
-/// overlaps with the validity of the permits of at most window / slot + `validity` slots.
+/// overlaps with the validity of the permits of at most window / slot + `validity` slots. The rate and
+/// the burst are those of one row; a large account has several equal ones, which add up to its quota.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Terms {
     /// Parts of a permit per slot.
@@ -73,6 +82,8 @@
     pub burst: i64,
     /// Number of slots in which a permit is valid, the first one included.
     pub validity: u64,
+    /// Number of rows.
+    pub rows: u32,
     /// Version of the configuration.
     pub version: u64,
 }
@@ -104,10 +115,13 @@
         if rate < 1.0 && rule.tolerance > 0 {
             rate = quota.rate.milli_per_s() as f64;
         }
+        let rows = (quota.rate.per_s() / MAX_ROW_RATE).min(burst / one) as u32;
+        let rows = rows.clamp(1, MAX_ROWS);
         Self {
-            rate: rate as i64,
-            burst: burst as i64,
+            rate: rate as i64 / i64::from(rows),
+            burst: burst as i64 / i64::from(rows),
             validity: validity as u64,
+            rows,
             version,
         }
     }
--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -1,10 +1,11 @@
 //! What an instance knows of one account's quota, and its calls to the store.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::{
     Calendar, Demand, Granted, Permit, Permits, Plan, ProgramShapes, Purpose, Reserved, StoreTime,
-    Terms, needs_refill, take_surplus,
+    Terms, needs_refill, take_surplus, uncovered_requests,
 };
 use crate::clock::Time;
 
@@ -15,18 +16,35 @@
 /// returned permits since.
 const ROW_MAX_AGE_MS: u64 = 300;
 
+/// Time for which no program begins after one in progress lacked permits, in milliseconds.
+const SHORTAGE_MS: u64 = 1_000;
+
 /// Interval after a background call that got nothing, in milliseconds.
 const FULL_INTERVAL_MS: u64 = 1_000;
 
-/// Permits, demand and last known calendar of an account at an instance.
+/// Permits, demand and last known calendars of an account at an instance.
 #[derive(Clone, Debug, Default)]
 pub struct AccountPermits {
     permits: Permits,
     demand: Demand,
-    /// The row as last known, with its version; 0 if there is none.
-    row: Option<(Calendar, u64)>,
-    row_at: Time,
+    rows: BTreeMap<u32, KnownRow>,
+    /// Number of the row that is used.
+    row: u32,
     refill_at: Time,
+    /// When programs may begin again after one in progress lacked permits.
+    start_at: Time,
+}
+
+/// A row as last known.
+#[derive(Clone, Debug)]
+struct KnownRow {
+    /// `None` if the row does not exist.
+    calendar: Option<Calendar>,
+    /// Version of the row; 0 if it does not exist.
+    version: u64,
+    at: Time,
+    /// Whether another instance changed it before the latest call.
+    is_contended: bool,
 }
 
 /// The calendar has no room for a reservation.
@@ -38,9 +56,11 @@
     pub is_certain: bool,
 }
 
-/// A conditional write of an account's row.
+/// A conditional write of a row of an account.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RowWrite {
+    /// Number of the row.
+    pub row: u32,
     /// New content.
     pub calendar: Calendar,
     /// Version that the row must have; 0 if it must not exist.
@@ -71,9 +91,9 @@
         self.demand.record(program, route, shapes, now)
     }
 
-    /// Forgets a program that was rejected.
-    pub fn cancel(&mut self, program: u64) {
-        self.demand.cancel(program);
+    /// Forgets a program one of whose requests was rejected.
+    pub fn cancel(&mut self, program: u64, shapes: &mut ProgramShapes) {
+        self.demand.cancel(program, shapes);
     }
 
     /// Takes the valid permit that expires first.
@@ -108,6 +128,42 @@
         is_due
     }
 
+    /// Returns whether a recorded program may begin with the permits that are held.
+    #[must_use]
+    pub fn may_start(
+        &self,
+        shapes: &ProgramShapes,
+        store_now: StoreTime,
+        now: Time,
+    ) -> bool {
+        let uncovered = uncovered_requests(&self.demand, shapes, &self.permits, store_now, now);
+        now >= self.start_at && uncovered < 1.0
+    }
+
+    /// Returns the number of the row that the next reservation uses.
+    #[must_use]
+    pub const fn row(&self) -> u32 {
+        self.row
+    }
+
+    /// Uses another row, as the present one is full. `draw` is a random number.
+    pub fn change_row(&mut self, terms: Terms, draw: u32) {
+        let others = terms.rows.saturating_sub(1);
+        self.row = match others {
+            0 => 0,
+            others => (self.row + 1 + draw % others) % terms.rows,
+        };
+    }
+
+    /// Returns whether the row should be read before it is written, as another instance has probably
+    /// changed it.
+    #[must_use]
+    pub fn should_read(&self, now: Time) -> bool {
+        self.rows.get(&self.row).is_none_or(|known| {
+            known.is_contended && now.since(known.at) >= ROW_MAX_AGE_MS
+        })
+    }
+
     /// Begins a reservation. Permits beyond what is expected are given up.
     pub fn plan(
         &mut self,
@@ -119,13 +175,13 @@
     ) -> Reservation {
         self.demand.end_programs(shapes, now);
         self.permits.expire(store_now);
-        let validity = self
-            .row
-            .as_ref()
-            .map_or(terms, |(calendar, _)| calendar.terms)
-            .validity;
+        self.row %= terms.rows;
+        let known = self.rows.get(&self.row);
+        let calendar = known.and_then(|known| known.calendar.as_ref());
+        let validity = calendar.map_or(terms, |calendar| calendar.terms).validity;
         let returned = take_surplus(
             &mut self.permits,
+            self.row,
             &self.demand,
             shapes,
             validity,
@@ -154,24 +210,34 @@
     ///
     /// Fails if the calendar has no room.
     pub fn write(&mut self, reservation: &Reservation, now: Time) -> Result<RowWrite, Full> {
+        if reservation.plan.is_start() && now < self.start_at {
+            return Err(Full {
+                wait_ms: self.start_at.since(now),
+                is_certain: true,
+            });
+        }
         let terms = reservation.terms;
         let first = reservation.plan.first_slot();
-        let (mut calendar, version) = match &self.row {
-            Some((calendar, version)) => (calendar.clone(), *version),
-            None => (Calendar::new(terms, first), 0),
-        };
+        let known = self.rows.get(&self.row);
+        let calendar = known.and_then(|known| known.calendar.clone());
+        let mut calendar = calendar.unwrap_or_else(|| Calendar::new(terms, first));
         calendar.apply(terms);
-        match reservation.plan.reserve(&calendar, &reservation.returned) {
+        let plan = &reservation.plan;
+        match plan.reserve(&calendar, &reservation.returned, self.row) {
             Reserved::Write(calendar, granted) => Ok(RowWrite {
+                row: self.row,
                 calendar,
-                version,
+                version: known.map_or(0, |known| known.version),
                 granted,
             }),
             Reserved::Full(wait_ms) => {
                 self.refill_at = self.refill_at.max(now.after(FULL_INTERVAL_MS));
+                if reservation.plan.serves_progress() {
+                    self.start_at = now.after(SHORTAGE_MS);
+                }
                 Err(Full {
                     wait_ms,
-                    is_certain: now.since(self.row_at) < ROW_MAX_AGE_MS,
+                    is_certain: known.is_some_and(|known| now.since(known.at) < ROW_MAX_AGE_MS),
                 })
             }
         }
@@ -185,12 +251,26 @@
     /// Records that the store confirmed a write, which created `version`.
     pub fn confirm(&mut self, write: RowWrite, version: u64, now: Time) {
         self.permits.add(&write.granted);
-        self.record_row(Some((write.calendar, version)), now);
+        let is_contended = self.rows.get(&write.row).is_some_and(|known| known.is_contended);
+        let known = KnownRow {
+            calendar: Some(write.calendar),
+            version,
+            at: now,
+            is_contended,
+        };
+        self.rows.insert(write.row, known);
     }
 
-    /// Records the row as the store has it; `None` if there is none.
-    pub fn record_row(&mut self, row: Option<(Calendar, u64)>, now: Time) {
-        self.row = row;
-        self.row_at = now;
+    /// Records a row as the store has it; `None` if there is none.
+    pub fn record_row(&mut self, row: u32, stored: Option<(Calendar, u64)>, now: Time) {
+        let version = stored.as_ref().map_or(0, |(_, version)| *version);
+        let known = self.rows.get(&row).map(|known| known.version);
+        let known = KnownRow {
+            calendar: stored.map(|(calendar, _)| calendar),
+            version,
+            at: now,
+            is_contended: known.is_some_and(|known| known != version),
+        };
+        self.rows.insert(row, known);
     }
 }
--- a/crates/core/src/dispatch/quota/calendar.rs
+++ b/crates/core/src/dispatch/quota/calendar.rs
@@ -48,6 +48,8 @@
     pub until: u64,
     /// Number of permits.
     pub count: u32,
+    /// Number of the row that they were reserved in.
+    pub row: u32,
 }
 
 /// Calendar of an account's permits.
@@ -98,8 +100,9 @@
         }
     }
 
-    /// Reserves permits and returns those that were granted. What is wanted first is served first.
-    pub fn reserve(&mut self, wanted: &[Wanted]) -> Vec<Granted> {
+    /// Reserves permits and returns those that were granted. What is wanted first is served first. `row`
+    /// is the number of the calendar's row.
+    pub fn reserve(&mut self, wanted: &[Wanted], row: u32) -> Vec<Granted> {
         let mut granted = Vec::new();
         for wanted in wanted {
             let mut missing = wanted.count;
@@ -115,6 +118,7 @@
                         slot,
                         until: slot + self.terms.validity,
                         count,
+                        row,
                     });
                 }
             }
@@ -146,7 +150,7 @@
                 count: missing,
                 class,
             };
-            missing -= trial.reserve(&[wanted]).iter().map(|one| one.count).sum::<u32>();
+            missing -= trial.reserve(&[wanted], 0).iter().map(|one| one.count).sum::<u32>();
             if missing == 0 {
                 return slot - from;
             }
--- a/crates/core/src/dispatch/quota/demand.rs
+++ b/crates/core/src/dispatch/quota/demand.rs
@@ -30,6 +30,10 @@
 /// Fraction of a route's mean duration that a program in progress is expected to last at least.
 const MIN_REMAINING: f64 = 0.25;
 
+/// Intervals without a request after which a program may be over, and after which it probably is.
+const MIN_INTERVALS: f64 = 1.5;
+const MAX_INTERVALS: f64 = 3.0;
+
 /// Maximum number of programs of an account that are tracked.
 const MAX_PROGRAMS: usize = 1_000;
 
@@ -109,9 +113,12 @@
         } else {
             shape.interval_ms()
         };
+        let interval_ms = interval_ms.max(1.0);
         let remaining_ms = (shape.duration_ms - age_ms).max(shape.duration_ms * MIN_REMAINING);
+        let idle = now.since(self.latest) as f64 / interval_ms;
+        let in_progress = ((MAX_INTERVALS - idle) / (MAX_INTERVALS - MIN_INTERVALS)).clamp(0.0, 1.0);
         let slot_ms = SLOT_MS as f64;
-        (slot_ms / interval_ms.max(1.0), remaining_ms / slot_ms)
+        (slot_ms / interval_ms * in_progress, remaining_ms / slot_ms)
     }
 }
 
@@ -158,9 +165,19 @@
         true
     }
 
-    /// Forgets a program that was rejected.
-    pub fn cancel(&mut self, program: u64) {
-        self.programs.remove(&program);
+    /// Forgets a program one of whose requests was rejected.
+    pub fn cancel(&mut self, program: u64, shapes: &mut ProgramShapes) {
+        let Some(program) = self.programs.remove(&program) else {
+            return;
+        };
+        if program.requests > 1 {
+            // It would have had more requests. If only those that end by themselves were learned, the
+            // expectation would shrink under overload.
+            let shape = shapes.0.entry(Arc::clone(&program.route)).or_default();
+            let requests = f64::from(program.requests).max(shape.requests);
+            let duration_ms = program.latest.since(program.began) as f64;
+            shape.record(requests, duration_ms.max(shape.duration_ms));
+        }
     }
 
     /// Returns whether programs are in progress.
--- a/crates/core/src/dispatch/quota/permits.rs
+++ b/crates/core/src/dispatch/quota/permits.rs
@@ -11,6 +11,8 @@
     until: u64,
     /// Slot from which on it is valid.
     slot: u64,
+    /// Number of the row that it was reserved in.
+    row: u32,
 }
 
 impl Permit {
@@ -35,6 +37,7 @@
             let permit = Permit {
                 until: granted.until,
                 slot: granted.slot,
+                row: granted.row,
             };
             *self.counts.entry(permit).or_default() += granted.count;
         }
@@ -53,11 +56,18 @@
         *self.counts.entry(permit).or_default() += 1;
     }
 
-    /// Removes permits of slots from `first` on for which `surplus` returns a number, so that they can
-    /// be returned to the calendar.
-    pub fn take_surplus(&mut self, mut surplus: impl FnMut(u64, u32) -> u32) -> Vec<Granted> {
+    /// Removes permits of a row, as many of each slot as `surplus` returns for its number of permits, so
+    /// that they can be returned to the calendar.
+    pub fn take_surplus(
+        &mut self,
+        row: u32,
+        mut surplus: impl FnMut(u64, u32) -> u32,
+    ) -> Vec<Granted> {
         let mut taken = Vec::new();
         for (permit, count) in &mut self.counts {
+            if permit.row != row {
+                continue;
+            }
             let excess = surplus(permit.slot, *count).min(*count);
             if excess > 0 {
                 *count -= excess;
@@ -65,6 +75,7 @@
                     slot: permit.slot,
                     until: permit.until,
                     count: excess,
+                    row,
                 });
             }
         }
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -1,8 +1,8 @@
 //! Decides which permits an instance reserves.
 
 use super::{
-    Calendar, Class, Demand, Granted, HORIZON_SLOTS, Permits, ProgramShapes, SLOT_MS, StoreTime,
-    Wanted,
+    Calendar, Class, Demand, Granted, HORIZON_SLOTS, PERMIT_PARTS, Permits, ProgramShape, ProgramShapes,
+    SLOT_MS, StoreTime, Terms, Wanted,
 };
 use crate::clock::Time;
 
@@ -19,9 +19,12 @@
 /// the duration of a store call.
 const CALL_MS: u64 = 50;
 
-/// Fraction of a new program's expected requests that the calendar must have room for.
+/// Fraction of a new program's expected requests that there must be permits for.
 const MIN_START_FRACTION: f64 = 0.8;
 
+/// Fraction of what an idle calendar grants a new program that is enough for it.
+const MIN_IDLE_FRACTION: f64 = 0.5;
+
 /// Slots after the present one in which a permit for a waiting request may begin.
 const WAIT_SLOTS: u64 = 1;
 
@@ -29,12 +32,14 @@
 const MIN_RETURNED: u32 = 2;
 
 /// Permits that an instance wants to reserve at a point in time.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// Waiting requests, programs in progress, and what else is expected, in this order.
     pub wanted: Vec<Wanted>,
     /// Number of permits for waiting requests.
     immediate: u32,
+    /// What the programs that begin are like.
+    program: Option<ProgramShape>,
     /// Class of the waiting requests.
     class: Class,
     /// First slot of the calendar that is used.
@@ -51,12 +56,12 @@
 }
 
 /// What permits are reserved for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Purpose {
     /// Number of requests that wait for a permit.
     pub waiting: u32,
-    /// Whether a program begins.
-    pub is_start: bool,
+    /// What the programs are like that they begin, if they do.
+    pub program: Option<ProgramShape>,
 }
 
 impl Plan {
@@ -72,7 +77,7 @@
         store_now: StoreTime,
         now: Time,
     ) -> Self {
-        let class = if purpose.is_start {
+        let class = if purpose.program.is_some() {
             Class::Start
         } else {
             Class::Progress
@@ -82,6 +87,7 @@
         let mut plan = Self {
             wanted: Vec::new(),
             immediate: purpose.waiting,
+            program: purpose.program,
             class,
             first,
         };
@@ -138,9 +144,21 @@
         self.first
     }
 
+    /// Returns whether programs wait to begin.
+    #[must_use]
+    pub const fn is_start(&self) -> bool {
+        self.program.is_some()
+    }
+
+    /// Returns whether requests of programs in progress wait.
+    #[must_use]
+    pub const fn serves_progress(&self) -> bool {
+        self.immediate > 0 && self.program.is_none()
+    }
+
     /// Reserves the permits in a calendar.
     #[must_use]
-    pub fn reserve(&self, calendar: &Calendar, returned: &[Granted]) -> Reserved {
+    pub fn reserve(&self, calendar: &Calendar, returned: &[Granted], row: u32) -> Reserved {
         let mut next = calendar.clone();
         next.advance(self.first);
         next.release(returned);
@@ -148,7 +166,7 @@
         let mut firm = 0;
         let mut missing = 0;
         for (index, wanted) in self.wanted.iter().enumerate() {
-            let new = next.reserve(&[*wanted]);
+            let new = next.reserve(&[*wanted], row);
             let count: u32 = new.iter().map(|new| new.count).sum();
             granted.extend(new);
             if index == 0 && self.immediate > 0 {
@@ -160,9 +178,12 @@
                 missing += wanted.count - count;
             }
         }
-        let is_start = self.immediate > 0 && self.class == Class::Start;
-        if is_start && f64::from(missing) > f64::from(firm) * (1.0 - MIN_START_FRACTION) {
-            return Reserved::Full(self.wait_ms(calendar, 1 + firm));
+        if let Some(program) = &self.program {
+            let accepted = accepted_shortage(program, &calendar.terms);
+            let lacking = f64::from(missing) - accepted;
+            if lacking > 0.0 {
+                return Reserved::Full(self.wait_ms(calendar, 1 + firm - missing + lacking as u32));
+            }
         }
         if granted.is_empty() && returned.is_empty() {
             return Reserved::Full(self.wait_ms(calendar, 1));
@@ -191,9 +212,43 @@
     need - f64::from(held) >= 1.0
 }
 
-/// Returns the permits that are held for later slots beyond what is expected, and removes them.
+/// Returns how many requests of a program may lack a permit when it begins. One that needs more than
+/// an idle account may use is not rejected for ever.
+#[must_use]
+pub fn accepted_shortage(program: &ProgramShape, terms: &Terms) -> f64 {
+    let slots = program.duration_ms / SLOT_MS as f64 + terms.validity as f64;
+    let idle = (terms.burst as f64 + terms.rate as f64 * slots) / PERMIT_PARTS as f64;
+    let needed = program.requests * MIN_START_FRACTION;
+    (program.requests - needed.min(idle * MIN_IDLE_FRACTION)).max(1.0)
+}
+
+/// Returns how many requests of programs in progress the held permits are expected not to cover.
+#[must_use]
+pub fn uncovered_requests(
+    demand: &Demand,
+    shapes: &ProgramShapes,
+    permits: &Permits,
+    store_now: StoreTime,
+    now: Time,
+) -> f64 {
+    let held = held_by_slot(permits, store_now.lower_ms / SLOT_MS);
+    let expected = Expected::new(demand, shapes, now);
+    let (mut uncovered, mut unused) = (0.0_f64, 0.0_f64);
+    for (held, need) in held.into_iter().zip(expected.firm) {
+        unused += f64::from(held);
+        uncovered += need;
+        let used = unused.min(uncovered);
+        uncovered -= used;
+        unused -= used;
+    }
+    uncovered
+}
+
+/// Returns the permits of a row that are held for later slots beyond what is expected, and removes
+/// them.
 pub fn take_surplus(
     permits: &mut Permits,
+    row: u32,
     demand: &Demand,
     shapes: &ProgramShapes,
     validity: u64,
@@ -217,7 +272,7 @@
     if surplus.iter().sum::<u32>() < MIN_RETURNED {
         return Vec::new();
     }
-    permits.take_surplus(|slot, count| {
+    permits.take_surplus(row, |slot, count| {
         let index = slot.checked_sub(present).map(|index| index as usize);
         let Some(surplus) = index.and_then(|index| surplus.get_mut(index)) else {
             return 0;
--- a/crates/core/tests/dispatch/quota.rs
+++ b/crates/core/tests/dispatch/quota.rs
@@ -19,7 +19,7 @@
 
 const PROGRAMS: Programs = Programs {
     requests: (5, 40),
-    duration_ms: (1_000, 5_000),
+    interval_ms: (100, 200),
 };
 
 fn quota(per_s: f64, burst: u32) -> Quota {
@@ -69,11 +69,11 @@
     let mut waits = counts.waited_ms.clone();
     waits.sort_unstable();
     let at = |share: f64| waits.get((waits.len() as f64 * share) as usize).copied().unwrap_or_default();
-    let expired = counts.reserved as f64 - counts.sent as f64;
+    let expired = site.expired() as f64;
     println!(
-        "{name}: offered {offered:.1}/s sent {} begun {} finished {} rejected {} broken {} waste {:.3} calls/request {:.3} wait p50 {} p95 {} p99 {}",
+        "{name}: offered {offered:.1}/s sent {} begun {} finished {} rejected {} broken {} waste {:.3} calls/request {:.3} (writes {:.3} conflicts {:.3}) wait p50 {} p95 {} p99 {}",
         counts.sent, counts.begun_programs, counts.finished_programs, counts.rejected_programs, counts.broken_programs,
-        expired / counts.reserved as f64, counts.calls as f64 / counts.sent as f64, at(0.5), at(0.95), at(0.99)
+        expired / (expired + counts.sent as f64), counts.calls as f64 / counts.sent as f64, counts.writes as f64 / counts.sent as f64, counts.conflicts as f64 / counts.sent as f64, at(0.5), at(0.95), at(0.99)
     );
 }
 
--- a/crates/core/tests/dispatch/quota/site.rs
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -21,6 +21,9 @@
 /// Time that the store spends on a transaction: it commits 150 a second.
 const TRANSACTION_MS: u64 = 7;
 
+/// Number of rows that are tried for waiting requests.
+const MAX_ROWS_TRIED: u32 = 3;
+
 /// Number of writes of a reservation.
 const MAX_WRITES: u32 = 6;
 
@@ -36,7 +39,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Programs {
     pub(crate) requests: (u32, u32),
-    pub(crate) duration_ms: (u64, u64),
+    /// Mean interval between the requests of a program.
+    pub(crate) interval_ms: (u64, u64),
 }
 
 #[derive(Clone, Debug)]
@@ -49,7 +53,7 @@
 
 #[derive(Clone, Debug)]
 enum Call {
-    Read,
+    Read(u32),
     Write(RowWrite),
 }
 
@@ -59,10 +63,12 @@
     Request { program: u64 },
     /// A waiting request tries again, or is rejected.
     Retry { instance: usize, waiter: Waiter },
+    /// A reservation goes on after a conflict.
+    Plan { instance: usize, epoch: u32, steps: Steps },
     /// The store executes a call.
     Execute { call: u64, instance: usize, epoch: u32, kind: Call, is_lost: bool, sent_ms: u64 },
     /// The response to a call arrives; the row and the store's time.
-    Response { call: u64, instance: usize, epoch: u32, is_done: bool, row: Option<(Calendar, u64)>, version: u64, now_ms: u64, sent_ms: u64 },
+    Response { call: u64, instance: usize, epoch: u32, is_done: bool, number: u32, row: Option<(Calendar, u64)>, version: u64, now_ms: u64, sent_ms: u64 },
     /// No response has arrived.
     Timeout { call: u64, instance: usize, epoch: u32 },
 }
@@ -75,15 +81,20 @@
     epoch: u32,
 }
 
+/// How far a reservation got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Steps {
+    writes: u32,
+    moves: u32,
+}
+
 /// A reservation whose call is in flight.
 #[derive(Clone, Debug)]
 struct InFlight {
     call: u64,
-    reservation: Reservation,
+    reservation: Option<Reservation>,
     write: Option<RowWrite>,
-    writes: u32,
-    is_start: bool,
-    rejects: Option<u64>,
+    steps: Steps,
 }
 
 #[derive(Default)]
@@ -111,8 +122,9 @@
     pub(crate) broken_programs: u64,
     pub(crate) begun_programs: u64,
     pub(crate) calls: u64,
+    pub(crate) conflicts: u64,
+    pub(crate) writes: u64,
     pub(crate) reserved: u64,
-    pub(crate) returned: u64,
     pub(crate) waited_ms: Vec<u64>,
 }
 
@@ -129,8 +141,8 @@
     next_number: u64,
     programs: BTreeMap<u64, Program>,
     next_program: u64,
-    row: Option<(Calendar, u64)>,
-    store_busy_until: u64,
+    rows: BTreeMap<u32, (Calendar, u64)>,
+    busy_until: BTreeMap<u32, u64>,
     done_calls: BTreeSet<u64>,
     rng: StdRng,
     route: Arc<str>,
@@ -156,8 +168,8 @@
             next_number: 0,
             programs: BTreeMap::new(),
             next_program: 0,
-            row: None,
-            store_busy_until: 0,
+            rows: BTreeMap::new(),
+            busy_until: BTreeMap::new(),
             done_calls: BTreeSet::new(),
             rng: StdRng::seed_from_u64(seed + 1),
             route: "chat".into(),
@@ -167,12 +179,12 @@
     /// Starts a program at an instance after a delay.
     pub(crate) fn add_program(&mut self, instance: usize, programs: Programs, at_ms: u64) {
         let requests = self.rng.random_range(programs.requests.0..=programs.requests.1);
-        let duration_ms = self.rng.random_range(programs.duration_ms.0..=programs.duration_ms.1);
+        let interval_ms = self.rng.random_range(programs.interval_ms.0..=programs.interval_ms.1);
         self.next_program += 1;
         let program = Program {
             instance,
             requests,
-            interval_ms: duration_ms / u64::from(requests),
+            interval_ms,
             sent: 0,
         };
         self.programs.insert(self.next_program, program);
@@ -180,6 +192,12 @@
         self.push(at_ms, Event::Request { program });
     }
 
+    /// Returns the number of permits that expired unused at the instances.
+    pub(crate) fn expired(&self) -> u64 {
+        let instances = self.instances.iter();
+        instances.map(|one| one.permits.permits().expired()).sum()
+    }
+
     /// Starts an instance with empty memory.
     pub(crate) fn kill(&mut self, instance: usize) {
         let old = &self.instances[instance];
@@ -231,6 +249,7 @@
         match event {
             Event::Request { program } => Some(self.programs.get(program)?.instance),
             Event::Retry { instance, .. }
+            | Event::Plan { instance, .. }
             | Event::Response { instance, .. }
             | Event::Timeout { instance, .. } => Some(*instance),
             Event::Execute { .. } => None,
@@ -264,6 +283,12 @@
                     self.acquire(instance, waiter);
                 }
             }
+            Event::Plan { instance, epoch, steps } => {
+                if self.instances[instance].epoch == epoch {
+                    self.instances[instance].in_flight = None;
+                    self.plan(instance, steps);
+                }
+            }
             Event::Execute { call, instance, epoch, kind, is_lost, sent_ms } => {
                 self.execute(call, (instance, epoch), kind, is_lost, sent_ms);
             }
@@ -274,7 +299,7 @@
                     self.wake(instance, None);
                 }
             }
-            Event::Response { call, instance, epoch, is_done, row, version, now_ms, sent_ms } => {
+            Event::Response { call, instance, epoch, is_done, number, row, version, now_ms, sent_ms } => {
                 if self.instances[instance].epoch != epoch {
                     return;
                 }
@@ -282,7 +307,7 @@
                 let sent = Time::from_ms(sent_ms);
                 self.instances[instance].clock.record(sent, received, now_ms);
                 if self.is_current(call, instance, epoch) {
-                    self.respond(instance, is_done, row, version);
+                    self.respond(instance, is_done, (number, row), version);
                 }
             }
         }
@@ -306,36 +331,34 @@
             since_ms: self.now_ms,
             epoch: instance.epoch,
         };
-        if waiter.is_start && self.store_now(program.instance).is_some() {
-            self.instances[program.instance].waiters.push(waiter);
-            self.reserve(program.instance, true);
-        } else {
-            self.acquire(program.instance, waiter);
-        }
+        self.acquire(program.instance, waiter);
     }
 
     /// Takes a permit, or waits for one.
     fn acquire(&mut self, instance: usize, waiter: Waiter) {
-        let store_now = self.store_now(instance);
-        let permit = store_now.and_then(|now| self.instances[instance].permits.take(now));
-        if let Some(permit) = permit {
+        if let Some(permit) = self.take(instance, waiter) {
             self.send(waiter, permit);
             let now = self.boot(instance);
+            let store_now = self.store_now(instance).unwrap();
             let one = &mut self.instances[instance];
-            let is_idle = one.in_flight.is_none();
-            if is_idle && let Some(store_now) = store_now
-                && one.permits.start_refill(&one.shapes, store_now, now)
-            {
-                self.reserve(instance, false);
+            if one.in_flight.is_none() && one.permits.start_refill(&one.shapes, store_now, now) {
+                self.reserve(instance);
             }
             return;
         }
-        if self.now_ms >= waiter.since_ms + MAX_WAIT_MS && self.instances[instance].in_flight.is_none() {
-            self.reject(waiter);
-            return;
-        }
         self.instances[instance].waiters.push(waiter);
-        self.reserve(instance, false);
+        self.reserve(instance);
+    }
+
+    /// Takes a permit that is held. A new program needs permits for the rest of it, too.
+    fn take(&mut self, instance: usize, waiter: Waiter) -> Option<Permit> {
+        let now = self.boot(instance);
+        let store_now = self.store_now(instance)?;
+        let one = &mut self.instances[instance];
+        if waiter.is_start && !one.permits.may_start(&one.shapes, store_now, now) {
+            return None;
+        }
+        one.permits.take(store_now)
     }
 
     fn send(&mut self, waiter: Waiter, _permit: Permit) {
@@ -363,7 +386,8 @@
         let Some(program) = self.programs.remove(&waiter.program) else {
             return;
         };
-        self.instances[program.instance].permits.cancel(waiter.program);
+        let one = &mut self.instances[program.instance];
+        one.permits.cancel(waiter.program, &mut one.shapes);
         self.counts.rejected_requests += 1;
         if program.sent == 0 {
             self.counts.rejected_programs += 1;
@@ -373,50 +397,64 @@
     }
 
     /// Starts a reservation if no call is in flight.
-    fn reserve(&mut self, instance: usize, is_start: bool) {
+    fn reserve(&mut self, instance: usize) {
         if self.instances[instance].in_flight.is_some() {
             return;
         }
         let now = self.boot(instance);
         let store_now = self.store_now(instance);
         let one = &mut self.instances[instance];
-        let waiting = one.waiters.len() as u32;
-        let purpose = Purpose { waiting, is_start };
-        let (Some(store_now), Some(terms)) = (store_now, one.terms) else {
-            // The first call only tells the store's time.
-            let known = StoreTime { lower_ms: 0, upper_ms: 0 };
-            let terms = one.terms.unwrap();
-            let reservation = one.permits.plan(purpose, terms, &mut one.shapes, known, now);
-            return self.call(instance, Call::Read, reservation, 0, is_start);
-        };
-        let reservation = one.permits.plan(purpose, terms, &mut one.shapes, store_now, now);
-        self.write(instance, reservation, 0, is_start);
+        if store_now.is_none() || one.permits.should_read(now) {
+            let row = one.permits.row();
+            return self.call(instance, Call::Read(row), None, Steps::default());
+        }
+        self.plan(instance, Steps::default());
     }
 
-    fn write(&mut self, instance: usize, reservation: Reservation, writes: u32, is_start: bool) {
+    fn plan(&mut self, instance: usize, steps: Steps) {
         let now = self.boot(instance);
-        match self.instances[instance].permits.write(&reservation, now) {
-            Ok(write) => self.call(instance, Call::Write(write), reservation, writes + 1, is_start),
-            Err(full) if full.is_certain || writes >= MAX_WRITES => {
-                self.instances[instance].permits.abandon(&reservation);
-                self.instances[instance].in_flight = None;
+        let store_now = self.store_now(instance).unwrap();
+        let one = &mut self.instances[instance];
+        let starting = one.waiters.iter().filter(|waiter| waiter.is_start).count();
+        let waiting = one.waiters.len() - starting;
+        let is_start = waiting == 0 && starting > 0;
+        let purpose = Purpose {
+            waiting: if is_start { starting } else { waiting } as u32,
+            program: is_start.then(|| one.shapes.get(&self.route)),
+        };
+        let terms = one.terms.unwrap();
+        let reservation = one.permits.plan(purpose, terms, &mut one.shapes, store_now, now);
+        match one.permits.write(&reservation, now) {
+            Ok(write) => self.call(instance, Call::Write(write), Some(reservation), Steps { writes: steps.writes + 1, ..steps }),
+            Err(full) => {
+                one.permits.abandon(&reservation);
+                if !full.is_certain && steps.writes < MAX_WRITES {
+                    let row = one.permits.row();
+                    return self.call(instance, Call::Read(row), None, steps);
+                }
+                if terms.rows > 1 {
+                    one.permits.change_row(terms, self.rng.random());
+                }
+                if steps.moves + 1 < terms.rows.min(MAX_ROWS_TRIED) && !one.waiters.is_empty() {
+                    let steps = Steps { moves: steps.moves + 1, ..steps };
+                    return self.plan(instance, steps);
+                }
                 self.wake(instance, Some((is_start, full.wait_ms)));
             }
-            Err(_) => self.call(instance, Call::Read, reservation, writes + 1, is_start),
         }
     }
 
-    fn call(&mut self, instance: usize, kind: Call, reservation: Reservation, writes: u32, is_start: bool) {
+    fn call(&mut self, instance: usize, kind: Call, reservation: Option<Reservation>, steps: Steps) {
         self.counts.calls += 1;
         self.next_number += 1;
         let call = self.next_number;
         let epoch = self.instances[instance].epoch;
         let sent_ms = self.boot(instance).as_ms();
         let write = match &kind {
-            Call::Read => None,
+            Call::Read(_) => None,
             Call::Write(write) => Some(write.clone()),
         };
-        self.instances[instance].in_flight = Some(InFlight { call, reservation, write, writes, is_start, rejects: None });
+        self.instances[instance].in_flight = Some(InFlight { call, reservation, write, steps });
         let draw = self.rng.random_range(0..1_000);
         let late_ms = if draw < self.faults.late { self.rng.random_range(500..6_000) } else { 0 };
         let is_lost = self.rng.random_range(0..1_000) < self.faults.lost;
@@ -431,33 +469,39 @@
     }
 
     fn execute(&mut self, call: u64, (instance, epoch): (usize, u32), kind: Call, is_lost: bool, sent_ms: u64) {
-        if let Call::Write(_) = kind && self.store_busy_until > self.now_ms {
-            let at_ms = self.store_busy_until;
-            return self.push(at_ms, Event::Execute { call, instance, epoch, kind, is_lost, sent_ms });
+        let number = match &kind {
+            Call::Read(number) => *number,
+            Call::Write(write) => write.row,
+        };
+        let busy_until = self.busy_until.get(&number).copied().unwrap_or_default();
+        if let Call::Write(_) = kind && busy_until > self.now_ms {
+            return self.push(busy_until, Event::Execute { call, instance, epoch, kind, is_lost, sent_ms });
         }
         let mut is_done = true;
         if let Call::Write(write) = kind {
-            self.store_busy_until = self.now_ms + TRANSACTION_MS;
-            let version = self.row.as_ref().map_or(0, |row| row.1);
-            is_done = version == write.version;
+            self.busy_until.insert(number, self.now_ms + TRANSACTION_MS);
+            is_done = self.rows.get(&number).map_or(0, |row| row.1) == write.version;
+            self.counts.writes += 1;
+            self.counts.conflicts += u64::from(!is_done);
             if is_done {
                 if self.done_calls.insert(call) {
                     self.counts.reserved += write.granted.iter().map(|one| u64::from(one.count)).sum::<u64>();
                 }
                 self.next_number += 1;
-                self.row = Some((write.calendar, self.next_number));
+                self.rows.insert(number, (write.calendar, self.next_number));
             }
         }
         if is_lost {
             return;
         }
-        let (row, version) = (self.row.clone(), self.row.as_ref().map_or(0, |row| row.1));
+        let row = self.rows.get(&number).cloned();
+        let version = row.as_ref().map_or(0, |row| row.1);
         let at_ms = self.now_ms + self.rng.random_range(3..9);
         let now_ms = self.now_ms;
-        self.push(at_ms, Event::Response { call, instance, epoch, is_done, row, version, now_ms, sent_ms });
+        self.push(at_ms, Event::Response { call, instance, epoch, is_done, number, row, version, now_ms, sent_ms });
     }
 
-    fn respond(&mut self, instance: usize, is_done: bool, row: Option<(Calendar, u64)>, version: u64) {
+    fn respond(&mut self, instance: usize, is_done: bool, (number, row): (u32, Option<(Calendar, u64)>), version: u64) {
         let now = self.boot(instance);
         let Some(in_flight) = self.instances[instance].in_flight.take() else {
             return;
@@ -469,17 +513,22 @@
                 self.wake(instance, None);
             }
             _ => {
-                let is_first = in_flight.writes == 0;
-                permits.record_row(row, now);
-                if is_first {
-                    permits.abandon(&in_flight.reservation);
-                    return self.reserve(instance, in_flight.is_start);
+                permits.record_row(number, row, now);
+                if let Some(reservation) = in_flight.reservation {
+                    permits.abandon(&reservation);
                 }
-                if in_flight.writes >= MAX_WRITES {
-                    permits.abandon(&in_flight.reservation);
+                let steps = in_flight.steps;
+                if steps.writes >= MAX_WRITES {
                     return self.wake(instance, None);
                 }
-                self.write(instance, in_flight.reservation, in_flight.writes, in_flight.is_start);
+                if steps.writes < 2 {
+                    return self.plan(instance, steps);
+                }
+                let epoch = self.instances[instance].epoch;
+                let pause = self.rng.random_range(0..10 << steps.writes);
+                let in_flight = InFlight { call: 0, reservation: None, write: None, steps };
+                self.instances[instance].in_flight = Some(in_flight);
+                self.push(self.now_ms + pause, Event::Plan { instance, epoch, steps });
             }
         }
     }
@@ -488,21 +537,14 @@
     /// too long are rejected.
     fn wake(&mut self, instance: usize, full: Option<(bool, u64)>) {
         for waiter in std::mem::take(&mut self.instances[instance].waiters) {
-            let store_now = self.store_now(instance);
-            let permits = &mut self.instances[instance].permits;
-            let permit = store_now.and_then(|now| permits.take(now));
             let waited_ms = self.now_ms - waiter.since_ms;
-            match (permit, full) {
-                _ if waiter.is_start && full.is_some_and(|full| full.0) => {
-                    if let Some(permit) = permit {
-                        permits.give_back(permit);
-                    }
-                    self.reject(waiter);
-                }
+            match (self.take(instance, waiter), full) {
                 (Some(permit), _) => self.send(waiter, permit),
+                (None, Some(_)) if waiter.is_start && full.is_some_and(|full| full.0) => self.reject(waiter),
                 (None, Some((_, wait_ms))) if waited_ms + wait_ms > MAX_WAIT_MS => self.reject(waiter),
+                (None, _) if waited_ms > 2 * MAX_WAIT_MS => self.reject(waiter),
                 (None, full) => {
-                    let wait_ms = full.map_or(20, |full| full.1);
+                    let wait_ms = full.map_or_else(|| self.rng.random_range(1..20), |full| full.1);
                     self.push(self.now_ms + wait_ms, Event::Retry { instance, waiter });
                 }
             }
