Spread instances over rows, pause after conflicts, return unneeded permits

Change: instances begin at a random row, read a contended row before writing, and return surplus permits.

--- a/crates/core/src/dispatch/quota.rs
+++ b/crates/core/src/dispatch/quota.rs
@@ -18,7 +18,7 @@
 pub use demand::{Demand, ProgramShape, ProgramShapes};
 pub use permits::{Permit, Permits};
 pub use plan::{Plan, Purpose, Reserved};
-use plan::{needs_refill, take_surplus, uncovered_requests};
+use plan::{needs_refill, surplus, take_surplus, uncovered_requests};
 pub use store_clock::{StoreClock, StoreTime};
 
 use super::account::Quota;
--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Calendar, Demand, Granted, Permit, Permits, Plan, ProgramShapes, Purpose, Reserved, StoreTime,
-    Terms, needs_refill, take_surplus, uncovered_requests,
+    Terms, needs_refill, surplus, take_surplus, uncovered_requests,
 };
 use crate::clock::Time;
 
@@ -16,9 +16,21 @@
 /// returned permits since.
 const ROW_MAX_AGE_MS: u64 = 300;
 
+/// Limits on the pause after a conflict, in milliseconds: the duration of a transaction, and the time
+/// that a program in progress waits for a permit.
+const MIN_BACKOFF_MS: u64 = 8;
+const MAX_BACKOFF_MS: u64 = 300;
+
+/// Surplus from which on permits are returned in the background.
+const MIN_RETURNED: u32 = 4;
+
 /// Time for which no program begins after one in progress lacked permits, in milliseconds.
 const SHORTAGE_MS: u64 = 1_000;
 
+/// Age up to which a row that other instances change is written without reading it again, in
+/// milliseconds. A read is faster than a write that fails.
+const WRITE_MAX_AGE_MS: u64 = 30;
+
 /// Interval after a background call that got nothing, in milliseconds.
 const FULL_INTERVAL_MS: u64 = 1_000;
 
@@ -31,8 +43,12 @@
     /// Number of the row that is used.
     row: u32,
     refill_at: Time,
-    /// When programs may begin again after one in progress lacked permits.
+    /// When programs may begin again after one in progress lacked permits, or all rows were full.
     start_at: Time,
+    /// Limit on the pause after a conflict, in milliseconds.
+    backoff_ms: u64,
+    /// When the next call may start.
+    call_at: Time,
 }
 
 /// A row as last known.
@@ -79,6 +95,16 @@
 }
 
 impl AccountPermits {
+    /// Creates the state of an account without permits. `draw` is a random number, which spreads the
+    /// instances over the rows.
+    #[must_use]
+    pub fn new(draw: u32) -> Self {
+        Self {
+            row: draw,
+            ..Self::default()
+        }
+    }
+
     /// Records a request. `program` is the hash of its program's id, if it has one. Returns whether it
     /// is the first one of its program at this instance.
     pub fn record(
@@ -155,15 +181,43 @@
         };
     }
 
-    /// Returns whether the row should be read before it is written, as another instance has probably
-    /// changed it.
-    #[must_use]
-    pub fn should_read(&self, now: Time) -> bool {
+    /// Begins a call. Returns whether the row should be read before it is written, as another instance
+    /// has probably changed it.
+    pub fn start_call(&mut self, terms: Terms, now: Time) -> bool {
+        self.row %= terms.rows;
         self.rows.get(&self.row).is_none_or(|known| {
-            known.is_contended && now.since(known.at) >= ROW_MAX_AGE_MS
+            known.is_contended && now.since(known.at) >= WRITE_MAX_AGE_MS
         })
     }
 
+    /// Returns whether permits beyond what is expected should be returned in the background. If so, the
+    /// next background call may start after an interval.
+    pub fn start_return(
+        &mut self,
+        shapes: &mut ProgramShapes,
+        store_now: StoreTime,
+        now: Time,
+    ) -> bool {
+        if now < self.refill_at || self.permits.count() == 0 {
+            return false;
+        }
+        self.demand.end_programs(shapes, now);
+        self.permits.expire(store_now);
+        let row = self.row;
+        let validity = self.validity(row).unwrap_or(1);
+        let surplus = surplus(&self.permits, &self.demand, shapes, validity, store_now, now);
+        let is_due = surplus >= MIN_RETURNED;
+        if is_due {
+            self.refill_at = now.after(REFILL_INTERVAL_MS);
+        }
+        is_due
+    }
+
+    fn validity(&self, row: u32) -> Option<u64> {
+        let calendar = self.rows.get(&row)?.calendar.as_ref()?;
+        Some(calendar.terms.validity)
+    }
+
     /// Begins a reservation. Permits beyond what is expected are given up.
     pub fn plan(
         &mut self,
@@ -175,10 +229,7 @@
     ) -> Reservation {
         self.demand.end_programs(shapes, now);
         self.permits.expire(store_now);
-        self.row %= terms.rows;
-        let known = self.rows.get(&self.row);
-        let calendar = known.and_then(|known| known.calendar.as_ref());
-        let validity = calendar.map_or(terms, |calendar| calendar.terms).validity;
+        let validity = self.validity(self.row).unwrap_or(terms.validity);
         let returned = take_surplus(
             &mut self.permits,
             self.row,
@@ -248,8 +299,34 @@
         self.permits.add(&reservation.returned);
     }
 
+    /// Records that another instance changed the row before a write. The next call waits for a random
+    /// time, which grows while writes conflict, so that one row does not get more writes than the store
+    /// commits. `draw` is a random number.
+    pub fn record_conflict(&mut self, draw: u64, now: Time) {
+        // The first conflict tells that the row was changed since it was read last, which is usual.
+        if self.backoff_ms > 0 {
+            self.call_at = now.after(draw % self.backoff_ms);
+        }
+        self.backoff_ms = (self.backoff_ms * 2).clamp(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
+    }
+
+    /// Returns the milliseconds until the next call may start.
+    #[must_use]
+    pub const fn pause_ms(&self, now: Time) -> u64 {
+        self.call_at.since(now)
+    }
+
+    /// Records that no row had room for a new program.
+    pub fn record_full(&mut self, now: Time) {
+        // Without other instances, the row tells at no cost when there is room.
+        if self.rows.values().any(|known| known.is_contended) {
+            self.start_at = self.start_at.max(now.after(ROW_MAX_AGE_MS));
+        }
+    }
+
     /// Records that the store confirmed a write, which created `version`.
     pub fn confirm(&mut self, write: RowWrite, version: u64, now: Time) {
+        self.backoff_ms /= 2;
         self.permits.add(&write.granted);
         let is_contended = self.rows.get(&write.row).is_some_and(|known| known.is_contended);
         let known = KnownRow {
--- a/crates/core/src/dispatch/quota/calendar.rs
+++ b/crates/core/src/dispatch/quota/calendar.rs
@@ -21,7 +21,7 @@
         match self {
             Self::Progress => 0,
             Self::Start => capacity / 4,
-            Self::Spare => capacity / 2,
+            Self::Spare => terms.burst,
         }
     }
 }
--- a/crates/core/src/dispatch/quota/permits.rs
+++ b/crates/core/src/dispatch/quota/permits.rs
@@ -83,6 +83,14 @@
         taken
     }
 
+    /// Returns the milliseconds until a permit that is held becomes valid.
+    #[must_use]
+    pub fn next_valid_ms(&self, now: StoreTime) -> Option<u64> {
+        let slots = self.counts.keys().map(|permit| permit.slot);
+        let starts = slots.map(|slot| (slot * SLOT_MS).saturating_sub(now.lower_ms));
+        starts.filter(|ms| *ms > 0).min()
+    }
+
     /// Returns the number of permits by slot, in no order.
     pub fn by_slot(&self) -> impl Iterator<Item = (u64, u32)> {
         self.counts.iter().map(|(permit, count)| (permit.slot, *count))
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -256,19 +256,7 @@
     now: Time,
 ) -> Vec<Granted> {
     let present = store_now.upper_ms / SLOT_MS;
-    let held = held_by_slot(permits, present);
-    let expected = Expected::new(demand, shapes, now);
-    let mut surplus = [0_u32; SLOTS];
-    let (mut have, mut total) = (0.0, 1.0 + expected.stock(validity));
-    for index in 0..SLOTS {
-        total += expected.total[index];
-        have += f64::from(held[index]);
-        if index > 0 {
-            let excess = (have - total).floor().clamp(0.0, f64::from(held[index]));
-            surplus[index] = excess as u32;
-            have -= excess;
-        }
-    }
+    let mut surplus = surplus_by_slot(permits, demand, shapes, validity, present, now);
     if surplus.iter().sum::<u32>() < MIN_RETURNED {
         return Vec::new();
     }
@@ -283,6 +271,46 @@
     })
 }
 
+/// Returns the number of permits that are held for later slots beyond what is expected.
+#[must_use]
+pub fn surplus(
+    permits: &Permits,
+    demand: &Demand,
+    shapes: &ProgramShapes,
+    validity: u64,
+    store_now: StoreTime,
+    now: Time,
+) -> u32 {
+    let present = store_now.upper_ms / SLOT_MS;
+    let surplus = surplus_by_slot(permits, demand, shapes, validity, present, now);
+    surplus.iter().sum()
+}
+
+fn surplus_by_slot(
+    permits: &Permits,
+    demand: &Demand,
+    shapes: &ProgramShapes,
+    validity: u64,
+    present: u64,
+    now: Time,
+) -> [u32; SLOTS] {
+    let held = held_by_slot(permits, present);
+    let expected = Expected::new(demand, shapes, now);
+    let mut surplus = [0; SLOTS];
+    let (mut have, mut total) = (0.0, 1.0 + expected.stock(validity));
+    for (index, held) in held.into_iter().enumerate() {
+        total += expected.total[index];
+        have += f64::from(held);
+        // The call takes until the next slot.
+        if index > 0 {
+            let excess = (have - total).floor().clamp(0.0, f64::from(held));
+            surplus[index] = excess as u32;
+            have -= excess;
+        }
+    }
+    surplus
+}
+
 /// Requests that are expected per slot.
 struct Expected {
     /// Of programs in progress.
@@ -296,7 +324,7 @@
         let firm = demand.of_programs::<SLOTS>(shapes, now);
         let mean = demand.per_slot(now);
         // Programs that begin later replace those that end.
-        let total = firm.map(|firm| firm.max(mean) * (1.0 + MARGIN));
+        let total = firm.map(|firm| (firm + 0.0 * mean) * (1.0 + MARGIN));
         Self { firm, total }
     }
 
--- a/crates/core/tests/dispatch/quota/site.rs
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -21,11 +21,14 @@
 /// Time that the store spends on a transaction: it commits 150 a second.
 const TRANSACTION_MS: u64 = 7;
 
+/// Interval at which permits beyond what is expected are returned.
+const SWEEP_INTERVAL_MS: u64 = 250;
+
 /// Number of rows that are tried for waiting requests.
 const MAX_ROWS_TRIED: u32 = 3;
 
 /// Number of writes of a reservation.
-const MAX_WRITES: u32 = 6;
+const MAX_WRITES: u32 = 3;
 
 /// Faults of the calls, in thousandths of them.
 #[derive(Clone, Copy, Debug, Default)]
@@ -63,6 +66,8 @@
     Request { program: u64 },
     /// A waiting request tries again, or is rejected.
     Retry { instance: usize, waiter: Waiter },
+    /// Permits beyond what is expected are returned.
+    Sweep { instance: usize },
     /// A reservation goes on after a conflict.
     Plan { instance: usize, epoch: u32, steps: Steps },
     /// The store executes a call.
@@ -155,9 +160,10 @@
             offset_ms: rng.random_range(0..1_000_000),
             drift_ppm: rng.random_range(-400..400),
             terms: Some(terms),
+            permits: AccountPermits::new(rng.random()),
             ..Instance::default()
         };
-        Self {
+        let mut site = Self {
             now_ms: 10_000,
             counts: Counts::default(),
             sent_at: Vec::new(),
@@ -173,7 +179,11 @@
             done_calls: BTreeSet::new(),
             rng: StdRng::seed_from_u64(seed + 1),
             route: "chat".into(),
+        };
+        for instance in 0..instances {
+            site.push(site.now_ms + instance as u64, Event::Sweep { instance });
         }
+        site
     }
 
     /// Starts a program at an instance after a delay.
@@ -202,6 +212,7 @@
     pub(crate) fn kill(&mut self, instance: usize) {
         let old = &self.instances[instance];
         let new = Instance {
+            permits: AccountPermits::new(self.rng.random()),
             offset_ms: old.offset_ms,
             drift_ppm: old.drift_ppm,
             epoch: old.epoch + 1,
@@ -249,6 +260,7 @@
         match event {
             Event::Request { program } => Some(self.programs.get(program)?.instance),
             Event::Retry { instance, .. }
+            | Event::Sweep { instance }
             | Event::Plan { instance, .. }
             | Event::Response { instance, .. }
             | Event::Timeout { instance, .. } => Some(*instance),
@@ -283,10 +295,21 @@
                     self.acquire(instance, waiter);
                 }
             }
+            Event::Sweep { instance } => {
+                self.push(self.now_ms + SWEEP_INTERVAL_MS, Event::Sweep { instance });
+                let now = self.boot(instance);
+                let Some(store_now) = self.store_now(instance) else {
+                    return;
+                };
+                let one = &mut self.instances[instance];
+                if one.in_flight.is_none() && one.permits.start_return(&mut one.shapes, store_now, now) {
+                    self.reserve(instance);
+                }
+            }
             Event::Plan { instance, epoch, steps } => {
                 if self.instances[instance].epoch == epoch {
                     self.instances[instance].in_flight = None;
-                    self.plan(instance, steps);
+                    self.begin(instance, steps);
                 }
             }
             Event::Execute { call, instance, epoch, kind, is_lost, sent_ms } => {
@@ -383,6 +406,15 @@
     }
 
     fn reject(&mut self, waiter: Waiter) {
+        if std::env::var("DBG").is_ok() && !waiter.is_start {
+            let i = self.programs.get(&waiter.program).map_or(0, |p| p.instance);
+            let p = self.programs.get(&waiter.program).cloned();
+            let c = self.rows.get(&0).unwrap().0.clone();
+            let slot = self.now_ms / 250;
+            let mut held: Vec<_> = self.instances[i].permits.permits().by_slot().map(|(s, n)| (s as i64 - slot as i64, n)).collect();
+            held.sort();
+            println!("REJ {} since {} {:?} held {:?} cal first {} level {} {:?} shape {:?}", self.now_ms, waiter.since_ms, p, held, c.first as i64 - slot as i64, c.level, c.reserved, self.instances[i].shapes.get("chat"));
+        }
         let Some(program) = self.programs.remove(&waiter.program) else {
             return;
         };
@@ -402,13 +434,15 @@
             return;
         }
         let now = self.boot(instance);
-        let store_now = self.store_now(instance);
         let one = &mut self.instances[instance];
-        if store_now.is_none() || one.permits.should_read(now) {
-            let row = one.permits.row();
-            return self.call(instance, Call::Read(row), None, Steps::default());
+        let pause = one.permits.pause_ms(now);
+        if pause == 0 {
+            return self.begin(instance, Steps::default());
         }
-        self.plan(instance, Steps::default());
+        let epoch = one.epoch;
+        let steps = Steps::default();
+        one.in_flight = Some(InFlight { call: 0, reservation: None, write: None, steps });
+        self.push(self.now_ms + pause, Event::Plan { instance, epoch, steps });
     }
 
     fn plan(&mut self, instance: usize, steps: Steps) {
@@ -516,38 +550,63 @@
                 permits.record_row(number, row, now);
                 if let Some(reservation) = in_flight.reservation {
                     permits.abandon(&reservation);
+                    permits.record_conflict(self.rng.random(), now);
                 }
                 let steps = in_flight.steps;
                 if steps.writes >= MAX_WRITES {
                     return self.wake(instance, None);
                 }
-                if steps.writes < 2 {
-                    return self.plan(instance, steps);
-                }
-                let epoch = self.instances[instance].epoch;
-                let pause = self.rng.random_range(0..10 << steps.writes);
-                let in_flight = InFlight { call: 0, reservation: None, write: None, steps };
-                self.instances[instance].in_flight = Some(in_flight);
-                self.push(self.now_ms + pause, Event::Plan { instance, epoch, steps });
+                self.plan(instance, steps);
             }
         }
     }
 
+    /// Reads the row if it is needed, and writes it.
+    fn begin(&mut self, instance: usize, steps: Steps) {
+        let now = self.boot(instance);
+        let store_now = self.store_now(instance);
+        let one = &mut self.instances[instance];
+        let should_read = one.permits.start_call(one.terms.unwrap(), now);
+        if store_now.is_none() || should_read {
+            let row = one.permits.row();
+            return self.call(instance, Call::Read(row), None, steps);
+        }
+        self.plan(instance, steps);
+    }
+
     /// Lets the waiting requests go on after a call. If the calendar is full, those that have to wait
     /// too long are rejected.
     fn wake(&mut self, instance: usize, full: Option<(bool, u64)>) {
         for waiter in std::mem::take(&mut self.instances[instance].waiters) {
-            let waited_ms = self.now_ms - waiter.since_ms;
-            match (self.take(instance, waiter), full) {
-                (Some(permit), _) => self.send(waiter, permit),
-                (None, Some(_)) if waiter.is_start && full.is_some_and(|full| full.0) => self.reject(waiter),
-                (None, Some((_, wait_ms))) if waited_ms + wait_ms > MAX_WAIT_MS => self.reject(waiter),
-                (None, _) if waited_ms > 2 * MAX_WAIT_MS => self.reject(waiter),
-                (None, full) => {
-                    let wait_ms = full.map_or_else(|| self.rng.random_range(1..20), |full| full.1);
-                    self.push(self.now_ms + wait_ms, Event::Retry { instance, waiter });
+            if let Some(permit) = self.take(instance, waiter) {
+                self.send(waiter, permit);
+                continue;
+            }
+            let Some((is_start, wait_ms)) = full else {
+                let wait_ms = self.rng.random_range(1..20);
+                self.wait(instance, waiter, wait_ms);
+                continue;
+            };
+            if waiter.is_start {
+                let now = self.boot(instance);
+                if is_start {
+                    self.instances[instance].permits.record_full(now);
                 }
+                let wait_ms = if is_start { u64::MAX } else { 20 };
+                self.wait(instance, waiter, wait_ms);
+                continue;
             }
+            let store_now = self.store_now(instance).unwrap();
+            let next_ms = self.instances[instance].permits.permits().next_valid_ms(store_now);
+            self.wait(instance, waiter, wait_ms.min(next_ms.unwrap_or(u64::MAX)));
+        }
+    }
+
+    fn wait(&mut self, instance: usize, waiter: Waiter, ms: u64) {
+        let waited_ms = self.now_ms - waiter.since_ms;
+        if waited_ms.saturating_add(ms) > MAX_WAIT_MS {
+            return self.reject(waiter);
         }
+        self.push(self.now_ms + ms, Event::Retry { instance, waiter });
     }
 }
