Give the accepted excess to the rate of the calendar

Cause: a part of the permits expires unused. Change: the rule's excess goes to the rate, what is left to the validity of permits and the burst.

--- a/crates/core/src/dispatch/quota.rs
+++ b/crates/core/src/dispatch/quota.rs
@@ -91,36 +91,42 @@
 impl Terms {
     /// Derives the terms from a quota, so that the rule holds without its tolerance.
     ///
-    /// What the rule accepts beyond the rate is divided between the burst and the validity of permits.
-    /// A longer validity lets an instance absorb uneven arrivals with fewer unused permits, and takes
-    /// nothing from an account that was idle: the slots whose permits are still valid add up to what
-    /// the burst is short of.
+    /// The excess that the rule accepts goes to the rate, as a part of the permits expires unused. What
+    /// is left beyond the rate goes to the validity of permits before the burst: it lets an instance
+    /// absorb uneven arrivals, and takes nothing from an account that was idle, as the slots whose
+    /// permits are still valid add up to what the burst is short of.
     #[must_use]
     pub fn new(quota: Quota, rule: &Rule, version: u64) -> Self {
-        let rate = quota.rate.milli_per_s() as f64;
-        let burst = f64::from(quota.burst) * PERMIT_PARTS as f64;
+        let quota_rate = quota.rate.milli_per_s() as f64;
+        let one = PERMIT_PARTS as f64;
+        let quota_burst = f64::from(quota.burst) * one;
         let window_slots = rule.window_ms.div_ceil(SLOT_MS) as f64;
         let accepted = {
             let window = rule.window_ms as f64 / SLOT_MS as f64;
-            (rate * window + burst) * (1.0 + rule.excess)
+            (quota_rate * window + quota_burst) * (1.0 + rule.excess)
         };
-        let one = PERMIT_PARTS as f64;
-        let beyond = accepted - rate * window_slots;
-        let min_burst = (burst / 4.0).max(one);
-        let slots = ((beyond - min_burst) / rate).floor();
-        let validity = slots.clamp(1.0, MAX_VALIDITY_SLOTS as f64);
-        let burst = (beyond - validity * rate).min(burst).max(one);
+        let min_burst = (quota_burst / 4.0).max(one);
+        let max_rate = quota_rate * (1.0 + rule.excess);
+        let rate_of = |validity: u64| (accepted - min_burst) / (window_slots + validity as f64);
+        let longest = |rate: f64, shortest: u64| {
+            let validities = (shortest..=MAX_VALIDITY_SLOTS).rev();
+            validities.into_iter().find(|validity| rate_of(*validity) >= rate)
+        };
+        let validity = longest(max_rate, 2).or_else(|| longest(quota_rate, 1));
+        let validity = validity.unwrap_or(1);
         // A burst of one permit may be more than the rule accepts beyond the rate.
-        let mut rate = rate.min((accepted - burst) / (window_slots + validity));
+        let mut rate = rate_of(validity).min(max_rate);
         if rate < 1.0 && rule.tolerance > 0 {
-            rate = quota.rate.milli_per_s() as f64;
+            rate = quota_rate;
         }
+        let burst = accepted - rate * (window_slots + validity as f64);
+        let burst = burst.min(quota_burst).max(one);
         let rows = (quota.rate.per_s() / MAX_ROW_RATE).min(burst / one) as u32;
         let rows = rows.clamp(1, MAX_ROWS);
         Self {
             rate: rate as i64 / i64::from(rows),
             burst: burst as i64 / i64::from(rows),
-            validity: validity as u64,
+            validity,
             rows,
             version,
         }
--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -16,10 +16,10 @@
 /// returned permits since.
 const ROW_MAX_AGE_MS: u64 = 300;
 
-/// Limits on the pause after a conflict, in milliseconds: the duration of a transaction, and the time
-/// that a program in progress waits for a permit.
+/// Limits on the pause after a conflict, in milliseconds: the duration of a transaction, and a time in
+/// which the store commits a transaction for each of some hundred instances.
 const MIN_BACKOFF_MS: u64 = 8;
-const MAX_BACKOFF_MS: u64 = 300;
+const MAX_BACKOFF_MS: u64 = 1_000;
 
 /// Surplus from which on permits are returned in the background.
 const MIN_RETURNED: u32 = 4;
@@ -203,8 +203,11 @@
         }
         self.demand.end_programs(shapes, now);
         self.permits.expire(store_now);
-        let row = self.row;
-        let validity = self.validity(row).unwrap_or(1);
+        let calendar = self.rows.get(&self.row);
+        let Some(calendar) = calendar.and_then(|known| known.calendar.as_ref()) else {
+            return false;
+        };
+        let validity = calendar.terms.validity;
         let surplus = surplus(&self.permits, &self.demand, shapes, validity, store_now, now);
         let is_due = surplus >= MIN_RETURNED;
         if is_due {
@@ -299,9 +302,9 @@
         self.permits.add(&reservation.returned);
     }
 
-    /// Records that another instance changed the row before a write. The next call waits for a random
-    /// time, which grows while writes conflict, so that one row does not get more writes than the store
-    /// commits. `draw` is a random number.
+    /// Records that another instance changed the row before a write. The next call that is not for a
+    /// program in progress waits for a random time, which grows while writes conflict, so that one row
+    /// does not get more writes than the store commits. `draw` is a random number.
     pub fn record_conflict(&mut self, draw: u64, now: Time) {
         // The first conflict tells that the row was changed since it was read last, which is usual.
         if self.backoff_ms > 0 {
@@ -310,7 +313,7 @@
         self.backoff_ms = (self.backoff_ms * 2).clamp(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
     }
 
-    /// Returns the milliseconds until the next call may start.
+    /// Returns the milliseconds until the next call may start that is not for a program in progress.
     #[must_use]
     pub const fn pause_ms(&self, now: Time) -> u64 {
         self.call_at.since(now)
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -12,6 +12,10 @@
 /// Number of slots whose demand is reserved at least: 2 s.
 const MIN_RESERVED_SLOTS: usize = 8;
 
+/// Deficit of the next seconds from which on permits are reserved in the background, as a fraction of
+/// the demand. Smaller ones come from the variation of the expected demand.
+const MIN_DEFICIT: f64 = 0.3;
+
 /// Permits beyond the mean demand, as a fraction of it. Permits expire unused while few requests come.
 const MARGIN: f64 = 0.1;
 
@@ -208,8 +212,8 @@
     let held = held_by_slot(permits, store_now.lower_ms / SLOT_MS);
     let expected = Expected::new(demand, shapes, now);
     let held: u32 = held[..MIN_RESERVED_SLOTS].iter().sum();
-    let need: f64 = expected.total[..MIN_RESERVED_SLOTS].iter().sum();
-    need - f64::from(held) >= 1.0
+    let need: f64 = expected.firm[..MIN_RESERVED_SLOTS].iter().sum();
+    need - f64::from(held) >= (need * MIN_DEFICIT).max(1.0)
 }
 
 /// Returns how many requests of a program may lack a permit when it begins. One that needs more than
--- a/crates/core/tests/dispatch/quota.rs
+++ b/crates/core/tests/dispatch/quota.rs
@@ -69,6 +69,7 @@
     let mut waits = counts.waited_ms.clone();
     waits.sort_unstable();
     let at = |share: f64| waits.get((waits.len() as f64 * share) as usize).copied().unwrap_or_default();
+    println!("{:?}", counts.kinds);
     let expired = site.expired() as f64;
     println!(
         "{name}: offered {offered:.1}/s sent {} begun {} finished {} rejected {} broken {} waste {:.3} calls/request {:.3} (writes {:.3} conflicts {:.3}) wait p50 {} p95 {} p99 {}",
--- a/crates/core/tests/dispatch/quota/site.rs
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -68,8 +68,6 @@
     Retry { instance: usize, waiter: Waiter },
     /// Permits beyond what is expected are returned.
     Sweep { instance: usize },
-    /// A reservation goes on after a conflict.
-    Plan { instance: usize, epoch: u32, steps: Steps },
     /// The store executes a call.
     Execute { call: u64, instance: usize, epoch: u32, kind: Call, is_lost: bool, sent_ms: u64 },
     /// The response to a call arrives; the row and the store's time.
@@ -131,6 +129,7 @@
     pub(crate) writes: u64,
     pub(crate) reserved: u64,
     pub(crate) waited_ms: Vec<u64>,
+    pub(crate) kinds: BTreeMap<String, u64>,
 }
 
 /// All instances and the store.
@@ -261,7 +260,6 @@
             Event::Request { program } => Some(self.programs.get(program)?.instance),
             Event::Retry { instance, .. }
             | Event::Sweep { instance }
-            | Event::Plan { instance, .. }
             | Event::Response { instance, .. }
             | Event::Timeout { instance, .. } => Some(*instance),
             Event::Execute { .. } => None,
@@ -306,12 +304,6 @@
                     self.reserve(instance);
                 }
             }
-            Event::Plan { instance, epoch, steps } => {
-                if self.instances[instance].epoch == epoch {
-                    self.instances[instance].in_flight = None;
-                    self.begin(instance, steps);
-                }
-            }
             Event::Execute { call, instance, epoch, kind, is_lost, sent_ms } => {
                 self.execute(call, (instance, epoch), kind, is_lost, sent_ms);
             }
@@ -435,14 +427,14 @@
         }
         let now = self.boot(instance);
         let one = &mut self.instances[instance];
-        let pause = one.permits.pause_ms(now);
-        if pause == 0 {
+        let is_urgent = one.waiters.iter().any(|waiter| !waiter.is_start);
+        if is_urgent || one.permits.pause_ms(now) == 0 {
             return self.begin(instance, Steps::default());
         }
-        let epoch = one.epoch;
-        let steps = Steps::default();
-        one.in_flight = Some(InFlight { call: 0, reservation: None, write: None, steps });
-        self.push(self.now_ms + pause, Event::Plan { instance, epoch, steps });
+        for waiter in std::mem::take(&mut self.instances[instance].waiters) {
+            let pause_ms = self.instances[instance].permits.pause_ms(now);
+            self.wait(instance, waiter, pause_ms);
+        }
     }
 
     fn plan(&mut self, instance: usize, steps: Steps) {
@@ -480,6 +472,13 @@
 
     fn call(&mut self, instance: usize, kind: Call, reservation: Option<Reservation>, steps: Steps) {
         self.counts.calls += 1;
+        {
+            let one = &self.instances[instance];
+            let starting = one.waiters.iter().filter(|waiter| waiter.is_start).count();
+            let purpose = if one.waiters.len() > starting { "progress" } else if starting > 0 { "start" } else { "background" };
+            let what = match &kind { Call::Read(_) => "read".to_owned(), Call::Write(w) => format!("write{}{}", if w.granted.is_empty() { "-return" } else {""}, steps.writes) };
+            *self.counts.kinds.entry(format!("{purpose} {what}")).or_default() += 1;
+        }
         self.next_number += 1;
         let call = self.next_number;
         let epoch = self.instances[instance].epoch;
@@ -583,7 +582,7 @@
                 continue;
             }
             let Some((is_start, wait_ms)) = full else {
-                let wait_ms = self.rng.random_range(1..20);
+                let wait_ms = self.rng.random_range(5..50);
                 self.wait(instance, waiter, wait_ms);
                 continue;
             };
