Let programs begin with the permits that were reserved for them

Cause: a program whose reservation was granted in part did not begin, and its permits were lost. Change: a confirmed reservation lets its programs begin. The demand of programs is that of those in progress.

--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -94,6 +94,14 @@
     returned: Vec<Granted>,
 }
 
+impl Reservation {
+    /// Returns the number of waiting programs that may begin once it is confirmed.
+    #[must_use]
+    pub const fn starts(&self) -> u32 {
+        self.plan.starts()
+    }
+}
+
 impl AccountPermits {
     /// Creates the state of an account without permits. `draw` is a random number, which spreads the
     /// instances over the rows.
@@ -163,7 +171,7 @@
         now: Time,
     ) -> bool {
         let uncovered = uncovered_requests(&self.demand, shapes, &self.permits, store_now, now);
-        now >= self.start_at && uncovered < 1.0
+        uncovered < 1.0
     }
 
     /// Returns the number of the row that the next reservation uses.
--- a/crates/core/src/dispatch/quota/demand.rs
+++ b/crates/core/src/dispatch/quota/demand.rs
@@ -15,8 +15,9 @@
 /// EWMA weight of the latest program of a route.
 const PROGRAM_WEIGHT: f64 = 0.1;
 
-/// Time constant of the rate of requests, in milliseconds: the duration of several programs.
-const RATE_TIME_CONSTANT_MS: f64 = 8_000.0;
+/// Time constant of the rate of requests without a program, in milliseconds. Permits are reserved for
+/// up to 6 s.
+const RATE_TIME_CONSTANT_MS: f64 = 4_000.0;
 
 /// Limits on the time without a request after which a program is over, in milliseconds, and that time
 /// as a multiple of the mean interval between its requests.
@@ -127,7 +128,7 @@
 pub struct Demand {
     /// By the hash of their ids.
     programs: BTreeMap<u64, Program>,
-    /// Requests per millisecond, smoothed.
+    /// Requests without a program per millisecond, smoothed.
     rate: f64,
     rate_at: Time,
 }
@@ -143,9 +144,9 @@
         now: Time,
     ) -> bool {
         self.end_programs(shapes, now);
-        self.rate = self.rate_at(now) + 1.0 / RATE_TIME_CONSTANT_MS;
-        self.rate_at = now;
         let Some(id) = program else {
+            self.rate = self.rate_at(now) + 1.0 / RATE_TIME_CONSTANT_MS;
+            self.rate_at = now;
             return false;
         };
         if let Some(program) = self.programs.get_mut(&id) {
@@ -204,9 +205,9 @@
         need
     }
 
-    /// Returns the mean number of requests per slot in the last seconds.
+    /// Returns the mean number of requests without a program per slot in the last seconds.
     #[must_use]
-    pub fn per_slot(&self, now: Time) -> f64 {
+    pub fn others_per_slot(&self, now: Time) -> f64 {
         self.rate_at(now) * SLOT_MS as f64
     }
 
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -16,9 +16,6 @@
 /// the demand. Smaller ones come from the variation of the expected demand.
 const MIN_DEFICIT: f64 = 0.3;
 
-/// Permits beyond the mean demand, as a fraction of it. Permits expire unused while few requests come.
-const MARGIN: f64 = 0.1;
-
 /// Time for which a permit has to be valid when its reservation begins, in milliseconds: several times
 /// the duration of a store call.
 const CALL_MS: u64 = 50;
@@ -106,13 +103,12 @@
         let held = held_by_slot(permits, present);
         let expected = Expected::new(demand, shapes, now);
         let mut have = 0.0;
+        let stock = expected.stock(validity);
         let mut firm = 0.0;
-        let mut total = expected.stock(validity);
         let mut spare = Vec::new();
         for (index, held) in held.into_iter().enumerate() {
             let slot = present + index as u64;
-            firm += expected.firm[index];
-            total += expected.total[index];
+            firm += expected.0[index];
             have += f64::from(held);
             let missing = (firm - have).floor().max(0.0);
             if missing > 0.0 {
@@ -124,7 +120,7 @@
                 });
                 have += missing;
             }
-            let missing = (total - have).floor().max(0.0);
+            let missing = (firm + stock - have).floor().max(0.0);
             if missing > 0.0 {
                 spare.push(Wanted {
                     first: slot,
@@ -135,8 +131,8 @@
                 have += missing;
             }
             // Permits that are not used while they are valid are lost.
-            let usable = expected.total[index] * validity as f64;
-            have = have.min(total + usable);
+            let usable = expected.0[index] * validity as f64;
+            have = have.min(firm + stock + usable);
         }
         plan.wanted.append(&mut spare);
         plan
@@ -154,6 +150,12 @@
         self.program.is_some()
     }
 
+    /// Returns the number of programs that wait to begin.
+    #[must_use]
+    pub const fn starts(&self) -> u32 {
+        if self.is_start() { self.immediate } else { 0 }
+    }
+
     /// Returns whether requests of programs in progress wait.
     #[must_use]
     pub const fn serves_progress(&self) -> bool {
@@ -212,7 +214,7 @@
     let held = held_by_slot(permits, store_now.lower_ms / SLOT_MS);
     let expected = Expected::new(demand, shapes, now);
     let held: u32 = held[..MIN_RESERVED_SLOTS].iter().sum();
-    let need: f64 = expected.firm[..MIN_RESERVED_SLOTS].iter().sum();
+    let need: f64 = expected.0[..MIN_RESERVED_SLOTS].iter().sum();
     need - f64::from(held) >= (need * MIN_DEFICIT).max(1.0)
 }
 
@@ -238,7 +240,7 @@
     let held = held_by_slot(permits, store_now.lower_ms / SLOT_MS);
     let expected = Expected::new(demand, shapes, now);
     let (mut uncovered, mut unused) = (0.0_f64, 0.0_f64);
-    for (held, need) in held.into_iter().zip(expected.firm) {
+    for (held, need) in held.into_iter().zip(expected.0) {
         unused += f64::from(held);
         uncovered += need;
         let used = unused.min(uncovered);
@@ -303,7 +305,7 @@
     let mut surplus = [0; SLOTS];
     let (mut have, mut total) = (0.0, 1.0 + expected.stock(validity));
     for (index, held) in held.into_iter().enumerate() {
-        total += expected.total[index];
+        total += expected.0[index];
         have += f64::from(held);
         // The call takes until the next slot.
         if index > 0 {
@@ -316,26 +318,19 @@
 }
 
 /// Requests that are expected per slot.
-struct Expected {
-    /// Of programs in progress.
-    firm: [f64; SLOTS],
-    /// Of these and of programs that begin later, with the margin.
-    total: [f64; SLOTS],
-}
+struct Expected([f64; SLOTS]);
 
 impl Expected {
     fn new(demand: &Demand, shapes: &ProgramShapes, now: Time) -> Self {
-        let firm = demand.of_programs::<SLOTS>(shapes, now);
-        let mean = demand.per_slot(now);
-        // Programs that begin later replace those that end.
-        let total = firm.map(|firm| (firm + 0.0 * mean) * (1.0 + MARGIN));
-        Self { firm, total }
+        let others = demand.others_per_slot(now);
+        let of_programs = demand.of_programs::<SLOTS>(shapes, now);
+        Self(of_programs.map(|of_programs| of_programs + others))
     }
 
     /// Returns the permits beyond the demand that absorb uneven arrivals: half of what is used while a
     /// permit is valid.
     fn stock(&self, validity: u64) -> f64 {
-        self.total[0] * validity as f64 / 2.0
+        self.0[0] * validity as f64 / 2.0
     }
 }
 
--- a/crates/core/tests/dispatch/quota/site.rs
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -543,6 +543,13 @@
         match in_flight.write {
             Some(write) if is_done => {
                 permits.confirm(write, version, now);
+                let mut starts = in_flight.reservation.map_or(0, |one| one.starts());
+                for waiter in &mut self.instances[instance].waiters {
+                    if waiter.is_start && starts > 0 {
+                        waiter.is_start = false;
+                        starts -= 1;
+                    }
+                }
                 self.wake(instance, None);
             }
             _ => {
