--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -171,7 +171,7 @@
         now: Time,
     ) -> bool {
         let uncovered = uncovered_requests(&self.demand, shapes, &self.permits, store_now, now);
-        uncovered < 1.0
+        now >= self.start_at && uncovered < 1.0
     }
 
     /// Returns the number of the row that the next reservation uses.
