Take a permit of the account's quota before each attempt

Cause: nothing enforced quotas. Change: ingress::quota reserves permits in the rows of the table quota and takes one before each send. The store client estimates the store's time from all calls, on CLOCK_BOOTTIME. Settings ingress.quota.

--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -86,6 +86,7 @@
     pub const fn after(&self, rejection: Rejection) -> Rejection {
         match rejection {
             Rejection::NotRun(ms) => self.rejection(ms),
+            Rejection::OverQuota(_) if self.possibly_ran > 0 => Rejection::Unknown,
             other => other,
         }
     }
--- a/crates/core/src/dispatch/quota/permits.rs
+++ b/crates/core/src/dispatch/quota/permits.rs
@@ -51,6 +51,12 @@
         Some(permit)
     }
 
+    /// Returns whether a permit is valid.
+    #[must_use]
+    pub fn has_valid(&self, now: StoreTime) -> bool {
+        self.counts.keys().any(|permit| permit.is_valid(now))
+    }
+
     /// Takes back a permit whose request no upstream ran.
     pub fn give_back(&mut self, permit: Permit) {
         *self.counts.entry(permit).or_default() += 1;
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -204,7 +204,7 @@
 
 /// Returns whether less than 2 s of the expected demand is reserved.
 #[must_use]
-pub fn needs_refill(
+pub(super) fn needs_refill(
     demand: &Demand,
     shapes: &ProgramShapes,
     permits: &Permits,
@@ -221,7 +221,7 @@
 /// Returns how many requests of a program may lack a permit when it begins. One that needs more than
 /// an idle account may use is not rejected for ever.
 #[must_use]
-pub fn accepted_shortage(program: &ProgramShape, terms: &Terms) -> f64 {
+pub(super) fn accepted_shortage(program: &ProgramShape, terms: &Terms) -> f64 {
     let slots = program.duration_ms / SLOT_MS as f64 + terms.validity as f64;
     let idle = (terms.burst as f64 + terms.rate as f64 * slots) / PERMIT_PARTS as f64;
     let needed = program.requests * MIN_START_FRACTION;
@@ -230,7 +230,7 @@
 
 /// Returns how many requests of programs in progress the held permits are expected not to cover.
 #[must_use]
-pub fn uncovered_requests(
+pub(super) fn uncovered_requests(
     demand: &Demand,
     shapes: &ProgramShapes,
     permits: &Permits,
@@ -252,7 +252,7 @@
 
 /// Returns the permits of a row that are held for later slots beyond what is expected, and removes
 /// them.
-pub fn take_surplus(
+pub(super) fn take_surplus(
     permits: &mut Permits,
     row: u32,
     demand: &Demand,
@@ -279,7 +279,7 @@
 
 /// Returns the number of permits that are held for later slots beyond what is expected.
 #[must_use]
-pub fn surplus(
+pub(super) fn surplus(
     permits: &Permits,
     demand: &Demand,
     shapes: &ProgramShapes,
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -20,6 +20,7 @@
 use crate::client::Client;
 use crate::log_event::Event;
 use crate::metric::Outcome;
+use crate::quota::Permit;
 use crate::state::State;
 use crate::suspect::Trial;
 use crate::{rate_limit, suspect};
@@ -63,6 +64,8 @@
     pub(crate) retention_ms: u64,
     /// Maximum gap between events that the route's callers accept, in milliseconds.
     pub(crate) max_event_gap_ms: u64,
+    /// Name of the route.
+    pub(crate) route: Arc<str>,
     pub(crate) service: Arc<str>,
     pub(crate) engine: Option<Engine>,
     /// Software version that began the stream, once its first event has arrived or was received by
@@ -85,6 +88,10 @@
     pub(crate) timings: Timings,
     /// Id of the instance that relayed the request.
     pub(crate) relayed_by: Option<Arc<str>>,
+    /// Whether the demand of its account contains the request.
+    pub(crate) is_counted: bool,
+    /// Permit of the account's quota for the next attempt.
+    pub(crate) permit: Option<Permit>,
     /// Trial of the present attempt, if the request may crash its upstream.
     pub(crate) trial: Option<Trial>,
     /// Whether the end of the request was logged.
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -30,13 +30,14 @@
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
 use crate::log_event::Event;
 use crate::metric::Outcome;
+use crate::quota::SpentPermit;
 use crate::relay::Delegation;
 use crate::server::ConnectionGuard;
 use crate::state::State;
 use crate::stream::Stream;
 use crate::stream_log::StreamLog;
 use crate::{
-    attempt, client, crash, prepare, relay, stream_log, stream_version, suspect, version_history,
+    attempt, client, crash, prepare, quota, relay, stream_log, stream_version, suspect, version_history,
 };
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
@@ -272,6 +273,7 @@
         max_attempts: route.max_attempts.min(source.max_attempts),
         retention_ms: route.retention_ms.unwrap_or_default(),
         max_event_gap_ms: route.max_event_gap_ms,
+        route: Arc::clone(&route.name),
         service: Arc::clone(service),
         engine: service_config.and_then(|service| service.engine.clone()),
         arrived,
@@ -285,6 +287,8 @@
         previous_upstream: None,
         timings: Timings::default(),
         relayed_by: source.relayed_by,
+        is_counted: false,
+        permit: None,
         trial: None,
         is_logged: AtomicBool::new(false),
         headers,
@@ -323,6 +327,11 @@
         prepare::check_admission(&request, budget)?;
         request.starts_program = budget.is_new();
     }
+    if request.starts_program {
+        quota::start_program(&mut request)
+            .await
+            .inspect_err(|_| request.mark_logged())?;
+    }
     let transcript = match transcript {
         Some((mut transcript, upstream)) => {
             request.previous_upstream = upstream.or(request.previous_upstream.take());
@@ -404,6 +413,13 @@
             request.mark_logged();
             return Err(Rejection::NotRun(SHUTDOWN_RETRY_MS));
         }
+        if let Err(rejection) = quota::acquire(&mut request).await {
+            if let Some(error) = server_error {
+                return Ok(complete(&request, error));
+            }
+            request.mark_logged();
+            return Err(request.attempts.after(rejection));
+        }
         let Some(placement) = request.place().await else {
             if let Some(error) = server_error {
                 return Ok(complete(&request, error));
@@ -435,6 +451,7 @@
             }
         }
         let key = placement.key;
+        let permit = quota::spend(&mut request);
         let failure = match run_attempt(&request, &placement).await {
             Ok(AttemptResult::Complete(response)) => {
                 if !response.status().is_server_error() {
@@ -476,6 +493,9 @@
             }
             Err(failure) => failure,
         };
+        if failure.did_not_run() {
+            request.permit = permit.map(SpentPermit::restore);
+        }
         let decision = request.record_failure(failure);
         if failure == Failure::Interrupted {
             let investigation = crash::investigate(&mut request, key);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `crash` | finds out whether an upstream crashed under a request |
 //! | `suspect` | requests that may crash upstreams, shared by all instances |
 //! | `leaving` | upstreams that say in their answers that they leave |
+//! | `quota` | quotas of accounts, shared by all instances |
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
 //! | `stream_log` | events of retained turns in the store, until the turns end |
@@ -33,7 +34,7 @@
 //! | `operator` | HTTP interface for operators |
 //! | `log_event` | log events |
 //!
-//! Lock order: the pool before the fleet. No other lock is held while acquiring a lock, and none
+//! Lock order: the pool before the fleet, an account's permits before the program shapes. No other lock is held while acquiring a lock, and none
 //! across an await point.
 
 mod active_request;
@@ -55,6 +56,7 @@
 mod peer_tls;
 mod pool;
 mod prepare;
+mod quota;
 mod rate_limit;
 mod relay;
 mod run;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -91,6 +91,10 @@
     VersionsRecorded = "E0771", Info, "versions stored";
     /// A call of the store for the histories of versions failed.
     VersionsFailed = "E0772", Warning, "version history call failed";
+    /// A request was rejected, as its account has used up its quota.
+    QuotaUsedUp = "E0781", Info, "quota used up";
+    /// A call of the store for an account's quota failed.
+    QuotaFailed = "E0782", Warning, "quota call failed";
 }
 
 impl basilramp_process::log::LogEvent for Event {
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -84,6 +84,54 @@
     }
 }
 
+/// What became of a permit of an account's quota, or of a request for one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QuotaOutcome {
+    /// A request took a permit.
+    Taken,
+    /// A request gave its permit back, as no upstream ran it.
+    Returned,
+    /// A request was rejected, as there are no permits.
+    Rejected,
+    /// A request was rejected, as the store could not be reached.
+    Failed,
+}
+
+impl QuotaOutcome {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Returned => "returned",
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// Result of a store call for quotas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QuotaCall {
+    /// A row was read.
+    Read,
+    /// Permits were reserved or returned.
+    Written,
+    /// Another instance had changed the row.
+    Conflict,
+    /// The outcome is an error, or unknown.
+    Failed,
+}
+
+impl QuotaCall {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Written => "written",
+            Self::Conflict => "conflict",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// What was found out about an upstream whose connection ended under a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Finding {
@@ -114,6 +162,9 @@
     attempts_failed: Counter<u64>,
     limited_attempts: Counter<u64>,
     permits: Counter<u64>,
+    quota_permits: Counter<u64>,
+    quota_calls: Counter<u64>,
+    quota_reserved: Counter<u64>,
     interruptions: Counter<u64>,
     path_losses: Counter<u64>,
     relays: Counter<u64>,
@@ -146,6 +197,18 @@
                 "basilramp.permits",
                 "Permits for upstreams that limit their rate, by outcome",
             ),
+            quota_permits: exporter.counter(
+                "basilramp.quota.permits",
+                "Permits of accounts' quotas, by outcome",
+            ),
+            quota_calls: exporter.counter(
+                "basilramp.quota.calls",
+                "Calls of the store for quotas, by result",
+            ),
+            quota_reserved: exporter.counter(
+                "basilramp.quota.reserved",
+                "Permits of accounts' quotas that were reserved",
+            ),
             interruptions: exporter.counter(
                 "basilramp.upstreams.interrupted",
                 "Upstreams whose connections ended under requests, by what was found out",
@@ -234,6 +297,23 @@
             .add(1, &[KeyValue::new("outcome", outcome.label())]);
     }
 
+    /// Counts what became of a permit of an account's quota.
+    pub(crate) fn quota_permit(&self, outcome: QuotaOutcome) {
+        let label = KeyValue::new("outcome", outcome.label());
+        self.quota_permits.add(1, &[label]);
+    }
+
+    /// Counts a store call for quotas.
+    pub(crate) fn quota_call(&self, result: QuotaCall) {
+        self.quota_calls
+            .add(1, &[KeyValue::new("result", result.label())]);
+    }
+
+    /// Counts permits of an account's quota that were reserved.
+    pub(crate) fn quota_reserved(&self, permits: u64) {
+        self.quota_reserved.add(permits, &[]);
+    }
+
     /// Counts what was found out about an upstream whose connection ended under requests.
     pub(crate) fn interruption(&self, finding: Finding) {
         self.interruptions
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -32,6 +32,7 @@
 use crate::membership::{self, Member};
 use crate::metric;
 use crate::peer_tls;
+use crate::quota::{self, SpentPermit};
 use crate::state::{State, lock};
 
 /// Maximum number of instances that are tried for a request.
@@ -251,6 +252,10 @@
             break;
         };
         tried.push(Arc::clone(&instance));
+        quota::acquire(request)
+            .await
+            .map_err(|rejection| request.attempts.after(rejection))?;
+        let permit = quota::spend(request);
         let mut guard = RelayGuard::start(&state, &instance);
         let result = exchange(request, &instance, last_event).await;
         if let Ok((response, _)) = &result {
@@ -280,6 +285,9 @@
             }
             Ok((response, connection)) => {
                 guard.outcome = Outcome::Handled;
+                if caller::promises_not_run(response.status()) {
+                    request.permit = permit.map(SpentPermit::restore);
+                }
                 return Ok(Answer {
                     response,
                     connection,
@@ -293,7 +301,7 @@
         };
         log_failure(request, &instance, &error);
         match error {
-            RelayError::NotSent(_) => {}
+            RelayError::NotSent(_) => request.permit = permit.map(SpentPermit::restore),
             RelayError::Broken(_) | RelayError::Late => {
                 request.attempts.possibly_ran += hop_attempts(request);
                 let is_over = request.attempts.possibly_ran >= request.max_attempts;
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -15,7 +15,7 @@
 use crate::server::{self, Audience, OpenConnections};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{feed, membership, peer_server, suspect, version_history};
+use crate::{feed, membership, peer_server, quota, suspect, version_history};
 
 /// Interval at which the number of open connections is checked during shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -76,6 +76,7 @@
     tokio::spawn(supervise(&state, "rate limit feed", feed::follow_limits));
     tokio::spawn(supervise(&state, "suspect feed", feed::follow_suspects));
     tokio::spawn(supervise(&state, "suspect writer", suspect::write_changes));
+    tokio::spawn(supervise(&state, "quota returns", quota::return_permits));
     tokio::spawn(supervise(
         &state,
         "version writer",
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use basilramp_core::dispatch::quota::Rule;
 use basilramp_settings::{Faults, Level, Section, value};
 
 /// Settings of an instance, read at its start.
@@ -25,6 +26,8 @@
     pub memory_mb: usize,
     /// Milliseconds from a stop signal until the platform kills the process.
     pub stop_ms: u64,
+    /// What the requests of an account with a quota may number in any window of time.
+    pub quota: Rule,
     /// Minimum level of logged events.
     pub level: Level,
 }
@@ -53,6 +56,14 @@
     let store = ingress.required("store", value::remote_address);
     let memory_mb = ingress.required("memory_mb", value::count);
     let stop_ms = ingress.required("stop_s", value::seconds_as_ms);
+    let mut rule = ingress.optional_section("quota");
+    let defaults = Rule::default();
+    let quota = Rule {
+        window_ms: rule.optional_or("window_s", value::seconds_as_ms, defaults.window_ms),
+        excess: rule.optional_or("excess", value::fraction, defaults.excess),
+        tolerance: rule.optional_or("tolerance", value::whole_number, defaults.tolerance),
+    };
+    rule.finish();
     ingress.finish();
     let mut log = root.optional_section("log");
     let level = log.optional_or("level", value::level, Level::default());
@@ -68,6 +79,7 @@
         store: store?,
         memory_mb: memory_mb?,
         stop_ms: stop_ms?,
+        quota,
         level,
     })
 }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -17,7 +17,7 @@
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_core::dispatch::route::RouteTable;
 use basilramp_core::dispatch::shutdown::Shutdown;
-use basilramp_process::clock::Clock;
+use basilramp_process::clock::{Clock, boot_time};
 use basilramp_process::event;
 use basilramp_process::log::Handle;
 use basilramp_process::log_rate::LogRateLimiter;
@@ -34,6 +34,7 @@
 use crate::path::Checks;
 use crate::peer_tls::Identity;
 use crate::pool::Pool;
+use crate::quota::Quotas;
 use crate::relay::Connections;
 use crate::settings::Settings;
 use crate::stream_log::StreamLogs;
@@ -55,6 +56,7 @@
     pub(crate) version_histories: VersionHistories,
     pub(crate) stream_logs: StreamLogs,
     pub(crate) budgets: Budgets,
+    pub(crate) quotas: Quotas,
     pub(crate) suspects: Suspects,
     pub(crate) probes: Probes,
     /// Memory for the buffered bytes of all requests.
@@ -104,13 +106,14 @@
         Ok(Arc::new(Self {
             clock: Clock::start(),
             log,
-            store: store::Client::open(settings.store),
+            store: store::Client::open(settings.store, boot_time),
             pool: Pool::default(),
             turns: TurnStore::open(cache_bytes),
             stream_versions: StreamVersions::default(),
             version_histories: VersionHistories::default(),
             stream_logs: StreamLogs::default(),
             budgets: Budgets::default(),
+            quotas: Quotas::default(),
             suspects: Suspects::default(),
             probes: Probes::default(),
             memory,
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -25,6 +25,7 @@
 use crate::log_event::Event;
 use crate::metric;
 use crate::path::{self, WaitError};
+use crate::quota::{self, SpentPermit};
 use crate::relay::{self, Continuation};
 use crate::state::State;
 use crate::{crash, suspect, turn_store};
@@ -439,6 +440,9 @@
             if self.request.state.path().is_lost() {
                 return self.resume_elsewhere(cause).await;
             }
+            if quota::acquire(&mut self.request).await.is_err() {
+                return Err(self.abort("the account has no permit for another attempt"));
+            }
             let Some(placement) = self.request.place().await else {
                 return Err(self.abort(cause));
             };
@@ -446,6 +450,7 @@
                 return Err(self.abort("the request may crash upstreams"));
             }
             key = placement.key;
+            let permit = quota::spend(&mut self.request);
             match attempt::send(
                 &self.request,
                 &placement,
@@ -471,7 +476,12 @@
                     response.guard.record_response(response.head.status);
                     failure = Failure::Unknown;
                 }
-                Err(other) => failure = other,
+                Err(other) => {
+                    failure = other;
+                    if failure.did_not_run() {
+                        self.request.permit = permit.map(SpentPermit::restore);
+                    }
+                }
             }
         }
     }
--- a/crates/process/src/clock.rs
+++ b/crates/process/src/clock.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use basilramp_core::clock::Time;
+use rustix::time::{ClockId, clock_gettime};
 
 /// Measures monotonic time from its start.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +28,15 @@
     }
 }
 
+/// Returns the time since the machine was started, in whole milliseconds. It continues while the machine
+/// or the process is suspended.
+#[must_use]
+pub fn boot_time() -> Time {
+    let now = clock_gettime(ClockId::Boottime);
+    let ms = now.tv_sec.saturating_mul(1_000) + now.tv_nsec / 1_000_000;
+    Time::from_ms(u64::try_from(ms).unwrap_or_default())
+}
+
 /// Returns the milliseconds since the Unix epoch, for display and for wall-clock budgets.
 #[must_use]
 pub fn unix_time_ms() -> u64 {
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -98,6 +98,11 @@
     }
 }
 
+/// Parses a whole number, of at least zero.
+pub fn whole_number(value: &Value<'_>) -> Result<u32, String> {
+    parse_number(value).ok_or_else(|| "has to be a whole number of at least 0".into())
+}
+
 /// Parses a finite weight, of at least zero.
 pub fn weight(value: &Value<'_>) -> Result<f64, String> {
     match parse_number::<f64>(value) {
