--- a/crates/core/src/dispatch/quota.rs
+++ b/crates/core/src/dispatch/quota.rs
@@ -110,7 +110,9 @@
         let rate_of = |validity: u64| (accepted - min_burst) / (window_slots + validity as f64);
         let longest = |rate: f64, shortest: u64| {
             let validities = (shortest..=MAX_VALIDITY_SLOTS).rev();
-            validities.into_iter().find(|validity| rate_of(*validity) >= rate)
+            validities
+                .into_iter()
+                .find(|validity| rate_of(*validity) >= rate)
         };
         let validity = longest(max_rate, 2).or_else(|| longest(quota_rate, 1));
         let validity = validity.unwrap_or(1);
--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -164,12 +164,7 @@
 
     /// Returns whether a recorded program may begin with the permits that are held.
     #[must_use]
-    pub fn may_start(
-        &self,
-        shapes: &ProgramShapes,
-        store_now: StoreTime,
-        now: Time,
-    ) -> bool {
+    pub fn may_start(&self, shapes: &ProgramShapes, store_now: StoreTime, now: Time) -> bool {
         let uncovered = uncovered_requests(&self.demand, shapes, &self.permits, store_now, now);
         now >= self.start_at && uncovered < 1.0
     }
@@ -193,9 +188,9 @@
     /// has probably changed it.
     pub fn start_call(&mut self, terms: Terms, now: Time) -> bool {
         self.row %= terms.rows;
-        self.rows.get(&self.row).is_none_or(|known| {
-            known.is_contended && now.since(known.at) >= WRITE_MAX_AGE_MS
-        })
+        self.rows
+            .get(&self.row)
+            .is_none_or(|known| known.is_contended && now.since(known.at) >= WRITE_MAX_AGE_MS)
     }
 
     /// Returns whether permits beyond what is expected should be returned in the background. If so, the
@@ -216,7 +211,14 @@
             return false;
         };
         let validity = calendar.terms.validity;
-        let surplus = surplus(&self.permits, &self.demand, shapes, validity, store_now, now);
+        let surplus = surplus(
+            &self.permits,
+            &self.demand,
+            shapes,
+            validity,
+            store_now,
+            now,
+        );
         let is_due = surplus >= MIN_RETURNED;
         if is_due {
             self.refill_at = now.after(REFILL_INTERVAL_MS);
@@ -339,7 +341,10 @@
     pub fn confirm(&mut self, write: RowWrite, version: u64, now: Time) {
         self.backoff_ms /= 2;
         self.permits.add(&write.granted);
-        let is_contended = self.rows.get(&write.row).is_some_and(|known| known.is_contended);
+        let is_contended = self
+            .rows
+            .get(&write.row)
+            .is_some_and(|known| known.is_contended);
         let known = KnownRow {
             calendar: Some(write.calendar),
             version,
--- a/crates/core/src/dispatch/quota/calendar.rs
+++ b/crates/core/src/dispatch/quota/calendar.rs
@@ -150,7 +150,11 @@
                 count: missing,
                 class,
             };
-            missing -= trial.reserve(&[wanted], 0).iter().map(|one| one.count).sum::<u32>();
+            missing -= trial
+                .reserve(&[wanted], 0)
+                .iter()
+                .map(|one| one.count)
+                .sum::<u32>();
             if missing == 0 {
                 return slot - from;
             }
--- a/crates/core/src/dispatch/quota/demand.rs
+++ b/crates/core/src/dispatch/quota/demand.rs
@@ -117,7 +117,8 @@
         let interval_ms = interval_ms.max(1.0);
         let remaining_ms = (shape.duration_ms - age_ms).max(shape.duration_ms * MIN_REMAINING);
         let idle = now.since(self.latest) as f64 / interval_ms;
-        let in_progress = ((MAX_INTERVALS - idle) / (MAX_INTERVALS - MIN_INTERVALS)).clamp(0.0, 1.0);
+        let in_progress =
+            ((MAX_INTERVALS - idle) / (MAX_INTERVALS - MIN_INTERVALS)).clamp(0.0, 1.0);
         let slot_ms = SLOT_MS as f64;
         (slot_ms / interval_ms * in_progress, remaining_ms / slot_ms)
     }
--- a/crates/core/src/dispatch/quota/permits.rs
+++ b/crates/core/src/dispatch/quota/permits.rs
@@ -99,7 +99,9 @@
 
     /// Returns the number of permits by slot, in no order.
     pub fn by_slot(&self) -> impl Iterator<Item = (u64, u32)> {
-        self.counts.iter().map(|(permit, count)| (permit.slot, *count))
+        self.counts
+            .iter()
+            .map(|(permit, count)| (permit.slot, *count))
     }
 
     /// Returns the number of permits.
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -1,8 +1,8 @@
 //! Decides which permits an instance reserves.
 
 use super::{
-    Calendar, Class, Demand, Granted, HORIZON_SLOTS, PERMIT_PARTS, Permits, ProgramShape, ProgramShapes,
-    SLOT_MS, StoreTime, Terms, Wanted,
+    Calendar, Class, Demand, Granted, HORIZON_SLOTS, PERMIT_PARTS, Permits, ProgramShape,
+    ProgramShapes, SLOT_MS, StoreTime, Terms, Wanted,
 };
 use crate::clock::Time;
 
--- a/crates/core/tests/dispatch/quota/site.rs
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -69,11 +69,32 @@
     /// Permits beyond what is expected are returned.
     Sweep { instance: usize },
     /// The store executes a call.
-    Execute { call: u64, instance: usize, epoch: u32, kind: Call, is_lost: bool, sent_ms: u64 },
+    Execute {
+        call: u64,
+        instance: usize,
+        epoch: u32,
+        kind: Call,
+        is_lost: bool,
+        sent_ms: u64,
+    },
     /// The response to a call arrives; the row and the store's time.
-    Response { call: u64, instance: usize, epoch: u32, is_done: bool, number: u32, row: Option<(Calendar, u64)>, version: u64, now_ms: u64, sent_ms: u64 },
+    Response {
+        call: u64,
+        instance: usize,
+        epoch: u32,
+        is_done: bool,
+        number: u32,
+        row: Option<(Calendar, u64)>,
+        version: u64,
+        now_ms: u64,
+        sent_ms: u64,
+    },
     /// No response has arrived.
-    Timeout { call: u64, instance: usize, epoch: u32 },
+    Timeout {
+        call: u64,
+        instance: usize,
+        epoch: u32,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -187,8 +208,12 @@
 
     /// Starts a program at an instance after a delay.
     pub(crate) fn add_program(&mut self, instance: usize, programs: Programs, at_ms: u64) {
-        let requests = self.rng.random_range(programs.requests.0..=programs.requests.1);
-        let interval_ms = self.rng.random_range(programs.interval_ms.0..=programs.interval_ms.1);
+        let requests = self
+            .rng
+            .random_range(programs.requests.0..=programs.requests.1);
+        let interval_ms = self
+            .rng
+            .random_range(programs.interval_ms.0..=programs.interval_ms.1);
         self.next_program += 1;
         let program = Program {
             instance,
@@ -219,7 +244,8 @@
             ..Instance::default()
         };
         self.instances[instance] = new;
-        self.programs.retain(|_, program| program.instance != instance);
+        self.programs
+            .retain(|_, program| program.instance != instance);
     }
 
     /// Suspends an instance; what happens to it meanwhile, it processes afterwards.
@@ -281,7 +307,11 @@
 
     fn store_now(&self, instance: usize) -> Option<StoreTime> {
         let now = self.instances[instance].clock.now(self.boot(instance))?;
-        assert!(now.lower_ms <= self.now_ms && self.now_ms <= now.upper_ms, "{now:?} {}", self.now_ms);
+        assert!(
+            now.lower_ms <= self.now_ms && self.now_ms <= now.upper_ms,
+            "{now:?} {}",
+            self.now_ms
+        );
         Some(now)
     }
 
@@ -300,27 +330,52 @@
                     return;
                 };
                 let one = &mut self.instances[instance];
-                if one.in_flight.is_none() && one.permits.start_return(&mut one.shapes, store_now, now) {
+                if one.in_flight.is_none()
+                    && one.permits.start_return(&mut one.shapes, store_now, now)
+                {
                     self.reserve(instance);
                 }
             }
-            Event::Execute { call, instance, epoch, kind, is_lost, sent_ms } => {
+            Event::Execute {
+                call,
+                instance,
+                epoch,
+                kind,
+                is_lost,
+                sent_ms,
+            } => {
                 self.execute(call, (instance, epoch), kind, is_lost, sent_ms);
             }
-            Event::Timeout { call, instance, epoch } => {
+            Event::Timeout {
+                call,
+                instance,
+                epoch,
+            } => {
                 if self.is_current(call, instance, epoch) {
                     // The outcome is unknown: nothing is granted.
                     self.instances[instance].in_flight = None;
                     self.wake(instance, None);
                 }
             }
-            Event::Response { call, instance, epoch, is_done, number, row, version, now_ms, sent_ms } => {
+            Event::Response {
+                call,
+                instance,
+                epoch,
+                is_done,
+                number,
+                row,
+                version,
+                now_ms,
+                sent_ms,
+            } => {
                 if self.instances[instance].epoch != epoch {
                     return;
                 }
                 let received = self.boot(instance);
                 let sent = Time::from_ms(sent_ms);
-                self.instances[instance].clock.record(sent, received, now_ms);
+                self.instances[instance]
+                    .clock
+                    .record(sent, received, now_ms);
                 if self.is_current(call, instance, epoch) {
                     self.respond(instance, is_done, (number, row), version);
                 }
@@ -330,7 +385,11 @@
 
     fn is_current(&self, call: u64, instance: usize, epoch: u32) -> bool {
         let instance = &self.instances[instance];
-        instance.epoch == epoch && instance.in_flight.as_ref().is_some_and(|one| one.call == call)
+        instance.epoch == epoch
+            && instance
+                .in_flight
+                .as_ref()
+                .is_some_and(|one| one.call == call)
     }
 
     fn request(&mut self, id: u64) {
@@ -339,7 +398,9 @@
         };
         let now = self.boot(program.instance);
         let instance = &mut self.instances[program.instance];
-        let is_first = instance.permits.record(Some(id), &self.route, &mut instance.shapes, now);
+        let is_first = instance
+            .permits
+            .record(Some(id), &self.route, &mut instance.shapes, now);
         let waiter = Waiter {
             program: id,
             is_start: program.sent == 0 && is_first,
@@ -393,7 +454,12 @@
         } else {
             let jitter = self.rng.random_range(50..150);
             let at_ms = self.now_ms + program.interval_ms * jitter / 100;
-            self.push(at_ms, Event::Request { program: waiter.program });
+            self.push(
+                at_ms,
+                Event::Request {
+                    program: waiter.program,
+                },
+            );
         }
     }
 
@@ -403,9 +469,24 @@
             let p = self.programs.get(&waiter.program).cloned();
             let c = self.rows.get(&0).unwrap().0.clone();
             let slot = self.now_ms / 250;
-            let mut held: Vec<_> = self.instances[i].permits.permits().by_slot().map(|(s, n)| (s as i64 - slot as i64, n)).collect();
+            let mut held: Vec<_> = self.instances[i]
+                .permits
+                .permits()
+                .by_slot()
+                .map(|(s, n)| (s as i64 - slot as i64, n))
+                .collect();
             held.sort();
-            println!("REJ {} since {} {:?} held {:?} cal first {} level {} {:?} shape {:?}", self.now_ms, waiter.since_ms, p, held, c.first as i64 - slot as i64, c.level, c.reserved, self.instances[i].shapes.get("chat"));
+            println!(
+                "REJ {} since {} {:?} held {:?} cal first {} level {} {:?} shape {:?}",
+                self.now_ms,
+                waiter.since_ms,
+                p,
+                held,
+                c.first as i64 - slot as i64,
+                c.level,
+                c.reserved,
+                self.instances[i].shapes.get("chat")
+            );
         }
         let Some(program) = self.programs.remove(&waiter.program) else {
             return;
@@ -449,9 +530,19 @@
             program: is_start.then(|| one.shapes.get(&self.route)),
         };
         let terms = one.terms.unwrap();
-        let reservation = one.permits.plan(purpose, terms, &mut one.shapes, store_now, now);
+        let reservation = one
+            .permits
+            .plan(purpose, terms, &mut one.shapes, store_now, now);
         match one.permits.write(&reservation, now) {
-            Ok(write) => self.call(instance, Call::Write(write), Some(reservation), Steps { writes: steps.writes + 1, ..steps }),
+            Ok(write) => self.call(
+                instance,
+                Call::Write(write),
+                Some(reservation),
+                Steps {
+                    writes: steps.writes + 1,
+                    ..steps
+                },
+            ),
             Err(full) => {
                 one.permits.abandon(&reservation);
                 if !full.is_certain && steps.writes < MAX_WRITES {
@@ -462,7 +553,10 @@
                     one.permits.change_row(terms, self.rng.random());
                 }
                 if steps.moves + 1 < terms.rows.min(MAX_ROWS_TRIED) && !one.waiters.is_empty() {
-                    let steps = Steps { moves: steps.moves + 1, ..steps };
+                    let steps = Steps {
+                        moves: steps.moves + 1,
+                        ..steps
+                    };
                     return self.plan(instance, steps);
                 }
                 self.wake(instance, Some((is_start, full.wait_ms)));
@@ -470,14 +564,37 @@
         }
     }
 
-    fn call(&mut self, instance: usize, kind: Call, reservation: Option<Reservation>, steps: Steps) {
+    fn call(
+        &mut self,
+        instance: usize,
+        kind: Call,
+        reservation: Option<Reservation>,
+        steps: Steps,
+    ) {
         self.counts.calls += 1;
         {
             let one = &self.instances[instance];
             let starting = one.waiters.iter().filter(|waiter| waiter.is_start).count();
-            let purpose = if one.waiters.len() > starting { "progress" } else if starting > 0 { "start" } else { "background" };
-            let what = match &kind { Call::Read(_) => "read".to_owned(), Call::Write(w) => format!("write{}{}", if w.granted.is_empty() { "-return" } else {""}, steps.writes) };
-            *self.counts.kinds.entry(format!("{purpose} {what}")).or_default() += 1;
+            let purpose = if one.waiters.len() > starting {
+                "progress"
+            } else if starting > 0 {
+                "start"
+            } else {
+                "background"
+            };
+            let what = match &kind {
+                Call::Read(_) => "read".to_owned(),
+                Call::Write(w) => format!(
+                    "write{}{}",
+                    if w.granted.is_empty() { "-return" } else { "" },
+                    steps.writes
+                ),
+            };
+            *self
+                .counts
+                .kinds
+                .entry(format!("{purpose} {what}"))
+                .or_default() += 1;
         }
         self.next_number += 1;
         let call = self.next_number;
@@ -487,28 +604,70 @@
             Call::Read(_) => None,
             Call::Write(write) => Some(write.clone()),
         };
-        self.instances[instance].in_flight = Some(InFlight { call, reservation, write, steps });
+        self.instances[instance].in_flight = Some(InFlight {
+            call,
+            reservation,
+            write,
+            steps,
+        });
         let draw = self.rng.random_range(0..1_000);
-        let late_ms = if draw < self.faults.late { self.rng.random_range(500..6_000) } else { 0 };
+        let late_ms = if draw < self.faults.late {
+            self.rng.random_range(500..6_000)
+        } else {
+            0
+        };
         let is_lost = self.rng.random_range(0..1_000) < self.faults.lost;
         let at_ms = self.now_ms + self.rng.random_range(1..3) + late_ms;
-        let event = Event::Execute { call, instance, epoch, kind, is_lost, sent_ms };
+        let event = Event::Execute {
+            call,
+            instance,
+            epoch,
+            kind,
+            is_lost,
+            sent_ms,
+        };
         if self.rng.random_range(0..1_000) < self.faults.duplicated {
             let again_ms = at_ms + self.rng.random_range(1..4_000);
             self.push(again_ms, event.clone());
         }
         self.push(at_ms, event);
-        self.push(self.now_ms + CALL_TIMEOUT_MS, Event::Timeout { call, instance, epoch });
+        self.push(
+            self.now_ms + CALL_TIMEOUT_MS,
+            Event::Timeout {
+                call,
+                instance,
+                epoch,
+            },
+        );
     }
 
-    fn execute(&mut self, call: u64, (instance, epoch): (usize, u32), kind: Call, is_lost: bool, sent_ms: u64) {
+    fn execute(
+        &mut self,
+        call: u64,
+        (instance, epoch): (usize, u32),
+        kind: Call,
+        is_lost: bool,
+        sent_ms: u64,
+    ) {
         let number = match &kind {
             Call::Read(number) => *number,
             Call::Write(write) => write.row,
         };
         let busy_until = self.busy_until.get(&number).copied().unwrap_or_default();
-        if let Call::Write(_) = kind && busy_until > self.now_ms {
-            return self.push(busy_until, Event::Execute { call, instance, epoch, kind, is_lost, sent_ms });
+        if let Call::Write(_) = kind
+            && busy_until > self.now_ms
+        {
+            return self.push(
+                busy_until,
+                Event::Execute {
+                    call,
+                    instance,
+                    epoch,
+                    kind,
+                    is_lost,
+                    sent_ms,
+                },
+            );
         }
         let mut is_done = true;
         if let Call::Write(write) = kind {
@@ -518,7 +677,11 @@
             self.counts.conflicts += u64::from(!is_done);
             if is_done {
                 if self.done_calls.insert(call) {
-                    self.counts.reserved += write.granted.iter().map(|one| u64::from(one.count)).sum::<u64>();
+                    self.counts.reserved += write
+                        .granted
+                        .iter()
+                        .map(|one| u64::from(one.count))
+                        .sum::<u64>();
                 }
                 self.next_number += 1;
                 self.rows.insert(number, (write.calendar, self.next_number));
@@ -531,10 +694,29 @@
         let version = row.as_ref().map_or(0, |row| row.1);
         let at_ms = self.now_ms + self.rng.random_range(3..9);
         let now_ms = self.now_ms;
-        self.push(at_ms, Event::Response { call, instance, epoch, is_done, number, row, version, now_ms, sent_ms });
+        self.push(
+            at_ms,
+            Event::Response {
+                call,
+                instance,
+                epoch,
+                is_done,
+                number,
+                row,
+                version,
+                now_ms,
+                sent_ms,
+            },
+        );
     }
 
-    fn respond(&mut self, instance: usize, is_done: bool, (number, row): (u32, Option<(Calendar, u64)>), version: u64) {
+    fn respond(
+        &mut self,
+        instance: usize,
+        is_done: bool,
+        (number, row): (u32, Option<(Calendar, u64)>),
+        version: u64,
+    ) {
         let now = self.boot(instance);
         let Some(in_flight) = self.instances[instance].in_flight.take() else {
             return;
@@ -603,7 +785,10 @@
                 continue;
             }
             let store_now = self.store_now(instance).unwrap();
-            let next_ms = self.instances[instance].permits.permits().next_valid_ms(store_now);
+            let next_ms = self.instances[instance]
+                .permits
+                .permits()
+                .next_valid_ms(store_now);
             self.wait(instance, waiter, wait_ms.min(next_ms.unwrap_or(u64::MAX)));
         }
     }
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -12,6 +12,7 @@
 mod lost_path;
 mod outage;
 mod process;
+mod quota;
 mod rate_limit;
 mod scripted_upstream;
 mod soak;
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -120,6 +120,7 @@
                 "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
                 "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0",
                 "store": store.to_string(), "memory_mb": 130, "stop_s": stop_s,
+                "quota": {"window_s": 5, "excess": 0.1, "tolerance": 20},
             },
             "log": {"level": "debug"},
         });
@@ -349,6 +350,18 @@
     max_body_bytes: usize,
     timeout_ms: u64,
 ) {
+    let config = config(version, retention_s, max_body_bytes, timeout_ms);
+    store.put("op", "config", config.to_string().as_bytes());
+}
+
+/// Like [`configure`], with client accounts.
+pub(crate) fn configure_accounts(store: &Store, version: u64, accounts: Value) {
+    let mut config = config(version, 60.0, 100_000, 4_000);
+    config["tenants"] = accounts;
+    store.put("op", "config", config.to_string().as_bytes());
+}
+
+fn config(version: u64, retention_s: f64, max_body_bytes: usize, timeout_ms: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, resumable: bool, retained: bool| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": kind,
@@ -357,7 +370,7 @@
             "resumable": resumable, "gap_target_ms": 400,
         })
     };
-    let config = json!({
+    json!({
         "version": version,
         "routes": [
             route("read", "safe", "app", false, false),
@@ -373,8 +386,7 @@
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-    });
-    store.put("op", "config", config.to_string().as_bytes());
+    })
 }
 
 /// Starts a store with a configuration, and one upstream of a service for each behaviour. The
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -37,7 +37,8 @@
 use crate::stream::Stream;
 use crate::stream_log::StreamLog;
 use crate::{
-    attempt, client, crash, prepare, quota, relay, stream_log, stream_version, suspect, version_history,
+    attempt, client, crash, prepare, quota, relay, stream_log, stream_version, suspect,
+    version_history,
 };
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
--- a/crates/ingress/src/operator.rs
+++ b/crates/ingress/src/operator.rs
@@ -14,6 +14,22 @@
 /// Path of the list of suspects, and prefix of the path of each.
 const SUSPECTS: &str = "/suspects";
 
+/// Path of the list of client accounts.
+const ACCOUNTS: &str = "/accounts";
+
+/// A client account, with the use of its quota at this instance.
+#[derive(Serialize)]
+struct AccountView<'a> {
+    name: &'a str,
+    keys: usize,
+    /// Requests per second of all instances; `None` if the account has no quota, as what follows.
+    rate_per_s: Option<f64>,
+    burst: Option<u32>,
+    requests: Option<u64>,
+    rejected: Option<u64>,
+    permits: Option<u64>,
+}
+
 /// A request that was in flight when upstreams crashed.
 #[derive(Serialize)]
 struct SuspectView {
@@ -44,8 +60,12 @@
     }
 }
 
-/// Handles `GET /suspects` and `DELETE /suspects/FINGERPRINT`. Returns `None` for other requests.
+/// Handles `GET /accounts`, `GET /suspects` and `DELETE /suspects/FINGERPRINT`. Returns `None` for other
+/// requests.
 pub(crate) fn respond(state: &State, method: &Method, path: &str) -> Option<Response<Full<Bytes>>> {
+    if method == Method::GET && path == ACCOUNTS {
+        return Some(list_accounts(state));
+    }
     let rest = path.strip_prefix(SUSPECTS)?;
     match (method, rest.strip_prefix('/')) {
         (&Method::GET, None) if rest.is_empty() => Some(list(state)),
@@ -57,7 +77,33 @@
 fn list(state: &State) -> Response<Full<Bytes>> {
     let listed = state.suspects.table().list(state.now());
     let views: Vec<_> = listed.into_iter().map(SuspectView::from).collect();
-    match serde_json::to_vec(&views) {
+    json_response(&views)
+}
+
+fn list_accounts(state: &State) -> Response<Full<Bytes>> {
+    let table = state.table();
+    let accounts = table
+        .as_ref()
+        .and_then(|table| table.config().accounts.as_ref());
+    let accounts = accounts.into_iter().flat_map(|accounts| accounts.iter());
+    let views = accounts.map(|(account, keys)| {
+        let quota = account.quota;
+        let usage = quota.map(|_| state.quotas.usage(&account.name).unwrap_or_default());
+        AccountView {
+            name: &account.name,
+            keys,
+            rate_per_s: quota.map(|quota| quota.rate.per_s()),
+            burst: quota.map(|quota| quota.burst),
+            requests: usage.map(|usage| usage.requests),
+            rejected: usage.map(|usage| usage.rejected),
+            permits: usage.map(|usage| usage.permits),
+        }
+    });
+    json_response(&views.collect::<Vec<_>>())
+}
+
+fn json_response(value: &impl Serialize) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(value) {
         Ok(body) => {
             let mut response = Response::new(Full::from(body));
             let json = HeaderValue::from_static("application/json");
--- a/crates/ingress/src/quota.rs
+++ b/crates/ingress/src/quota.rs
@@ -285,7 +285,9 @@
                     return Err(Rejection::OverQuota(retry_after_ms(wait_ms)));
                 }
                 Outcome::Full(wait_ms) => {
-                    let wait_ms = self.next_held_ms().map_or(wait_ms, |held| held.min(wait_ms));
+                    let wait_ms = self
+                        .next_held_ms()
+                        .map_or(wait_ms, |held| held.min(wait_ms));
                     self.pause(wait_ms, Rejection::OverQuota).await?;
                 }
                 Outcome::Failed => {
@@ -351,11 +353,7 @@
     }
 
     /// Waits for a time, or returns the rejection of a request that would wait too long.
-    async fn pause(
-        &self,
-        ms: u64,
-        reject: impl FnOnce(u64) -> Rejection,
-    ) -> Result<(), Rejection> {
+    async fn pause(&self, ms: u64, reject: impl FnOnce(u64) -> Rejection) -> Result<(), Rejection> {
         let waited_ms = boot_time().since(self.began);
         if waited_ms.saturating_add(ms) > MAX_WAIT_MS.min(self.limit_ms) {
             return Err(reject(retry_after_ms(ms)));
@@ -367,7 +365,9 @@
     /// Returns the milliseconds until a permit that is held becomes valid.
     fn next_held_ms(&self) -> Option<u64> {
         let store_now = self.state.store.store_time()?;
-        lock(&self.account.permits).permits().next_valid_ms(store_now)
+        lock(&self.account.permits)
+            .permits()
+            .next_valid_ms(store_now)
     }
 
     /// Reserves permits in the background if few are left.
--- a/crates/ingress/src/quota/reservation.rs
+++ b/crates/ingress/src/quota/reservation.rs
@@ -70,8 +70,8 @@
     }
 
     fn decode(bytes: &[u8]) -> Result<Calendar, Error> {
-        let row: Self = postcard::from_bytes(bytes)
-            .map_err(|error| Error::Malformed(error.to_string()))?;
+        let row: Self =
+            postcard::from_bytes(bytes).map_err(|error| Error::Malformed(error.to_string()))?;
         if row.reserved.len() > MAX_ROW_SLOTS {
             return Err(Error::Malformed("the calendar is too long".into()));
         }
