--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -22,7 +22,7 @@
 const MAX_BACKOFF_MS: u64 = 1_000;
 
 /// Surplus from which on permits are returned in the background.
-const MIN_RETURNED: u32 = 4;
+const MIN_RETURNED: u32 = 6;
 
 /// Time for which no program begins after one in progress lacked permits, in milliseconds.
 const SHORTAGE_MS: u64 = 1_000;
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -14,7 +14,7 @@
 
 /// Deficit of the next seconds from which on permits are reserved in the background, as a fraction of
 /// the demand. Smaller ones come from the variation of the expected demand.
-const MIN_DEFICIT: f64 = 0.3;
+const MIN_DEFICIT: f64 = 0.6;
 
 /// Time for which a permit has to be valid when its reservation begins, in milliseconds: several times
 /// the duration of a store call.
--- a/crates/core/tests/dispatch/quota/site.rs
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -1,7 +1,7 @@
 //! Simulated instances that share the row of one account in a simulated store.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
 
 use basilramp_core::clock::Time;
@@ -148,9 +148,7 @@
     pub(crate) calls: u64,
     pub(crate) conflicts: u64,
     pub(crate) writes: u64,
-    pub(crate) reserved: u64,
     pub(crate) waited_ms: Vec<u64>,
-    pub(crate) kinds: BTreeMap<String, u64>,
 }
 
 /// All instances and the store.
@@ -168,7 +166,6 @@
     next_program: u64,
     rows: BTreeMap<u32, (Calendar, u64)>,
     busy_until: BTreeMap<u32, u64>,
-    done_calls: BTreeSet<u64>,
     rng: StdRng,
     route: Arc<str>,
 }
@@ -196,7 +193,6 @@
             next_program: 0,
             rows: BTreeMap::new(),
             busy_until: BTreeMap::new(),
-            done_calls: BTreeSet::new(),
             rng: StdRng::seed_from_u64(seed + 1),
             route: "chat".into(),
         };
@@ -464,30 +460,6 @@
     }
 
     fn reject(&mut self, waiter: Waiter) {
-        if std::env::var("DBG").is_ok() && !waiter.is_start {
-            let i = self.programs.get(&waiter.program).map_or(0, |p| p.instance);
-            let p = self.programs.get(&waiter.program).cloned();
-            let c = self.rows.get(&0).unwrap().0.clone();
-            let slot = self.now_ms / 250;
-            let mut held: Vec<_> = self.instances[i]
-                .permits
-                .permits()
-                .by_slot()
-                .map(|(s, n)| (s as i64 - slot as i64, n))
-                .collect();
-            held.sort();
-            println!(
-                "REJ {} since {} {:?} held {:?} cal first {} level {} {:?} shape {:?}",
-                self.now_ms,
-                waiter.since_ms,
-                p,
-                held,
-                c.first as i64 - slot as i64,
-                c.level,
-                c.reserved,
-                self.instances[i].shapes.get("chat")
-            );
-        }
         let Some(program) = self.programs.remove(&waiter.program) else {
             return;
         };
@@ -572,30 +544,6 @@
         steps: Steps,
     ) {
         self.counts.calls += 1;
-        {
-            let one = &self.instances[instance];
-            let starting = one.waiters.iter().filter(|waiter| waiter.is_start).count();
-            let purpose = if one.waiters.len() > starting {
-                "progress"
-            } else if starting > 0 {
-                "start"
-            } else {
-                "background"
-            };
-            let what = match &kind {
-                Call::Read(_) => "read".to_owned(),
-                Call::Write(w) => format!(
-                    "write{}{}",
-                    if w.granted.is_empty() { "-return" } else { "" },
-                    steps.writes
-                ),
-            };
-            *self
-                .counts
-                .kinds
-                .entry(format!("{purpose} {what}"))
-                .or_default() += 1;
-        }
         self.next_number += 1;
         let call = self.next_number;
         let epoch = self.instances[instance].epoch;
@@ -676,13 +624,6 @@
             self.counts.writes += 1;
             self.counts.conflicts += u64::from(!is_done);
             if is_done {
-                if self.done_calls.insert(call) {
-                    self.counts.reserved += write
-                        .granted
-                        .iter()
-                        .map(|one| u64::from(one.count))
-                        .sum::<u64>();
-                }
                 self.next_number += 1;
                 self.rows.insert(number, (write.calendar, self.next_number));
             }
