Leave half of the bucket to programs in progress

Cause: at 5 times 60/s over 86 instances, 0.74 of the programs that began finished. Change: programs that begin leave half of the bucket, and need permits for 0.95 of what they are expected to send.

--- a/crates/core/src/dispatch/quota/calendar.rs
+++ b/crates/core/src/dispatch/quota/calendar.rs
@@ -20,7 +20,7 @@
         let capacity = terms.burst + terms.rate;
         match self {
             Self::Progress => 0,
-            Self::Start => capacity / 3,
+            Self::Start => capacity / 2,
             Self::Spare => terms.burst,
         }
     }
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -21,7 +21,7 @@
 const CALL_MS: u64 = 50;
 
 /// Fraction of a new program's expected requests that there must be permits for.
-const MIN_START_FRACTION: f64 = 0.8;
+const MIN_START_FRACTION: f64 = 0.95;
 
 /// Fraction of what an idle calendar grants a new program that is enough for it.
 const MIN_IDLE_FRACTION: f64 = 0.5;
--- a/crates/core/tests/dispatch/quota.rs
+++ b/crates/core/tests/dispatch/quota.rs
@@ -27,6 +27,12 @@
     interval_ms: (100, 200),
 };
 
+/// Numbers of instances, and the rate and burst of the account.
+const ACCOUNTS: [(usize, f64, u32); 3] = [(1, 50.0, 50), (86, 400.0, 400), (86, 60.0, 60)];
+
+/// Seeds of the simulations.
+const SEEDS: Range<u64> = 7..10;
+
 /// Simulated time.
 const SIMULATED_MS: u64 = 120_000;
 
@@ -104,9 +110,9 @@
 }
 
 /// Simulates an account whose programs come to `load` times its quota.
-fn simulate(instances: usize, quota: Quota, load: f64) -> Site {
-    let mut site = Site::new(instances, Terms::new(quota, &RULE, 1), 7);
-    let mut rng = StdRng::seed_from_u64(7);
+fn simulate(instances: usize, quota: Quota, load: f64, seed: u64) -> Site {
+    let mut site = Site::new(instances, Terms::new(quota, &RULE, 1), seed);
+    let mut rng = StdRng::seed_from_u64(seed);
     let from_ms = site.now_ms;
     let until_ms = from_ms + SIMULATED_MS;
     let per_s = quota.rate.per_s() * load;
@@ -132,10 +138,12 @@
 /// rejections within the quota.
 #[test]
 fn requests_within_the_quota_are_served() {
-    for (instances, per_s, burst) in [(1, 50.0, 50), (86, 400.0, 400), (86, 60.0, 60)] {
-        let site = simulate(instances, quota(per_s, burst), 0.9);
-        let share = rejected_share(&site);
-        assert!(share < 0.01, "{instances} instances, {per_s}/s: {share}");
+    for (instances, per_s, burst) in ACCOUNTS {
+        for seed in SEEDS {
+            let site = simulate(instances, quota(per_s, burst), 0.9, seed);
+            let share = rejected_share(&site);
+            assert!(share < 0.01, "{instances} instances, {per_s}/s: {share}");
+        }
     }
 }
 
@@ -143,17 +151,19 @@
 /// could take the permits of those in progress.
 #[test]
 fn the_quota_is_used_under_overload_and_programs_are_finished() {
-    for (instances, per_s, burst) in [(1, 50.0, 50), (86, 400.0, 400), (86, 60.0, 60)] {
-        let site = simulate(instances, quota(per_s, burst), 5.0);
-        let used = site.counts.sent as f64 * 1_000.0 / (per_s * SIMULATED_MS as f64);
-        assert!(used >= 0.9, "{instances} instances, {per_s}/s: {used}");
-        let counts = &site.counts;
-        let ended = (counts.finished_programs + counts.broken_programs) as f64;
-        let finished = counts.finished_programs as f64 / ended;
-        assert!(
-            finished >= 0.9,
-            "{instances} instances, {per_s}/s: {finished}"
-        );
+    for (instances, per_s, burst) in ACCOUNTS {
+        for seed in SEEDS {
+            let site = simulate(instances, quota(per_s, burst), 5.0, seed);
+            let used = site.counts.sent as f64 * 1_000.0 / (per_s * SIMULATED_MS as f64);
+            assert!(used >= 0.9, "{instances} instances, {per_s}/s: {used}");
+            let counts = &site.counts;
+            let ended = (counts.finished_programs + counts.broken_programs) as f64;
+            let finished = counts.finished_programs as f64 / ended;
+            assert!(
+                finished >= 0.9,
+                "{instances} instances, {per_s}/s: {finished}"
+            );
+        }
     }
 }
 
