--- a/crates/ingress/src/quota/reservation.rs
+++ b/crates/ingress/src/quota/reservation.rs
@@ -162,7 +162,7 @@
 /// Next step of a reservation.
 enum Step {
     Read,
-    Write(quota::Reservation, RowWrite),
+    Write(Box<(quota::Reservation, RowWrite)>),
     End(Outcome),
 }
 
@@ -190,7 +190,8 @@
             match step {
                 Step::Read => self.read().await?,
                 Step::End(outcome) => return Ok(outcome),
-                Step::Write(reservation, write) => {
+                Step::Write(step) => {
+                    let (reservation, write) = *step;
                     if self.write(&reservation, write).await? {
                         return Ok(Outcome::Granted);
                     }
@@ -222,7 +223,7 @@
         };
         let reservation = permits.plan(purpose, self.terms, &mut shapes, store_now, now);
         let full = match permits.write(&reservation, now) {
-            Ok(write) => return Step::Write(reservation, write),
+            Ok(write) => return Step::Write(Box::new((reservation, write))),
             Err(full) => full,
         };
         permits.abandon(&reservation);
