--- a/crates/core/src/dispatch/quota.rs
+++ b/crates/core/src/dispatch/quota.rs
@@ -117,7 +117,7 @@
         let validity = longest(max_rate, 2).or_else(|| longest(quota_rate, 1));
         let validity = validity.unwrap_or(1);
         // A burst of one permit may be more than the rule accepts beyond the rate.
-        let mut rate = rate_of(validity).min(max_rate);
+        let mut rate = rate_of(validity).clamp(0.0, max_rate);
         if rate < 1.0 && rule.tolerance > 0 {
             rate = quota_rate;
         }
--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::{
-    Calendar, Demand, Granted, Permit, Permits, Plan, ProgramShapes, Purpose, Reserved, StoreTime,
-    Terms, needs_refill, surplus, take_surplus, uncovered_requests,
+    Calendar, Demand, Granted, Permit, Permits, Plan, ProgramShapes, Purpose, Reserved, SLOT_MS,
+    StoreTime, Terms, needs_refill, surplus, take_surplus, uncovered_requests,
 };
 use crate::clock::Time;
 
@@ -42,6 +42,8 @@
     rows: BTreeMap<u32, KnownRow>,
     /// Number of the row that is used.
     row: u32,
+    /// Newest terms in a row.
+    newest: Option<Terms>,
     refill_at: Time,
     /// When programs may begin again after one in progress lacked permits, or all rows were full.
     start_at: Time,
@@ -146,6 +148,14 @@
         &self.permits
     }
 
+    /// Returns the milliseconds after which a request in progress should try again to take a permit, if
+    /// permits were lacking a moment ago and one that is held becomes valid soon. A call would get none.
+    #[must_use]
+    pub fn wait_for_held_ms(&self, store_now: StoreTime, now: Time) -> Option<u64> {
+        let next_ms = self.permits.next_valid_ms(store_now)?;
+        (now < self.start_at && next_ms <= SLOT_MS).then_some(next_ms)
+    }
+
     /// Returns whether permits should be reserved in the background. If so, the next such call may
     /// start after an interval.
     pub fn start_refill(
@@ -169,6 +179,22 @@
         now >= self.start_at && uncovered < 1.0
     }
 
+    /// Returns the terms in force: those of the configuration, or newer ones of a row, which another
+    /// instance wrote that has applied the configuration earlier.
+    fn terms_in_force(&self, terms: Terms) -> Terms {
+        let newer = self.newest.filter(|newest| newest.version > terms.version);
+        newer.unwrap_or(terms)
+    }
+
+    fn record_terms(&mut self, terms: Terms) {
+        if self
+            .newest
+            .is_none_or(|newest| newest.version < terms.version)
+        {
+            self.newest = Some(terms);
+        }
+    }
+
     /// Returns the number of the row that the next reservation uses.
     #[must_use]
     pub const fn row(&self) -> u32 {
@@ -177,6 +203,7 @@
 
     /// Uses another row, as the present one is full. `draw` is a random number.
     pub fn change_row(&mut self, terms: Terms, draw: u32) {
+        let terms = self.terms_in_force(terms);
         let others = terms.rows.saturating_sub(1);
         self.row = match others {
             0 => 0,
@@ -187,7 +214,7 @@
     /// Begins a call. Returns whether the row should be read before it is written, as another instance
     /// has probably changed it.
     pub fn start_call(&mut self, terms: Terms, now: Time) -> bool {
-        self.row %= terms.rows;
+        self.row %= self.terms_in_force(terms).rows;
         self.rows
             .get(&self.row)
             .is_none_or(|known| known.is_contended && now.since(known.at) >= WRITE_MAX_AGE_MS)
@@ -240,6 +267,7 @@
         store_now: StoreTime,
         now: Time,
     ) -> Reservation {
+        let terms = self.terms_in_force(terms);
         self.demand.end_programs(shapes, now);
         self.permits.expire(store_now);
         let validity = self.validity(self.row).unwrap_or(terms.validity);
@@ -356,6 +384,9 @@
 
     /// Records a row as the store has it; `None` if there is none.
     pub fn record_row(&mut self, row: u32, stored: Option<(Calendar, u64)>, now: Time) {
+        if let Some((calendar, _)) = &stored {
+            self.record_terms(calendar.terms);
+        }
         let version = stored.as_ref().map_or(0, |(_, version)| *version);
         let known = self.rows.get(&row).map(|known| known.version);
         let known = KnownRow {
--- a/crates/core/src/dispatch/quota/demand.rs
+++ b/crates/core/src/dispatch/quota/demand.rs
@@ -28,7 +28,8 @@
 /// Number of requests from which on a program's own rate is used.
 const MIN_MEASURED_REQUESTS: u32 = 4;
 
-/// Fraction of a route's mean duration that a program in progress is expected to last at least.
+/// Time that a program in progress is expected to last at least, as a fraction of the mean duration on its
+/// route or of the time for which it has lasted longer than that.
 const MIN_REMAINING: f64 = 0.25;
 
 /// Intervals without a request after which a program may be over, and after which it probably is.
@@ -115,7 +116,9 @@
             shape.interval_ms()
         };
         let interval_ms = interval_ms.max(1.0);
-        let remaining_ms = (shape.duration_ms - age_ms).max(shape.duration_ms * MIN_REMAINING);
+        let rest_ms = shape.duration_ms - age_ms;
+        let min_rest_ms = shape.duration_ms.max(-rest_ms) * MIN_REMAINING;
+        let remaining_ms = rest_ms.max(min_rest_ms);
         let idle = now.since(self.latest) as f64 / interval_ms;
         let in_progress =
             ((MAX_INTERVALS - idle) / (MAX_INTERVALS - MIN_INTERVALS)).clamp(0.0, 1.0);
--- a/crates/core/tests/dispatch/quota/site.rs
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -418,6 +418,13 @@
             }
             return;
         }
+        let now = self.boot(instance);
+        let store_now = self.store_now(instance);
+        let permits = &self.instances[instance].permits;
+        let wait_ms = store_now.and_then(|store_now| permits.wait_for_held_ms(store_now, now));
+        if let Some(wait_ms) = wait_ms.filter(|_| !waiter.is_start) {
+            return self.wait(instance, waiter, wait_ms);
+        }
         self.instances[instance].waiters.push(waiter);
         self.reserve(instance);
     }
--- a/crates/daemon/tests/ingress/quota.rs
+++ b/crates/daemon/tests/ingress/quota.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use basilramp_core::dispatch::quota::Rule;
 use basilramp_fakes::user_platform::{Mode, Store, Upstream};
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -73,6 +74,63 @@
     statuses
 }
 
+/// The platform leaves out a section of the template whose value it does not have.
+#[test]
+fn the_template_holds_the_rule_where_the_platform_states_it() {
+    const TEMPLATE: &str = include_str!("../../../../deploy/ingress.jsonc");
+    let bounds = [
+        ("bounds.quota_window_s", "4.5"),
+        ("bounds.quota_excess", "0.2"),
+        ("bounds.quota_tolerance", "7"),
+    ];
+    let rule = |bounds: &[(&str, &str)]| {
+        let settings = basilramp_ingress::Settings::parse(&render(TEMPLATE, bounds));
+        settings.unwrap().quota
+    };
+    let rule_of = |window_ms, excess, tolerance| Rule {
+        window_ms,
+        excess,
+        tolerance,
+    };
+    assert_eq!(rule(&bounds), rule_of(4_500, 0.2, 7));
+    assert_eq!(rule(&bounds[..1]), rule_of(4_500, 0.0, 0));
+    assert_eq!(rule(&[]), Rule::default());
+}
+
+/// Fills in a template as the platform does.
+fn render(template: &str, bounds: &[(&str, &str)]) -> String {
+    let mut text = template.to_owned();
+    for name in [
+        "bounds.quota_tolerance",
+        "bounds.quota_excess",
+        "bounds.quota_window_s",
+    ] {
+        let (opening, closing) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+        let Some((before, rest)) = text.split_once(&opening) else {
+            continue;
+        };
+        let (section, after) = rest.split_once(&closing).unwrap();
+        let value = bounds.iter().find(|bound| bound.0 == name);
+        let section = value.map_or(String::new(), |(_, value)| {
+            section.replace(&format!("{{{{{name}}}}}"), value)
+        });
+        text = format!("{before}{section}{after}");
+    }
+    let fields = [
+        ("{{node_name}}", "a"),
+        ("{{zone}}", "z"),
+        ("{{ip}}:{{port_range.0}}", "127.0.0.1:3"),
+        ("{{ip}}:{{port_range.1}}", "127.0.0.1:5"),
+        ("{{listen.front}}", "127.0.0.1:1"),
+        ("{{listen.ready}}", "127.0.0.1:2"),
+        ("{{platform.address}}", "127.0.0.1:4"),
+        ("{{limits.memory_mb}}", "88"),
+        ("{{bounds.grace_s}}", "8"),
+    ];
+    let fill = |text: String, (field, value): &(&str, &str)| text.replace(field, value);
+    fields.iter().fold(text, fill)
+}
+
 /// Each instance alone could keep the quota and still the sum of all would exceed it, also when one of
 /// them is killed with permits.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -452,7 +452,16 @@
             }
         }
         let key = placement.key;
-        let permit = quota::spend(&mut request);
+        let permit = match quota::spend(&mut request).await {
+            Ok(permit) => permit,
+            Err(rejection) => {
+                if let Some(error) = server_error {
+                    return Ok(complete(&request, error));
+                }
+                request.mark_logged();
+                return Err(request.attempts.after(rejection));
+            }
+        };
         let failure = match run_attempt(&request, &placement).await {
             Ok(AttemptResult::Complete(response)) => {
                 if !response.status().is_server_error() {
--- a/crates/ingress/src/quota.rs
+++ b/crates/ingress/src/quota.rs
@@ -139,14 +139,22 @@
     }
 }
 
-/// Uses the permit of a request for an attempt that is sent now.
-pub(crate) fn spend(request: &mut ActiveRequest) -> Option<SpentPermit> {
-    let mut permit = request.permit.take()?;
-    Some(SpentPermit {
+/// Uses the permit of a request for an attempt that is sent now. If the permit has expired since it was
+/// taken, the request takes another one. Returns `None` for an account without a quota.
+///
+/// # Errors
+///
+/// Returns a rejection if there is no permit in time.
+pub(crate) async fn spend(request: &mut ActiveRequest) -> Result<Option<SpentPermit>, Rejection> {
+    acquire(request).await?;
+    let Some(mut permit) = request.permit.take() else {
+        return Ok(None);
+    };
+    Ok(Some(SpentPermit {
         state: Arc::clone(&permit.state),
         account: Arc::clone(&permit.account),
         permit: permit.permit.take(),
-    })
+    }))
 }
 
 /// Reserves permits for a program that begins, and takes one for its first request.
--- a/crates/ingress/src/quota/applicant.rs
+++ b/crates/ingress/src/quota/applicant.rs
@@ -60,6 +60,10 @@
                     continue;
                 }
             }
+            if let Some(wait_ms) = self.wait_for_held_ms() {
+                self.pause(wait_ms, Rejection::OverQuota).await?;
+                continue;
+            }
             match self.reserve().await {
                 Outcome::Granted => is_reserved = self.begins,
                 Outcome::Superseded => {}
@@ -149,6 +153,12 @@
         Ok(())
     }
 
+    /// Returns the milliseconds after which a request in progress should try again without a call.
+    fn wait_for_held_ms(&self) -> Option<u64> {
+        let store_now = self.state.store.store_time().filter(|_| !self.begins)?;
+        lock(&self.account.permits).wait_for_held_ms(store_now, boot_time())
+    }
+
     /// Returns the milliseconds until a permit that is held becomes valid.
     fn next_held_ms(&self) -> Option<u64> {
         let store_now = self.state.store.store_time()?;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -252,10 +252,9 @@
             break;
         };
         tried.push(Arc::clone(&instance));
-        quota::acquire(request)
+        let permit = quota::spend(request)
             .await
             .map_err(|rejection| request.attempts.after(rejection))?;
-        let permit = quota::spend(request);
         let mut guard = RelayGuard::start(&state, &instance);
         let result = exchange(request, &instance, last_event).await;
         if let Ok((response, _)) = &result {
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -450,7 +450,9 @@
                 return Err(self.abort("the request may crash upstreams"));
             }
             key = placement.key;
-            let permit = quota::spend(&mut self.request);
+            let Ok(permit) = quota::spend(&mut self.request).await else {
+                return Err(self.abort("the account has no permit for another attempt"));
+            };
             match attempt::send(
                 &self.request,
                 &placement,
