--- /dev/null
+++ b/crates/core/src/dispatch/quota.rs
@@ -0,0 +1,136 @@
+//! Quotas of accounts over all instances.
+//!
+//! Each account with a quota has a [`Calendar`] of request permits in slots of store time, which all
+//! instances share as one row. An instance reserves permits by a conditional write of the row and
+//! sends a request only with a permit that it holds ([`Permits`]) and that is valid at every time that
+//! the store's clock may show ([`StoreClock`]). What to reserve follows from the [`Demand`] at the
+//! instance.
+
+mod account_permits;
+mod calendar;
+mod demand;
+mod permits;
+mod plan;
+mod store_clock;
+
+pub use account_permits::{AccountPermits, Full, Reservation, RowWrite};
+pub use calendar::{Calendar, Class, Granted, Wanted};
+pub use demand::{Demand, ProgramShape, ProgramShapes};
+pub use permits::{Permit, Permits};
+pub use plan::{Plan, Purpose, Reserved};
+use plan::{needs_refill, surplus, take_surplus, uncovered_requests};
+pub use store_clock::{StoreClock, StoreTime};
+
+use super::account::Quota;
+
+/// Length of a slot in milliseconds.
+pub const SLOT_MS: u64 = 250;
+
+/// Number of slots after the present one that permits are reserved for: 6 s.
+pub const HORIZON_SLOTS: u64 = 24;
+
+/// Parts of a permit. The rate of a [`Quota`], in thousandths of a request per second, is the number
+/// of these parts per slot.
+pub const PERMIT_PARTS: i64 = 4_000;
+
+/// Maximum number of slots in which a permit is valid. A longer validity hardly reduces the number of
+/// permits that expire unused.
+const MAX_VALIDITY_SLOTS: u64 = 8;
+
+/// Rate of a row, in requests per second, up to which instances rarely write it at the same time. A
+/// transaction takes 8 ms, and a program of some 20 requests about two of them.
+const MAX_ROW_RATE: f64 = 50.0;
+
+/// Maximum number of rows of an account.
+const MAX_ROWS: u32 = 32;
+
+/// Window of the rule where the settings have none, in milliseconds.
+const DEFAULT_WINDOW_MS: u64 = 5_000;
+
+/// What the requests of an account in any window of time may number: at most
+/// (`rate` x window + `burst`) x (1 + `excess`) + `tolerance`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rule {
+    /// Length of the window in milliseconds.
+    pub window_ms: u64,
+    /// Accepted excess, as a fraction.
+    pub excess: f64,
+    /// Accepted number of further requests.
+    pub tolerance: u32,
+}
+
+impl Default for Rule {
+    fn default() -> Self {
+        Self {
+            window_ms: DEFAULT_WINDOW_MS,
+            excess: 0.0,
+            tolerance: 0,
+        }
+    }
+}
+
+/// Terms by which the permits of an account are reserved, from a version of the configuration.
+///
+/// The permits of every span of n slots number at most n x `rate` + `burst`. A window of the rule
+/// overlaps with the validity of the permits of at most window / slot + `validity` slots. The rate and
+/// the burst are those of one row; a large account has several equal ones, which add up to its quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Parts of a permit per slot.
+    pub rate: i64,
+    /// Parts of a permit that a span of slots may have beyond the rate.
+    pub burst: i64,
+    /// Number of slots in which a permit is valid, the first one included.
+    pub validity: u64,
+    /// Number of rows.
+    pub rows: u32,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
+impl Terms {
+    /// Derives the terms from a quota, so that the rule holds without its tolerance.
+    ///
+    /// The excess that the rule accepts goes to the rate, as a part of the permits expires unused. What
+    /// is left beyond the rate goes to the validity of permits before the burst: it lets an instance
+    /// absorb uneven arrivals, and takes nothing from an account that was idle, as the slots whose
+    /// permits are still valid add up to what the burst is short of.
+    #[must_use]
+    pub fn new(quota: Quota, rule: &Rule, version: u64) -> Self {
+        let quota_rate = quota.rate.milli_per_s() as f64;
+        let one = PERMIT_PARTS as f64;
+        let quota_burst = f64::from(quota.burst) * one;
+        let window_slots = rule.window_ms.div_ceil(SLOT_MS) as f64;
+        let accepted = {
+            let window = rule.window_ms as f64 / SLOT_MS as f64;
+            (quota_rate * window + quota_burst) * (1.0 + rule.excess)
+        };
+        let min_burst = (quota_burst / 4.0).max(one);
+        let max_rate = quota_rate * (1.0 + rule.excess);
+        let rate_of = |validity: u64| (accepted - min_burst) / (window_slots + validity as f64);
+        let longest = |rate: f64, shortest: u64| {
+            let validities = (shortest..=MAX_VALIDITY_SLOTS).rev();
+            validities
+                .into_iter()
+                .find(|validity| rate_of(*validity) >= rate)
+        };
+        let validity = longest(max_rate, 2).or_else(|| longest(quota_rate, 1));
+        let validity = validity.unwrap_or(1);
+        // A burst of one permit may be more than the rule accepts beyond the rate.
+        let mut rate = rate_of(validity).clamp(0.0, max_rate);
+        if rate < 1.0 && rule.tolerance > 0 {
+            rate = quota_rate;
+        }
+        let burst = accepted - rate * (window_slots + validity as f64);
+        let burst = burst.min(quota_burst).max(one);
+        let rows = (quota.rate.per_s() / MAX_ROW_RATE).min(burst / one) as u32;
+        let rows = rows.clamp(1, MAX_ROWS);
+        Self {
+            rate: rate as i64 / i64::from(rows),
+            burst: burst as i64 / i64::from(rows),
+            validity,
+            rows,
+            version,
+        }
+    }
+}
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -120,6 +120,7 @@
                 "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
                 "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0",
                 "store": store.to_string(), "memory_mb": 130, "stop_s": stop_s,
+                "quota": {"window_s": 5, "excess": 0.1, "tolerance": 20},
             },
             "log": {"level": "debug"},
         });
