Wait for the permit of the next slot after a grant

Cause: a request whose permit was granted for the next slot made another call at once. Change: it waits until the permit is valid.

--- a/crates/ingress/src/quota/applicant.rs
+++ b/crates/ingress/src/quota/applicant.rs
@@ -65,7 +65,12 @@
                 continue;
             }
             match self.reserve().await {
-                Outcome::Granted => is_reserved = self.begins,
+                Outcome::Granted => {
+                    is_reserved = self.begins;
+                    if let Some(wait_ms) = self.next_held_ms().filter(|_| !self.has_valid()) {
+                        self.pause(wait_ms, Rejection::OverQuota).await?;
+                    }
+                }
                 Outcome::Superseded => {}
                 Outcome::Contended => {
                     let pause_ms = rand::random_range(CONTENTION_PAUSE_MS);
@@ -159,6 +164,12 @@
         lock(&self.account.permits).wait_for_held_ms(store_now, boot_time())
     }
 
+    fn has_valid(&self) -> bool {
+        let permits = lock(&self.account.permits);
+        let store_now = self.state.store.store_time();
+        store_now.is_some_and(|store_now| permits.permits().has_valid(store_now))
+    }
+
     /// Returns the milliseconds until a permit that is held becomes valid.
     fn next_held_ms(&self) -> Option<u64> {
         let store_now = self.state.store.store_time()?;
