Learn per route when admission control has to reject programs

Cause: admission control rejected from a slowdown of 2.6, and measured it on completed turns only. On deployments whose callers accept 1.4 to 1.9 times the duration on idle engines, all programs were late before the first one was rejected.

Change: core::dispatch::admission is split. latency: slowdown as the time of running turns over their progress, so that waiting turns count. tolerance: learns per route the slowdown at which programs just end in time, from sums over first and later turns, as any instance serves any turn. demand: accounts above their share, then less urgent priorities, then the hash. returning: programs that come back after their retry delay. The ingress does not use it yet and does not compile at this commit.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -3,57 +3,61 @@
 //! When arrivals reach several times the normal rate for some seconds, engines spend their time
 //! reading prompts, every turn of every program slows down, and all programs finish late. Only a
 //! finished program is of use to its caller, so new programs are rejected before any of their turns
-//! has run, in proportion to the measured slowdown. Programs that have already started continue.
+//! has run. Programs that have already started continue.
+//!
+//! - [`latency`] measures the present slowdown of a service's turns.
+//! - [`tolerance`] learns the slowdown at which a route's programs just end in time.
+//! - [`demand`] orders the programs to reject by account, priority and hash.
+//! - [`returning`] remembers rejected programs until they come back.
+
+pub mod demand;
+pub mod latency;
+pub mod returning;
+pub mod tolerance;
+
+mod decay;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::demand::{Demand, MAX_REJECTED_SHARE};
+use self::latency::ServiceLatency;
+use self::returning::RejectedPrograms;
+use self::tolerance::{Need, Thresholds, Tolerance};
 use crate::clock::Time;
 
-/// Slowdown of turns at which the first new programs are rejected. Callers accept two to three
-/// times a program's duration on idle engines, and turns are most of that duration.
-const REJECTION_START_SLOWDOWN: f64 = 2.6;
+/// Minimum retry delay of a rejected program. Several running turns end within it.
+const MIN_RETRY_MS: u64 = 400;
 
-/// Slowdown at which the rejected share would reach one; [`MAX_REJECTED_SHARE`] caps it. Most
-/// programs admitted at this slowdown would finish late.
-const REJECTION_FULL_SLOWDOWN: f64 = 4.0;
+/// Minimum width of the random part of the retry delay, which keeps rejected programs from returning
+/// all at once.
+const MIN_RETRY_SPREAD_MS: f64 = 1_000.0;
 
-/// Upper limit of a single turn's slowdown. A higher value comes from a frozen instance or a slow
-/// reader rather than from the engine.
-const MAX_TURN_SLOWDOWN: f64 = 6.0;
+/// Maximum width of the random part of the retry delay: the duration of the longest bursts.
+const MAX_RETRY_SPREAD_MS: f64 = 10_000.0;
 
-/// Maximum share of new programs that is rejected. The turns of the admitted ones show when engines
-/// have recovered.
-const MAX_REJECTED_SHARE: f64 = 0.9;
+/// Part of a program's remaining time up to which callers honour a retry delay.
+const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
 
-/// EWMA weight of a new turn. About the last ten turns count, which a loaded instance sees within a
-/// second.
-const EWMA_WEIGHT: f64 = 0.1;
+/// Time after the last moment above the threshold in which a service still counts as overloaded. What
+/// runs then was slowed down by the overload, so nothing is learned from it.
+const OVERLOAD_HOLD_MS: u64 = 3_000;
 
-/// Growth factor per turn of the minimum read and event times, so that an engine that was fast once
-/// stops counting after some thousand turns.
-const MIN_GROWTH: f64 = 1.000_5;
+/// EWMA weight of the slowdown at a new program's arrival in the usual slowdown. A burst of some seconds
+/// has a small part in it.
+const USUAL_WEIGHT: f64 = 0.02;
 
-/// Age after which measurements of a service are ignored: the duration of a few turns.
-const STALE_MS: u64 = 1_500;
+/// Standard deviations above the mean up to which a slowdown is usual.
+const USUAL_DEVIATIONS: f64 = 2.5;
 
-/// Minimum number of measured turns before programs are rejected.
-const MIN_TURNS: u32 = 20;
+/// Turns of a program of which nothing is known yet, as the work that its rejection avoids.
+const DEFAULT_PROGRAM_TURNS: f64 = 5.0;
 
-/// Minimum retry delay of a rejected program. Several running turns end within it.
-const MIN_RETRY_MS: u64 = 400;
-
-/// Width of the random part of the retry delay, which keeps rejected programs from returning all at
-/// once.
-const RETRY_SPREAD_MS: u64 = 1_000;
-
-/// Measures the slowdown of turns per service and decides whether new programs are admitted.
-#[derive(Debug, Default)]
-pub struct AdmissionControl {
-    services: BTreeMap<Arc<str>, ServiceLatency>,
-}
+/// Maximum number of services and of routes for each service. A configuration has a few dozens; names
+/// that left it stay here until the process ends.
+const MAX_NAMES: usize = 1_024;
 
 /// Timing of a turn that completed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -68,85 +72,389 @@
     pub events: u64,
 }
 
-/// Smoothed turn latency of a service.
+/// What a completed turn tells about the program that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProgramTurn<'a> {
+    /// Name of the route.
+    pub route: &'a Arc<str>,
+    /// Whether the turn is the first one of its program.
+    pub is_first: bool,
+    /// Milliseconds until the program's deadline when the request arrived.
+    pub remaining_ms: u64,
+}
+
+/// The first request of a program.
+#[derive(Clone, Copy, Debug)]
+pub struct NewProgram<'a> {
+    /// Name of the service.
+    pub service: &'a Arc<str>,
+    /// Name of the route.
+    pub route: &'a Arc<str>,
+    /// Id of the program.
+    pub program: &'a Arc<str>,
+    /// Name of the client account; empty if callers need no key.
+    pub account: &'a Arc<str>,
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Milliseconds until the program's deadline, if the caller states it.
+    pub remaining_ms: Option<u64>,
+}
+
+/// Why a program is admitted or rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// The service is not overloaded.
+    Idle,
+    /// The program is not in the rejected share.
+    Share,
+    /// The program was rejected before and has returned.
+    Returned,
+    /// Its account asks for more than its share.
+    Account,
+    /// More urgent programs take precedence.
+    Priority,
+    /// The hash of its id is in the rejected share.
+    Hash,
+    /// It could not end before its deadline.
+    Late,
+}
+
+impl Cause {
+    /// Returns the label of the cause in metrics and logs.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Share => "share",
+            Self::Returned => "returned",
+            Self::Account => "account",
+            Self::Priority => "priority",
+            Self::Hash => "hash",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// Decision on a new program.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    /// Retry delay in milliseconds if the program is rejected.
+    pub retry_ms: Option<u64>,
+    /// Why.
+    pub cause: Cause,
+    /// Present slowdown of the service's turns.
+    pub slowdown: f64,
+    /// Slowdown from which programs of the route are rejected.
+    pub threshold: f64,
+}
+
+/// Present load of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceLoad {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Present slowdown of its turns.
+    pub slowdown: f64,
+    /// Lowest slowdown from which programs of one of its routes are rejected.
+    pub threshold: f64,
+}
+
+/// A running turn of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningTurn {
+    service: Arc<str>,
+    key: u64,
+}
+
+/// Measures the slowdown of turns per service and decides whether new programs are admitted.
+#[derive(Debug, Default)]
+pub struct AdmissionControl {
+    services: BTreeMap<Arc<str>, Service>,
+    returning: RejectedPrograms,
+    next_turn: u64,
+}
+
+/// What is known of a service.
+#[derive(Debug, Default)]
+struct Service {
+    latency: ServiceLatency,
+    demand: Demand,
+    routes: BTreeMap<Arc<str>, Tolerance>,
+    /// What is learned from the programs of all routes.
+    all_routes: Tolerance,
+    usual: UsualSlowdown,
+    /// When the slowdown was last above the threshold of a route.
+    overloaded_at: Option<Time>,
+}
+
+/// Distribution of the slowdown while programs end in time.
 #[derive(Clone, Copy, Debug, Default)]
-struct ServiceLatency {
-    /// Smoothed ratio (EWMA) of a turn's duration to its estimated duration on an idle engine.
-    slowdown: f64,
-    /// Minimum time to read a prompt token, in milliseconds.
-    read_ms: f64,
-    /// Minimum time between two events, in milliseconds.
-    event_ms: f64,
-    turns: u32,
-    last_seen: Time,
+struct UsualSlowdown {
+    values: f64,
+    mean: f64,
+    variance: f64,
+}
+
+impl UsualSlowdown {
+    fn record(&mut self, slowdown: f64) {
+        self.values += 1.0;
+        let weight = (1.0 / self.values).max(USUAL_WEIGHT);
+        let deviation = slowdown - self.mean;
+        self.mean += deviation * weight;
+        self.variance += (deviation * deviation * (1.0 - weight) - self.variance) * weight;
+    }
+
+    /// Returns the slowdown that is rarely exceeded without overload.
+    fn max(&self) -> f64 {
+        self.mean + USUAL_DEVIATIONS * self.variance.sqrt()
+    }
 }
 
 impl AdmissionControl {
+    /// Records that a turn is sent to an engine. It counts as running until [`Self::end_turn`].
+    /// Returns `None` for turns without unread tokens, whose duration is not expected.
+    pub fn start_turn(
+        &mut self,
+        service: &Arc<str>,
+        account: &Arc<str>,
+        unread_tokens: u64,
+        now: Time,
+    ) -> Option<RunningTurn> {
+        if unread_tokens == 0 {
+            return None;
+        }
+        let key = self.next_turn;
+        self.next_turn += 1;
+        let state = self.service_mut(service)?;
+        state.latency.start(key, unread_tokens, now);
+        let work_ms = state.latency.expected_ms(unread_tokens);
+        let is_overloaded = state.is_overloaded(now);
+        state
+            .demand
+            .record_work(account, work_ms, is_overloaded, now);
+        Some(RunningTurn {
+            service: Arc::clone(service),
+            key,
+        })
+    }
+
+    /// Records the number of events that a running turn has had so far.
+    pub fn record_events(&mut self, turn: &RunningTurn, events: u64, now: Time) {
+        if let Some(state) = self.services.get_mut(&turn.service) {
+            state.latency.record_events(turn.key, events, now);
+        }
+    }
+
+    /// Records that a running turn has ended, completely or not.
+    pub fn end_turn(&mut self, turn: &RunningTurn, now: Time) {
+        if let Some(state) = self.services.get_mut(&turn.service) {
+            state.latency.end(turn.key, now);
+        }
+    }
+
     /// Records the timing of a completed turn. Turns without unread tokens or with fewer than two
-    /// events are ignored.
-    pub fn record(&mut self, service: &Arc<str>, turn: TurnTiming, now: Time) {
+    /// events are ignored. `running` is given if the turn was counted while it ran, and `program` for
+    /// turns of programs that state their deadline.
+    pub fn record(
+        &mut self,
+        service: &Arc<str>,
+        turn: TurnTiming,
+        running: Option<&RunningTurn>,
+        program: Option<ProgramTurn<'_>>,
+        now: Time,
+    ) {
         if turn.unread_tokens == 0 || turn.events < 2 {
             return;
         }
-        let latency = self.services.entry(Arc::clone(service)).or_default();
-        latency.record(turn, now);
+        let Some(state) = self.service_mut(service) else {
+            return;
+        };
+        let is_overloaded = state.is_overloaded(now);
+        let idle_ms =
+            state
+                .latency
+                .record(turn, running.map(|running| running.key), is_overloaded, now);
+        let Some(program) = program.filter(|_| !is_overloaded) else {
+            return;
+        };
+        if let Some(tolerance) = entry(&mut state.routes, program.route) {
+            let ms = turn.first_event_ms + turn.streaming_ms;
+            let remaining_ms = program.remaining_ms as f64;
+            tolerance.record(program.is_first, remaining_ms, ms, idle_ms, now);
+            let all_routes = &mut state.all_routes;
+            all_routes.record(program.is_first, remaining_ms, ms, idle_ms, now);
+        }
     }
 
-    /// Returns the smoothed slowdown of a service's turns relative to idle engines. Returns 1 if
-    /// there are too few recent measurements.
+    /// Returns the present slowdown of a service's turns relative to idle engines. Returns 1 if there
+    /// are too few recent measurements.
     #[must_use]
     pub fn slowdown(&self, service: &str, now: Time) -> f64 {
-        let latency = self.services.get(service);
-        let known = latency.filter(|latency| {
-            latency.turns >= MIN_TURNS && now.since(latency.last_seen) < STALE_MS
-        });
-        known.map_or(1.0, |latency| latency.slowdown.max(1.0))
+        let state = self.services.get(service);
+        state.map_or(1.0, |state| state.latency.slowdown(now))
     }
 
-    /// Returns the retry delay in milliseconds if a new program is rejected, or `None` if it is
-    /// admitted.
-    ///
-    /// The decision depends on a hash of the program id, so that instances with similar
-    /// measurements decide alike. A program is thus admitted or rejected at its first attempt, and
-    /// retries elsewhere do not get it admitted late. `draw` is a random number from 0 to 1 that
-    /// spreads the retry delay.
+    /// Returns the present load of all services.
     #[must_use]
-    pub fn rejection_delay_ms(
-        &self,
-        service: &str,
-        program: &str,
-        draw: f64,
-        now: Time,
-    ) -> Option<u64> {
-        let slowdown = self.slowdown(service, now);
-        let excess = (slowdown - REJECTION_START_SLOWDOWN)
-            / (REJECTION_FULL_SLOWDOWN - REJECTION_START_SLOWDOWN);
-        let share = excess.clamp(0.0, MAX_REJECTED_SHARE);
-        let rank = xxh3_64(program.as_bytes()) as f64 / u64::MAX as f64;
-        if rank >= share {
-            return None;
-        }
-        Some(MIN_RETRY_MS + (draw * RETRY_SPREAD_MS as f64) as u64)
+    pub fn loads(&self, now: Time) -> Vec<ServiceLoad> {
+        let load = |(service, state): (&Arc<str>, &Service)| ServiceLoad {
+            service: Arc::clone(service),
+            slowdown: state.latency.slowdown(now),
+            threshold: state
+                .routes
+                .values()
+                .map(|route| state.thresholds(Some(route)).start)
+                .fold(Thresholds::default().start, f64::min),
+        };
+        self.services.iter().map(load).collect()
     }
-}
 
-impl ServiceLatency {
-    fn record(&mut self, turn: TurnTiming, now: Time) {
-        let read_ms = turn.first_event_ms / turn.unread_tokens as f64;
-        let event_ms = turn.streaming_ms / (turn.events - 1) as f64;
-        if self.turns == 0 {
-            (self.read_ms, self.event_ms) = (read_ms, event_ms);
+    /// Decides on the first request of a program. `draw` is a random number from 0 to 1 that spreads
+    /// the retry delay.
+    ///
+    /// Within its group the program is selected by a hash of its id, so that instances with similar
+    /// measurements decide alike.
+    pub fn decide(&mut self, new: &NewProgram<'_>, draw: f64, now: Time) -> Decision {
+        let unknown = Decision {
+            retry_ms: None,
+            cause: Cause::Idle,
+            slowdown: 1.0,
+            threshold: Thresholds::default().start,
+        };
+        let Some(state) = entry(&mut self.services, new.service) else {
+            return unknown;
+        };
+        let slowdown = state.latency.slowdown(now);
+        let route = state.routes.get(new.route);
+        let thresholds = state.thresholds(route);
+        let need = route.and_then(Tolerance::need);
+        let share = thresholds.share(slowdown);
+        if slowdown > thresholds.start {
+            state.overloaded_at = Some(now);
+        }
+        if need.is_none_or(|need| slowdown < need.tolerated_slowdown()) {
+            state.usual.record(slowdown);
         }
-        self.read_ms = read_ms.min(self.read_ms * MIN_GROWTH);
-        self.event_ms = event_ms.min(self.event_ms * MIN_GROWTH);
-        let idle_ms = self.read_ms * turn.unread_tokens as f64 + self.event_ms * turn.events as f64;
-        let slowdown = (turn.first_event_ms + turn.streaming_ms) / idle_ms.max(1.0);
-        let slowdown = slowdown.min(MAX_TURN_SLOWDOWN);
-        if self.turns == 0 {
-            self.slowdown = slowdown;
+        let group = state.demand.record_arrival(new.account, new.priority, now);
+        let rank = xxh3_64(new.program.as_bytes()) as f64 / u64::MAX as f64;
+        let returned = self.returning.find(new.program, now);
+        let may_return = returned.is_some_and(|rejected| rejected.may_return(slowdown, now));
+        let stated_ms = returned.and_then(|rejected| rejected.remaining_ms);
+        let is_late = is_late(new.remaining_ms, stated_ms, need.as_ref(), slowdown);
+        let cause = if share <= 0.0 {
+            Cause::Idle
+        } else if is_late && rank < MAX_REJECTED_SHARE {
+            Cause::Late
+        } else if may_return {
+            Cause::Returned
+        } else {
+            state
+                .demand
+                .select(new.account, group, share, rank, now)
+                .unwrap_or(Cause::Share)
+        };
+        let is_rejected = matches!(
+            cause,
+            Cause::Account | Cause::Priority | Cause::Hash | Cause::Late
+        );
+        let mut decision = Decision {
+            retry_ms: None,
+            cause,
+            slowdown,
+            threshold: thresholds.start,
+        };
+        if !is_rejected {
+            self.returning.remove(new.program);
+            return decision;
         }
-        self.slowdown += (slowdown - self.slowdown) * EWMA_WEIGHT;
-        self.turns = self.turns.saturating_add(1);
-        self.last_seen = now;
+        let turns = need.map_or(DEFAULT_PROGRAM_TURNS, |need| need.turns);
+        let avoided_ms = turns * state.latency.mean_turn_ms();
+        state.demand.record_rejection(new.account, avoided_ms, now);
+        let retry_ms = retry_delay_ms(
+            new.remaining_ms,
+            need.as_ref(),
+            slowdown,
+            thresholds.start,
+            draw,
+        );
+        self.returning
+            .insert(new.program, retry_ms, slowdown, new.remaining_ms, now);
+        decision.retry_ms = Some(retry_ms);
+        decision
     }
+
+    fn service_mut(&mut self, service: &Arc<str>) -> Option<&mut Service> {
+        entry(&mut self.services, service)
+    }
+}
+
+impl Service {
+    /// Returns the slowdowns between which programs of a route are rejected.
+    fn thresholds(&self, route: Option<&Tolerance>) -> Thresholds {
+        route.map_or_else(Thresholds::default, |route| {
+            route.thresholds(&self.all_routes, self.usual.max())
+        })
+    }
+
+    /// Returns whether the slowdown was above the threshold a moment ago.
+    fn is_overloaded(&self, now: Time) -> bool {
+        self.overloaded_at
+            .is_some_and(|at| now.since(at) < OVERLOAD_HOLD_MS)
+    }
+}
+
+/// Returns the entry of a name, unless there are too many names.
+fn entry<'a, T: Default>(map: &'a mut BTreeMap<Arc<str>, T>, name: &Arc<str>) -> Option<&'a mut T> {
+    if !map.contains_key(name) && map.len() >= MAX_NAMES {
+        return None;
+    }
+    Some(map.entry(Arc::clone(name)).or_default())
+}
+
+/// Returns whether a program can't end before its deadline at the present slowdown. `stated_ms` is the
+/// time that it had at its first request, if that is known.
+fn is_late(
+    remaining_ms: Option<u64>,
+    stated_ms: Option<u64>,
+    need: Option<&Need>,
+    slowdown: f64,
+) -> bool {
+    let (Some(remaining_ms), Some(need)) = (remaining_ms, need) else {
+        return false;
+    };
+    let needed_ms = match stated_ms {
+        Some(stated_ms) => need.share(slowdown) * stated_ms as f64,
+        None => need.min_ms(slowdown),
+    };
+    (remaining_ms as f64) < needed_ms
+}
+
+/// Returns the retry delay of a rejected program: spread over the time in which the work above the
+/// threshold drains, so that what returns finds room. Programs in progress at slowdown `s` have `s`
+/// times the work of an idle service, so a part of (s - threshold) / s of them has to end first.
+fn retry_delay_ms(
+    remaining_ms: Option<u64>,
+    need: Option<&Need>,
+    slowdown: f64,
+    threshold: f64,
+    draw: f64,
+) -> u64 {
+    let excess = ((slowdown - threshold) / slowdown).max(0.0);
+    let drain_ms = need.map_or(0.0, |need| need.ms(slowdown) * excess);
+    let spread_ms = drain_ms.clamp(MIN_RETRY_SPREAD_MS, MAX_RETRY_SPREAD_MS);
+    let delay_ms = MIN_RETRY_MS as f64 + draw * spread_ms;
+    let Some(remaining_ms) = remaining_ms else {
+        return delay_ms as u64;
+    };
+    let remaining_ms = remaining_ms as f64;
+    // A program that waits longer could not end in time even when the load has fallen.
+    let spare_ms = need.map_or(f64::MAX, |need| {
+        remaining_ms * (1.0 - need.share(f64::midpoint(1.0, threshold)))
+    });
+    let limit_ms = spare_ms
+        .max(MIN_RETRY_MS as f64)
+        .min(remaining_ms * MAX_RETRY_SHARE);
+    // The limit is spread too, as most programs of a route have the same.
+    let spread_limit_ms = limit_ms - (1.0 - draw) * (limit_ms - MIN_RETRY_MS as f64).max(0.0);
+    delay_ms.min(spread_limit_ms) as u64
 }
