Use the learned admission control in the ingress

Cause: the ingress used the fixed thresholds. Metrics basilramp_programs, basilramp_service_slowdown and basilramp_service_threshold. Result: compiles. daemon ingress admission::overload_rejects_new_programs fails: 12 of 30 new programs are rejected, at least 15 are expected; the cause is not found yet.

--- a/crates/core/src/dispatch/admission/latency.rs
+++ b/crates/core/src/dispatch/admission/latency.rs
@@ -19,6 +19,10 @@
 /// scatter at instances with few turns, longer ones follow a surge too late.
 const TIME_CONSTANT_MS: f64 = 1_000.0;
 
+/// Factor by which each completed turn reduces the weight of what was before, so that an instance with
+/// many turns follows within a fraction of a second.
+const TURN_DECAY: f64 = 0.96;
+
 /// Weight of the assumption that engines are idle, in turns. It decides when there are no turns.
 const IDLE_WEIGHT: f64 = 0.3;
 
@@ -136,6 +140,8 @@
         }
         self.idle_ms += (idle_ms - self.idle_ms) * MEAN_WEIGHT;
         self.count_running(now);
+        self.time.scale(TURN_DECAY);
+        self.progress.scale(TURN_DECAY);
         let running = key.and_then(|key| self.running.remove(&key));
         let counted_ms = running.map_or(0.0, |running| running.progress_ms);
         self.progress
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -64,6 +64,8 @@
     /// Maximum gap between events that the route's callers accept, in milliseconds.
     pub(crate) max_event_gap_ms: u64,
     pub(crate) service: Arc<str>,
+    /// Name of the route.
+    pub(crate) route: Arc<str>,
     pub(crate) engine: Option<Engine>,
     /// Software version that began the stream, once its first event has arrived or was received by
     /// an earlier attempt.
@@ -177,6 +179,12 @@
         client.map_or_else(|| Arc::clone(id), |client| client.account.scoped(id))
     }
 
+    /// Returns the name of the client account, or an empty one if callers of the route need no key.
+    pub(crate) fn account_name(&self) -> Arc<str> {
+        let client = self.client.as_ref();
+        client.map_or_else(|| "".into(), |client| Arc::clone(&client.account.name))
+    }
+
     /// Returns the milliseconds until the caller's deadline.
     pub(crate) fn remaining_ms(&self) -> u64 {
         self.deadline.since(self.state.now())
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,6 +7,7 @@
 use basilramp_adapter::header;
 use basilramp_adapter::upstream::{self, ConnectionReuse, ResponseClass};
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::admission::RunningTurn;
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::fleet::{AttemptOutcome, HealthChange, UpstreamKey};
 use basilramp_core::dispatch::placement::Placement;
@@ -49,9 +50,24 @@
     outcome: AttemptOutcome,
     started: Time,
     expected_ms: f64,
+    /// The turn as admission control counts it.
+    turn: Option<RunningTurn>,
 }
 
 impl AttemptGuard {
+    /// Records the number of events that the turn has had so far.
+    pub(crate) fn record_events(&self, events: u64) {
+        if let Some(turn) = &self.turn {
+            let now = self.state.now();
+            self.state.admission().record_events(turn, events, now);
+        }
+    }
+
+    /// Returns the turn as admission control counts it, if it does.
+    pub(crate) const fn turn(&self) -> Option<&RunningTurn> {
+        self.turn.as_ref()
+    }
+
     /// Records that the upstream has read the prompt.
     pub(crate) fn record_prompt_read(&mut self) {
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
@@ -87,6 +103,9 @@
     fn drop(&mut self) {
         self.record_prompt_read();
         let now = self.state.now();
+        if let Some(turn) = &self.turn {
+            self.state.admission().end_turn(turn, now);
+        }
         let change = {
             let mut fleet = self.state.fleet();
             if self.is_suspect {
@@ -151,7 +170,7 @@
 ) -> Result<UpstreamResponse, Failure> {
     let state = &request.state;
     let now = state.now();
-    let mut guard = start_attempt(request, placement, now);
+    let mut guard = start_attempt(request, placement, last_event, now);
     if state.fleet().rate_limits().rate(&placement.id).is_some() {
         state.metrics.limited_attempt(match last_event {
             Some(_) => AttemptKind::Continuation,
@@ -206,8 +225,20 @@
     Err(failure)
 }
 
-fn start_attempt(request: &ActiveRequest, placement: &Placement, now: Time) -> AttemptGuard {
+fn start_attempt(
+    request: &ActiveRequest,
+    placement: &Placement,
+    last_event: Option<u64>,
+    now: Time,
+) -> AttemptGuard {
     let state = &request.state;
+    // How much of a stream is left that continues elsewhere is not known.
+    let is_turn = request.kind.is_stream() && request.engine.is_some() && last_event.is_none();
+    let turn = is_turn.then(|| {
+        let account = request.account_name();
+        let mut admission = state.admission();
+        admission.start_turn(&request.service, &account, placement.unread_tokens, now)
+    });
     let is_suspect = suspect::is_suspect(request);
     let mut fleet = state.fleet();
     if is_suspect {
@@ -227,6 +258,7 @@
         outcome: AttemptOutcome::Abandoned,
         started: now,
         expected_ms: placement.expected_ms,
+        turn: turn.flatten(),
     }
 }
 
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -273,6 +273,7 @@
         retention_ms: route.retention_ms.unwrap_or_default(),
         max_event_gap_ms: route.max_event_gap_ms,
         service: Arc::clone(service),
+        route: Arc::clone(&route.name),
         engine: service_config.and_then(|service| service.engine.clone()),
         arrived,
         deadline,
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use basilramp_core::dispatch::admission::{Decision, ServiceLoad};
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::relay;
 use basilramp_core::dispatch::request::Rejection;
@@ -116,6 +117,7 @@
     permits: Counter<u64>,
     interruptions: Counter<u64>,
     path_losses: Counter<u64>,
+    programs: Counter<u64>,
     relays: Counter<u64>,
     request_time: Histogram<u64>,
     first_event_time: Histogram<u64>,
@@ -154,6 +156,10 @@
                 "basilramp.path.lost",
                 "How often no upstream was reached any more",
             ),
+            programs: exporter.counter(
+                "basilramp.programs",
+                "New programs admitted and rejected, by cause",
+            ),
             relays: exporter.counter(
                 "basilramp.relays",
                 "Requests relayed to other instances, by outcome",
@@ -240,6 +246,64 @@
             .add(1, &[KeyValue::new("finding", finding.label())]);
     }
 
+    /// Counts the decision on a new program.
+    pub(crate) fn program(&self, decision: &Decision) {
+        let outcome = match decision.retry_ms {
+            None => "admitted",
+            Some(_) => "rejected",
+        };
+        let labels = [
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("cause", decision.cause.label()),
+        ];
+        self.programs.add(1, &labels);
+    }
+
+    /// Exports the present slowdown of each service, and that from which new programs are rejected.
+    pub(crate) fn observe_loads(
+        &self,
+        loads: impl Fn() -> Vec<ServiceLoad> + Clone + Send + Sync + 'static,
+    ) {
+        let slowdowns = loads.clone();
+        self.observe_services(
+            "basilramp.service.slowdown",
+            "Duration of turns as a multiple of that on idle engines, by service",
+            move || {
+                slowdowns()
+                    .into_iter()
+                    .map(|load| (load.service, load.slowdown))
+                    .collect()
+            },
+        );
+        self.observe_services(
+            "basilramp.service.threshold",
+            "Slowdown from which new programs are rejected, by service",
+            move || {
+                loads()
+                    .into_iter()
+                    .map(|load| (load.service, load.threshold))
+                    .collect()
+            },
+        );
+    }
+
+    fn observe_services(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        values: impl Fn() -> Vec<(Arc<str>, f64)> + Send + Sync + 'static,
+    ) {
+        let gauge = self.exporter.meter().f64_observable_gauge(name);
+        gauge
+            .with_description(description)
+            .with_callback(move |observer| {
+                for (service, value) in values() {
+                    observer.observe(value, &[KeyValue::new("service", service.to_string())]);
+                }
+            })
+            .build();
+    }
+
     /// Counts that no upstream was reached any more.
     pub(crate) fn path_lost(&self) {
         self.path_losses.add(1, &[]);
--- a/crates/ingress/src/prepare.rs
+++ b/crates/ingress/src/prepare.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use basilramp_core::dispatch::admission::NewProgram;
 use basilramp_core::dispatch::config::Route;
 use basilramp_core::dispatch::request::{Program, Rejection};
 use basilramp_core::dispatch::transcript::TranscriptBuilder;
@@ -59,24 +60,33 @@
         return Ok(());
     };
     let state = &request.state;
-    let now = state.now();
-    let delay =
-        state
-            .admission()
-            .rejection_delay_ms(&request.service, &program.id, rand::random(), now);
-    let Some(retry_ms) = delay else {
+    let account = request.account_name();
+    let new = NewProgram {
+        service: &request.service,
+        route: &request.route,
+        program: &request.scoped(&program.id),
+        account: &account,
+        priority: request.priority,
+        remaining_ms: program.remaining_ms,
+    };
+    let decision = state.admission().decide(&new, rand::random(), state.now());
+    state.metrics.program(&decision);
+    let Some(retry_ms) = decision.retry_ms else {
         return Ok(());
     };
     request.mark_logged();
     if state.allows_log_line(Event::TurnedAway) {
-        let slowdown = state.admission().slowdown(&request.service, now);
         event!(
             state.log,
             Event::TurnedAway,
             "request" => &*request.attempt_id,
             "program" => &*program.id,
+            "account" => request.client.as_ref().map(|client| &*client.account.name),
+            "priority" => request.priority,
             "service" => &*request.service,
-            "slowdown" => slowdown,
+            "slowdown" => decision.slowdown,
+            "threshold" => decision.threshold,
+            "cause" => decision.cause.label(),
             "retry_ms" => retry_ms
         );
     }
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -4,7 +4,7 @@
 
 use basilramp_adapter::header;
 use basilramp_core::clock::Time;
-use basilramp_core::dispatch::admission::TurnTiming;
+use basilramp_core::dispatch::admission::{ProgramTurn, RunningTurn, TurnTiming};
 use basilramp_core::dispatch::attempt::{Decision, Failure};
 use basilramp_core::dispatch::fleet::AttemptOutcome;
 use basilramp_core::dispatch::placement::Placement;
@@ -184,6 +184,7 @@
         let (outcome, error) = match read {
             Ok(Ok(first_event)) => {
                 response.guard.record_response(response.head.status);
+                response.guard.record_events(1);
                 return Ok(Self {
                     response,
                     decoder,
@@ -386,6 +387,9 @@
                 return Err(self.abort("no memory is left for the turn"));
             }
         }
+        if let Some(Source::Upstream(response)) = &self.source {
+            response.guard.record_events(self.events);
+        }
         if let Some(stream_log) = &mut self.turn.stream_log
             && stream_log.flush().await.is_err()
         {
@@ -516,7 +520,7 @@
     }
 
     /// Records the timing of the turn for admission control, if it took a single attempt.
-    fn record_turn_timing(&self) {
+    fn record_turn_timing(&self, running: Option<&RunningTurn>) {
         if self.request.tried.len() > 1 {
             return;
         }
@@ -540,9 +544,16 @@
             streaming_ms: timings.last_event_ms.saturating_sub(timings.first_event_ms) as f64,
             events: self.events,
         };
-        state
-            .admission()
-            .record(&self.request.service, turn, state.now());
+        let program = self.request.headers.program.as_ref();
+        let remaining_ms = program.and_then(|program| program.remaining_ms);
+        let of_program = remaining_ms.map(|remaining_ms| ProgramTurn {
+            route: &self.request.route,
+            is_first: self.request.starts_program,
+            remaining_ms,
+        });
+        let service = &self.request.service;
+        let mut admission = state.admission();
+        admission.record(service, turn, running, of_program, state.now());
     }
 
     /// Stores the turn, then ends the response.
@@ -559,8 +570,8 @@
         };
         let upstream = response.upstream.clone();
         self.request.timings.last_event_ms = self.request.elapsed_ms();
+        self.record_turn_timing(response.guard.turn());
         response.finish();
-        self.record_turn_timing();
         if let Some(transcript) = self.turn.transcript.take() {
             let turn = turn_store::Turn {
                 transcript: transcript.finish(),
