Count running turns only once idle engines are known

Cause: turns that ran before the first one of a service had completed counted with their progress but not with their time, so that a service seemed faster than idle. Change: such turns are recorded when they complete.

--- a/crates/core/src/dispatch/admission/latency.rs
+++ b/crates/core/src/dispatch/admission/latency.rs
@@ -80,7 +80,8 @@
     /// Records that a turn starts.
     pub(super) fn start(&mut self, key: u64, unread_tokens: u64, now: Time) {
         self.count_running(now);
-        if self.running.len() >= MAX_RUNNING {
+        // The progress of turns can't be told before the first one has completed.
+        if self.turns == 0 || self.running.len() >= MAX_RUNNING {
             return;
         }
         let running = Running {
