Decide returning programs of accounts above their share anew

Cause: during a flood of one account most of its rejected programs returned and were admitted. Change: a return counts only for accounts within their share.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -349,7 +349,9 @@
         let group = state.demand.record_arrival(new.account, new.priority, now);
         let rank = xxh3_64(new.program.as_bytes()) as f64 / u64::MAX as f64;
         let returned = self.returning.find(new.program, now);
-        let may_return = returned.is_some_and(|rejected| rejected.may_return(slowdown, now));
+        // For an account above its share, the load has grown whatever the slowdown is.
+        let may_return = returned.is_some_and(|rejected| rejected.may_return(slowdown, now))
+            && state.demand.is_within_share(new.account, now);
         let stated_ms = returned.and_then(|rejected| rejected.remaining_ms);
         let is_late = is_late(new.remaining_ms, stated_ms, need.as_ref(), slowdown);
         let cause = if share <= 0.0 {
--- a/crates/core/src/dispatch/admission/demand.rs
+++ b/crates/core/src/dispatch/admission/demand.rs
@@ -191,6 +191,12 @@
         })
     }
 
+    /// Returns whether an account's present work is within its share.
+    pub(super) fn is_within_share(&self, account: &Arc<str>, now: Time) -> bool {
+        self.position(account, now).above <= 0.0
+    }
+
+    /// Compares an account's present work with its share.
     fn position(&self, account: &Arc<str>, now: Time) -> Position {
         let demand = self.accounts.get(account).copied().unwrap_or_default();
         self.totals(now).position(&demand, now)
