--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -70,6 +70,8 @@
     /// Name of the route.
     pub(crate) route: Arc<str>,
     pub(crate) service: Arc<str>,
+    /// Name of the route.
+    pub(crate) route: Arc<str>,
     pub(crate) engine: Option<Engine>,
     /// Software version that began the stream, once its first event has arrived or was received by
     /// an earlier attempt.
@@ -194,6 +196,12 @@
         self.scope.id(id)
     }
 
+    /// Returns the name of the client account, or an empty one if callers of the route need no key.
+    pub(crate) fn account_name(&self) -> Arc<str> {
+        let client = self.client.as_ref();
+        client.map_or_else(|| "".into(), |client| Arc::clone(&client.account.name))
+    }
+
     /// Returns the milliseconds until the caller's deadline.
     pub(crate) fn remaining_ms(&self) -> u64 {
         self.deadline.since(self.state.now())
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -293,6 +293,7 @@
         max_event_gap_ms: route.max_event_gap_ms,
         route: Arc::clone(&route.name),
         service: Arc::clone(service),
+        route: Arc::clone(&route.name),
         engine: service_config.and_then(|service| service.engine.clone()),
         arrived,
         deadline,
