--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -10,7 +10,7 @@
 use crate::clock::Time;
 
 /// Minimum interval between the starts of background calls, in milliseconds.
-const REFILL_INTERVAL_MS: u64 = 500;
+const REFILL_INTERVAL_MS: u64 = 1_000;
 
 /// Age up to which the row tells that the calendar is full, in milliseconds. Other instances may have
 /// returned permits since.
@@ -22,7 +22,7 @@
 const MAX_BACKOFF_MS: u64 = 1_000;
 
 /// Surplus from which on permits are returned in the background.
-const MIN_RETURNED: u32 = 6;
+const MIN_RETURNED: u32 = 12;
 
 /// Time for which no program begins after one in progress lacked permits, in milliseconds.
 const SHORTAGE_MS: u64 = 1_000;
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -9,8 +9,8 @@
 /// Number of slots for which permits are planned.
 const SLOTS: usize = HORIZON_SLOTS as usize;
 
-/// Number of slots whose demand is reserved at least: 2 s.
-const MIN_RESERVED_SLOTS: usize = 8;
+/// Number of slots whose demand is reserved at least: 1 s.
+const MIN_RESERVED_SLOTS: usize = 4;
 
 /// Deficit of the next seconds from which on permits are reserved in the background, as a fraction of
 /// the demand. Smaller ones come from the variation of the expected demand.
@@ -202,7 +202,7 @@
     }
 }
 
-/// Returns whether less than 2 s of the expected demand is reserved.
+/// Returns whether less than 1 s of the expected demand is reserved.
 #[must_use]
 pub(super) fn needs_refill(
     demand: &Demand,
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -67,8 +67,6 @@
     pub(crate) retention_ms: u64,
     /// Maximum gap between events that the route's callers accept, in milliseconds.
     pub(crate) max_event_gap_ms: u64,
-    /// Name of the route.
-    pub(crate) route: Arc<str>,
     pub(crate) service: Arc<str>,
     /// Name of the route.
     pub(crate) route: Arc<str>,
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -291,7 +291,6 @@
         max_attempts: route.max_attempts.min(source.max_attempts),
         retention_ms: route.retention_ms.unwrap_or_default(),
         max_event_gap_ms: route.max_event_gap_ms,
-        route: Arc::clone(&route.name),
         service: Arc::clone(service),
         route: Arc::clone(&route.name),
         engine: service_config.and_then(|service| service.engine.clone()),
--- a/crates/ingress/src/quota/applicant.rs
+++ b/crates/ingress/src/quota/applicant.rs
@@ -23,6 +23,10 @@
 /// Pauses after a reservation that other instances kept from the row, in milliseconds.
 const CONTENTION_PAUSE_MS: std::ops::Range<u64> = 5..50;
 
+/// Pause after a call that failed, in milliseconds. A store that gets more writes than it accepts
+/// rejects some of them for a moment; the request is worth more than the wait.
+const FAILURE_PAUSE_MS: std::ops::RangeInclusive<u64> = 40..=80;
+
 /// A request that needs a permit.
 pub(super) struct Applicant<'a> {
     pub(super) state: &'a Arc<State>,
@@ -88,10 +92,14 @@
                 }
                 Outcome::Failed => {
                     let retry_ms = outage::retry_after_hold_ms();
-                    let Some(wait_ms) = self.next_held_ms().filter(|_| !self.begins) else {
+                    let next_ms = self.next_held_ms().filter(|_| !self.begins);
+                    let waited_ms = boot_time().since(self.began);
+                    if next_ms.is_none() && waited_ms >= MAX_CALL_WAIT_MS.min(self.limit_ms / 4) {
                         return Err(Rejection::NotRun(retry_ms));
-                    };
-                    self.pause(wait_ms, |_| Rejection::NotRun(retry_ms)).await?;
+                    }
+                    let pause_ms = rand::random_range(FAILURE_PAUSE_MS);
+                    let pause_ms = next_ms.unwrap_or(pause_ms);
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 }
             }
         }
