--- a/crates/daemon/tests/ingress/quota.rs
+++ b/crates/daemon/tests/ingress/quota.rs
@@ -39,6 +39,11 @@
     (store, upstream)
 }
 
+async fn spawn(store: &Store, name: &str) -> Instance {
+    let rule = json!({"window_s": 5, "excess": 0.1, "tolerance": 20});
+    Instance::spawn_with_quota(store, name, rule).await
+}
+
 /// Returns the largest number of requests in a window.
 fn busiest_window(arrivals: &[Instant]) -> usize {
     let count = |first: usize| {
@@ -138,7 +143,7 @@
     let (store, upstream) = start_site(6.0, 6.0);
     let mut instances = Vec::new();
     for name in ["a", "b", "c"] {
-        instances.push(Instance::spawn(&store, name).await);
+        instances.push(spawn(&store, name).await);
     }
     let mut statuses = send_requests(&instances, Duration::from_secs(4)).await;
     drop(instances.pop());
@@ -164,10 +169,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_within_the_quota_are_served() {
     let (store, upstream) = start_site(50.0, 50.0);
-    let instances = [
-        Instance::spawn(&store, "a").await,
-        Instance::spawn(&store, "b").await,
-    ];
+    let instances = [spawn(&store, "a").await, spawn(&store, "b").await];
     let statuses = send_requests(&instances, Duration::from_secs(3)).await;
     assert!(statuses.iter().all(|status| *status == StatusCode::OK));
     assert_eq!(upstream.arrivals().len(), statuses.len());
@@ -187,7 +189,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_account_without_a_quota_needs_no_permit() {
     let (store, upstream) = start_site(1.0, 1.0);
-    let instance = Instance::spawn(&store, "a").await;
+    let instance = spawn(&store, "a").await;
     for _ in 0..30 {
         let reply = instance.send(request("key-free")).await.unwrap();
         assert_eq!(reply.status, StatusCode::OK);
@@ -200,7 +202,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_without_the_store_uses_only_the_permits_that_it_has() {
     let (store, upstream) = start_site(20.0, 20.0);
-    let instance = Instance::spawn(&store, "a").await;
+    let instance = spawn(&store, "a").await;
     for _ in 0..10 {
         instance.send(request("key-small")).await.unwrap();
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -107,23 +107,22 @@
         Self::spawn_command(daemon, store, name, STOP_S).await
     }
 
-    async fn spawn_command(
-        mut command: Command,
-        store: SocketAddr,
-        name: &str,
-        stop_s: f64,
-    ) -> Self {
+    /// Starts an instance with the rule for accounts' quotas, and waits until it is ready.
+    pub(crate) async fn spawn_with_quota(store: &Store, name: &str, rule: Value) -> Self {
+        let daemon = Command::new(env!("CARGO_BIN_EXE_basilrampd"));
+        let mut settings = settings(store.address(), name, STOP_S);
+        settings["ingress"]["quota"] = rule;
+        let instance = Self::spawn_with_settings(daemon, &settings).await;
+        instance.wait_ready().await;
+        instance
+    }
+
+    async fn spawn_command(command: Command, store: SocketAddr, name: &str, stop_s: f64) -> Self {
+        Self::spawn_with_settings(command, &settings(store, name, stop_s)).await
+    }
+
+    async fn spawn_with_settings(mut command: Command, settings: &Value) -> Self {
         let settings_dir = tempfile::tempdir().unwrap();
-        let settings = json!({
-            "instance": {"id": name, "failure_domain": "z1"},
-            "ingress": {
-                "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
-                "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0",
-                "store": store.to_string(), "memory_mb": 130, "stop_s": stop_s,
-                "quota": {"window_s": 5, "excess": 0.1, "tolerance": 20},
-            },
-            "log": {"level": "debug"},
-        });
         let path = settings_dir.path().join("settings.jsonc");
         fs::write(&path, settings.to_string()).unwrap();
         let mut child = command.arg(&path).stdout(Stdio::piped()).spawn().unwrap();
@@ -263,6 +262,19 @@
     }
 }
 
+/// Returns the settings of an instance.
+fn settings(store: SocketAddr, name: &str, stop_s: f64) -> Value {
+    json!({
+        "instance": {"id": name, "failure_domain": "z1"},
+        "ingress": {
+            "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
+            "metrics": "127.0.0.1:0", "peers": "127.0.0.1:0",
+            "store": store.to_string(), "memory_mb": 130, "stop_s": stop_s,
+        },
+        "log": {"level": "debug"},
+    })
+}
+
 /// Polls until a value is returned.
 pub(crate) async fn wait_for<T, F: Future<Output = Option<T>>>(
     what: &str,
