Reserve permits at the home of an account's row

Cause: callers spread a program's requests over instances, so nearly every request read and wrote the row of its account (1.2 calls a request). The store's rate of writes was used up and turns waited for it. Change: the instance that rendezvous hashing prefers for a row reserves its permits; the others ask it over the channel between instances, and reserve permits themselves if it does not answer.

--- a/crates/core/src/dispatch/quota/permits.rs
+++ b/crates/core/src/dispatch/quota/permits.rs
@@ -16,6 +16,24 @@
 }
 
 impl Permit {
+    /// Creates a permit that was reserved in a row, from `slot` on until `until`.
+    #[must_use]
+    pub const fn new(slot: u64, until: u64, row: u32) -> Self {
+        Self { until, slot, row }
+    }
+
+    /// Returns the slot from which on it is valid.
+    #[must_use]
+    pub const fn slot(&self) -> u64 {
+        self.slot
+    }
+
+    /// Returns the first slot in which it is no longer valid.
+    #[must_use]
+    pub const fn until(&self) -> u64 {
+        self.until
+    }
+
     /// Returns whether the permit is valid at each time that the store's clock may show.
     #[must_use]
     pub const fn is_valid(&self, now: StoreTime) -> bool {
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -190,6 +190,7 @@
             }
         };
         wire::relay::remove_headers(&mut parts.headers);
+        wire::permit::unmark(&mut parts.headers);
         Ok(source)
     }
 }
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -70,6 +70,11 @@
         lock(&self.members).get(id).cloned()
     }
 
+    /// Returns the ids of the other instances.
+    pub(crate) fn ids(&self) -> Vec<Arc<str>> {
+        lock(&self.members).keys().cloned().collect()
+    }
+
     /// Returns the id of the instance with a certificate.
     pub(crate) fn find_by_certificate(&self, certificate: Digest) -> Option<Arc<str>> {
         let members = lock(&self.members);
--- a/crates/ingress/src/peer_server.rs
+++ b/crates/ingress/src/peer_server.rs
@@ -7,6 +7,7 @@
 
 use basilramp_adapter::connection;
 use basilramp_process::event;
+use basilramp_wire::permit;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -20,7 +21,7 @@
 use crate::log_event::Event;
 use crate::server::{ACCEPT_RETRY_DELAY, OpenConnections};
 use crate::state::State;
-use crate::{membership, peer_tls};
+use crate::{membership, peer_tls, quota};
 
 /// Maximum number of connections of other instances. Each instance in need has a few to each of the
 /// instances that it relays to.
@@ -75,7 +76,11 @@
         let origin = Origin::Instance(Arc::clone(&instance));
         let guard = active.track();
         async move {
-            let response = handler::handle(state, origin, request).await;
+            let response = if permit::is_marked(request.headers()) {
+                quota::respond(&state, request).await
+            } else {
+                handler::handle(state, origin, request).await
+            };
             Ok::<_, Infallible>(response.map(|body| handler::hold(body, guard)))
         }
     });
--- a/crates/ingress/src/quota.rs
+++ b/crates/ingress/src/quota.rs
@@ -2,6 +2,7 @@
 //! that all instances share.
 
 mod applicant;
+mod home;
 mod reservation;
 
 use std::collections::BTreeMap;
@@ -9,6 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use basilramp_core::dispatch::account::Quota;
 use basilramp_core::dispatch::quota::{self, AccountPermits, ProgramShapes, Terms};
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_process::clock::boot_time;
@@ -17,6 +19,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::applicant::Applicant;
+pub(crate) use self::home::respond;
 use crate::active_request::ActiveRequest;
 use crate::log_event::Event;
 use crate::metric::QuotaOutcome;
@@ -25,32 +28,44 @@
 /// Interval at which permits beyond what is expected are returned.
 const RETURN_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Name of an account and number of its row.
+type RowId = (Arc<str>, u32);
+
 /// Quotas as known to this instance.
 #[derive(Debug, Default)]
 pub(crate) struct Quotas {
-    accounts: Mutex<BTreeMap<Arc<str>, Arc<AccountQuota>>>,
+    accounts: Mutex<BTreeMap<RowId, Arc<AccountQuota>>>,
     shapes: Mutex<ProgramShapes>,
+    avoided: home::Avoided,
 }
 
 impl Quotas {
-    fn get(&self, account: &Arc<str>) -> Arc<AccountQuota> {
+    fn get(&self, account: &Arc<str>, row: u32) -> Arc<AccountQuota> {
         let mut accounts = lock(&self.accounts);
-        let known = accounts.get(account).map(Arc::clone);
+        let key = (Arc::clone(account), row);
+        let known = accounts.get(&key).map(Arc::clone);
         known.unwrap_or_else(|| {
-            let new = Arc::new(AccountQuota::new(Arc::clone(account)));
-            accounts.insert(Arc::clone(account), Arc::clone(&new));
+            let new = Arc::new(AccountQuota::new(Arc::clone(account), row));
+            accounts.insert(key, Arc::clone(&new));
             new
         })
     }
 
     /// Returns the use of an account's quota, if it had requests here.
     pub(crate) fn usage(&self, account: &str) -> Option<Usage> {
-        let account = lock(&self.accounts).get(account).map(Arc::clone)?;
-        let permits = lock(&account.permits).permits().count();
-        Some(Usage {
-            requests: account.requests.load(Ordering::Relaxed),
-            rejected: account.rejected.load(Ordering::Relaxed),
-            permits,
+        let accounts = lock(&self.accounts);
+        let first = (Arc::from(account), 0);
+        let rows = accounts.range(first..);
+        let rows = rows.take_while(|((name, _), _)| **name == *account);
+        rows.map(|(_, row)| Usage {
+            requests: row.requests.load(Ordering::Relaxed),
+            rejected: row.rejected.load(Ordering::Relaxed),
+            permits: lock(&row.permits).permits().count(),
+        })
+        .reduce(|sum, row| Usage {
+            requests: sum.requests + row.requests,
+            rejected: sum.rejected + row.rejected,
+            permits: sum.permits + row.permits,
         })
     }
 }
@@ -82,10 +97,10 @@
 }
 
 impl AccountQuota {
-    fn new(name: Arc<str>) -> Self {
+    fn new(name: Arc<str>, row: u32) -> Self {
         Self {
             name,
-            permits: Mutex::new(AccountPermits::new(rand::random())),
+            permits: Mutex::new(AccountPermits::new(row)),
             terms: Mutex::default(),
             call: Arc::new(Semaphore::new(1)),
             waiting: AtomicU32::new(0),
@@ -192,48 +207,101 @@
     }
     let state = Arc::clone(&request.state);
     let terms = Terms::new(quota, &state.settings.quota, client.version);
-    let account = state.quotas.get(&client.account.name);
-    *lock(&account.terms) = Some(terms);
     let program = request.headers.program.as_ref();
     let program = program.map(|program| xxh3_64(program.id.as_bytes()));
-    let mut is_first = false;
-    if !request.is_counted {
-        request.is_counted = true;
-        account.requests.fetch_add(1, Ordering::Relaxed);
-        let mut permits = lock(&account.permits);
-        let mut shapes = lock(&state.quotas.shapes);
-        is_first = permits.record(program, &request.route, &mut shapes, boot_time());
-    }
-    let applicant = Applicant {
-        state: &state,
-        account: &account,
-        route: &request.route,
+    let asking = Asking {
+        account: Arc::clone(&client.account.name),
+        // All requests of a program go to one row, where the program is known.
+        row: (program.unwrap_or_else(rand::random) % u64::from(terms.rows)) as u32,
+        quota,
         terms,
-        begins: begins && is_first,
-        began: boot_time(),
+        route: Arc::clone(&request.route),
+        program,
+        begins,
+        is_repeated: std::mem::replace(&mut request.is_counted, true),
         limit_ms: request.remaining_ms(),
     };
     // An expired permit is of no use for another request either.
     drop(request.permit.take());
-    match applicant.wait_for_permit().await {
+    let account = state.quotas.get(&asking.account, asking.row);
+    if !asking.is_repeated {
+        account.requests.fetch_add(1, Ordering::Relaxed);
+    }
+    let answer = match home::find(&state, &asking.account, asking.row) {
+        Some(home) => home::ask(&state, &home, &asking).await,
+        None => None,
+    };
+    let result = match answer {
+        Some(result) => result,
+        None => get_local(&state, &asking).await,
+    };
+    match result {
         Ok(permit) => {
             state.metrics.quota_permit(QuotaOutcome::Taken);
             request.permit = Some(Permit {
-                state: Arc::clone(&state),
-                account: Arc::clone(&account),
+                state,
+                account,
                 permit: Some(permit),
             });
-            applicant.refill();
             Ok(())
         }
         Err(rejection) => {
-            if let Some(program) = program {
+            account.rejected.fetch_add(1, Ordering::Relaxed);
+            record_rejection(request, &account, rejection, asking.begins);
+            Err(rejection)
+        }
+    }
+}
+
+/// A request for a permit.
+#[derive(Clone, Debug)]
+struct Asking {
+    account: Arc<str>,
+    /// Number of the account's row.
+    row: u32,
+    quota: Quota,
+    terms: Terms,
+    route: Arc<str>,
+    /// Hash of the program's id.
+    program: Option<u64>,
+    /// Whether the request would begin a program.
+    begins: bool,
+    /// Whether the request had a permit before.
+    is_repeated: bool,
+    /// Milliseconds until the request's deadline.
+    limit_ms: u64,
+}
+
+/// Gets a permit that this instance reserves.
+async fn get_local(state: &Arc<State>, asking: &Asking) -> Result<quota::Permit, Rejection> {
+    let account = state.quotas.get(&asking.account, asking.row);
+    *lock(&account.terms) = Some(asking.terms);
+    let mut is_first = false;
+    if !asking.is_repeated {
+        let mut permits = lock(&account.permits);
+        let mut shapes = lock(&state.quotas.shapes);
+        is_first = permits.record(asking.program, &asking.route, &mut shapes, boot_time());
+    }
+    let applicant = Applicant {
+        state,
+        account: &account,
+        route: &asking.route,
+        terms: asking.terms,
+        begins: asking.begins && is_first,
+        began: boot_time(),
+        limit_ms: asking.limit_ms,
+    };
+    match applicant.wait_for_permit().await {
+        Ok(permit) => {
+            applicant.refill();
+            Ok(permit)
+        }
+        Err(rejection) => {
+            if let Some(program) = asking.program {
                 let mut permits = lock(&account.permits);
                 let mut shapes = lock(&state.quotas.shapes);
                 permits.cancel(program, &mut shapes);
             }
-            account.rejected.fetch_add(1, Ordering::Relaxed);
-            record_rejection(request, &account, rejection, applicant.begins);
             Err(rejection)
         }
     }
--- a/crates/ingress/src/quota/reservation.rs
+++ b/crates/ingress/src/quota/reservation.rs
@@ -28,7 +28,7 @@
 const MAX_CALLS: u32 = 8;
 
 /// Maximum number of rows that are tried for requests that wait.
-const MAX_ROWS_TRIED: u32 = 3;
+const MAX_ROWS_TRIED: u32 = 1;
 
 /// Maximum number of slots in a row: a part of the past, and the time for which permits are reserved.
 const MAX_ROW_SLOTS: usize = 64;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -322,7 +322,7 @@
 
 /// Why there is no response of another instance.
 #[derive(Debug)]
-enum RelayError {
+pub(crate) enum RelayError {
     /// Nothing was handled there.
     NotSent(String),
     /// The connection failed after a part of the request was sent.
@@ -332,7 +332,7 @@
 }
 
 /// A connection in use, with what its reuse needs.
-struct Connection {
+pub(crate) struct Connection {
     sender: Sender,
     member: Member,
 }
@@ -343,6 +343,34 @@
     last_event: Option<u64>,
 ) -> Result<(Response<Incoming>, Connection), RelayError> {
     let state = &request.state;
+    let mut connection = connect_to(state, instance).await?;
+    let sender = &mut connection.sender;
+    let limit = Duration::from_millis(response_timeout_ms(request));
+    let response = sender.try_send_request(build_request(request, last_event));
+    match tokio::time::timeout(limit, response).await {
+        Ok(Ok(response)) => Ok((response, connection)),
+        Ok(Err(mut error)) => {
+            let is_unsent = error.take_message().is_some();
+            let text = error.into_error().to_string();
+            Err(if is_unsent {
+                RelayError::NotSent(text)
+            } else {
+                RelayError::Broken(text)
+            })
+        }
+        Err(_) => Err(RelayError::Late),
+    }
+}
+
+/// Returns a connection to an instance that is ready for a request.
+///
+/// # Errors
+///
+/// Fails if the instance is unknown or accepts no connection in time.
+pub(crate) async fn connect_to(
+    state: &State,
+    instance: &Arc<str>,
+) -> Result<Connection, RelayError> {
     let unknown = || RelayError::NotSent("the instance is gone".into());
     let member = state.membership.get(instance).ok_or_else(unknown)?;
     let idle = state.connections.take(instance, &member);
@@ -358,20 +386,20 @@
         .await
         .map_err(|_| RelayError::NotSent("the connection is busy".into()))?
         .map_err(|error| RelayError::NotSent(error.to_string()))?;
-    let limit = Duration::from_millis(response_timeout_ms(request));
-    let response = sender.try_send_request(build_request(request, last_event));
-    match tokio::time::timeout(limit, response).await {
-        Ok(Ok(response)) => Ok((response, Connection { sender, member })),
-        Ok(Err(mut error)) => {
-            let is_unsent = error.take_message().is_some();
-            let text = error.into_error().to_string();
-            Err(if is_unsent {
-                RelayError::NotSent(text)
-            } else {
-                RelayError::Broken(text)
-            })
-        }
-        Err(_) => Err(RelayError::Late),
+    Ok(Connection { sender, member })
+}
+
+impl Connection {
+    /// Returns the sender of requests.
+    pub(crate) const fn sender(&mut self) -> &mut Sender {
+        &mut self.sender
+    }
+
+    /// Keeps the connection after a completely read response.
+    pub(crate) fn release(self, state: &State, instance: &Arc<str>) {
+        state
+            .connections
+            .release(instance, self.member, self.sender);
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod frame;
 pub mod operator;
+pub mod permit;
 pub mod record;
 pub mod relay;
 pub mod sse;
