Pace store calls while the store rejects some for their rate

Cause: beyond its rate the store rejects calls, and each was repeated after 50 to 100 ms. Change: core::dispatch::call_pace limits an instance's rate after rejections; Error::Throttled tells them apart. A failed quota call is not repeated by each waiting request.

--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -31,6 +31,9 @@
 /// milliseconds. A read is faster than a write that fails.
 const WRITE_MAX_AGE_MS: u64 = 30;
 
+/// Pause after a call that failed, in milliseconds: several transactions.
+const FAILURE_PAUSE_MS: u64 = 80;
+
 /// Interval after a background call that got nothing, in milliseconds.
 const FULL_INTERVAL_MS: u64 = 1_000;
 
@@ -51,6 +54,8 @@
     backoff_ms: u64,
     /// When the next call may start.
     call_at: Time,
+    /// When a call may start after one that failed.
+    failed_until: Time,
 }
 
 /// A row as last known.
@@ -351,6 +356,18 @@
         self.backoff_ms = (self.backoff_ms * 2).clamp(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
     }
 
+    /// Records that a call failed. The next one waits, also for programs in progress: the store gets more
+    /// calls than it accepts, or can't be reached.
+    pub fn record_failure(&mut self, now: Time) {
+        self.failed_until = now.after(FAILURE_PAUSE_MS);
+    }
+
+    /// Returns the milliseconds for which no call is made after one that failed.
+    #[must_use]
+    pub const fn failure_pause_ms(&self, now: Time) -> u64 {
+        self.failed_until.since(now)
+    }
+
     /// Returns the milliseconds until the next call may start that is not for a program in progress.
     #[must_use]
     pub const fn pause_ms(&self, now: Time) -> u64 {
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod account;
 mod admission;
 mod attempt;
+mod call_pace;
 mod event_log;
 mod fleet;
 mod outage;
--- a/crates/ingress/src/quota/applicant.rs
+++ b/crates/ingress/src/quota/applicant.rs
@@ -55,7 +55,12 @@
             }
             let waited_ms = boot_time().since(self.began);
             if waited_ms >= MAX_CALL_WAIT_MS.min(self.limit_ms) {
-                return Err(Rejection::OverQuota(retry_after_ms(MAX_WAIT_MS)));
+                let is_failing = lock(&self.account.permits).failure_pause_ms(boot_time()) > 0;
+                return Err(if is_failing {
+                    Rejection::NotRun(outage::retry_after_hold_ms())
+                } else {
+                    Rejection::OverQuota(retry_after_ms(MAX_WAIT_MS))
+                });
             }
             if self.begins {
                 let pause_ms = lock(&self.account.permits).pause_ms(boot_time());
@@ -68,6 +73,13 @@
                 self.pause(wait_ms, Rejection::OverQuota).await?;
                 continue;
             }
+            let failure_pause_ms = lock(&self.account.permits).failure_pause_ms(boot_time());
+            if failure_pause_ms > 0 {
+                // Others that wait for the same row are woken at other times.
+                let spread_ms = rand::random_range(0..=failure_pause_ms);
+                tokio::time::sleep(Duration::from_millis(failure_pause_ms + spread_ms)).await;
+                continue;
+            }
             match self.reserve().await {
                 Outcome::Granted => {
                     is_reserved = self.begins;
--- a/crates/ingress/src/quota/reservation.rs
+++ b/crates/ingress/src/quota/reservation.rs
@@ -304,8 +304,9 @@
             }
             Err(error) => {
                 metrics.quota_call(QuotaCall::Failed);
+                lock(&self.account.permits).record_failure(boot_time());
                 // After an unknown outcome, neither the new permits nor those given up are used.
-                if let Error::NotDone(_) = error {
+                if let Error::NotDone(_) | Error::Throttled = error {
                     abandon();
                 }
                 Err(Some(("write", error)))
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -8,6 +8,7 @@
 use basilramp_adapter::store::{self, Page, PartitionKey};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::admission::AdmissionControl;
+use basilramp_core::dispatch::call_pace::CallPace;
 use basilramp_core::dispatch::fleet::Fleet;
 use basilramp_core::dispatch::outage::{
     self, CallLatency, StoreHealth, Transition, Unavailable, Wait,
@@ -74,6 +75,8 @@
     relays: Mutex<Relays>,
     pub(crate) connections: Connections,
     admission: Mutex<AdmissionControl>,
+    read_pace: Mutex<CallPace>,
+    write_pace: Mutex<CallPace>,
     read_latency: Mutex<CallLatency>,
     write_latency: Mutex<CallLatency>,
     quota: Mutex<LogRateLimiter>,
@@ -127,6 +130,8 @@
             relays: Mutex::default(),
             connections: Connections::default(),
             admission: Mutex::default(),
+            read_pace: Mutex::default(),
+            write_pace: Mutex::default(),
             read_latency: Mutex::default(),
             write_latency: Mutex::default(),
             quota: Mutex::new(LogRateLimiter::new(MAX_LOG_LINES_PER_SECOND)),
@@ -305,15 +310,26 @@
         deadline: Time,
         call: impl AsyncFnOnce(&store::Client, u64) -> Result<T, store::Error>,
     ) -> Result<T, store::Error> {
-        let latency = match kind {
-            StoreCall::Read => &self.read_latency,
-            StoreCall::Write => &self.write_latency,
+        let (latency, pace) = match kind {
+            StoreCall::Read => (&self.read_latency, &self.read_pace),
+            StoreCall::Write => (&self.write_latency, &self.write_pace),
         };
+        let asked = self.now();
+        let delay_ms = lock(pace).book(asked).min(deadline.since(asked) / 2);
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
         let began = self.now();
         let timeout_ms = lock(latency).timeout_ms();
         let limit_ms = timeout_ms.min((deadline.since(began) / 2).max(MIN_CALL_TIMEOUT_MS));
         let result = call(&self.store, limit_ms).await;
-        let ms = self.now().since(began);
+        let now = self.now();
+        match result {
+            Err(store::Error::Throttled) => lock(pace).record_rejection(now),
+            Ok(_) | Err(store::Error::Conflict(_)) => lock(pace).record_acceptance(now),
+            Err(_) => {}
+        }
+        let ms = now.since(began);
         if ms >= timeout_ms {
             lock(latency).record_timeout(ms);
         } else if !is_failure(&result) {
@@ -392,7 +408,7 @@
     ) {
         let now = self.now();
         let transition = match result {
-            Err(store::Error::NotDone(_) | store::Error::Unknown(_)) => {
+            Err(store::Error::NotDone(_) | store::Error::Throttled | store::Error::Unknown(_)) => {
                 lock(&self.health).record_failure(partition, now)
             }
             _ => lock(&self.health).record_success(partition, began, now),
@@ -483,7 +499,7 @@
 const fn is_failure<T>(result: &Result<T, store::Error>) -> bool {
     matches!(
         result,
-        Err(store::Error::NotDone(_) | store::Error::Unknown(_))
+        Err(store::Error::NotDone(_) | store::Error::Throttled | store::Error::Unknown(_))
     )
 }
 
