Don't pace store calls; answer at once that permits are unavailable without the store

Homes without the store held requests for a second. Change: the pace is removed; a home without the store says so at once.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -3,7 +3,6 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`account`] | client accounts, their keys and quotas |
-//! | [`call_pace`] | paces store calls while the store rejects some for their rate |
 //! | [`config`] | routes, services and limits set by the operator |
 //! | [`request`] | parsed request headers and the rejections sent by this system |
 //! | [`route`] | selects the route and service of a request |
@@ -28,7 +27,6 @@
 pub mod account;
 pub mod admission;
 pub mod attempt;
-pub mod call_pace;
 pub mod config;
 pub mod event_log;
 pub mod fleet;
--- a/crates/ingress/src/quota/home.rs
+++ b/crates/ingress/src/quota/home.rs
@@ -126,7 +126,10 @@
     let Some(asking) = asking.map(|request| Asking::new(request, state)) else {
         return response(StatusCode::BAD_REQUEST, Vec::new());
     };
-    let answer = match super::get_local(state, &asking).await {
+    if state.is_store_down() {
+        return answer(permit::Response::Unavailable);
+    }
+    let permit = match super::get_local(state, &asking).await {
         Ok(permit) => permit::Response::Granted {
             slot: permit.slot(),
             until: permit.until(),
@@ -134,7 +137,11 @@
         Err(Rejection::OverQuota(retry_ms)) => permit::Response::Full { retry_ms },
         Err(_) => permit::Response::Unavailable,
     };
-    match serde_json::to_vec(&answer) {
+    answer(permit)
+}
+
+fn answer(message: permit::Response) -> Response<Body> {
+    match serde_json::to_vec(&message) {
         Ok(body) => response(StatusCode::OK, body),
         Err(_) => response(StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
     }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -8,7 +8,6 @@
 use basilramp_adapter::store::{self, Page, PartitionKey};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::admission::AdmissionControl;
-use basilramp_core::dispatch::call_pace::CallPace;
 use basilramp_core::dispatch::fleet::Fleet;
 use basilramp_core::dispatch::outage::{
     self, CallLatency, StoreHealth, Transition, Unavailable, Wait,
@@ -75,8 +74,6 @@
     relays: Mutex<Relays>,
     pub(crate) connections: Connections,
     admission: Mutex<AdmissionControl>,
-    read_pace: Mutex<CallPace>,
-    write_pace: Mutex<CallPace>,
     read_latency: Mutex<CallLatency>,
     write_latency: Mutex<CallLatency>,
     quota: Mutex<LogRateLimiter>,
@@ -130,8 +127,6 @@
             relays: Mutex::default(),
             connections: Connections::default(),
             admission: Mutex::default(),
-            read_pace: Mutex::default(),
-            write_pace: Mutex::default(),
             read_latency: Mutex::default(),
             write_latency: Mutex::default(),
             quota: Mutex::new(LogRateLimiter::new(MAX_LOG_LINES_PER_SECOND)),
@@ -310,26 +305,15 @@
         deadline: Time,
         call: impl AsyncFnOnce(&store::Client, u64) -> Result<T, store::Error>,
     ) -> Result<T, store::Error> {
-        let (latency, pace) = match kind {
-            StoreCall::Read => (&self.read_latency, &self.read_pace),
-            StoreCall::Write => (&self.write_latency, &self.write_pace),
+        let latency = match kind {
+            StoreCall::Read => &self.read_latency,
+            StoreCall::Write => &self.write_latency,
         };
-        let asked = self.now();
-        let delay_ms = lock(pace).book(asked).min(deadline.since(asked) / 2);
-        if delay_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-        }
         let began = self.now();
         let timeout_ms = lock(latency).timeout_ms();
         let limit_ms = timeout_ms.min((deadline.since(began) / 2).max(MIN_CALL_TIMEOUT_MS));
         let result = call(&self.store, limit_ms).await;
-        let now = self.now();
-        match result {
-            Err(store::Error::Throttled) => lock(pace).record_rejection(now),
-            Ok(_) | Err(store::Error::Conflict(_)) => lock(pace).record_acceptance(now),
-            Err(_) => {}
-        }
-        let ms = now.since(began);
+        let ms = self.now().since(began);
         if ms >= timeout_ms {
             lock(latency).record_timeout(ms);
         } else if !is_failure(&result) {
