Split admission control into files with one job; check its metrics and log fields

Change: retry delays and the usual slowdown moved; accounts above their share are rejected eight times as fast as the load requires (3 before). The ingress test checks metrics and E0747.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -5,17 +5,16 @@
 //! finished program is of use to its caller, so new programs are rejected before any of their turns
 //! has run. Programs that have already started continue.
 //!
-//! - [`latency`] measures the present slowdown of a service's turns.
-//! - [`tolerance`] learns the slowdown at which a route's programs just end in time.
-//! - [`demand`] orders the programs to reject by account, priority and hash.
-//! - [`returning`] remembers rejected programs until they come back.
-
-pub mod demand;
-pub mod latency;
-pub mod returning;
-pub mod tolerance;
+//! - `latency` measures the present slowdown of a service's turns.
+//! - `tolerance` learns the slowdown at which a route's programs just end in time.
+//! - `demand` orders the programs to reject by account, priority and hash.
+//! - `returning` remembers rejected programs until they come back.
 
 mod decay;
+mod demand;
+mod latency;
+mod returning;
+mod tolerance;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -23,35 +22,15 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::demand::{Demand, MAX_REJECTED_SHARE};
-use self::latency::ServiceLatency;
-use self::returning::RejectedPrograms;
+use self::latency::{ServiceLatency, UsualSlowdown};
+use self::returning::{RejectedPrograms, retry_delay_ms};
 use self::tolerance::{Need, Thresholds, Tolerance};
 use crate::clock::Time;
 
-/// Minimum retry delay of a rejected program. Several running turns end within it.
-const MIN_RETRY_MS: u64 = 400;
-
-/// Minimum width of the random part of the retry delay, which keeps rejected programs from returning
-/// all at once.
-const MIN_RETRY_SPREAD_MS: f64 = 1_000.0;
-
-/// Maximum width of the random part of the retry delay: the duration of the longest bursts.
-const MAX_RETRY_SPREAD_MS: f64 = 10_000.0;
-
-/// Part of a program's remaining time up to which callers honour a retry delay.
-const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
-
-/// Part of a program's spare time that a retry delay takes at most. The way back takes some time too.
-const MAX_SPARE_SHARE: f64 = 0.9;
-
 /// Time after the last moment above the threshold in which a service still counts as overloaded. What
 /// runs then was slowed down by the overload, so nothing is learned from it.
 const OVERLOAD_HOLD_MS: u64 = 3_000;
 
-/// EWMA weight of the slowdown at a new program's arrival in the usual slowdown. A burst of some seconds
-/// has a small part in it.
-const USUAL_WEIGHT: f64 = 0.02;
-
 /// Standard deviations above the mean up to which a slowdown is usual.
 const USUAL_DEVIATIONS: f64 = 2.5;
 
@@ -194,29 +173,6 @@
     overloaded_at: Option<Time>,
 }
 
-/// Distribution of the slowdown while programs end in time.
-#[derive(Clone, Copy, Debug, Default)]
-struct UsualSlowdown {
-    values: f64,
-    mean: f64,
-    variance: f64,
-}
-
-impl UsualSlowdown {
-    fn record(&mut self, slowdown: f64) {
-        self.values += 1.0;
-        let weight = (1.0 / self.values).max(USUAL_WEIGHT);
-        let deviation = slowdown - self.mean;
-        self.mean += deviation * weight;
-        self.variance += (deviation * deviation * (1.0 - weight) - self.variance) * weight;
-    }
-
-    /// Returns the slowdown that is rarely exceeded without overload.
-    fn max(&self, deviations: f64) -> f64 {
-        self.mean + deviations * self.variance.sqrt()
-    }
-}
-
 impl AdmissionControl {
     /// Records that a turn is sent to an engine. It counts as running until [`Self::end_turn`].
     /// Returns `None` for turns without unread tokens, whose duration is not expected.
@@ -446,40 +402,3 @@
     };
     (remaining_ms as f64) < needed_ms
 }
-
-/// Returns the retry delay of a rejected program: spread over the time in which the work above the
-/// threshold drains, so that what returns finds room. Programs in progress at slowdown `s` have `s`
-/// times the work of an idle service, so a part of (s - threshold) / s of them has to end first.
-fn retry_delay_ms(
-    remaining_ms: Option<u64>,
-    need: Option<&Need>,
-    slowdown: f64,
-    threshold: f64,
-    draw: f64,
-) -> u64 {
-    let excess = ((slowdown - threshold) / slowdown).max(0.0);
-    let drain_ms = need.map_or(0.0, |need| need.ms(slowdown) * excess);
-    let spread_ms = drain_ms.clamp(MIN_RETRY_SPREAD_MS, MAX_RETRY_SPREAD_MS);
-    let delay_ms = MIN_RETRY_MS as f64 + draw * spread_ms;
-    let Some(remaining_ms) = remaining_ms else {
-        return delay_ms as u64;
-    };
-    let remaining_ms = remaining_ms as f64;
-    // A program that waits longer could not end in time at the present slowdown or, if it can't at all,
-    // at one below the threshold.
-    let spare_ms = need.map_or(f64::MAX, |need| {
-        let spare_ms = |slowdown| remaining_ms * (1.0 - need.share(slowdown)) * MAX_SPARE_SHARE;
-        let present_ms = spare_ms(slowdown);
-        if present_ms >= MIN_RETRY_MS as f64 {
-            present_ms
-        } else {
-            spare_ms(f64::midpoint(1.0, threshold))
-        }
-    });
-    let limit_ms = spare_ms
-        .max(MIN_RETRY_MS as f64)
-        .min(remaining_ms * MAX_RETRY_SHARE);
-    // The limit is spread too, as most programs of a route have the same.
-    let spread_limit_ms = limit_ms - (1.0 - draw) * (limit_ms - MIN_RETRY_MS as f64).max(0.0);
-    delay_ms.min(spread_limit_ms) as u64
-}
--- a/crates/core/src/dispatch/admission/demand.rs
+++ b/crates/core/src/dispatch/admission/demand.rs
@@ -29,7 +29,7 @@
 
 /// Factor by which accounts above their share are rejected faster than the load requires. Their excess
 /// is the cause of the load, and others should not wait until the service is at its limit.
-const ACCOUNT_GAIN: f64 = 3.0;
+const ACCOUNT_GAIN: f64 = 8.0;
 
 /// Part of its share below which an account is well below it.
 const BELOW_FACTOR: f64 = 0.5;
@@ -37,7 +37,7 @@
 /// Part of an account's share that follows its usual work; the rest is equal for all.
 const USUAL_PART: f64 = 0.5;
 
-/// Turns that any account may have without being above its share: those of one program.
+/// Turns that any account may have without being above its share: those of a program.
 const FREE_TURNS: f64 = 5.0;
 
 /// Maximum number of accounts that are tracked: more than the platform is built for.
--- a/crates/core/src/dispatch/admission/latency.rs
+++ b/crates/core/src/dispatch/admission/latency.rs
@@ -42,6 +42,10 @@
 /// EWMA weight of a new turn's number of events and duration.
 const MEAN_WEIGHT: f64 = 0.02;
 
+/// EWMA weight of the slowdown at a new program's arrival in the usual slowdown. A burst of some seconds
+/// has a small part in it.
+const USUAL_WEIGHT: f64 = 0.02;
+
 /// Maximum number of running turns that are tracked.
 const MAX_RUNNING: usize = 4_096;
 
@@ -209,3 +213,27 @@
         uncounted.sum()
     }
 }
+
+/// Distribution of the slowdown outside of overload.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct UsualSlowdown {
+    values: f64,
+    mean: f64,
+    variance: f64,
+}
+
+impl UsualSlowdown {
+    /// Records the slowdown at the arrival of a new program.
+    pub(super) fn record(&mut self, slowdown: f64) {
+        self.values += 1.0;
+        let weight = (1.0 / self.values).max(USUAL_WEIGHT);
+        let deviation = slowdown - self.mean;
+        self.mean += deviation * weight;
+        self.variance += (deviation * deviation * (1.0 - weight) - self.variance) * weight;
+    }
+
+    /// Returns the slowdown that is rarely exceeded without overload.
+    pub(super) fn max(&self, deviations: f64) -> f64 {
+        self.mean + deviations * self.variance.sqrt()
+    }
+}
--- a/crates/core/src/dispatch/admission/returning.rs
+++ b/crates/core/src/dispatch/admission/returning.rs
@@ -1,10 +1,27 @@
-//! Rejected programs that may come back.
+//! Rejected programs that may come back, and when.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::tolerance::Need;
 use crate::clock::Time;
 
+/// Minimum retry delay of a rejected program. Several running turns end within it.
+const MIN_RETRY_MS: u64 = 400;
+
+/// Minimum width of the random part of the retry delay, which keeps rejected programs from returning
+/// all at once.
+const MIN_RETRY_SPREAD_MS: f64 = 1_000.0;
+
+/// Maximum width of the random part of the retry delay: the duration of the longest bursts.
+const MAX_RETRY_SPREAD_MS: f64 = 10_000.0;
+
+/// Part of a program's remaining time up to which callers honour a retry delay.
+const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
+
+/// Part of a program's spare time that a retry delay takes at most. The way back takes some time too.
+const MAX_SPARE_SHARE: f64 = 0.9;
+
 /// Maximum number of remembered programs. An instance rejects some tens in a second.
 const MAX_PROGRAMS: usize = 2_048;
 
@@ -76,3 +93,40 @@
         self.programs.insert(Arc::clone(program), rejected);
     }
 }
+
+/// Returns the retry delay of a rejected program: spread over the time in which the work above the
+/// threshold drains, so that what returns finds room. Programs in progress at slowdown `s` have `s`
+/// times the work of an idle service, so a part of (s - threshold) / s of them has to end first.
+pub(super) fn retry_delay_ms(
+    remaining_ms: Option<u64>,
+    need: Option<&Need>,
+    slowdown: f64,
+    threshold: f64,
+    draw: f64,
+) -> u64 {
+    let excess = ((slowdown - threshold) / slowdown).max(0.0);
+    let drain_ms = need.map_or(0.0, |need| need.ms(slowdown) * excess);
+    let spread_ms = drain_ms.clamp(MIN_RETRY_SPREAD_MS, MAX_RETRY_SPREAD_MS);
+    let delay_ms = MIN_RETRY_MS as f64 + draw * spread_ms;
+    let Some(remaining_ms) = remaining_ms else {
+        return delay_ms as u64;
+    };
+    let remaining_ms = remaining_ms as f64;
+    // A program that waits longer could not end in time at the present slowdown or, if it can't at all,
+    // at one below the threshold.
+    let spare_ms = need.map_or(f64::MAX, |need| {
+        let spare_ms = |slowdown| remaining_ms * (1.0 - need.share(slowdown)) * MAX_SPARE_SHARE;
+        let present_ms = spare_ms(slowdown);
+        if present_ms >= MIN_RETRY_MS as f64 {
+            present_ms
+        } else {
+            spare_ms(f64::midpoint(1.0, threshold))
+        }
+    });
+    let limit_ms = spare_ms
+        .max(MIN_RETRY_MS as f64)
+        .min(remaining_ms * MAX_RETRY_SHARE);
+    // The limit is spread too, as most programs of a route have the same.
+    let spread_limit_ms = limit_ms - (1.0 - draw) * (limit_ms - MIN_RETRY_MS as f64).max(0.0);
+    delay_ms.min(spread_limit_ms) as u64
+}
--- a/crates/core/src/dispatch/admission/tolerance.rs
+++ b/crates/core/src/dispatch/admission/tolerance.rs
@@ -63,11 +63,11 @@
 
 /// Share of programs that is rejected, as a function of the slowdown.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Thresholds {
+pub(super) struct Thresholds {
     /// Slowdown at which the share is zero.
-    pub start: f64,
+    pub(super) start: f64,
     /// Slowdown at which the share would be one.
-    pub full: f64,
+    pub(super) full: f64,
 }
 
 impl Default for Thresholds {
@@ -82,7 +82,7 @@
 impl Thresholds {
     /// Returns the share of the requested work that is rejected.
     #[must_use]
-    pub fn share(&self, slowdown: f64) -> f64 {
+    pub(super) fn share(&self, slowdown: f64) -> f64 {
         let excess = (slowdown - self.start) / (self.full - self.start);
         excess.clamp(0.0, super::MAX_REJECTED_SHARE)
     }
@@ -90,9 +90,9 @@
 
 /// Time that the programs of a route need.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Need {
+pub(super) struct Need {
     /// Mean number of turns.
-    pub turns: f64,
+    pub(super) turns: f64,
     /// Mean time that a program states until its deadline, in milliseconds.
     deadline_ms: f64,
     /// Standard deviation of that time.
@@ -108,13 +108,13 @@
 impl Need {
     /// Returns the mean duration of a program at a slowdown, in milliseconds.
     #[must_use]
-    pub fn ms(&self, slowdown: f64) -> f64 {
+    pub(super) fn ms(&self, slowdown: f64) -> f64 {
         self.outside_ms + self.idle_ms * slowdown
     }
 
     /// Returns the duration of a program at a slowdown as a part of the time that it states.
     #[must_use]
-    pub fn share(&self, slowdown: f64) -> f64 {
+    pub(super) fn share(&self, slowdown: f64) -> f64 {
         self.ms(slowdown) / self.deadline_ms
     }
 
@@ -123,7 +123,7 @@
     /// programs would need more time than they have; which of them are rejected then is decided by
     /// account and priority, so the slowdown counts only up to there.
     #[must_use]
-    pub fn min_ms(&self, slowdown: f64) -> f64 {
+    pub(super) fn min_ms(&self, slowdown: f64) -> f64 {
         let short_ms = (self.deadline_ms - 2.0 * self.deadline_spread_ms).max(0.0);
         let turn_ms = self.idle_ms / self.turns * slowdown;
         turn_ms.max(short_ms * self.share(slowdown).min(1.0))
@@ -131,7 +131,7 @@
 
     /// Returns the slowdown of its turns at which a program just ends in time.
     #[must_use]
-    pub fn tolerated_slowdown(&self) -> f64 {
+    pub(super) fn tolerated_slowdown(&self) -> f64 {
         (self.deadline_ms - self.outside_ms) / self.idle_ms
     }
 }
--- a/crates/daemon/tests/ingress/admission.rs
+++ b/crates/daemon/tests/ingress/admission.rs
@@ -71,6 +71,17 @@
         .count();
     assert_eq!(new, 30 - rejected.len(), "a rejected turn ran");
     assert_eq!(instance.events("E0747").len(), rejected.len());
+    let metrics = instance.metrics().await;
+    for text in [
+        "basilramp_programs_total{cause=\"hash\"",
+        "basilramp_service_slowdown{",
+        "basilramp_service_threshold{",
+    ] {
+        assert!(metrics.contains(text), "{text}: {metrics}");
+    }
+    let rejection = &instance.events("E0747")[0];
+    assert_eq!(rejection["cause"], "hash");
+    assert!(rejection["slowdown"].as_f64() > rejection["threshold"].as_f64());
     run(3).await;
     // Measured turn times expire when no new ones arrive, so new programs are admitted again.
     tokio::time::sleep(Duration::from_millis(1_600)).await;
