Do not let fast turns of the same second hide an overload

Cause: running turns counted up to six times their duration, and completions at one moment reduced the weight of time more than that of progress. Change: running turns count up to twelve times; the weight falls with time only.

--- a/crates/core/src/dispatch/admission/decay.rs
+++ b/crates/core/src/dispatch/admission/decay.rs
@@ -16,11 +16,6 @@
         self.at = self.at.max(now);
     }
 
-    /// Multiplies the sum by a factor.
-    pub(super) fn scale(&mut self, factor: f64) {
-        self.value *= factor;
-    }
-
     /// Returns the sum at a time.
     pub(super) fn get(&self, time_constant_ms: f64, now: Time) -> f64 {
         self.value * (-(now.since(self.at) as f64) / time_constant_ms).exp()
--- a/crates/core/src/dispatch/admission/latency.rs
+++ b/crates/core/src/dispatch/admission/latency.rs
@@ -15,14 +15,14 @@
 /// reader rather than from the engine.
 const MAX_TURN_SLOWDOWN: f64 = 6.0;
 
+/// Multiple of its expected duration up to which a running turn counts. It is above the upper limit, so
+/// that fast turns in the same second do not hide an overload.
+const MAX_RUNNING_SLOWDOWN: f64 = 12.0;
+
 /// Time constant with which time and progress lose their weight. It is a few turns long: shorter ones
 /// scatter at instances with few turns, longer ones follow a surge too late.
 const TIME_CONSTANT_MS: f64 = 1_000.0;
 
-/// Factor by which each completed turn reduces the weight of what was before, so that an instance with
-/// many turns follows within a fraction of a second.
-const TURN_DECAY: f64 = 0.96;
-
 /// Weight of the assumption that engines are idle, in turns. It decides when there are no turns.
 const IDLE_WEIGHT: f64 = 0.3;
 
@@ -145,8 +145,6 @@
         }
         self.idle_ms += (idle_ms - self.idle_ms) * MEAN_WEIGHT;
         self.count_running(now);
-        self.time.scale(TURN_DECAY);
-        self.progress.scale(TURN_DECAY);
         let running = key.and_then(|key| self.running.remove(&key));
         let counted_ms = running.map_or(0.0, |running| running.progress_ms);
         self.progress
@@ -192,8 +190,7 @@
     }
 
     /// Returns the time of the running turns that is not counted yet, each part with the weight that its
-    /// age leaves it. A turn counts up to its maximum slowdown, so that one at a failing engine is no
-    /// overload.
+    /// age leaves it. The time of a turn is limited, so that one at a failing engine is no overload.
     fn uncounted_ms(&self, now: Time) -> f64 {
         let weighted_ms = |from: Time, until: Time| {
             let end = (-(now.since(until) as f64) / TIME_CONSTANT_MS).exp();
@@ -201,7 +198,7 @@
             TIME_CONSTANT_MS * (end - start)
         };
         let uncounted = self.running.values().map(|running| {
-            let limit_ms = self.expected_ms(running.unread_tokens) * MAX_TURN_SLOWDOWN;
+            let limit_ms = self.expected_ms(running.unread_tokens) * MAX_RUNNING_SLOWDOWN;
             let until = now.min(running.started.after(limit_ms as u64));
             let from = running.started.max(self.counted_until);
             if from < until {
