Read a call's last event before its program may be unloaded; ask peers for crashes before a trial

Cause: the task that writes a turn ended the activity of its partition as soon as the turn was durable, and the response was read from the loaded program only after that. A handover in between unloads the program, and the caller got "this instance no longer owns the program" (Interrupted) for a call that is recorded.

Cause as traced before: an owner sees a crash, the store delays its row, and the program's next owner counts its own crash as the first one and sends the trial. Before a trial, the other instances, also fenced ones, are now asked for crashes that they could not store yet; one such crash blocks the trial. An instance of an earlier build or a dead one does not answer, which counts as no crash.

Cluster tests print the output of their instances when they fail, and the wait status of a process that has ended.

--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -81,6 +81,9 @@
     CallDone = "E0513", Debug, "call done";
     /// A call was rejected or failed; `kind` is the error kind.
     CallFailed = "E0514", Debug, "call failed";
+    /// A request failed because its program was unloaded or its write was rejected, as `cause` says,
+    /// after the instance had lost the program's partition.
+    ProgramLost = "E0515", Warning, "program lost during a request";
 
     /// An upstream is new, or accepts calls again.
     UpstreamReady = "E0601", Info, "upstream ready";
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -140,6 +140,13 @@
         self.state.live_instances()
     }
 
+    /// Returns the other instances that have a lease row, including those that are fenced: they may
+    /// still run.
+    #[must_use]
+    pub fn known_peers(&self) -> Vec<Peer> {
+        self.state.known_peers()
+    }
+
     /// Returns the id of this instance.
     #[must_use]
     pub fn own_id(&self) -> id::Instance {
--- a/crates/daemon/src/membership/state.rs
+++ b/crates/daemon/src/membership/state.rs
@@ -377,6 +377,16 @@
             .collect()
     }
 
+    /// Returns the other instances that have a lease row, whatever its state.
+    pub(super) fn known_peers(&self) -> Vec<Peer> {
+        let state = self.lock();
+        let others = state.members.iter();
+        let others = others.filter(|(instance, _)| **instance != self.own);
+        others
+            .filter_map(|(instance, member)| peer_from_record(instance, &member.record))
+            .collect()
+    }
+
     /// Returns the instance that `key` maps to, among those that are live and not draining.
     pub(super) fn preferred_instance(&self, key: &[u8]) -> Option<Peer> {
         let state = self.lock();
--- a/crates/daemon/src/owner_router.rs
+++ b/crates/daemon/src/owner_router.rs
@@ -141,6 +141,10 @@
                 self.membership.wake_watcher();
                 Ok(Reply::Done)
             }
+            Body::UnrecordedCrash { fingerprint } => {
+                let is_unrecorded = self.programs.has_unrecorded_crash(&fingerprint);
+                Ok(Reply::UnrecordedCrash(is_unrecorded))
+            }
             Body::Call { .. } => Err(Error::new(Kind::Internal, "a call has no single reply")),
         }
     }
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -30,6 +30,7 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::clock::Clock;
+use crate::log::{Event, event};
 use crate::settings::{Limits, Timing};
 use crate::{
     admission, commit, config, engine, engine_control, grant, home, log, membership, peer_client,
@@ -82,6 +83,7 @@
     let suspects = suspect::open(
         dependencies.table.clone(),
         dependencies.commit.clone(),
+        suspect::PeerCrashes::new(dependencies.membership.clone(), dependencies.peers.clone()),
         dependencies.clock,
         dependencies.timing.store_wait_ms,
     );
@@ -196,6 +198,13 @@
         end::preload_running(&self.shared, partition);
     }
 
+    /// Returns whether this instance has seen a request crash an upstream and has not stored the
+    /// crash yet. A malformed fingerprint is that of no request.
+    pub(crate) fn has_unrecorded_crash(&self, fingerprint: &str) -> bool {
+        let fingerprint = fingerprint.parse().ok();
+        fingerprint.is_some_and(|fingerprint| self.shared.suspects.has_unrecorded(fingerprint))
+    }
+
     /// Returns the number of loaded program trees.
     pub(crate) fn count_trees(&self) -> usize {
         self.shared.lock().all_keys().len()
@@ -224,6 +233,17 @@
         trees.get_mut(tree).map(f)
     }
 
+    /// Logs that a request in progress lost its program, and returns the error for the caller.
+    fn program_lost(&self, program: id::Program, cause: &str) -> Error {
+        let membership = &self.dependencies.membership;
+        let term = membership.last_known_term(program.partition());
+        event!(self.dependencies.log, Event::ProgramLost,
+            "program" => %program, "partition" => program.partition().0,
+            "term" => term.map(|term| term.0), "lease_valid" => membership.is_valid(),
+            "cause" => cause);
+        rejection::program_lost()
+    }
+
     /// Returns the term in which this instance owns a partition under a valid lease.
     fn owned_term(&self, partition: id::Partition) -> Result<id::Term, Error> {
         let term = self.dependencies.membership.owned_term(partition);
--- a/crates/daemon/src/program/call.rs
+++ b/crates/daemon/src/program/call.rs
@@ -87,7 +87,10 @@
             let event = shared.with_tree(started.tree, |loaded| {
                 view::recorded_event(&loaded.tree, member, program, position)
             });
-            let event = event.unwrap_or_else(|| Event::Error(rejection::program_lost()));
+            let event = event.unwrap_or_else(|| {
+                let cause = "the program was unloaded before its recorded turn was read";
+                Event::Error(shared.program_lost(program, cause))
+            });
             let _ = events.send(replay_event(event, call.provisional)).await;
             return;
         }
--- a/crates/daemon/src/program/model.rs
+++ b/crates/daemon/src/program/model.rs
@@ -14,8 +14,8 @@
 use super::attempt::{self, Admitted, FailedAttempt};
 use super::call::ActiveCall;
 use super::prompt::{self, Prompt};
+use super::reservation;
 use super::turn::{self, CompletedCall};
-use super::{rejection, reservation};
 use crate::engine::{self, CompletionRequest};
 use crate::grant::{CallOutcome, Grant};
 use crate::trace::{self, Hop};
@@ -41,7 +41,9 @@
         Some(prompt::build(history, &service, &active.call.input))
     });
     let Some(Some(prompt)) = prompt else {
-        return active.abandon_with_error(rejection::program_lost()).await;
+        let cause = "the program was unloaded before its prompt was read";
+        let error = active.shared.program_lost(active.program, cause);
+        return active.abandon_with_error(error).await;
     };
     let allocated_tokens = prompt.max_tokens + u64::from(active.call.max_tokens);
     let mut progress = Progress {
--- a/crates/daemon/src/program/turn.rs
+++ b/crates/daemon/src/program/turn.rs
@@ -83,8 +83,13 @@
         let shared = Arc::clone(&shared);
         trace::in_child_span(Hop::Commit, async move {
             let written = wait_durable(&shared, location, pending).await;
+            // Once the activity ends, a handover may unload the program, so the event is read before.
+            let event = match written {
+                Ok(()) => final_event(&shared, location, position),
+                Err(error) => Event::Error(error),
+            };
             drop(activity);
-            written
+            event
         })
     });
     let mut written = None;
@@ -103,11 +108,10 @@
         Some(written) => written,
         None => write.await,
     };
-    let event = match written {
-        Ok(Ok(())) => final_event(&shared, location, position),
-        Ok(Err(error)) => Event::Error(error),
-        Err(_) => Event::Error(rejection::program_lost()),
-    };
+    let event = written.unwrap_or_else(|_| {
+        let cause = "the task that writes the turn panicked";
+        Event::Error(shared.program_lost(location.program, cause))
+    });
     let _ = events.send(event).await;
 }
 
@@ -119,7 +123,10 @@
     let permit = acquire_permit(&active.shared, location, completed).await?;
     let pending = active
         .with_tree(|loaded| append_and_queue(loaded, location, completed, Vec::new(), permit));
-    pending.ok_or_else(rejection::program_lost)?
+    pending.unwrap_or_else(|| {
+        let cause = "the program was unloaded before the turn was queued";
+        Err(active.shared.program_lost(location.program, cause))
+    })
 }
 
 /// Returns the last event of a call from its recorded turn.
@@ -127,7 +134,10 @@
     let event = shared.with_tree(location.tree, |loaded| {
         view::recorded_event(&loaded.tree, location.member, location.program, position)
     });
-    event.unwrap_or_else(|| Event::Error(rejection::program_lost()))
+    event.unwrap_or_else(|| {
+        let cause = "the program was unloaded before the response was read";
+        Event::Error(shared.program_lost(location.program, cause))
+    })
 }
 
 /// Waits for space in the commit queue for a turn.
@@ -231,6 +241,9 @@
             shared.lock().remove(location.tree);
             Err(Error::new(Kind::Internal, "the turn was not recorded"))
         }
-        Err(_) => Err(rejection::program_lost()),
+        Err(failure) => {
+            let cause = format!("the write of the turn failed: {failure:?}");
+            Err(shared.program_lost(location.program, &cause))
+        }
     }
 }
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -4,6 +4,7 @@
 //! only as a trial, one copy at a time across all instances. A second crash quarantines it.
 
 mod in_flight;
+mod peer_crashes;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -21,6 +22,7 @@
 use crate::log::{Event, event};
 use crate::{commit, log};
 use in_flight::{InFlightCopies, InFlightCopy};
+pub(crate) use peer_crashes::PeerCrashes;
 
 const PARTITION_KEY: &str = "suspect";
 
@@ -57,6 +59,7 @@
     /// and an instance that has lost its lease must not keep a crash to itself.
     crash_table: table::Client,
     commit: commit::Handle,
+    peer_crashes: PeerCrashes,
     clock: Clock,
     write_timeout_ms: u64,
     local: Mutex<LocalState>,
@@ -92,6 +95,7 @@
 pub(crate) fn open(
     table: table::Client,
     commit: commit::Handle,
+    peer_crashes: PeerCrashes,
     clock: Clock,
     write_timeout_ms: u64,
 ) -> Handle {
@@ -99,6 +103,7 @@
         table: table.with_timeout(READ_TIMEOUT_MS),
         crash_table: table.with_timeout(write_timeout_ms),
         commit,
+        peer_crashes,
         clock,
         write_timeout_ms,
         local: Mutex::default(),
@@ -144,14 +149,22 @@
         })
     }
 
+    /// Returns whether a crash by a request is not durable yet.
+    pub(crate) fn has_unrecorded(&self, fingerprint: Digest) -> bool {
+        let local = self.shared.lock();
+        local.unrecorded_crashes.contains(&fingerprint)
+    }
+
     /// Checks that a request may be sent to an upstream.
     ///
-    /// While the store is unavailable, only this instance's own state is checked.
+    /// While the store is unavailable, only this instance's own state is checked. Before a trial,
+    /// the other instances are asked for crashes that are not durable yet: an earlier owner of the
+    /// program may have seen one that its row does not count.
     ///
     /// # Errors
     ///
     /// Returns `Quarantined` if the request crashed upstreams twice, and `Overloaded` if another
-    /// copy is on trial or a crash is not durable yet. If the trial can't be recorded, returns
+    /// copy is on trial or a crash is not durable yet, here or at another instance. If the trial can't be recorded, returns
     /// `OwnerUnavailable` or `StoreUnavailable`.
     pub(crate) async fn admit(
         &self,
@@ -160,7 +173,7 @@
     ) -> Result<SendPermit, Error> {
         let fingerprint = copy.fingerprint();
         let shared = &self.shared;
-        if shared.lock().unrecorded_crashes.contains(&fingerprint) {
+        if self.has_unrecorded(fingerprint) {
             return Err(temporarily_blocked());
         }
         let mut permit = SendPermit {
@@ -184,6 +197,11 @@
             }
             Verdict::Busy | Verdict::Trial | Verdict::Unrestricted => {}
         }
+        // A crash that becomes durable after the answers changes the row, which fails the trial's
+        // write.
+        if shared.peer_crashes.any_unrecorded(fingerprint).await {
+            return Err(temporarily_blocked());
+        }
         permit.trial = Some(shared.start_trial(fingerprint, known, upstream).await?);
         Ok(permit)
     }
--- a/crates/daemon/tests/calls/suspect.rs
+++ b/crates/daemon/tests/calls/suspect.rs
@@ -7,11 +7,12 @@
 use basilramp_fakes::caller;
 use basilramp_fakes::cluster::{Cluster, name};
 use basilramp_fakes::engine;
+use basilramp_fakes::relay::Cut;
 use basilramp_wire::api::Call;
 use basilramp_wire::error::{Executed, Kind};
 use tokio::time::{Instant, sleep};
 
-use crate::support::{assert_rejected, create, options, rejection};
+use crate::support::{assert_rejected, create, options, other_address, rejection, wait_for_owner};
 
 /// An input that crashes the fake engine: it contains the word "POISON" in capitals.
 const POISON: &str = "tell me about POISON ivy";
@@ -124,6 +125,52 @@
     assert_eq!(crashes(&cluster), 2);
 }
 
+/// The owner sees a crash, loses the store before it can record it, and is fenced. The next owner
+/// knows of no crash and may send the request once, but no trial after that: with the crash that is
+/// not recorded yet, the request has crashed two engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_at_an_owner_without_the_store_counts_at_the_next_owner() {
+    let mut options = options(3);
+    options.engines = vec![engine::Options::default(); 4];
+    options.relays = true;
+    let cluster = Cluster::start(options).await;
+    let cluster = cluster.expect("the deployment starts");
+    let program = create(&cluster, "p").await;
+    let owner = wait_for_owner(&cluster, &program.id).await;
+    let store = cluster.instances[owner].store_relay.as_ref();
+    let store = store.expect("the deployment has relays");
+    let call = caller::call_request("r", 0, name::MODEL, POISON);
+    store.cut(Cut::Both);
+    let address = cluster.caller_address(owner);
+    let address = address.expect("the instance is running");
+    let response = cluster.caller(0).call(address, &program.id, &call).await;
+    assert_eq!(rejection(&response).kind, Kind::UpstreamFailed);
+    assert_eq!(crashes(&cluster), 1);
+
+    let address = other_address(&cluster, owner);
+    let deadline = Instant::now() + QUARANTINE_TIMEOUT;
+    while crashes(&cluster) < 2 {
+        let response = cluster.caller(0).call(address, &program.id, &call).await;
+        assert!(response.result.is_err());
+        assert!(Instant::now() < deadline, "the next owner sends nothing");
+        sleep(RESEND_INTERVAL).await;
+    }
+    for _ in 0..10 {
+        let response = cluster.caller(0).call(address, &program.id, &call).await;
+        assert_rejected(&response, Kind::Overloaded, Executed::No);
+        sleep(RESEND_INTERVAL).await;
+    }
+    store.heal();
+    let rejections = [
+        Kind::Overloaded,
+        Kind::OwnerUnavailable,
+        Kind::StoreUnavailable,
+        Kind::Interrupted,
+    ];
+    send_through_rejections(&cluster, address, &program.id, &call, &rejections).await;
+    assert_eq!(crashes(&cluster), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_quarantine_survives_a_restart_of_all_instances() {
     let mut cluster = start_deployment(3).await;
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -201,7 +201,7 @@
         let path = self.settings_path(index);
         let instance = &mut self.instances[index];
         std::fs::write(&path, serde_json::to_vec_pretty(&instance.settings)?)?;
-        instance.process = None;
+        instance.drop_process();
         let process = self.launcher.start(&path).await?;
         if let Some(relay) = &instance.peer_relay {
             relay.set_target(process.addresses().peers);
--- a/crates/fakes/src/cluster/instance.rs
+++ b/crates/fakes/src/cluster/instance.rs
@@ -9,6 +9,9 @@
 use crate::launcher::{Addresses, Process};
 use crate::relay::{self, Relay};
 
+/// Maximum number of output lines printed for each instance of a failed test.
+const MAX_PRINTED_LINES: usize = 500;
+
 /// An instance of the deployment.
 #[derive(Debug)]
 pub struct Instance {
@@ -34,6 +37,29 @@
     pub fn addresses(&self) -> Option<Addresses> {
         self.process.as_ref().map(Process::addresses)
     }
+
+    /// Drops the process, which kills it if it still runs, and keeps its output.
+    pub(super) fn drop_process(&mut self) {
+        if let Some(process) = self.process.take() {
+            self.previous_output.extend(process.output());
+        }
+    }
+}
+
+/// Prints the end of the instance's output if its test has failed.
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let state = self.process.as_ref().map(Process::kernel_state);
+        self.drop_process();
+        let skipped = self.previous_output.len().saturating_sub(MAX_PRINTED_LINES);
+        eprintln!("{}: {}", self.id, state.as_deref().unwrap_or("not running"));
+        for line in &self.previous_output[skipped..] {
+            eprintln!("{line}");
+        }
+    }
 }
 
 impl Cluster {
--- a/crates/fakes/src/launcher.rs
+++ b/crates/fakes/src/launcher.rs
@@ -178,7 +178,19 @@
                 .any(|field| line.starts_with(field))
         };
         let lines: Vec<&str> = status.lines().filter(is_relevant).collect();
-        lines.join(", ")
+        format!("{}, {}", lines.join(", "), self.ended_by())
+    }
+
+    /// Returns what ended the process, from the last field of its `stat` file: the signal in the
+    /// lower 7 bits, the exit code above 8 bits. A running process has 0.
+    fn ended_by(&self) -> String {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let stat = std::fs::read_to_string(path).unwrap_or_else(|error| error.to_string());
+        let wait_status = stat.split_whitespace().last();
+        match wait_status.and_then(|status| status.parse::<u32>().ok()) {
+            Some(status) => format!("signal: {}, exit code: {}", status & 0x7f, status >> 8),
+            None => format!("no wait status: {stat}"),
+        }
     }
 
     /// Kills the process (`SIGKILL`) and waits for its exit.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -107,6 +107,11 @@
         /// The program.
         program: String,
     },
+    /// Ask whether the receiver has seen the request crash an upstream and has not stored that yet.
+    UnrecordedCrash {
+        /// The fingerprint of the request, in hexadecimal.
+        fingerprint: String,
+    },
 }
 
 /// The outcome of a call in doubt as stated by an operator: body of
@@ -213,6 +218,8 @@
     Done,
     /// The request failed.
     Error(error::Error),
+    /// Whether there is a crash that is not stored yet; replies to [`Body::UnrecordedCrash`].
+    UnrecordedCrash(bool),
 }
 
 /// Encodes a frame with its length prefix.
