Check a configuration and compare two; positions in the errors of the parser

core::dispatch::config_check finds entries of an accepted configuration that can never match and limits that contradict each other, as a typed list with a severity, and compares two versions by field; keys are only counted. config::parse converts routes and accounts while their place in the document is known, so that every error has a line and a column, and names a key by its account and position.

Cause found beside it: an error about a key in the wrong place ("api_keys": "...") held the key, and the ingress logs that text. The value is now removed from such messages.

The test of a crash that is not durable yet read the log at once; the line is written by a thread of its own, and was missing 2 of 5 times beside six busy processes. It now waits for the line, which is still required. The new test of an owner without the store cut the store off before the owner had read that it owns the program (1 of 5); it now completes a call there first.

--- a/crates/core/src/dispatch/account.rs
+++ b/crates/core/src/dispatch/account.rs
@@ -101,17 +101,19 @@
 pub enum Invalid {
     /// Two accounts have this name.
     DuplicateName(Arc<str>),
-    /// The accounts with these names share a key.
-    SharedKey(Arc<str>, Arc<str>),
+    /// The accounts with these names share a key. Holds its position, from 1, among the keys of the
+    /// second account.
+    SharedKey(Arc<str>, Arc<str>, usize),
 }
 
 impl fmt::Display for Invalid {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::DuplicateName(name) => write!(f, "two accounts have the name {name}"),
-            Self::SharedKey(first, second) => {
-                write!(f, "accounts {first} and {second} have the same key")
-            }
+            Self::SharedKey(first, second, position) => write!(
+                f,
+                "accounts {first} and {second} have the same key: key {position} of {second}"
+            ),
         }
     }
 }
@@ -137,9 +139,11 @@
             if accounts.by_name.contains_key(&name) {
                 return Err(Invalid::DuplicateName(name));
             }
-            for key in BTreeSet::from_iter(keys) {
-                if let Some(other) = accounts.by_key.insert(key, Arc::clone(&account)) {
-                    return Err(Invalid::SharedKey(Arc::clone(&other.name), name));
+            for (index, key) in keys.into_iter().enumerate() {
+                let other = accounts.by_key.insert(key, Arc::clone(&account));
+                if let Some(other) = other.filter(|other| other.name != name) {
+                    let position = index + 1;
+                    return Err(Invalid::SharedKey(Arc::clone(&other.name), name, position));
                 }
             }
             accounts.by_name.insert(name, account);
@@ -159,6 +163,16 @@
         self.by_name.get(name)
     }
 
+    /// Returns the digests of the keys of each account that has any, by its name.
+    #[must_use]
+    pub fn keys_by_account(&self) -> BTreeMap<&str, BTreeSet<KeyDigest>> {
+        let mut keys = BTreeMap::<&str, BTreeSet<KeyDigest>>::new();
+        for (key, account) in &self.by_key {
+            keys.entry(&account.name).or_default().insert(*key);
+        }
+        keys
+    }
+
     /// Returns the accounts by name, each with the number of its keys.
     pub fn iter(&self) -> impl Iterator<Item = (&Arc<Account>, usize)> {
         let mut keys = BTreeMap::<&str, usize>::new();
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempt;
+mod config_check;
 mod event_log;
 mod fleet;
 mod outage;
--- a/crates/daemon/tests/calls/suspect.rs
+++ b/crates/daemon/tests/calls/suspect.rs
@@ -12,7 +12,10 @@
 use basilramp_wire::error::{Executed, Kind};
 use tokio::time::{Instant, sleep};
 
-use crate::support::{assert_rejected, create, options, other_address, rejection, wait_for_owner};
+use crate::support::{
+    assert_rejected, call_until_settled, create, options, other_address, rejection, wait_for_owner,
+    wait_until,
+};
 
 /// An input that crashes the fake engine: it contains the word "POISON" in capitals.
 const POISON: &str = "tell me about POISON ivy";
@@ -108,12 +111,13 @@
     let response = cluster.caller(0).call(address, &program.id, &call).await;
     assert_eq!(rejection(&response).kind, Kind::UpstreamFailed);
     assert_eq!(crashes(&cluster), 1);
-    let output = cluster.instances.iter().filter_map(|instance| {
-        let process = instance.process.as_ref()?;
-        Some(process.output().join("\n"))
-    });
-    let output: String = output.collect();
-    assert!(output.contains("E0511"), "the failed write is not logged");
+    // The line is written by a thread of its own and may arrive after the response.
+    wait_until("the failed write is logged", || {
+        let processes = cluster.instances.iter();
+        let mut processes = processes.filter_map(|instance| instance.process.as_ref());
+        processes.any(|process| process.output().join("\n").contains("E0511"))
+    })
+    .await;
     cluster.platform.set_latency_ms(0);
     // The trial is not recorded while a commit still waits for the slow store.
     let rejections = [
@@ -139,10 +143,14 @@
     let owner = wait_for_owner(&cluster, &program.id).await;
     let store = cluster.instances[owner].store_relay.as_ref();
     let store = store.expect("the deployment has relays");
-    let call = caller::call_request("r", 0, name::MODEL, POISON);
-    store.cut(Cut::Both);
     let address = cluster.caller_address(owner);
     let address = address.expect("the instance is running");
+    // Once a call is complete, the instance knows that it owns the program.
+    let call = caller::call_request("r0", 0, name::MODEL, "tell me about ivy");
+    let response = call_until_settled(&cluster, address, &program.id, &call).await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    let call = caller::call_request("r1", 1, name::MODEL, POISON);
+    store.cut(Cut::Both);
     let response = cluster.caller(0).call(address, &program.id, &call).await;
     assert_eq!(rejection(&response).kind, Kind::UpstreamFailed);
     assert_eq!(crashes(&cluster), 1);
@@ -193,7 +201,7 @@
         .await
         .expect("the instances become ready");
     let address = crate::support::any_address(&cluster);
-    let response = crate::support::call_until_settled(&cluster, address, &program.id, &call).await;
+    let response = call_until_settled(&cluster, address, &program.id, &call).await;
     assert_rejected(&response, Kind::Quarantined, Executed::No);
     assert_eq!(crashes(&cluster), 2);
 }
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -244,7 +244,7 @@
                 }
             }
         }
-        Err(error) => log_unreadable(state, config::TABLE, row, &error.0),
+        Err(error) => log_unreadable(state, config::TABLE, row, &error.to_string()),
     }
 }
 
