Add `basilramp config check` for the configuration document of the users' platform

Exit codes: 0, 1 (findings), 2 (cannot be read, or the product would reject it; with line and column). It is a verb of the existing group `config`, whose other verbs are about the project's own interface; it needs no instance, address or token.

--- a/assets/completions/basilramp.bash
+++ b/assets/completions/basilramp.bash
@@ -49,6 +49,9 @@
             basilramp,upstream)
                 cmd="basilramp__subcmd__upstream"
                 ;;
+            basilramp__subcmd__config,check)
+                cmd="basilramp__subcmd__config__subcmd__check"
+                ;;
             basilramp__subcmd__config,diff)
                 cmd="basilramp__subcmd__config__subcmd__diff"
                 ;;
@@ -61,6 +64,9 @@
             basilramp__subcmd__config,show)
                 cmd="basilramp__subcmd__config__subcmd__show"
                 ;;
+            basilramp__subcmd__config__subcmd__help,check)
+                cmd="basilramp__subcmd__config__subcmd__help__subcmd__check"
+                ;;
             basilramp__subcmd__config__subcmd__help,diff)
                 cmd="basilramp__subcmd__config__subcmd__help__subcmd__diff"
                 ;;
@@ -106,6 +112,9 @@
             basilramp__subcmd__help,upstream)
                 cmd="basilramp__subcmd__help__subcmd__upstream"
                 ;;
+            basilramp__subcmd__help__subcmd__config,check)
+                cmd="basilramp__subcmd__help__subcmd__config__subcmd__check"
+                ;;
             basilramp__subcmd__help__subcmd__config,diff)
                 cmd="basilramp__subcmd__help__subcmd__config__subcmd__diff"
                 ;;
@@ -558,7 +567,7 @@
             return 0
             ;;
         basilramp__subcmd__config)
-            opts="-h --operators --callers --token-file --key-file --timeout --output --help show log diff help"
+            opts="-h --operators --callers --token-file --key-file --timeout --output --help show check log diff help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -595,6 +604,48 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        basilramp__subcmd__config__subcmd__check)
+            opts="-h --against --json --operators --callers --token-file --key-file --timeout --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --against)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --operators)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --callers)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token-file)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --key-file)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --timeout)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         basilramp__subcmd__config__subcmd__diff)
             opts="-h --operators --callers --token-file --key-file --timeout --output --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -634,7 +685,7 @@
             return 0
             ;;
         basilramp__subcmd__config__subcmd__help)
-            opts="show log diff help"
+            opts="show check log diff help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -647,6 +698,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        basilramp__subcmd__config__subcmd__help__subcmd__check)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 4 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         basilramp__subcmd__config__subcmd__help__subcmd__diff)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 4 ]] ; then
@@ -812,7 +877,7 @@
             return 0
             ;;
         basilramp__subcmd__help__subcmd__config)
-            opts="show log diff"
+            opts="show check log diff"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -825,6 +890,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        basilramp__subcmd__help__subcmd__config__subcmd__check)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 4 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         basilramp__subcmd__help__subcmd__config__subcmd__diff)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 4 ]] ; then
--- a/assets/completions/basilramp.fish
+++ b/assets/completions/basilramp.fish
@@ -40,7 +40,7 @@
 complete -c basilramp -n "__fish_basilramp_needs_command" -f -a "upstream" -d 'Manage upstreams: model engines and plain services'
 complete -c basilramp -n "__fish_basilramp_needs_command" -f -a "program" -d 'Run calls, inspect and end programs, settle calls in doubt'
 complete -c basilramp -n "__fish_basilramp_needs_command" -f -a "instance" -d 'Inspect the instances of the scheduler'
-complete -c basilramp -n "__fish_basilramp_needs_command" -f -a "config" -d 'Inspect the whole configuration'
+complete -c basilramp -n "__fish_basilramp_needs_command" -f -a "config" -d 'Inspect the whole configuration, or check one of the users\' platform'
 complete -c basilramp -n "__fish_basilramp_needs_command" -f -a "completions" -d 'Print completions for a shell'
 complete -c basilramp -n "__fish_basilramp_needs_command" -f -a "manual" -d 'Write the man pages into a directory'
 complete -c basilramp -n "__fish_basilramp_needs_command" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
@@ -475,18 +475,19 @@
 complete -c basilramp -n "__fish_basilramp_using_subcommand instance; and __fish_seen_subcommand_from list" -s h -l help -d 'Print help'
 complete -c basilramp -n "__fish_basilramp_using_subcommand instance; and __fish_seen_subcommand_from help" -f -a "list" -d 'List the instances'
 complete -c basilramp -n "__fish_basilramp_using_subcommand instance; and __fish_seen_subcommand_from help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -l operators -d 'Address of an instance\'s operator listener' -r
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -l callers -d 'Address of an instance\'s caller listener' -r
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -l token-file -d 'File with the operator token' -r -F
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -l key-file -d 'File with the account key' -r -F
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -l timeout -d 'Request timeout; does not apply to streamed calls' -r
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -l output -d 'Output format' -r -f -a "table\t''
-json\t''"
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -s h -l help -d 'Print help'
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -f -a "show" -d 'Show every configured item'
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -f -a "log" -d 'Show the change log'
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -f -a "diff" -d 'Show the differences between two versions; exits with 8 if there are any'
-complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show log diff help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -l operators -d 'Address of an instance\'s operator listener' -r
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -l callers -d 'Address of an instance\'s caller listener' -r
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -l token-file -d 'File with the operator token' -r -F
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -l key-file -d 'File with the account key' -r -F
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -l timeout -d 'Request timeout; does not apply to streamed calls' -r
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -l output -d 'Output format' -r -f -a "table\t''
+json\t''"
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -s h -l help -d 'Print help'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -f -a "show" -d 'Show every configured item'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -f -a "check" -d 'Check a configuration document of the users\' platform'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -f -a "log" -d 'Show the change log'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -f -a "diff" -d 'Show the differences between two versions; exits with 8 if there are any'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and not __fish_seen_subcommand_from show check log diff help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from show" -l operators -d 'Address of an instance\'s operator listener' -r
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from show" -l callers -d 'Address of an instance\'s caller listener' -r
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from show" -l token-file -d 'File with the operator token' -r -F
@@ -495,6 +496,16 @@
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from show" -l output -d 'Output format' -r -f -a "table\t''
 json\t''"
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from show" -s h -l help -d 'Print help'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -l against -d 'The document in force; show the differences from it' -r -F
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -l operators -d 'Address of an instance\'s operator listener' -r
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -l callers -d 'Address of an instance\'s caller listener' -r
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -l token-file -d 'File with the operator token' -r -F
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -l key-file -d 'File with the account key' -r -F
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -l timeout -d 'Request timeout; does not apply to streamed calls' -r
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -l output -d 'Output format' -r -f -a "table\t''
+json\t''"
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -l json -d 'Print JSON, same as --output json'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from check" -s h -l help -d 'Print help (see more with \'--help\')'
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from log" -l after -d 'Show only changes after this version' -r
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from log" -l operators -d 'Address of an instance\'s operator listener' -r
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from log" -l callers -d 'Address of an instance\'s caller listener' -r
@@ -513,6 +524,7 @@
 json\t''"
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from diff" -s h -l help -d 'Print help'
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "show" -d 'Show every configured item'
+complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "check" -d 'Check a configuration document of the users\' platform'
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "log" -d 'Show the change log'
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "diff" -d 'Show the differences between two versions; exits with 8 if there are any'
 complete -c basilramp -n "__fish_basilramp_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
@@ -539,7 +551,7 @@
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and not __fish_seen_subcommand_from service place plan limit upstream program instance config completions manual help" -f -a "upstream" -d 'Manage upstreams: model engines and plain services'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and not __fish_seen_subcommand_from service place plan limit upstream program instance config completions manual help" -f -a "program" -d 'Run calls, inspect and end programs, settle calls in doubt'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and not __fish_seen_subcommand_from service place plan limit upstream program instance config completions manual help" -f -a "instance" -d 'Inspect the instances of the scheduler'
-complete -c basilramp -n "__fish_basilramp_using_subcommand help; and not __fish_seen_subcommand_from service place plan limit upstream program instance config completions manual help" -f -a "config" -d 'Inspect the whole configuration'
+complete -c basilramp -n "__fish_basilramp_using_subcommand help; and not __fish_seen_subcommand_from service place plan limit upstream program instance config completions manual help" -f -a "config" -d 'Inspect the whole configuration, or check one of the users\' platform'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and not __fish_seen_subcommand_from service place plan limit upstream program instance config completions manual help" -f -a "completions" -d 'Print completions for a shell'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and not __fish_seen_subcommand_from service place plan limit upstream program instance config completions manual help" -f -a "manual" -d 'Write the man pages into a directory'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and not __fish_seen_subcommand_from service place plan limit upstream program instance config completions manual help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
@@ -576,5 +588,6 @@
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and __fish_seen_subcommand_from program" -f -a "end" -d 'End a program'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and __fish_seen_subcommand_from instance" -f -a "list" -d 'List the instances'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "show" -d 'Show every configured item'
+complete -c basilramp -n "__fish_basilramp_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "check" -d 'Check a configuration document of the users\' platform'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "log" -d 'Show the change log'
 complete -c basilramp -n "__fish_basilramp_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "diff" -d 'Show the differences between two versions; exits with 8 if there are any'
--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -45,6 +45,10 @@
 }
 
 fn output_format(matches: &ArgMatches) -> OutputFormat {
+    // Only some commands have the option.
+    if let Ok(Some(true)) = matches.try_get_one::<bool>("json") {
+        return OutputFormat::Json;
+    }
     match matches.get_one::<String>("output").map(String::as_str) {
         Some("json") => OutputFormat::Json,
         _ => OutputFormat::Table,
--- a/crates/cli/src/app/command.rs
+++ b/crates/cli/src/app/command.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 
 use basilramp_cli::{
-    ApplyArgs, CallArgs, ChangeOptions, Command, DeleteArgs, Error, ImportArgs, ItemCommand,
-    SettleArgs,
+    ApplyArgs, CallArgs, ChangeOptions, CheckArgs, Command, DeleteArgs, Error, ImportArgs,
+    ItemCommand, SettleArgs,
 };
 use basilramp_wire::api::Budget;
 use basilramp_wire::config::ItemKind;
@@ -142,6 +142,10 @@
         "log" => Command::ConfigLog {
             after: number_arg(matches, "after").unwrap_or_default(),
         },
+        "check" => Command::CheckConfig(CheckArgs {
+            file: path_arg(matches, "file"),
+            against: matches.get_one::<PathBuf>("against").cloned(),
+        }),
         "diff" => Command::ConfigDiff {
             from: number_arg(matches, "from").unwrap_or_default(),
             to: number_arg(matches, "to"),
--- a/crates/cli/src/clap_app/config.rs
+++ b/crates/cli/src/clap_app/config.rs
@@ -94,10 +94,11 @@
 /// Builds the subcommand for the whole configuration.
 pub(super) fn build() -> Command {
     Command::new("config")
-        .about("Inspect the whole configuration")
+        .about("Inspect the whole configuration, or check one of the users' platform")
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(Command::new("show").about("Show every configured item"))
+        .subcommand(check_command())
         .subcommand(
             Command::new("log").about("Show the change log").arg(
                 Arg::new("after")
@@ -124,6 +125,29 @@
         )
 }
 
+fn check_command() -> Command {
+    Command::new("check")
+        .about("Check a configuration document of the users' platform")
+        .long_about(help::CHECK)
+        .arg(
+            required_positional("file", "FILE", "The document; - is standard input")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("The document in force; show the differences from it"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON, same as --output json"),
+        )
+}
+
 fn file_arg() -> Arg {
     required_positional(
         "file",
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod config;
+mod config_check;
 mod import;
 mod instance;
 mod item;
@@ -23,6 +24,7 @@
 pub async fn run(config: &Config, out: &mut impl Write) -> Result<(), Error> {
     let (connection, format) = (&config.connection, config.output);
     match &config.command {
+        Command::CheckConfig(args) => return config_check::run(args, format, out),
         Command::RunCall(args) => {
             return run_call::run(&Client::for_callers(connection)?, args, format, out).await;
         }
@@ -45,6 +47,6 @@
         Command::ConfigDiff { from, to } => config::diff(&client, *from, *to, format, out).await,
         Command::ShowProgram { id } => program::show(&client, id, format, out).await,
         Command::SettleCall(args) => program::settle(&client, args, format, out).await,
-        Command::RunCall(_) | Command::EndProgram { .. } => Ok(()),
+        Command::CheckConfig(_) | Command::RunCall(_) | Command::EndProgram { .. } => Ok(()),
     }
 }
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -102,6 +102,8 @@
         /// The newer version; the newest one if `None`.
         to: Option<u64>,
     },
+    /// Check a configuration document of the users' platform.
+    CheckConfig(CheckArgs),
     /// Show a program and its turns.
     ShowProgram {
         /// Program id.
@@ -144,6 +146,15 @@
     },
 }
 
+/// Arguments of `config check`.
+#[derive(Clone, Debug)]
+pub struct CheckArgs {
+    /// The document; `-` is standard input.
+    pub file: PathBuf,
+    /// The document to compare it with.
+    pub against: Option<PathBuf>,
+}
+
 /// Arguments of `apply`.
 #[derive(Clone, Debug)]
 pub struct ApplyArgs {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -45,6 +45,11 @@
     NotFound(String),
     /// The compared items differ.
     DifferencesFound,
+    /// The checked configuration has findings.
+    FindingsFound,
+    /// A configuration document is unreadable or not valid. Holds the file, the position and the
+    /// reason.
+    UnreadableConfig(String),
     /// The output could not be written, or a runtime could not be started.
     Output(io::Error),
 }
@@ -54,8 +59,8 @@
     #[must_use]
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::NotFound(_) | Self::Output(_) => 1,
-            Self::Usage(_) => 2,
+            Self::NotFound(_) | Self::Output(_) | Self::FindingsFound => 1,
+            Self::Usage(_) | Self::UnreadableConfig(_) => 2,
             Self::InvalidInput { .. } => 3,
             Self::Unreachable { .. } => 4,
             Self::ResponseLost { .. } => 5,
@@ -74,7 +79,7 @@
     #[must_use]
     pub fn is_silent(&self) -> bool {
         match self {
-            Self::DifferencesFound => true,
+            Self::DifferencesFound | Self::FindingsFound => true,
             Self::Output(error) => error.kind() == io::ErrorKind::BrokenPipe,
             _ => false,
         }
@@ -92,7 +97,9 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Usage(message) | Self::NotFound(message) => f.write_str(message),
+            Self::Usage(message) | Self::NotFound(message) | Self::UnreadableConfig(message) => {
+                f.write_str(message)
+            }
             Self::InvalidInput { file, errors } => {
                 write!(f, "{file} is invalid; nothing was changed")?;
                 write_lines(f, errors)
@@ -110,6 +117,7 @@
                 write_lines(f, changes)
             }
             Self::DifferencesFound => f.write_str("there are differences"),
+            Self::FindingsFound => f.write_str("there are findings"),
             Self::Output(error) => write!(f, "cannot write the output: {error}"),
         }
     }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -20,8 +20,10 @@
 
 Exit codes:
   0  success
-  1  the request was rejected and not run, or the item does not exist
-  2  an argument or environment variable is missing or invalid
+  1  the request was rejected and not run, the item does not exist, or `config check` has \
+findings
+  2  an argument or environment variable is missing or invalid, or `config check` cannot read a \
+document
   3  an input file is invalid or unreadable; nothing was changed
   4  the connection to the instance failed; nothing was sent
   5  the outcome is unknown: the request may have been run
@@ -36,6 +38,19 @@
 unchanged. The change is atomic. It is based on the current version, or on --base. If there are \
 newer changes than that version, the change is rejected and the newer changes are listed.";
 
+pub(crate) const CHECK: &str = "\
+Checks a configuration document of the users' platform: the value of the row op/config.
+
+Reports entries that can never match, limits that contradict each other and, with --against, the \
+differences from the document in force. It uses the parser of the product and needs no instance. \
+A finding does not mean that the product rejects the document. Keys of accounts are never printed.
+
+Exit codes:
+  0  no findings; differences are not findings
+  1  there are findings
+  2  a document cannot be read: the file is missing, or the product would reject it. The message \
+has the line and column.";
+
 pub(crate) const IMPORT: &str = "\
 Replaces the plans with those of a CSV sheet.
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use command::run;
 pub use config::{
-    ApplyArgs, CallArgs, ChangeOptions, Command, Config, Connection, DeleteArgs, ImportArgs,
-    ItemCommand, OutputFormat, Secret, SettleArgs,
+    ApplyArgs, CallArgs, ChangeOptions, CheckArgs, Command, Config, Connection, DeleteArgs,
+    ImportArgs, ItemCommand, OutputFormat, Secret, SettleArgs,
 };
 pub use error::Error;
--- a/crates/cli/tests/suite/command_line.rs
+++ b/crates/cli/tests/suite/command_line.rs
@@ -14,13 +14,14 @@
 
 #[test]
 fn help_texts_match_the_snapshots() {
-    let commands: [&[&str]; 8] = [
+    let commands: [&[&str]; 9] = [
         &["--help"],
         &["plan", "--help"],
         &["plan", "import", "--help"],
         &["service", "apply", "--help"],
         &["program", "run", "--help"],
         &["program", "settle", "--help"],
+        &["config", "check", "--help"],
         &["config", "diff", "--help"],
         &["upstream", "order", "--help"],
     ];
