Count a second crash of the same engine; let the owner know its program before the store slows down

An owner without the store saw e1 crash and could not record it; e1 restarted, the next owner sent the request there again, and the late row of the first crash was taken for the second one. The request then had one crash and got its trial, which crashed a third time. A crash is now counted under the engine's epoch as its home last read it; two copies in flight at one crash have the same.

--- a/crates/daemon/src/program/attempt.rs
+++ b/crates/daemon/src/program/attempt.rs
@@ -86,7 +86,7 @@
         grant = trace::in_child_span(Hop::Grant, grants.acquire(&request)) => grant?,
         () = active.events.closed() => return Err(caller_disconnected()),
     };
-    let permit = suspects.admit(copy, &grant.upstream).await;
+    let permit = suspects.admit(copy, &grant.upstream, grant.epoch).await;
     let permit = match permit {
         Ok(permit) => permit,
         Err(error) => {
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -120,6 +120,9 @@
     shared: Arc<Shared>,
     fingerprint: Digest,
     upstream: id::Upstream,
+    /// Identifies the crash that the request may cause. An engine that restarts has another epoch,
+    /// so that its next crash counts as well.
+    crash: id::Upstream,
     copy: InFlightCopy,
     /// The row of the suspect, if this is its trial.
     trial: Option<SuspectRow>,
@@ -170,6 +173,7 @@
         &self,
         copy: InFlightCopy,
         upstream: &id::Upstream,
+        epoch: Option<u64>,
     ) -> Result<SendPermit, Error> {
         let fingerprint = copy.fingerprint();
         let shared = &self.shared;
@@ -180,6 +184,7 @@
             shared: Arc::clone(shared),
             fingerprint,
             upstream: upstream.clone(),
+            crash: crash_id(upstream, epoch),
             copy,
             trial: None,
         };
@@ -202,7 +207,11 @@
         if shared.peer_crashes.any_unrecorded(fingerprint).await {
             return Err(temporarily_blocked());
         }
-        permit.trial = Some(shared.start_trial(fingerprint, known, upstream).await?);
+        permit.trial = Some(
+            shared
+                .start_trial(fingerprint, known, &permit.crash)
+                .await?,
+        );
         Ok(permit)
     }
 }
@@ -245,10 +254,10 @@
         &self,
         fingerprint: Digest,
         known: SuspectRow,
-        upstream: &id::Upstream,
+        crash: &id::Upstream,
     ) -> Result<SuspectRow, Error> {
         let next = SuspectRow {
-            suspect: known.suspect.with_trial(upstream),
+            suspect: known.suspect.with_trial(crash),
             version: known.version + 1,
         };
         let write = put_row(fingerprint, &next, Condition::Version(known.version));
@@ -271,7 +280,7 @@
     }
 
     /// Writes a crash to the store and returns the updated suspect. Returns `None` on failure.
-    async fn write_crash(&self, fingerprint: Digest, upstream: &id::Upstream) -> Option<Suspect> {
+    async fn write_crash(&self, fingerprint: Digest, crash: &id::Upstream) -> Option<Suspect> {
         for _ in 0..MAX_RECORD_ATTEMPTS {
             let row = self.table.get(&row_key(fingerprint)).await.ok()?;
             let known = row.as_ref().map(parse_row);
@@ -280,13 +289,13 @@
                 None => Condition::Absent,
                 Some(_) => Condition::Version(version),
             };
-            let suspect = Suspect::with_crash(known.map(|known| known.suspect), upstream);
+            let suspect = Suspect::with_crash(known.map(|known| known.suspect), crash);
             let next = SuspectRow {
                 suspect,
                 version: version + 1,
             };
             let write = put_row(fingerprint, &next, check);
-            // A write with an unknown outcome is repeated: the crash of an upstream counts once.
+            // A write with an unknown outcome is repeated: the same crash counts once.
             match self
                 .crash_table
                 .transact(&commit::new_token(), &[write])
@@ -343,7 +352,7 @@
             "upstream" => %self.upstream, "fingerprint" => %fingerprint);
         self.copy.record_crash();
         shared.lock().unrecorded_crashes.insert(fingerprint);
-        if let Some(suspect) = shared.write_crash(fingerprint, &self.upstream).await {
+        if let Some(suspect) = shared.write_crash(fingerprint, &self.crash).await {
             shared.lock().unrecorded_crashes.remove(&fingerprint);
             return match suspect.verdict(Limits::OWNED) {
                 Verdict::Quarantined => {
@@ -355,11 +364,7 @@
         }
         event!(log, Event::CrashUnrecorded, "fingerprint" => %fingerprint);
         tokio::spawn(async move {
-            while shared
-                .write_crash(fingerprint, &self.upstream)
-                .await
-                .is_none()
-            {
+            while shared.write_crash(fingerprint, &self.crash).await.is_none() {
                 tokio::time::sleep(RECORD_RETRY_DELAY).await;
             }
             shared.lock().unrecorded_crashes.remove(&fingerprint);
@@ -368,6 +373,14 @@
     }
 }
 
+/// Returns the name under which a crash of an upstream in an epoch is counted.
+fn crash_id(upstream: &id::Upstream, epoch: Option<u64>) -> id::Upstream {
+    match epoch {
+        Some(epoch) => id::Upstream::new(format!("{upstream}@{epoch}")),
+        None => upstream.clone(),
+    }
+}
+
 fn temporarily_blocked() -> Error {
     let message = "the request crashed an upstream and must not be sent now";
     Error::new(Kind::Overloaded, message).retry_after(RETRY_DELAY_MS)
--- a/crates/daemon/tests/calls/suspect.rs
+++ b/crates/daemon/tests/calls/suspect.rs
@@ -105,8 +105,13 @@
 async fn a_crash_that_is_not_durable_yet_blocks_its_request() {
     let cluster = start_deployment(3).await;
     let program = create(&cluster, "p").await;
+    wait_for_owner(&cluster, &program.id).await;
     let address = crate::support::any_address(&cluster);
-    let call = caller::call_request("r", 0, name::MODEL, POISON);
+    // The owner has to have loaded the program, as it can't do so while the store is slow.
+    let call = caller::call_request("r0", 0, name::MODEL, "tell me about ivy");
+    let response = call_until_settled(&cluster, address, &program.id, &call).await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    let call = caller::call_request("r1", 1, name::MODEL, POISON);
     cluster.platform.set_latency_ms(SLOW_STORE_MS);
     let response = cluster.caller(0).call(address, &program.id, &call).await;
     assert_eq!(rejection(&response).kind, Kind::UpstreamFailed);
@@ -134,8 +139,19 @@
 /// not recorded yet, the request has crashed two engines.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_crash_at_an_owner_without_the_store_counts_at_the_next_owner() {
+    check_crash_at_an_owner_without_the_store(4).await;
+}
+
+/// As above, but the same engine crashes twice. It has restarted in between, so its second crash is
+/// not taken for the first one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_crash_of_the_same_engine_counts_at_the_next_owner() {
+    check_crash_at_an_owner_without_the_store(1).await;
+}
+
+async fn check_crash_at_an_owner_without_the_store(engines: usize) {
     let mut options = options(3);
-    options.engines = vec![engine::Options::default(); 4];
+    options.engines = vec![engine::Options::default(); engines];
     options.relays = true;
     let cluster = Cluster::start(options).await;
     let cluster = cluster.expect("the deployment starts");
