End a trial whose write has an unknown outcome

Cause: if the commit of a suspect's trial times out while it is being sent, the caller is told that the store is unavailable, and the row is written later. Its trial has no sender, so the request was blocked for the two minutes after which a trial is stale. Seen 1 of 20 times in a_crash_that_is_not_durable_yet_blocks_its_request beside six busy processes ("the request is not quarantined", one E0509 and nothing sent for 30 s). The trial is now ended by a write that is queued after its own.

--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -272,13 +272,29 @@
                 let message = "this instance no longer owns the program";
                 Err(Error::new(Kind::OwnerUnavailable, message))
             }
-            Err(_) => {
+            Err(failure) => {
+                if failure == commit::Failure::Unknown {
+                    // The write may still be made. Without an end, the trial would block the request
+                    // until it is stale.
+                    self.end_trial(fingerprint, next);
+                }
                 let message = "the trial of a suspect request could not be recorded in the store";
                 Err(Error::new(Kind::StoreUnavailable, message).retry_after(RETRY_DELAY_MS))
             }
         }
     }
 
+    /// Ends a trial without an outcome, in the background.
+    fn end_trial(&self, fingerprint: Digest, trial: SuspectRow) {
+        let next = SuspectRow {
+            suspect: trial.suspect.without_trial(),
+            version: trial.version + 1,
+        };
+        let write = put_row(fingerprint, &next, Condition::Version(trial.version));
+        let commit = self.commit.clone();
+        tokio::spawn(async move { commit.submit(vec![write]).await });
+    }
+
     /// Writes a crash to the store and returns the updated suspect. Returns `None` on failure.
     async fn write_crash(&self, fingerprint: Digest, crash: &id::Upstream) -> Option<Suspect> {
         for _ in 0..MAX_RECORD_ATTEMPTS {
@@ -329,16 +345,9 @@
     /// Records that the request was not sent, or was cancelled or failed without a crash. Ends the
     /// trial without an outcome.
     pub(crate) fn abandon(self) {
-        let Some(trial) = self.trial else {
-            return;
-        };
-        let next = SuspectRow {
-            suspect: trial.suspect.without_trial(),
-            version: trial.version + 1,
-        };
-        let write = put_row(self.fingerprint, &next, Condition::Version(trial.version));
-        let shared = self.shared;
-        tokio::spawn(async move { shared.commit.submit(vec![write]).await });
+        if let Some(trial) = self.trial {
+            self.shared.end_trial(self.fingerprint, trial);
+        }
     }
 
     /// Records that the upstream crashed while the request was in flight.
--- a/crates/daemon/tests/calls/suspect.rs
+++ b/crates/daemon/tests/calls/suspect.rs
@@ -195,6 +195,38 @@
     assert_eq!(crashes(&cluster), 2);
 }
 
+/// The write of a trial times out while it is being sent, and is made later. The trial has no sender
+/// then, and must not block the request until it is stale, after two minutes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_that_is_written_late_does_not_block_its_request() {
+    /// Latency at which a read is in time and a commit is not, as it waits for the one before it.
+    const LATENCY_MS: u64 = 400;
+    let cluster = start_deployment(1).await;
+    let program = create(&cluster, "p").await;
+    wait_for_owner(&cluster, &program.id).await;
+    let address = crate::support::any_address(&cluster);
+    let call = caller::call_request("r0", 0, name::MODEL, "tell me about ivy");
+    let response = call_until_settled(&cluster, address, &program.id, &call).await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    let call = caller::call_request("r1", 1, name::MODEL, POISON);
+    let response = cluster.caller(0).call(address, &program.id, &call).await;
+    assert!(response.result.is_err());
+    assert_eq!(crashes(&cluster), 1);
+    cluster.platform.set_latency_ms(LATENCY_MS);
+    let response = cluster.caller(0).call(address, &program.id, &call).await;
+    assert!(response.result.is_err());
+    cluster.platform.set_latency_ms(0);
+    let rejections = [
+        Kind::UpstreamFailed,
+        Kind::UpstreamUnavailable,
+        Kind::Overloaded,
+        Kind::StoreUnavailable,
+        Kind::Interrupted,
+    ];
+    send_through_rejections(&cluster, address, &program.id, &call, &rejections).await;
+    assert_eq!(crashes(&cluster), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_quarantine_survives_a_restart_of_all_instances() {
     let mut cluster = start_deployment(3).await;
