--- a/crates/core/tests/dispatch/account.rs
+++ b/crates/core/tests/dispatch/account.rs
@@ -61,7 +61,7 @@
     let same_name = Accounts::new([entry("a", &["k1"]), entry("a", &["k2"])]);
     assert_eq!(same_name, Err(Invalid::DuplicateName("a".into())));
     let same_key = Accounts::new([entry("a", &["k1", "k2"]), entry("b", &["k3", "k2"])]);
-    assert_eq!(same_key, Err(Invalid::SharedKey("a".into(), "b".into())));
+    assert_eq!(same_key, Err(Invalid::SharedKey("a".into(), "b".into(), 2)));
     let text = same_key.unwrap_err().to_string();
     assert!(text.contains('a') && text.contains('b') && !text.contains("k2"));
 }
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod account;
 mod admission;
 mod attempt;
+mod config_check;
 mod event_log;
 mod fleet;
 mod outage;
