--- a/crates/core/src/dispatch/quota.rs
+++ b/crates/core/src/dispatch/quota.rs
@@ -44,8 +44,15 @@
 /// between the check of their permit and the upstream.
 const TOLERANCE_SHARE: f64 = 0.75;
 
-/// Share of the rule's excess that the rate gets: about the share of permits that expire unused.
-const RATE_SHARE: f64 = 0.6;
+/// Maximum number of slots in which a permit is valid: 10 s.
+const MAX_VALIDITY_SLOTS: f64 = 40.0;
+
+/// Number of slots after the present one that the home of a row reserves all permits of: 3 s. Another
+/// instance that becomes the home finds no permits for that long.
+const HOME_SLOTS: u64 = 12;
+
+/// Number of permits that stands for all.
+const ALL_PERMITS: u32 = 1_000_000;
 
 /// Window of the rule where the settings have none, in milliseconds.
 const DEFAULT_WINDOW_MS: u64 = 5_000;
@@ -94,27 +101,24 @@
 impl Terms {
     /// Derives the terms from a quota, so that the rule holds with a part of its tolerance left.
     ///
-    /// An account uses much less than its quota on average, in programs whose requests come together.
-    /// So the burst gets most of what the rule accepts beyond the rate; the rate gets a little of it, as
-    /// a part of the permits expires unused.
+    /// What the rule accepts beyond the rate goes to the validity of permits: those of the last seconds
+    /// absorb the uneven arrivals of programs, and an account that was idle has them at once.
     #[must_use]
     pub fn new(quota: Quota, rule: &Rule, version: u64) -> Self {
-        let quota_rate = quota.rate.milli_per_s() as f64;
         let one = PERMIT_PARTS as f64;
+        let rate = (quota.rate.milli_per_s() as f64).max(1.0);
         let window = rule.window_ms as f64 / SLOT_MS as f64;
         let quota_burst = f64::from(quota.burst) * one;
-        let accepted = (quota_rate * window + quota_burst) * (1.0 + rule.excess)
+        let accepted = (rate * window + quota_burst) * (1.0 + rule.excess)
             + f64::from(rule.tolerance) * TOLERANCE_SHARE * one;
         let window_slots = rule.window_ms.div_ceil(SLOT_MS) as f64;
-        let validity = if accepted >= quota_rate * (window_slots + 2.0) + one {
-            2
-        } else {
-            1
-        };
-        let slots = window_slots + validity as f64;
-        let max_rate = quota_rate * (1.0 + rule.excess * RATE_SHARE);
-        let rate = ((accepted - one) / slots).clamp(0.0, max_rate);
-        let burst = (accepted - rate * slots).max(one);
+        // One permit of burst carries the fractions of permits from slot to slot.
+        let beyond = accepted - one - rate * window_slots;
+        let validity = (beyond / rate).floor().clamp(1.0, MAX_VALIDITY_SLOTS);
+        let slots = window_slots + validity;
+        let rate = ((accepted - one) / slots).clamp(0.0, rate);
+        let burst = (accepted - rate * slots).clamp(one, quota_burst.max(one));
+        let validity = validity as u64;
         let rows = (quota.rate.per_s() / MAX_ROW_RATE).min(burst / one) as u32;
         let rows = rows.clamp(1, MAX_ROWS);
         Self {
--- a/crates/core/src/dispatch/quota/account_permits.rs
+++ b/crates/core/src/dispatch/quota/account_permits.rs
@@ -56,6 +56,8 @@
     call_at: Time,
     /// When a call may start after one that failed.
     failed_until: Time,
+    /// Whether this instance is the home of the row.
+    is_home: bool,
 }
 
 /// A row as last known.
@@ -147,6 +149,12 @@
         self.permits.give_back(permit);
     }
 
+    /// Returns whether permits were last reserved as the home of the row.
+    #[must_use]
+    pub const fn is_home(&self) -> bool {
+        self.is_home
+    }
+
     /// Returns the permits that are held.
     #[must_use]
     pub const fn permits(&self) -> &Permits {
@@ -170,7 +178,8 @@
         now: Time,
     ) -> bool {
         let is_due = now >= self.refill_at
-            && needs_refill(&self.demand, shapes, &self.permits, store_now, now);
+            && now >= self.failed_until
+            && (self.is_home || needs_refill(&self.demand, shapes, &self.permits, store_now, now));
         if is_due {
             self.refill_at = now.after(REFILL_INTERVAL_MS);
         }
@@ -233,7 +242,7 @@
         store_now: StoreTime,
         now: Time,
     ) -> bool {
-        if now < self.refill_at || self.permits.count() == 0 {
+        if self.is_home || now < self.refill_at || self.permits.count() == 0 {
             return false;
         }
         self.demand.end_programs(shapes, now);
@@ -276,15 +285,20 @@
         self.demand.end_programs(shapes, now);
         self.permits.expire(store_now);
         let validity = self.validity(self.row).unwrap_or(terms.validity);
-        let returned = take_surplus(
-            &mut self.permits,
-            self.row,
-            &self.demand,
-            shapes,
-            validity,
-            store_now,
-            now,
-        );
+        self.is_home = purpose.is_home;
+        let returned = if purpose.is_home {
+            Vec::new()
+        } else {
+            take_surplus(
+                &mut self.permits,
+                self.row,
+                &self.demand,
+                shapes,
+                validity,
+                store_now,
+                now,
+            )
+        };
         let plan = Plan::new(
             purpose,
             &self.demand,
@@ -360,6 +374,7 @@
     /// calls than it accepts, or can't be reached.
     pub fn record_failure(&mut self, now: Time) {
         self.failed_until = now.after(FAILURE_PAUSE_MS);
+        self.refill_at = self.failed_until;
     }
 
     /// Returns the milliseconds for which no call is made after one that failed.
--- a/crates/core/src/dispatch/quota/plan.rs
+++ b/crates/core/src/dispatch/quota/plan.rs
@@ -1,8 +1,8 @@
 //! Decides which permits an instance reserves.
 
 use super::{
-    Calendar, Class, Demand, Granted, HORIZON_SLOTS, PERMIT_PARTS, Permits, ProgramShape,
-    ProgramShapes, SLOT_MS, StoreTime, Terms, Wanted,
+    ALL_PERMITS, Calendar, Class, Demand, Granted, HOME_SLOTS, HORIZON_SLOTS, PERMIT_PARTS,
+    Permits, ProgramShape, ProgramShapes, SLOT_MS, StoreTime, Terms, Wanted,
 };
 use crate::clock::Time;
 
@@ -63,6 +63,8 @@
     pub waiting: u32,
     /// What the programs are like that they begin, if they do.
     pub program: Option<ProgramShape>,
+    /// Whether the instance is the home of the row, which reserves all permits.
+    pub is_home: bool,
 }
 
 impl Plan {
@@ -100,6 +102,17 @@
                 class,
             });
         }
+        if purpose.is_home {
+            plan.program = None;
+            plan.class = Class::Progress;
+            plan.wanted = vec![Wanted {
+                first,
+                last: present + HOME_SLOTS,
+                count: ALL_PERMITS,
+                class: Class::Progress,
+            }];
+            return plan;
+        }
         let held = held_by_slot(permits, present);
         let expected = Expected::new(demand, shapes, now);
         let mut have = 0.0;
@@ -175,7 +188,7 @@
             let new = next.reserve(&[*wanted], row);
             let count: u32 = new.iter().map(|new| new.count).sum();
             granted.extend(new);
-            if index == 0 && self.immediate > 0 {
+            if index == 0 && (self.immediate > 0 || wanted.count == ALL_PERMITS) {
                 if count == 0 {
                     return Reserved::Full(self.wait_ms(calendar, 1));
                 }
@@ -240,7 +253,8 @@
     let held = held_by_slot(permits, store_now.lower_ms / SLOT_MS);
     let expected = Expected::new(demand, shapes, now);
     let (mut uncovered, mut unused) = (0.0_f64, 0.0_f64);
-    for (held, need) in held.into_iter().zip(expected.0) {
+    let slots = held.into_iter().zip(expected.0).take(HOME_SLOTS as usize);
+    for (held, need) in slots {
         unused += f64::from(held);
         uncovered += need;
         let used = unused.min(uncovered);
--- a/crates/core/tests/dispatch/quota/site.rs
+++ b/crates/core/tests/dispatch/quota/site.rs
@@ -512,6 +512,7 @@
         let purpose = Purpose {
             waiting: if is_start { starting } else { waiting } as u32,
             program: is_start.then(|| one.shapes.get(&self.route)),
+            is_home: false,
         };
         let terms = one.terms.unwrap();
         let reservation = one
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -39,6 +39,9 @@
 /// milliseconds. Many instances may start at the same time.
 const FIRST_READ_MS: u64 = 10_000;
 
+/// Time between two reads while accounts have quotas, in milliseconds.
+const QUOTA_READ_MS: std::ops::Range<u64> = 2_000..6_000;
+
 /// Minimum time between two reads, in milliseconds.
 const MIN_READ_INTERVAL_MS: u64 = 500;
 
@@ -70,6 +73,11 @@
         lock(&self.members).get(id).cloned()
     }
 
+    /// Returns whether other instances are known.
+    pub(crate) fn is_known(&self) -> bool {
+        !lock(&self.members).is_empty()
+    }
+
     /// Returns the ids of the other instances.
     pub(crate) fn ids(&self) -> Vec<Arc<str>> {
         lock(&self.members).keys().cloned().collect()
@@ -102,12 +110,29 @@
         }
         backoff = Backoff::default();
         let ms = rand::rng().random_range(interval_ms / 2..=interval_ms + interval_ms / 2);
-        tokio::time::sleep(Duration::from_millis(ms)).await;
+        let renewal = state.now().after(ms);
         interval_ms = RENEWAL_MS;
+        while state.now() < renewal {
+            let left_ms = renewal.since(state.now());
+            let spread = rand::rng().random_range(QUOTA_READ_MS);
+            tokio::time::sleep(Duration::from_millis(spread.min(left_ms))).await;
+            // The homes of quotas follow from the instances that exist now.
+            if has_quotas(&state) {
+                refresh(&state).await;
+            }
+        }
         refresh(&state).await;
     }
 }
 
+fn has_quotas(state: &State) -> bool {
+    let table = state.table();
+    let accounts = table
+        .as_ref()
+        .and_then(|table| table.config().accounts.as_ref());
+    accounts.is_some_and(|accounts| accounts.iter().any(|(account, _)| account.quota.is_some()))
+}
+
 /// Removes the row of this instance, so that no further requests are relayed to it.
 pub(crate) async fn withdraw(state: &State) {
     if state.peer_address().is_none() {
--- a/crates/ingress/src/quota.rs
+++ b/crates/ingress/src/quota.rs
@@ -288,6 +288,7 @@
         route: &asking.route,
         terms: asking.terms,
         begins: asking.begins && is_first,
+        is_home: home::is_home(state, &asking.account, asking.row),
         began: boot_time(),
         limit_ms: asking.limit_ms,
     };
@@ -326,7 +327,7 @@
                 permits.pause_ms(now) == 0 && permits.start_return(&mut shapes, store_now, now)
             };
             if is_due {
-                reservation::start(&state, &account, terms);
+                reservation::start(&state, &account, terms, false);
             }
         }
     }
--- a/crates/ingress/src/quota/applicant.rs
+++ b/crates/ingress/src/quota/applicant.rs
@@ -20,6 +20,10 @@
 /// Time that a request waits for a store call that may grant it a permit, in milliseconds.
 const MAX_CALL_WAIT_MS: u64 = 1_000;
 
+/// Time after which a program that the home has no permits for may come back, in milliseconds. Programs
+/// in progress end meanwhile.
+const HOME_RETRY_MS: u64 = 500;
+
 /// Pauses after a reservation that other instances kept from the row, in milliseconds.
 const CONTENTION_PAUSE_MS: std::ops::Range<u64> = 5..50;
 
@@ -35,6 +39,8 @@
     pub(super) terms: Terms,
     /// Whether it begins a program.
     pub(super) begins: bool,
+    /// Whether this instance is the home of the row.
+    pub(super) is_home: bool,
     /// Boot time at which it began to wait.
     pub(super) began: Time,
     /// Milliseconds until the request's deadline.
@@ -80,6 +86,14 @@
                 tokio::time::sleep(Duration::from_millis(failure_pause_ms + spread_ms)).await;
                 continue;
             }
+            if self.is_home && !self.may_call() {
+                let next_ms = self.next_held_ms().filter(|_| !self.begins);
+                let Some(wait_ms) = next_ms else {
+                    return Err(Rejection::OverQuota(retry_after_ms(HOME_RETRY_MS)));
+                };
+                self.pause(wait_ms.max(1), Rejection::OverQuota).await?;
+                continue;
+            }
             match self.reserve().await {
                 Outcome::Granted => {
                     is_reserved = self.begins;
@@ -117,6 +131,18 @@
         }
     }
 
+    /// Returns whether a call of the home may bring permits: one is due or in flight.
+    fn may_call(&self) -> bool {
+        let Some(store_now) = self.state.store.store_time() else {
+            return true;
+        };
+        let mut permits = lock(&self.account.permits);
+        let shapes = lock(&self.state.quotas.shapes);
+        self.account.call.available_permits() == 0
+            || permits.start_refill(&shapes, store_now, boot_time())
+            || !permits.is_home()
+    }
+
     /// Takes a permit that is held. A program that begins needs permits for the rest of it, too.
     fn take(&self, is_reserved: bool) -> Option<quota::Permit> {
         let store_now = self.state.store.store_time()?;
@@ -161,6 +187,7 @@
             Arc::clone(self.account),
             self.terms,
             purpose,
+            self.is_home,
             call,
         ));
         let outcome = task.await.unwrap_or(Outcome::Failed);
@@ -210,7 +237,7 @@
             permits.pause_ms(now) == 0 && permits.start_refill(&shapes, store_now, now)
         };
         if is_due {
-            reservation::start(self.state, self.account, self.terms);
+            reservation::start(self.state, self.account, self.terms, self.is_home);
         }
     }
 }
--- a/crates/ingress/src/quota/home.rs
+++ b/crates/ingress/src/quota/home.rs
@@ -60,6 +60,12 @@
     best.filter(|best| weight(best) > weight(&state.settings.instance))
 }
 
+/// Returns whether this instance is the home of an account's row. It can't tell before it knows the other
+/// instances.
+pub(super) fn is_home(state: &State, account: &str, row: u32) -> bool {
+    state.membership.is_known() && find(state, account, row).is_none()
+}
+
 /// Asks an instance for a permit.
 ///
 /// # Errors
--- a/crates/ingress/src/quota/reservation.rs
+++ b/crates/ingress/src/quota/reservation.rs
@@ -117,13 +117,14 @@
 }
 
 /// Starts a reservation for what is expected, unless a call is in flight.
-pub(super) fn start(state: &Arc<State>, account: &Arc<AccountQuota>, terms: Terms) {
+pub(super) fn start(state: &Arc<State>, account: &Arc<AccountQuota>, terms: Terms, is_home: bool) {
     if let Ok(call) = Arc::clone(&account.call).try_acquire_owned() {
         tokio::spawn(run(
             Arc::clone(state),
             Arc::clone(account),
             terms,
             Purpose::Expected,
+            is_home,
             call,
         ));
     }
@@ -135,6 +136,7 @@
     account: Arc<AccountQuota>,
     terms: Terms,
     purpose: Purpose,
+    is_home: bool,
     call: OwnedSemaphorePermit,
 ) -> Outcome {
     let mut calls = Calls {
@@ -142,6 +144,7 @@
         account: &account,
         terms,
         purpose,
+        is_home,
         made: 0,
         moves: 0,
     };
@@ -172,6 +175,8 @@
     account: &'a AccountQuota,
     terms: Terms,
     purpose: Purpose,
+    /// Whether this instance is the home of the row.
+    is_home: bool,
     made: u32,
     /// Number of changes to another row.
     moves: u32,
@@ -211,14 +216,19 @@
         let mut permits = lock(&self.account.permits);
         let mut shapes = lock(&self.state.quotas.shapes);
         let purpose = match &self.purpose {
-            Purpose::Expected => quota::Purpose::default(),
+            Purpose::Expected => quota::Purpose {
+                is_home: self.is_home,
+                ..quota::Purpose::default()
+            },
             Purpose::Requests(waiting) => quota::Purpose {
                 waiting: *waiting,
                 program: None,
+                is_home: self.is_home,
             },
             Purpose::Program(route) => quota::Purpose {
                 waiting: 1,
                 program: Some(shapes.get(route)),
+                is_home: self.is_home,
             },
         };
         let reservation = permits.plan(purpose, self.terms, &mut shapes, store_now, now);
