Pace upstreams that start or recover; measure speed by upstream

Cause: an upstream that joins gets its full share of the requests of every instance at once, and looks idle to all of them. A restored upstream cost 200 ms more for 2 s, which in a service of short requests kept nearly all requests away for the 2 s. A single smoothed ratio by upstream took about ten requests to follow, never lost weight with time, and sent requests to the upstream that looked fastest.

Change: core::dispatch::pace limits such an upstream to a share of the mean rate that this instance sends to an upstream of the service. The share grows with answers in time and with time, and falls on trouble. Speed by upstream is relative to the mean of the service's upstreams; requests are spread in proportion to speed by the random draw. The times that measure the service are taken relative to the upstream's own speed.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 //! | [`route`] | selects the route and service of a request |
 //! | [`fleet`] | tracks the upstreams and their state |
 //! | [`outlier`] | ejects upstreams that fail more often than their service |
+//! | [`pace`] | limits the requests to upstreams that have started or recovered |
 //! | [`rate_limit`] | tracks the rates that overloaded upstreams accept |
 //! | [`relay`] | selects another instance while the path to the upstreams is lost |
 //! | [`software_version`] | tracks the versions of a service, between which streams can't move |
@@ -32,6 +33,7 @@
 pub mod fleet;
 pub mod outage;
 pub mod outlier;
+pub mod pace;
 pub mod path;
 pub mod placement;
 pub mod rate_limit;
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -7,7 +7,7 @@
 use super::fleet::{Fleet, UpstreamKey, UpstreamState};
 use super::rate_limit::RequestClass;
 use super::request::PromptPart;
-use super::speed::ServiceSpeed;
+use super::speed::{MeanRatio, ServiceSpeed};
 use crate::clock::Time;
 use crate::id;
 
@@ -81,8 +81,10 @@
     pub class: RequestClass,
     /// Estimated cost, in milliseconds.
     pub cost_ms: f64,
-    /// Expected time to the first byte, in milliseconds.
+    /// Expected time to the first byte at an upstream of the service's mean speed, in milliseconds.
     pub expected_ms: f64,
+    /// Time that the upstream takes as a multiple of the service's mean.
+    pub time_factor: f64,
 }
 
 /// Tokens that a turn adds to its previous one, until they were measured. The rest of the prompt is
@@ -103,10 +105,14 @@
 /// Cost per remaining millisecond for which a failing or full upstream is avoided.
 const AVOID_COST_PER_MS: f64 = 1.0;
 
+/// Separates the random numbers for speeds from those that break ties.
+const SPEED_DRAW: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Selects the upstream with the lowest cost, or `None` if all upstreams of the service were tried
 /// or have no permit for another request.
 ///
-/// Upstreams whose health does not admit the request are selected only if there is no other.
+/// Upstreams whose health does not admit the request are selected only if there is no other, and those
+/// at the limit of their pace only if the others are unhealthy or have no free slot.
 /// `draw` is a random number that breaks ties.
 #[must_use]
 pub fn select_upstream(
@@ -122,7 +128,10 @@
     let preferred =
         affinity_key.and_then(|affinity_key| preferred_upstream(fleet, request, affinity_key, now));
     let speed = fleet.speed(request.service);
+    let speeds = Speeds::of(fleet, request.service, now);
+    let fair = fleet.fair_load(request.service, now);
     let mut best: Option<(Placement, Rank)> = None;
+    let mut best_paced: Option<(Placement, Rank)> = None;
     for (key, entry) in fleet.serving_upstreams(request.service, now) {
         let id = &entry.upstream.id;
         let limits = fleet.rate_limits();
@@ -134,21 +143,90 @@
         {
             continue;
         }
-        let mut placement = estimate_cost(key, entry, request, preferred == Some(key), &speed, now);
+        let mut placement = estimate_cost(key, entry, request, &speed);
+        placement.time_factor = speeds.time_factor(entry, now);
+        placement.cost_ms = placement.expected_ms * speeds.cost_factor(&placement, draw);
+        add_preferences(
+            &mut placement,
+            entry,
+            request,
+            preferred == Some(key),
+            &speed,
+            now,
+        );
         if is_limited {
             placement.cost_ms += limits.permit_ms();
         }
+        let room = entry.pace().room(entry.load.requests, fair, now);
+        let lack = room.filter(|room| *room < 0.0);
         let rank = Rank {
             is_unhealthy: !entry.health().admits(request.is_repeatable, now),
+            lack: lack.map_or(0.0, |room| -room),
             meets_suspect: meets_suspect(entry, request.trials),
             cost_ms: placement.cost_ms,
             draw: xxh3_64_with_seed(entry.upstream.id.as_bytes(), draw),
         };
+        let best = match lack {
+            Some(_) => &mut best_paced,
+            None => &mut best,
+        };
         if best.as_ref().is_none_or(|(_, other)| rank < *other) {
-            best = Some((placement, rank));
+            *best = Some((placement, rank));
         }
     }
-    best.map(|(placement, _)| placement)
+    let chosen = match (best, best_paced) {
+        (Some(best), Some(paced)) if is_better(fleet, &paced, &best) => Some(paced),
+        (best, paced) => best.or(paced),
+    };
+    chosen.map(|(placement, _)| placement)
+}
+
+/// Returns whether an upstream at the limit of its pace is better than the best of the others, as
+/// that one is unhealthy or has no free slot.
+fn is_better(fleet: &Fleet, paced: &(Placement, Rank), best: &(Placement, Rank)) -> bool {
+    let has_free_slot = |key| {
+        let entry = fleet.get(key);
+        entry.is_some_and(|entry| entry.load.requests < entry.upstream.slots)
+    };
+    if best.1.is_unhealthy || paced.1.is_unhealthy {
+        return !paced.1.is_unhealthy;
+    }
+    !has_free_slot(best.0.key) && has_free_slot(paced.0.key)
+}
+
+/// Measured speeds of a service's upstreams.
+#[derive(Clone, Copy, Debug)]
+struct Speeds {
+    mean: MeanRatio,
+    /// Time factor of the fastest upstream.
+    min_factor: f64,
+}
+
+impl Speeds {
+    fn of(fleet: &Fleet, service: &str, now: Time) -> Self {
+        let mean = fleet.mean_ratio(service, now);
+        let serving = fleet.serving_upstreams(service, now);
+        let factors = serving.map(|(_, entry)| mean.time_factor(entry.speed(), now));
+        Self {
+            mean,
+            min_factor: factors.fold(1.0, f64::min),
+        }
+    }
+
+    fn time_factor(&self, entry: &UpstreamState, now: Time) -> f64 {
+        self.mean.time_factor(entry.speed(), now)
+    }
+
+    /// Returns the factor of an upstream's cost. A lower cost at the faster upstream would send it
+    /// every request of every instance, as none of them knows the others' requests. Instead, an
+    /// upstream competes at the speed of the fastest one in a share of the selections that is
+    /// proportional to its own speed, and at its own speed in the others.
+    fn cost_factor(&self, placement: &Placement, draw: u64) -> f64 {
+        let relative = placement.time_factor / self.min_factor;
+        let hash = xxh3_64_with_seed(placement.id.as_bytes(), draw ^ SPEED_DRAW);
+        let is_equal = hash as f64 / u64::MAX as f64 * relative < 1.0;
+        if is_equal { 1.0 } else { relative }
+    }
 }
 
 /// Returns whether [`select_upstream`] would find an upstream that was not tried yet, without
@@ -182,6 +260,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rank {
     is_unhealthy: bool,
+    /// Requests beyond the upstream's pace.
+    lack: f64,
     meets_suspect: bool,
     cost_ms: f64,
     draw: u64,
@@ -217,9 +297,7 @@
     key: UpstreamKey,
     entry: &UpstreamState,
     request: &PlacementRequest<'_>,
-    is_preferred: bool,
     speed: &ServiceSpeed,
-    now: Time,
 ) -> Placement {
     let load = entry.load;
     let slots = entry.upstream.slots;
@@ -248,18 +326,6 @@
             (0, plain_ms * (1.0 + share) + queue)
         }
     };
-    let mut cost_ms = expected_ms * entry.mean_latency_ratio.max(0.5);
-    if &*entry.upstream.failure_domain != request.failure_domain {
-        cost_ms += CROSS_DOMAIN_MS;
-    }
-    if is_preferred {
-        cost_ms -= match request.prompt {
-            Some(_) => AFFINITY_TOKENS * speed.read_ms(),
-            None => AFFINITY_SHARE * speed.plain_ms(),
-        };
-    }
-    cost_ms += entry.health().slow_start_cost_ms(now);
-    cost_ms += entry.avoid_remaining_ms(now) as f64 * AVOID_COST_PER_MS;
     Placement {
         key,
         id: Arc::clone(&entry.upstream.id),
@@ -268,9 +334,32 @@
         new_tokens,
         queued_tokens: load.unread_tokens,
         class: request.class_at(&entry.upstream.id),
-        cost_ms,
+        cost_ms: expected_ms,
         expected_ms,
+        time_factor: 1.0,
+    }
+}
+
+/// Adds what makes an upstream better or worse for a request besides its response time.
+fn add_preferences(
+    placement: &mut Placement,
+    entry: &UpstreamState,
+    request: &PlacementRequest<'_>,
+    is_preferred: bool,
+    speed: &ServiceSpeed,
+    now: Time,
+) {
+    let cost_ms = &mut placement.cost_ms;
+    if &*entry.upstream.failure_domain != request.failure_domain {
+        *cost_ms += CROSS_DOMAIN_MS;
+    }
+    if is_preferred {
+        *cost_ms -= match request.prompt {
+            Some(_) => AFFINITY_TOKENS * speed.read_ms(),
+            None => AFFINITY_SHARE * speed.plain_ms(),
+        };
     }
+    *cost_ms += entry.avoid_remaining_ms(now) as f64 * AVOID_COST_PER_MS;
 }
 
 /// Returns the number of prompt tokens that the upstream of the previous turn has read or
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::log_event::Event;
 use crate::metric::AttemptKind;
 use crate::state::State;
-use crate::{leaving, rate_limit, suspect};
+use crate::{leaving, pace, rate_limit, suspect};
 
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -87,18 +87,21 @@
     fn drop(&mut self) {
         self.record_prompt_read();
         let now = self.state.now();
+        let paces;
         let change = {
             let mut fleet = self.state.fleet();
             if self.is_suspect {
                 fleet.end_suspect(self.key);
             }
             let change = fleet.end_attempt(self.key, self.outcome, now);
+            paces = fleet.take_pace_changes();
             let entry = change.and_then(|change| Some((change, fleet.get(self.key)?)));
             entry.map(|(change, entry)| (change, Arc::clone(&entry.upstream.id)))
         };
         if let Some((change, upstream)) = change {
             log_health_change(&self.state, &upstream, change, self.outcome);
         }
+        pace::log_changes(&self.state, paces);
     }
 }
 
@@ -293,8 +296,9 @@
                 }
                 let is_done = self.head.status.is_success();
                 if is_done && request.engine.is_none() {
+                    let now = request.state.now();
                     let mut fleet = request.state.fleet();
-                    fleet.speed_mut(&request.service).record_plain(ms);
+                    fleet.record_plain(&request.service, self.guard.key, ms, now);
                 }
                 if is_done {
                     let state = &request.state;
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `crash` | finds out whether an upstream crashed under a request |
 //! | `suspect` | requests that may crash upstreams, shared by all instances |
 //! | `leaving` | upstreams that say in their answers that they leave |
+//! | `pace` | logs how upstreams that have started or recovered are paced |
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
 //! | `stream_log` | events of retained turns in the store, until the turns end |
@@ -50,6 +51,7 @@
 mod membership;
 mod metric;
 mod operator;
+mod pace;
 mod path;
 mod peer_server;
 mod peer_tls;
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -58,6 +58,9 @@
     let observed = Arc::clone(&state);
     let count_suspects = move || observed.suspects.table().len() as u64;
     state.metrics.observe_suspects(count_suspects);
+    let observed = Arc::clone(&state);
+    let count_paced = move || observed.fleet().paced_upstreams(observed.now()) as u64;
+    state.metrics.observe_paced(count_paced);
     let connections = OpenConnections::default();
     let relayed_requests = OpenConnections::default();
     if let Some(peers) = peers {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -114,7 +114,7 @@
             suspects: Suspects::default(),
             probes: Probes::default(),
             memory,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(Fleet::with_pace_seed(rand::random())),
             path: Mutex::default(),
             checks: Checks::default(),
             sign_at: AtomicU64::new(0),
