Offer new upstreams their share by credit; replay paces at 12 and 300 instances

Change: the share of a limited upstream yields credit, and credit decides alone whether it gets the next suitable request. After the limit, for 30 s, one of n requests (n upstreams) that it loses only for its cold cache goes there. Speeds: the latest observations count most; observations that a cached or a cold prompt would both explain are dropped; selection is weighted by the square of the relative speed, and by the fourth power below the mean. An upstream that has just failed is not preferred to a limited one (found by upstream_faults::a_refusal_that_is_repeated in a run beside other load).

--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -118,6 +118,8 @@
     failure_rate: FailureRate,
     speed: ServiceSpeed,
     demand: Demand,
+    /// Requests that do not continue a session where its previous turn ran.
+    free_demand: Demand,
 }
 
 impl Fleet {
--- a/crates/core/src/dispatch/fleet/attempts.rs
+++ b/crates/core/src/dispatch/fleet/attempts.rs
@@ -68,7 +68,24 @@
         unread_tokens: u64,
         now: Time,
     ) {
-        self.record_paced_start(key, unread_tokens, now);
+        self.record_paced_start(key, true, unread_tokens, now);
+        self.add_load(key, prompt, unread_tokens, now);
+    }
+
+    /// Like [`Self::start_attempt`], for a request that continues a session at the upstream of its
+    /// previous turn.
+    pub fn start_bound_attempt(
+        &mut self,
+        key: UpstreamKey,
+        prompt: &[PromptPart],
+        unread_tokens: u64,
+        now: Time,
+    ) {
+        self.record_paced_start(key, false, unread_tokens, now);
+        self.add_load(key, prompt, unread_tokens, now);
+    }
+
+    fn add_load(&mut self, key: UpstreamKey, prompt: &[PromptPart], unread_tokens: u64, now: Time) {
         if let Some(entry) = self.entries.get_mut(key) {
             entry.load.requests += 1;
             entry.health.start_attempt(now);
--- a/crates/core/src/dispatch/fleet/pacing.rs
+++ b/crates/core/src/dispatch/fleet/pacing.rs
@@ -130,8 +130,12 @@
         let upstreams = self.serving_upstreams(service, now).count();
         let state = self.services.get(service);
         let demand = state.map(|state| state.demand).unwrap_or_default();
+        let free_demand = state.map(|state| state.free_demand).unwrap_or_default();
+        let share = 1.0 / upstreams.max(1) as f64;
         FairLoad {
-            rate: demand.rate(now) / upstreams.max(1) as f64,
+            share,
+            rate: demand.rate(now) * share,
+            free_rate: free_demand.rate(now) * share,
             request_ms: self.speed(service).request_ms(),
         }
     }
@@ -183,18 +187,27 @@
         }
     }
 
-    pub(super) fn record_paced_start(&mut self, key: UpstreamKey, unread_tokens: u64, now: Time) {
+    pub(super) fn record_paced_start(
+        &mut self,
+        key: UpstreamKey,
+        is_free: bool,
+        unread_tokens: u64,
+        now: Time,
+    ) {
         let Some(entry) = self.entries.get(key) else {
             return;
         };
         let service = Arc::clone(&entry.upstream.service);
-        let is_paced = entry.pace.share(now).is_some();
+        let is_paced = entry.pace.has_begun_lately();
         let fair = is_paced.then(|| self.fair_load(&service, now));
         let state = self.services.entry(service).or_default();
         let read_ms = unread_tokens as f64 * state.speed.read_ms();
         state.demand.record(now);
+        if is_free {
+            state.free_demand.record(now);
+        }
         if let (Some(fair), Some(entry)) = (fair, self.entries.get_mut(key)) {
-            entry.pace.start_attempt(read_ms, fair, now);
+            entry.pace.start_attempt(is_free, read_ms, fair, now);
         }
     }
 
@@ -207,7 +220,7 @@
         let Some(entry) = self.entries.get(key) else {
             return;
         };
-        if entry.pace.share(now).is_none() {
+        if !entry.pace.has_begun_lately() {
             return;
         }
         let service = Arc::clone(&entry.upstream.service);
--- a/crates/core/src/dispatch/pace.rs
+++ b/crates/core/src/dispatch/pace.rs
@@ -1,11 +1,12 @@
 //! Pacing: limits what this instance sends to an upstream that has started or recovered.
 //!
 //! Instances do not share a view of the upstreams, so a limit in requests per instance would add up
-//! to a flood where there are hundreds of instances. The limit is therefore a multiple (share) of
-//! the rate that each of the service's upstreams gets from this instance on average. Over all
-//! instances, an upstream at share `s` gets at most `s` times the mean load of an upstream, whatever
-//! the number of instances, plus one request of each instance that is spread over the time in which
-//! the instance's share yields one.
+//! to a flood where there are hundreds of instances. The limit is therefore a share of the rate at
+//! which an upstream of the service gets requests from this instance on average. This share yields
+//! credit for requests, beginning at a random part of a request. As soon as there is credit for a
+//! request, the next suitable one is sent there, and none before. Over all instances, an upstream at
+//! share `s` thus gets `s` times the mean rate of an upstream, whatever the number of instances and
+//! whatever makes the upstream look better or worse than others.
 //!
 //! The share grows with each answer that came in time. It also grows with time, as most instances
 //! send an upstream less than a request per second and would otherwise leave it idle, but only while
@@ -21,12 +22,11 @@
 /// Share of an ejected upstream that is probed. Its probes run one at a time at each instance.
 const PROBE_SHARE: f64 = 0.5;
 
-/// Share at which an upstream is no longer limited. It is above 1, as requests arrive unevenly and
-/// a limit of exactly the mean would keep some of them away.
-const FULL_SHARE: f64 = 2.0;
+/// Share at which an upstream is no longer limited.
+const FULL_SHARE: f64 = 1.0;
 
 /// Growth of the share with each answer in time.
-const ANSWER_GROWTH: f64 = 0.5;
+const ANSWER_GROWTH: f64 = 0.25;
 
 /// Shortest and longest time in which the share grows from its first to its full value without an
 /// answer, in milliseconds. Each instance has its own, so that they do not grow in lockstep.
@@ -49,6 +49,11 @@
 /// to a service in it.
 const DEMAND_WINDOW_MS: f64 = 4_000.0;
 
+/// Time after its begin in which an upstream is offered requests although others have their prompts
+/// cached, in milliseconds. Otherwise these would keep all requests with a common beginning until
+/// they queue. In this time the upstream gets some requests with each of the common prompts.
+const OFFER_MS: u64 = 30_000;
+
 /// Why an upstream is limited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PaceCause {
@@ -75,8 +80,14 @@
 /// What an upstream of a service gets from this instance on average.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FairLoad {
+    /// Share of the service's requests, by the number of its upstreams.
+    pub share: f64,
     /// Requests per millisecond.
     pub rate: f64,
+    /// Requests per millisecond that do not continue a session at the upstream of its previous turn.
+    /// Only these are counted against the limit, as sessions follow the upstream of their begin, at
+    /// any instance.
+    pub free_rate: f64,
     /// Duration of a request, in milliseconds.
     pub request_ms: f64,
 }
@@ -118,6 +129,8 @@
     share: f64,
     /// Requests that the share yields and that were not sent yet.
     credit: f64,
+    /// Whether the limit has ended.
+    is_full: bool,
     /// Growth of the share per millisecond without answers.
     growth: f64,
     /// Factor of all growth.
@@ -141,6 +154,7 @@
             began,
             share: FIRST_SHARE,
             credit: first,
+            is_full: false,
             growth: (FULL_SHARE - FIRST_SHARE) / ramp_ms,
             growth_factor: 1.0,
             updated: began,
@@ -174,35 +188,49 @@
     /// Returns whether the limit has not ended yet.
     #[must_use]
     pub const fn is_limited(&self) -> bool {
-        self.ramp.is_some()
+        matches!(self.ramp, Some(ramp) if !ramp.is_full)
     }
 
     /// Returns the share, or `None` if the upstream is not limited.
     #[must_use]
     pub fn share(&self, now: Time) -> Option<f64> {
-        let share = self.ramp?.share_at(now);
+        let ramp = self.ramp.filter(|ramp| !ramp.is_full)?;
+        let share = ramp.share_at(now);
         (share < FULL_SHARE).then_some(share)
     }
 
+    /// Returns whether the upstream has begun lately, so that it is offered requests although its
+    /// cache is cold.
+    #[must_use]
+    pub const fn has_begun_lately(&self) -> bool {
+        self.ramp.is_some()
+    }
+
     /// Returns how many requests more than `requests` in progress may be sent, less one; the limit
-    /// admits a request if this is not negative. Returns `None` if the upstream is not limited.
+    /// admits a request if this is not negative. `is_free` tells whether the request is counted
+    /// against the limit. Returns `None` if the upstream is not limited.
     #[must_use]
-    pub fn room(&self, requests: u32, fair: FairLoad, now: Time) -> Option<f64> {
+    pub fn room(&self, requests: u32, is_free: bool, fair: FairLoad, now: Time) -> Option<f64> {
         let share = self.share(now)?;
         let ramp = self.ramp?;
         let concurrent = (share * fair.rate * fair.request_ms).ceil().max(1.0);
-        let credit = ramp.credit_at(fair, now);
-        Some((credit - 1.0).min(concurrent - f64::from(requests) - 1.0))
+        let room = concurrent - f64::from(requests) - 1.0;
+        if !is_free {
+            return Some(room);
+        }
+        Some((ramp.credit_at(fair, now) - 1.0).min(room))
     }
 
     /// Records that a request is sent, whose prompt takes `read_ms` to read.
-    pub fn start_attempt(&mut self, read_ms: f64, fair: FairLoad, now: Time) {
+    pub fn start_attempt(&mut self, is_free: bool, read_ms: f64, fair: FairLoad, now: Time) {
         let Some(ramp) = &mut self.ramp else {
             return;
         };
         ramp.advance(fair, now);
-        // A request beyond the limit delays the next ones, but not for long.
-        ramp.credit = (ramp.credit - 1.0).max(-1.0);
+        if is_free {
+            // A request beyond the limit delays the next ones, but not for long.
+            ramp.credit = (ramp.credit - 1.0).max(-1.0);
+        }
         if ramp.overdue.is_none() {
             ramp.overdue = Some(overdue_at(read_ms, fair, now));
         }
@@ -230,7 +258,8 @@
     /// reduced.
     pub fn record_trouble(&mut self, now: Time) -> Option<f64> {
         let ramp = self.ramp.as_mut()?;
-        if now < ramp.began.max(ramp.held_until) || ramp.share_at(now) >= FULL_SHARE {
+        if ramp.is_full || now < ramp.began.max(ramp.held_until) || ramp.share_at(now) >= FULL_SHARE
+        {
             return None;
         }
         ramp.share = (ramp.share_at(now) / 2.0).max(FIRST_SHARE);
@@ -243,12 +272,14 @@
 
     /// Ends the limit if the share is full. Returns the time since it began, in milliseconds.
     pub fn finish(&mut self, now: Time) -> Option<u64> {
-        let ramp = self.ramp?;
-        if ramp.share_at(now) < FULL_SHARE {
-            return None;
+        let ramp = self.ramp.as_mut()?;
+        let ms = now.since(ramp.began);
+        let ends = !ramp.is_full && ramp.share_at(now) >= FULL_SHARE;
+        ramp.is_full |= ends;
+        if ramp.is_full && ms >= OFFER_MS {
+            self.ramp = None;
         }
-        self.ramp = None;
-        Some(now.since(ramp.began))
+        ends.then_some(ms)
     }
 }
 
@@ -261,8 +292,8 @@
 
     fn credit_at(&self, fair: FairLoad, now: Time) -> f64 {
         let mean_share = (self.share + self.share_at(now)) / 2.0;
-        let earned = mean_share * fair.rate * now.since(self.updated) as f64;
-        let concurrent = self.share * fair.rate * fair.request_ms;
+        let earned = mean_share * fair.free_rate * now.since(self.updated) as f64;
+        let concurrent = self.share * fair.free_rate * fair.request_ms;
         (self.credit + earned)
             .min(concurrent.max(1.0))
             .max(self.credit)
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -1,13 +1,16 @@
 //! Selects the upstream of an attempt by estimated cost in time.
 
+mod choice;
+
 use std::sync::Arc;
 
+use choice::{Candidate, Choice, Offer, Rank, Speeds, is_drawn};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::fleet::{Fleet, UpstreamKey, UpstreamState};
 use super::rate_limit::RequestClass;
 use super::request::PromptPart;
-use super::speed::{MeanRatio, ServiceSpeed};
+use super::speed::ServiceSpeed;
 use crate::clock::Time;
 use crate::id;
 
@@ -83,8 +86,49 @@
     pub cost_ms: f64,
     /// Expected time to the first byte at an upstream of the service's mean speed, in milliseconds.
     pub expected_ms: f64,
+    /// Expected time if the upstream has cached the parts of the prompt that other programs may share,
+    /// in milliseconds. Requests of other instances, which this one does not know of, may have read
+    /// them.
+    pub min_expected_ms: f64,
     /// Time that the upstream takes as a multiple of the service's mean.
     pub time_factor: f64,
+    /// Whether the request continues a session at the upstream of its previous turn.
+    pub is_bound: bool,
+}
+
+/// Expected time to the first byte, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpectedTime {
+    /// If the parts of the prompt that other programs may share are cached.
+    pub min_ms: f64,
+    /// If only what this instance knows of is cached.
+    pub max_ms: f64,
+}
+
+impl Placement {
+    /// Returns the expected time to the first byte.
+    #[must_use]
+    pub const fn expected_time(&self) -> ExpectedTime {
+        ExpectedTime {
+            min_ms: self.min_expected_ms,
+            max_ms: self.expected_ms,
+        }
+    }
+}
+
+impl ExpectedTime {
+    /// Returns an observed time as a multiple of the expected one. Returns `None` between two
+    /// different expected times, as either may be the right one.
+    #[must_use]
+    pub fn ratio(self, ms: f64) -> Option<f64> {
+        if self.min_ms <= 0.0 {
+            return None;
+        }
+        if ms >= self.max_ms {
+            return Some(ms / self.max_ms);
+        }
+        (ms <= self.min_ms).then(|| ms / self.min_ms)
+    }
 }
 
 /// Tokens that a turn adds to its previous one, until they were measured. The rest of the prompt is
@@ -105,14 +149,11 @@
 /// Cost per remaining millisecond for which a failing or full upstream is avoided.
 const AVOID_COST_PER_MS: f64 = 1.0;
 
-/// Separates the random numbers for speeds from those that break ties.
-const SPEED_DRAW: u64 = 0x9e37_79b9_7f4a_7c15;
-
 /// Selects the upstream with the lowest cost, or `None` if all upstreams of the service were tried
 /// or have no permit for another request.
 ///
 /// Upstreams whose health does not admit the request are selected only if there is no other, and those
-/// at the limit of their pace only if the others are unhealthy or have no free slot.
+/// at the limit of their pace only if the others are unhealthy, have just failed or have no free slot.
 /// `draw` is a random number that breaks ties.
 #[must_use]
 pub fn select_upstream(
@@ -122,16 +163,14 @@
     draw: u64,
 ) -> Option<Placement> {
     // Use the affinity key only if the previous upstream is unknown or accepts no requests.
-    let affinity_key = request
-        .affinity_key
-        .filter(|_| !previous_upstream_serves(fleet, request, now));
+    let is_bound = previous_upstream_serves(fleet, request, now);
+    let affinity_key = request.affinity_key.filter(|_| !is_bound);
     let preferred =
         affinity_key.and_then(|affinity_key| preferred_upstream(fleet, request, affinity_key, now));
     let speed = fleet.speed(request.service);
     let speeds = Speeds::of(fleet, request.service, now);
     let fair = fleet.fair_load(request.service, now);
-    let mut best: Option<(Placement, Rank)> = None;
-    let mut best_paced: Option<(Placement, Rank)> = None;
+    let mut choice = Choice::default();
     for (key, entry) in fleet.serving_upstreams(request.service, now) {
         let id = &entry.upstream.id;
         let limits = fleet.rate_limits();
@@ -146,87 +185,44 @@
         let mut placement = estimate_cost(key, entry, request, &speed);
         placement.time_factor = speeds.time_factor(entry, now);
         placement.cost_ms = placement.expected_ms * speeds.cost_factor(&placement, draw);
-        add_preferences(
-            &mut placement,
-            entry,
-            request,
-            preferred == Some(key),
-            &speed,
-            now,
-        );
+        let is_preferred = preferred == Some(key);
+        add_preferences(&mut placement, entry, request, is_preferred, &speed, now);
         if is_limited {
             placement.cost_ms += limits.permit_ms();
         }
-        let room = entry.pace().room(entry.load.requests, fair, now);
-        let lack = room.filter(|room| *room < 0.0);
+        let is_unhealthy = !entry.health().admits(request.is_repeatable, now);
+        let room = entry
+            .pace()
+            .room(entry.load.requests, !placement.is_bound, fair, now);
         let rank = Rank {
-            is_unhealthy: !entry.health().admits(request.is_repeatable, now),
-            lack: lack.map_or(0.0, |room| -room),
+            is_unhealthy,
+            lack: room.map_or(0.0, |room| (-room).max(0.0)),
             meets_suspect: meets_suspect(entry, request.trials),
             cost_ms: placement.cost_ms,
-            draw: xxh3_64_with_seed(entry.upstream.id.as_bytes(), draw),
+            draw: xxh3_64_with_seed(id.as_bytes(), draw),
         };
-        let best = match lack {
-            Some(_) => &mut best_paced,
-            None => &mut best,
+        let is_avoided = entry.avoid_remaining_ms(now) > 0;
+        let is_offered = !is_bound && !is_unhealthy && !is_avoided;
+        let offer = match room {
+            _ if !is_offered => Offer::None,
+            Some(room) if room >= 0.0 => Offer::Due,
+            None if entry.pace().has_begun_lately() && is_drawn(id, fair.share, draw) => {
+                Offer::DespiteCache(speed.read_ms())
+            }
+            _ => Offer::None,
         };
-        if best.as_ref().is_none_or(|(_, other)| rank < *other) {
-            *best = Some((placement, rank));
-        }
-    }
-    let chosen = match (best, best_paced) {
-        (Some(best), Some(paced)) if is_better(fleet, &paced, &best) => Some(paced),
-        (best, paced) => best.or(paced),
-    };
-    chosen.map(|(placement, _)| placement)
-}
-
-/// Returns whether an upstream at the limit of its pace is better than the best of the others, as
-/// that one is unhealthy or has no free slot.
-fn is_better(fleet: &Fleet, paced: &(Placement, Rank), best: &(Placement, Rank)) -> bool {
-    let has_free_slot = |key| {
-        let entry = fleet.get(key);
-        entry.is_some_and(|entry| entry.load.requests < entry.upstream.slots)
-    };
-    if best.1.is_unhealthy || paced.1.is_unhealthy {
-        return !paced.1.is_unhealthy;
-    }
-    !has_free_slot(best.0.key) && has_free_slot(paced.0.key)
-}
-
-/// Measured speeds of a service's upstreams.
-#[derive(Clone, Copy, Debug)]
-struct Speeds {
-    mean: MeanRatio,
-    /// Time factor of the fastest upstream.
-    min_factor: f64,
-}
-
-impl Speeds {
-    fn of(fleet: &Fleet, service: &str, now: Time) -> Self {
-        let mean = fleet.mean_ratio(service, now);
-        let serving = fleet.serving_upstreams(service, now);
-        let factors = serving.map(|(_, entry)| mean.time_factor(entry.speed(), now));
-        Self {
-            mean,
-            min_factor: factors.fold(1.0, f64::min),
-        }
-    }
-
-    fn time_factor(&self, entry: &UpstreamState, now: Time) -> f64 {
-        self.mean.time_factor(entry.speed(), now)
-    }
-
-    /// Returns the factor of an upstream's cost. A lower cost at the faster upstream would send it
-    /// every request of every instance, as none of them knows the others' requests. Instead, an
-    /// upstream competes at the speed of the fastest one in a share of the selections that is
-    /// proportional to its own speed, and at its own speed in the others.
-    fn cost_factor(&self, placement: &Placement, draw: u64) -> f64 {
-        let relative = placement.time_factor / self.min_factor;
-        let hash = xxh3_64_with_seed(placement.id.as_bytes(), draw ^ SPEED_DRAW);
-        let is_equal = hash as f64 / u64::MAX as f64 * relative < 1.0;
-        if is_equal { 1.0 } else { relative }
+        choice.consider(
+            Candidate {
+                placement,
+                rank,
+                slots: entry.upstream.slots,
+                load: entry.load.requests,
+                is_avoided,
+            },
+            offer,
+        );
     }
+    choice.decide()
 }
 
 /// Returns whether [`select_upstream`] would find an upstream that was not tried yet, without
@@ -256,17 +252,6 @@
     })
 }
 
-/// Order of the upstreams for a request; the first is selected.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-struct Rank {
-    is_unhealthy: bool,
-    /// Requests beyond the upstream's pace.
-    lack: f64,
-    meets_suspect: bool,
-    cost_ms: f64,
-    draw: u64,
-}
-
 /// Returns whether the upstream of the previous turn accepts requests.
 fn previous_upstream_serves(fleet: &Fleet, request: &PlacementRequest<'_>, now: Time) -> bool {
     let is_previous =
@@ -302,6 +287,7 @@
     let load = entry.load;
     let slots = entry.upstream.slots;
     let mut new_tokens = None;
+    let mut shared_ms = 0.0;
     let (unread_tokens, expected_ms) = match request.prompt {
         Some(prompt) => {
             let known = entry.prefix_cache.cached_tokens(prompt.parts);
@@ -315,6 +301,11 @@
             };
             let unread_tokens = prompt.tokens.saturating_sub(cached);
             let read = (load.unread_tokens + unread_tokens) as f64 * speed.read_ms();
+            let own_tokens = prompt
+                .parts
+                .last()
+                .map_or(u64::MAX, |part| part.tokens.into());
+            shared_ms = unread_tokens.saturating_sub(own_tokens) as f64 * speed.read_ms();
             let batch = f64::from(load.requests) * speed.batch_ms();
             let queue = queue_ms(load.requests, slots, speed.turn_ms());
             (unread_tokens, speed.base_ms() + read + batch + queue)
@@ -336,7 +327,9 @@
         class: request.class_at(&entry.upstream.id),
         cost_ms: expected_ms,
         expected_ms,
+        min_expected_ms: expected_ms - shared_ms,
         time_factor: 1.0,
+        is_bound: request.previous_upstream == Some(&*entry.upstream.id),
     }
 }
 
--- a/crates/core/src/dispatch/speed.rs
+++ b/crates/core/src/dispatch/speed.rs
@@ -34,10 +34,15 @@
 
 /// Time in which an observation of an upstream loses half of its weight, in milliseconds. Slowdowns
 /// last for some tens of seconds, and small instances see an upstream once in several seconds.
-const UPSTREAM_HALF_LIFE_MS: f64 = 10_000.0;
+const UPSTREAM_HALF_LIFE_MS: f64 = 20_000.0;
 
-/// Weight of the assumption that an upstream is as fast as its service, in observations.
-const UPSTREAM_PRIOR: f64 = 1.0;
+/// Weight that an observation of an upstream keeps at the next one. The latest few must be enough to
+/// tell an upstream that has become slow, as a small instance sees no more of them in time.
+const UPSTREAM_KEPT: f64 = 0.5;
+
+/// Weight of the assumption that an upstream is as fast as its service, in observations: the variance
+/// of an observation under changing load relative to that of the upstreams' speeds.
+const UPSTREAM_PRIOR: f64 = 0.5;
 
 /// Limits of one observation, as a multiple of the expected time.
 const MIN_OBSERVED: f64 = 0.1;
@@ -45,11 +50,11 @@
 
 /// Deviation from the service, as a logarithm, within which an upstream counts as equally fast. It is
 /// the error of an estimate from a few requests under changing load.
-const EQUAL_DEVIATION: f64 = 0.15;
+const EQUAL_DEVIATION: f64 = 0.1;
 
 /// Limits of an upstream's time factor. They bound the difference in the requests that upstreams
 /// get, so that the one that looks fastest is not flooded.
-const MIN_FACTOR: f64 = 0.5;
+const MIN_FACTOR: f64 = 0.6;
 const MAX_FACTOR: f64 = 4.0;
 
 /// Measured speed of an upstream, from observed to expected response times.
@@ -68,7 +73,7 @@
 impl UpstreamSpeed {
     /// Records the ratio of an observed response time to the expected one.
     pub fn record(&mut self, ratio: f64, now: Time) {
-        let decay = self.decay(now);
+        let decay = self.decay(now) * UPSTREAM_KEPT;
         self.weight = self.weight * decay + 1.0;
         self.sum = self.sum * decay + ratio.clamp(MIN_OBSERVED, MAX_OBSERVED).ln();
         self.at = self.at.max(now);
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod outage;
 mod outlier;
+mod pace;
 mod path;
 mod placement;
 mod rate_limit;
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod lost_path;
 mod outage;
+mod pace;
 mod process;
 mod rate_limit;
 mod scripted_upstream;
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -9,7 +9,7 @@
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::fleet::{AttemptOutcome, HealthChange, UpstreamKey};
-use basilramp_core::dispatch::placement::Placement;
+use basilramp_core::dispatch::placement::{ExpectedTime, Placement};
 use basilramp_process::event;
 use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
@@ -48,7 +48,7 @@
     is_suspect: bool,
     outcome: AttemptOutcome,
     started: Time,
-    expected_ms: f64,
+    expected_time: ExpectedTime,
 }
 
 impl AttemptGuard {
@@ -66,8 +66,8 @@
     /// updates the upstream's state. Returns the latency in milliseconds.
     pub(crate) fn record_response(&mut self, status: StatusCode) -> f64 {
         let ms = self.state.now().since(self.started) as f64;
-        let is_measured = status.is_success() && self.expected_ms > 0.0;
-        let latency_ratio = is_measured.then(|| ms / self.expected_ms);
+        let is_measured = status.is_success();
+        let latency_ratio = is_measured.then(|| self.expected_time.ratio(ms)).flatten();
         self.outcome = if status.is_server_error() {
             AttemptOutcome::ServerError
         } else {
@@ -216,12 +216,12 @@
     if is_suspect {
         fleet.start_suspect(placement.key);
     }
-    fleet.start_attempt(
-        placement.key,
-        &request.headers.prompt,
-        placement.unread_tokens,
-        now,
-    );
+    let (key, prompt) = (placement.key, &request.headers.prompt);
+    if placement.is_bound {
+        fleet.start_bound_attempt(key, prompt, placement.unread_tokens, now);
+    } else {
+        fleet.start_attempt(key, prompt, placement.unread_tokens, now);
+    }
     AttemptGuard {
         state: Arc::clone(state),
         key: placement.key,
@@ -229,7 +229,7 @@
         is_suspect,
         outcome: AttemptOutcome::Abandoned,
         started: now,
-        expected_ms: placement.expected_ms,
+        expected_time: placement.expected_time(),
     }
 }
 
