--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,7 +12,7 @@
 //! | [`rate_limit`] | tracks the rates that overloaded upstreams accept |
 //! | [`relay`] | selects another instance while the path to the upstreams is lost |
 //! | [`software_version`] | tracks the versions of a service, between which streams can't move |
-//! | [`speed`] | measures the speed of a service's upstreams |
+//! | [`speed`] | measures the speed of a service and of its upstreams |
 //! | [`path`] | tells whether the path to all upstreams is lost |
 //! | [`placement`] | selects the upstream of an attempt |
 //! | [`attempt`] | decides whether to retry a failed attempt |
--- a/crates/core/tests/dispatch/pace.rs
+++ b/crates/core/tests/dispatch/pace.rs
@@ -177,7 +177,7 @@
     }
 }
 
-/// Upstreams fail for 2 s. They may be ejected for some time after that.
+/// Upstreams fail for 2 s. The demand is counted from the end of the longest ejection after that.
 #[test]
 fn recovered_upstreams_are_neither_overloaded_nor_idle() {
     for size in SIZES {
