--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -14,6 +14,7 @@
 mod leaving;
 mod lost_path;
 mod outage;
+mod pace;
 mod process;
 mod quota;
 mod rate_limit;
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `suspect` | requests that may crash upstreams, shared by all instances |
 //! | `leaving` | upstreams that say in their answers that they leave |
 //! | `quota` | quotas of accounts, shared by all instances |
+//! | `pace` | logs how upstreams that have started or recovered are paced |
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
 //! | `stream_log` | events of retained turns in the store, until the turns end |
@@ -51,6 +52,7 @@
 mod membership;
 mod metric;
 mod operator;
+mod pace;
 mod path;
 mod peer_server;
 mod peer_tls;
