--- a/crates/core/src/dispatch/quota.rs
+++ b/crates/core/src/dispatch/quota.rs
@@ -44,6 +44,9 @@
 /// between the check of their permit and the upstream.
 const TOLERANCE_SHARE: f64 = 0.75;
 
+/// Share of the rule's excess that the rate gets, as a part of the permits expires unused.
+const RATE_SHARE: f64 = 0.5;
+
 /// Maximum number of slots in which a permit is valid: 10 s.
 const MAX_VALIDITY_SLOTS: f64 = 40.0;
 
@@ -106,12 +109,13 @@
     #[must_use]
     pub fn new(quota: Quota, rule: &Rule, version: u64) -> Self {
         let one = PERMIT_PARTS as f64;
-        let rate = (quota.rate.milli_per_s() as f64).max(1.0);
+        let quota_rate = (quota.rate.milli_per_s() as f64).max(1.0);
         let window = rule.window_ms as f64 / SLOT_MS as f64;
         let quota_burst = f64::from(quota.burst) * one;
-        let accepted = (rate * window + quota_burst) * (1.0 + rule.excess)
+        let accepted = (quota_rate * window + quota_burst) * (1.0 + rule.excess)
             + f64::from(rule.tolerance) * TOLERANCE_SHARE * one;
         let window_slots = rule.window_ms.div_ceil(SLOT_MS) as f64;
+        let rate = quota_rate * (1.0 + rule.excess * RATE_SHARE);
         // One permit of burst carries the fractions of permits from slot to slot.
         let beyond = accepted - one - rate * window_slots;
         let validity = (beyond / rate).floor().clamp(1.0, MAX_VALIDITY_SLOTS);
