--- a/crates/core/src/dispatch/account.rs
+++ b/crates/core/src/dispatch/account.rs
@@ -87,6 +87,31 @@
     }
 }
 
+/// Whose data a request reads and writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// The deployment has no accounts.
+    Unscoped,
+    /// Callers without a key, on a deployment with accounts.
+    Public,
+    /// Callers with a key of the account.
+    Account(Arc<Account>),
+}
+
+impl Scope {
+    /// Returns the id under which data that callers name `id` is stored. It differs between scopes also
+    /// if a caller names an id under which data of another scope is stored: ids of accounts end with a
+    /// digest, and those of public callers with the separator.
+    #[must_use]
+    pub fn id(&self, id: &Arc<str>) -> Arc<str> {
+        match self {
+            Self::Unscoped => Arc::clone(id),
+            Self::Public => format!("{id}~").into(),
+            Self::Account(account) => account.scoped(id),
+        }
+    }
+}
+
 /// An account as the operator configured it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -101,17 +126,19 @@
 pub enum Invalid {
     /// Two accounts have this name.
     DuplicateName(Arc<str>),
-    /// The accounts with these names share a key.
-    SharedKey(Arc<str>, Arc<str>),
+    /// The accounts with these names share a key. Holds its position, from 1, among the keys of the
+    /// second account.
+    SharedKey(Arc<str>, Arc<str>, usize),
 }
 
 impl fmt::Display for Invalid {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::DuplicateName(name) => write!(f, "two accounts have the name {name}"),
-            Self::SharedKey(first, second) => {
-                write!(f, "accounts {first} and {second} have the same key")
-            }
+            Self::SharedKey(first, second, position) => write!(
+                f,
+                "accounts {first} and {second} have the same key: key {position} of {second}"
+            ),
         }
     }
 }
@@ -137,9 +164,11 @@
             if accounts.by_name.contains_key(&name) {
                 return Err(Invalid::DuplicateName(name));
             }
-            for key in BTreeSet::from_iter(keys) {
-                if let Some(other) = accounts.by_key.insert(key, Arc::clone(&account)) {
-                    return Err(Invalid::SharedKey(Arc::clone(&other.name), name));
+            for (index, key) in keys.into_iter().enumerate() {
+                let other = accounts.by_key.insert(key, Arc::clone(&account));
+                if let Some(other) = other.filter(|other| other.name != name) {
+                    let position = index + 1;
+                    return Err(Invalid::SharedKey(Arc::clone(&other.name), name, position));
                 }
             }
             accounts.by_name.insert(name, account);
@@ -153,12 +182,40 @@
         self.by_key.get(&key)
     }
 
+    /// Returns the account of a relayed request with a key. The relaying instance found the account
+    /// `name` in its configuration `relayed_version`; `version` is that of these accounts. The newer one
+    /// decides. Returns `None` if the key was revoked since.
+    #[must_use]
+    pub fn find_relayed(
+        &self,
+        key: KeyDigest,
+        version: u64,
+        name: &Arc<str>,
+        relayed_version: u64,
+    ) -> Option<Arc<Account>> {
+        if relayed_version <= version {
+            return self.find(key).cloned();
+        }
+        let known = self.find_by_name(name).cloned();
+        Some(known.unwrap_or_else(|| Arc::new(Account::new(Arc::clone(name), None, None))))
+    }
+
     /// Returns the account with a name.
     #[must_use]
     pub fn find_by_name(&self, name: &str) -> Option<&Arc<Account>> {
         self.by_name.get(name)
     }
 
+    /// Returns the digests of the keys of each account that has any, by its name.
+    #[must_use]
+    pub fn keys_by_account(&self) -> BTreeMap<&str, BTreeSet<KeyDigest>> {
+        let mut keys = BTreeMap::<&str, BTreeSet<KeyDigest>>::new();
+        for (key, account) in &self.by_key {
+            keys.entry(&account.name).or_default().insert(*key);
+        }
+        keys
+    }
+
     /// Returns the accounts by name, each with the number of its keys.
     pub fn iter(&self) -> impl Iterator<Item = (&Arc<Account>, usize)> {
         let mut keys = BTreeMap::<&str, usize>::new();
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -4,6 +4,7 @@
 //! only as a trial, one copy at a time across all instances. A second crash quarantines it.
 
 mod in_flight;
+mod peer_crashes;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -21,6 +22,7 @@
 use crate::log::{Event, event};
 use crate::{commit, log};
 use in_flight::{InFlightCopies, InFlightCopy};
+pub(crate) use peer_crashes::PeerCrashes;
 
 const PARTITION_KEY: &str = "suspect";
 
@@ -57,6 +59,7 @@
     /// and an instance that has lost its lease must not keep a crash to itself.
     crash_table: table::Client,
     commit: commit::Handle,
+    peer_crashes: PeerCrashes,
     clock: Clock,
     write_timeout_ms: u64,
     local: Mutex<LocalState>,
@@ -92,6 +95,7 @@
 pub(crate) fn open(
     table: table::Client,
     commit: commit::Handle,
+    peer_crashes: PeerCrashes,
     clock: Clock,
     write_timeout_ms: u64,
 ) -> Handle {
@@ -99,6 +103,7 @@
         table: table.with_timeout(READ_TIMEOUT_MS),
         crash_table: table.with_timeout(write_timeout_ms),
         commit,
+        peer_crashes,
         clock,
         write_timeout_ms,
         local: Mutex::default(),
@@ -115,6 +120,9 @@
     shared: Arc<Shared>,
     fingerprint: Digest,
     upstream: id::Upstream,
+    /// Identifies the crash that the request may cause. An engine that restarts has another epoch,
+    /// so that its next crash counts as well.
+    crash: id::Upstream,
     copy: InFlightCopy,
     /// The row of the suspect, if this is its trial.
     trial: Option<SuspectRow>,
@@ -144,29 +152,39 @@
         })
     }
 
+    /// Returns whether a crash by a request is not durable yet.
+    pub(crate) fn has_unrecorded(&self, fingerprint: Digest) -> bool {
+        let local = self.shared.lock();
+        local.unrecorded_crashes.contains(&fingerprint)
+    }
+
     /// Checks that a request may be sent to an upstream.
     ///
-    /// While the store is unavailable, only this instance's own state is checked.
+    /// While the store is unavailable, only this instance's own state is checked. Before a trial,
+    /// the other instances are asked for crashes that are not durable yet: an earlier owner of the
+    /// program may have seen one that its row does not count.
     ///
     /// # Errors
     ///
     /// Returns `Quarantined` if the request crashed upstreams twice, and `Overloaded` if another
-    /// copy is on trial or a crash is not durable yet. If the trial can't be recorded, returns
+    /// copy is on trial or a crash is not durable yet, here or at another instance. If the trial can't be recorded, returns
     /// `OwnerUnavailable` or `StoreUnavailable`.
     pub(crate) async fn admit(
         &self,
         copy: InFlightCopy,
         upstream: &id::Upstream,
+        epoch: Option<u64>,
     ) -> Result<SendPermit, Error> {
         let fingerprint = copy.fingerprint();
         let shared = &self.shared;
-        if shared.lock().unrecorded_crashes.contains(&fingerprint) {
+        if self.has_unrecorded(fingerprint) {
             return Err(temporarily_blocked());
         }
         let mut permit = SendPermit {
             shared: Arc::clone(shared),
             fingerprint,
             upstream: upstream.clone(),
+            crash: crash_id(upstream, epoch),
             copy,
             trial: None,
         };
@@ -184,7 +202,16 @@
             }
             Verdict::Busy | Verdict::Trial | Verdict::Unrestricted => {}
         }
-        permit.trial = Some(shared.start_trial(fingerprint, known, upstream).await?);
+        // A crash that becomes durable after the answers changes the row, which fails the trial's
+        // write.
+        if shared.peer_crashes.any_unrecorded(fingerprint).await {
+            return Err(temporarily_blocked());
+        }
+        permit.trial = Some(
+            shared
+                .start_trial(fingerprint, known, &permit.crash)
+                .await?,
+        );
         Ok(permit)
     }
 }
@@ -227,10 +254,10 @@
         &self,
         fingerprint: Digest,
         known: SuspectRow,
-        upstream: &id::Upstream,
+        crash: &id::Upstream,
     ) -> Result<SuspectRow, Error> {
         let next = SuspectRow {
-            suspect: known.suspect.with_trial(upstream),
+            suspect: known.suspect.with_trial(crash),
             version: known.version + 1,
         };
         let write = put_row(fingerprint, &next, Condition::Version(known.version));
@@ -245,15 +272,31 @@
                 let message = "this instance no longer owns the program";
                 Err(Error::new(Kind::OwnerUnavailable, message))
             }
-            Err(_) => {
+            Err(failure) => {
+                if failure == commit::Failure::Unknown {
+                    // The write may still be made. Without an end, the trial would block the request
+                    // until it is stale.
+                    self.end_trial(fingerprint, next);
+                }
                 let message = "the trial of a suspect request could not be recorded in the store";
                 Err(Error::new(Kind::StoreUnavailable, message).retry_after(RETRY_DELAY_MS))
             }
         }
     }
 
+    /// Ends a trial without an outcome, in the background.
+    fn end_trial(&self, fingerprint: Digest, trial: SuspectRow) {
+        let next = SuspectRow {
+            suspect: trial.suspect.without_trial(),
+            version: trial.version + 1,
+        };
+        let write = put_row(fingerprint, &next, Condition::Version(trial.version));
+        let commit = self.commit.clone();
+        tokio::spawn(async move { commit.submit(vec![write]).await });
+    }
+
     /// Writes a crash to the store and returns the updated suspect. Returns `None` on failure.
-    async fn write_crash(&self, fingerprint: Digest, upstream: &id::Upstream) -> Option<Suspect> {
+    async fn write_crash(&self, fingerprint: Digest, crash: &id::Upstream) -> Option<Suspect> {
         for _ in 0..MAX_RECORD_ATTEMPTS {
             let row = self.table.get(&row_key(fingerprint)).await.ok()?;
             let known = row.as_ref().map(parse_row);
@@ -262,13 +305,13 @@
                 None => Condition::Absent,
                 Some(_) => Condition::Version(version),
             };
-            let suspect = Suspect::with_crash(known.map(|known| known.suspect), upstream);
+            let suspect = Suspect::with_crash(known.map(|known| known.suspect), crash);
             let next = SuspectRow {
                 suspect,
                 version: version + 1,
             };
             let write = put_row(fingerprint, &next, check);
-            // A write with an unknown outcome is repeated: the crash of an upstream counts once.
+            // A write with an unknown outcome is repeated: the same crash counts once.
             match self
                 .crash_table
                 .transact(&commit::new_token(), &[write])
@@ -302,16 +345,9 @@
     /// Records that the request was not sent, or was cancelled or failed without a crash. Ends the
     /// trial without an outcome.
     pub(crate) fn abandon(self) {
-        let Some(trial) = self.trial else {
-            return;
-        };
-        let next = SuspectRow {
-            suspect: trial.suspect.without_trial(),
-            version: trial.version + 1,
-        };
-        let write = put_row(self.fingerprint, &next, Condition::Version(trial.version));
-        let shared = self.shared;
-        tokio::spawn(async move { shared.commit.submit(vec![write]).await });
+        if let Some(trial) = self.trial {
+            self.shared.end_trial(self.fingerprint, trial);
+        }
     }
 
     /// Records that the upstream crashed while the request was in flight.
@@ -325,7 +361,7 @@
             "upstream" => %self.upstream, "fingerprint" => %fingerprint);
         self.copy.record_crash();
         shared.lock().unrecorded_crashes.insert(fingerprint);
-        if let Some(suspect) = shared.write_crash(fingerprint, &self.upstream).await {
+        if let Some(suspect) = shared.write_crash(fingerprint, &self.crash).await {
             shared.lock().unrecorded_crashes.remove(&fingerprint);
             return match suspect.verdict(Limits::OWNED) {
                 Verdict::Quarantined => {
@@ -337,11 +373,7 @@
         }
         event!(log, Event::CrashUnrecorded, "fingerprint" => %fingerprint);
         tokio::spawn(async move {
-            while shared
-                .write_crash(fingerprint, &self.upstream)
-                .await
-                .is_none()
-            {
+            while shared.write_crash(fingerprint, &self.crash).await.is_none() {
                 tokio::time::sleep(RECORD_RETRY_DELAY).await;
             }
             shared.lock().unrecorded_crashes.remove(&fingerprint);
@@ -350,6 +382,14 @@
     }
 }
 
+/// Returns the name under which a crash of an upstream in an epoch is counted.
+fn crash_id(upstream: &id::Upstream, epoch: Option<u64>) -> id::Upstream {
+    match epoch {
+        Some(epoch) => id::Upstream::new(format!("{upstream}@{epoch}")),
+        None => upstream.clone(),
+    }
+}
+
 fn temporarily_blocked() -> Error {
     let message = "the request crashed an upstream and must not be sent now";
     Error::new(Kind::Overloaded, message).retry_after(RETRY_DELAY_MS)
--- a/crates/daemon/tests/calls/suspect.rs
+++ b/crates/daemon/tests/calls/suspect.rs
@@ -7,11 +7,15 @@
 use basilramp_fakes::caller;
 use basilramp_fakes::cluster::{Cluster, name};
 use basilramp_fakes::engine;
+use basilramp_fakes::relay::Cut;
 use basilramp_wire::api::Call;
 use basilramp_wire::error::{Executed, Kind};
 use tokio::time::{Instant, sleep};
 
-use crate::support::{assert_rejected, create, options, rejection};
+use crate::support::{
+    assert_rejected, call_until_settled, create, options, other_address, rejection, wait_for_owner,
+    wait_until,
+};
 
 /// An input that crashes the fake engine: it contains the word "POISON" in capitals.
 const POISON: &str = "tell me about POISON ivy";
@@ -101,18 +105,24 @@
 async fn a_crash_that_is_not_durable_yet_blocks_its_request() {
     let cluster = start_deployment(3).await;
     let program = create(&cluster, "p").await;
+    wait_for_owner(&cluster, &program.id).await;
     let address = crate::support::any_address(&cluster);
-    let call = caller::call_request("r", 0, name::MODEL, POISON);
+    // The owner has to have loaded the program, as it can't do so while the store is slow.
+    let call = caller::call_request("r0", 0, name::MODEL, "tell me about ivy");
+    let response = call_until_settled(&cluster, address, &program.id, &call).await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    let call = caller::call_request("r1", 1, name::MODEL, POISON);
     cluster.platform.set_latency_ms(SLOW_STORE_MS);
     let response = cluster.caller(0).call(address, &program.id, &call).await;
     assert_eq!(rejection(&response).kind, Kind::UpstreamFailed);
     assert_eq!(crashes(&cluster), 1);
-    let output = cluster.instances.iter().filter_map(|instance| {
-        let process = instance.process.as_ref()?;
-        Some(process.output().join("\n"))
-    });
-    let output: String = output.collect();
-    assert!(output.contains("E0511"), "the failed write is not logged");
+    // The line is written by a thread of its own and may arrive after the response.
+    wait_until("the failed write is logged", || {
+        let processes = cluster.instances.iter();
+        let mut processes = processes.filter_map(|instance| instance.process.as_ref());
+        processes.any(|process| process.output().join("\n").contains("E0511"))
+    })
+    .await;
     cluster.platform.set_latency_ms(0);
     // The trial is not recorded while a commit still waits for the slow store.
     let rejections = [
@@ -124,6 +134,99 @@
     assert_eq!(crashes(&cluster), 2);
 }
 
+/// The owner sees a crash, loses the store before it can record it, and is fenced. The next owner
+/// knows of no crash and may send the request once, but no trial after that: with the crash that is
+/// not recorded yet, the request has crashed two engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_at_an_owner_without_the_store_counts_at_the_next_owner() {
+    check_crash_at_an_owner_without_the_store(4).await;
+}
+
+/// As above, but the same engine crashes twice. It has restarted in between, so its second crash is
+/// not taken for the first one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_crash_of_the_same_engine_counts_at_the_next_owner() {
+    check_crash_at_an_owner_without_the_store(1).await;
+}
+
+async fn check_crash_at_an_owner_without_the_store(engines: usize) {
+    let mut options = options(3);
+    options.engines = vec![engine::Options::default(); engines];
+    options.relays = true;
+    let cluster = Cluster::start(options).await;
+    let cluster = cluster.expect("the deployment starts");
+    let program = create(&cluster, "p").await;
+    let owner = wait_for_owner(&cluster, &program.id).await;
+    let store = cluster.instances[owner].store_relay.as_ref();
+    let store = store.expect("the deployment has relays");
+    let address = cluster.caller_address(owner);
+    let address = address.expect("the instance is running");
+    // Once a call is complete, the instance knows that it owns the program.
+    let call = caller::call_request("r0", 0, name::MODEL, "tell me about ivy");
+    let response = call_until_settled(&cluster, address, &program.id, &call).await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    let call = caller::call_request("r1", 1, name::MODEL, POISON);
+    store.cut(Cut::Both);
+    let response = cluster.caller(0).call(address, &program.id, &call).await;
+    assert_eq!(rejection(&response).kind, Kind::UpstreamFailed);
+    assert_eq!(crashes(&cluster), 1);
+
+    let address = other_address(&cluster, owner);
+    let deadline = Instant::now() + QUARANTINE_TIMEOUT;
+    while crashes(&cluster) < 2 {
+        let response = cluster.caller(0).call(address, &program.id, &call).await;
+        assert!(response.result.is_err());
+        assert!(Instant::now() < deadline, "the next owner sends nothing");
+        sleep(RESEND_INTERVAL).await;
+    }
+    for _ in 0..10 {
+        let response = cluster.caller(0).call(address, &program.id, &call).await;
+        assert_rejected(&response, Kind::Overloaded, Executed::No);
+        sleep(RESEND_INTERVAL).await;
+    }
+    store.heal();
+    let rejections = [
+        Kind::Overloaded,
+        Kind::OwnerUnavailable,
+        Kind::StoreUnavailable,
+        Kind::Interrupted,
+    ];
+    send_through_rejections(&cluster, address, &program.id, &call, &rejections).await;
+    assert_eq!(crashes(&cluster), 2);
+}
+
+/// The write of a trial times out while it is being sent, and is made later. The trial has no sender
+/// then, and must not block the request until it is stale, after two minutes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_that_is_written_late_does_not_block_its_request() {
+    /// Latency at which a read is in time and a commit is not, as it waits for the one before it.
+    const LATENCY_MS: u64 = 400;
+    let cluster = start_deployment(1).await;
+    let program = create(&cluster, "p").await;
+    wait_for_owner(&cluster, &program.id).await;
+    let address = crate::support::any_address(&cluster);
+    let call = caller::call_request("r0", 0, name::MODEL, "tell me about ivy");
+    let response = call_until_settled(&cluster, address, &program.id, &call).await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    let call = caller::call_request("r1", 1, name::MODEL, POISON);
+    let response = cluster.caller(0).call(address, &program.id, &call).await;
+    assert!(response.result.is_err());
+    assert_eq!(crashes(&cluster), 1);
+    cluster.platform.set_latency_ms(LATENCY_MS);
+    let response = cluster.caller(0).call(address, &program.id, &call).await;
+    assert!(response.result.is_err());
+    cluster.platform.set_latency_ms(0);
+    let rejections = [
+        Kind::UpstreamFailed,
+        Kind::UpstreamUnavailable,
+        Kind::Overloaded,
+        Kind::StoreUnavailable,
+        Kind::Interrupted,
+    ];
+    send_through_rejections(&cluster, address, &program.id, &call, &rejections).await;
+    assert_eq!(crashes(&cluster), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_quarantine_survives_a_restart_of_all_instances() {
     let mut cluster = start_deployment(3).await;
@@ -146,7 +249,7 @@
         .await
         .expect("the instances become ready");
     let address = crate::support::any_address(&cluster);
-    let response = crate::support::call_until_settled(&cluster, address, &program.id, &call).await;
+    let response = call_until_settled(&cluster, address, &program.id, &call).await;
     assert_rejected(&response, Kind::Quarantined, Executed::No);
     assert_eq!(crashes(&cluster), 2);
 }
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the ingress process against fakes of the store and the upstreams.
 
+mod account_data;
+mod account_relay;
+mod accounts;
 mod admission;
 mod budget;
 mod client_faults;
@@ -11,7 +14,9 @@
 mod leaving;
 mod lost_path;
 mod outage;
+mod pace;
 mod process;
+mod quota;
 mod rate_limit;
 mod scripted_upstream;
 mod soak;
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, OnceLock};
 
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::account::Scope;
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
 use basilramp_core::dispatch::config::{Engine, RouteKind};
 use basilramp_core::dispatch::fleet::UpstreamKey;
@@ -20,6 +21,7 @@
 use crate::client::Client;
 use crate::log_event::Event;
 use crate::metric::Outcome;
+use crate::quota::Permit;
 use crate::state::State;
 use crate::suspect::Trial;
 use crate::{rate_limit, suspect};
@@ -54,6 +56,8 @@
     pub(crate) identity: Identity,
     /// Client account, if callers of the route need a key.
     pub(crate) client: Option<Client>,
+    /// Whose data the request reads and writes.
+    pub(crate) scope: Scope,
     pub(crate) body: Bytes,
     /// Memory for the body and the transcript.
     pub(crate) memory: Reservation,
@@ -64,6 +68,8 @@
     /// Maximum gap between events that the route's callers accept, in milliseconds.
     pub(crate) max_event_gap_ms: u64,
     pub(crate) service: Arc<str>,
+    /// Name of the route.
+    pub(crate) route: Arc<str>,
     pub(crate) engine: Option<Engine>,
     /// Software version that began the stream, once its first event has arrived or was received by
     /// an earlier attempt.
@@ -85,6 +91,10 @@
     pub(crate) timings: Timings,
     /// Id of the instance that relayed the request.
     pub(crate) relayed_by: Option<Arc<str>>,
+    /// Whether the demand of its account contains the request.
+    pub(crate) is_counted: bool,
+    /// Permit of the account's quota for the next attempt.
+    pub(crate) permit: Option<Permit>,
     /// Trial of the present attempt, if the request may crash its upstream.
     pub(crate) trial: Option<Trial>,
     /// Whether the end of the request was logged.
@@ -106,6 +116,7 @@
                 self.state.log,
                 Event::CallerLeft,
                 "request" => &*self.attempt_id,
+                "account" => self.account(),
                 "attempts" => self.tried.len(),
                 "ms" => ms
             );
@@ -113,7 +124,7 @@
     }
 }
 
-/// What is the same in every try of a request: its caller and the body as the caller sent it. The
+/// What is the same in every try of a request, beside its account: its caller and the body as the caller sent it. The
 /// target is in the request's head.
 #[derive(Debug)]
 pub(crate) struct Identity {
@@ -161,20 +172,32 @@
         *self.identity.fingerprint.get_or_init(|| {
             let caller = self.identity.caller.to_string();
             let target = self.parts.uri.path_and_query();
-            Digest::from_parts([
+            let parts = [
                 self.parts.method.as_str().as_bytes(),
                 target.map_or(&b""[..], |target| target.as_str().as_bytes()),
                 caller.as_bytes(),
                 &self.identity.body,
-            ])
+            ];
+            // A crash by one account must not keep another one's request from running.
+            Digest::from_parts(parts.into_iter().chain(self.account().map(str::as_bytes)))
         })
     }
 
+    /// Returns the name of the client account, if callers of the route need a key.
+    pub(crate) fn account(&self) -> Option<&str> {
+        self.client.as_ref().map(|client| &*client.account.name)
+    }
+
     /// Returns the id under which data of the request is stored: that of the caller, or one that only
     /// the same account gets from it.
     pub(crate) fn scoped(&self, id: &Arc<str>) -> Arc<str> {
+        self.scope.id(id)
+    }
+
+    /// Returns the name of the client account, or an empty one if callers of the route need no key.
+    pub(crate) fn account_name(&self) -> Arc<str> {
         let client = self.client.as_ref();
-        client.map_or_else(|| Arc::clone(id), |client| client.account.scoped(id))
+        client.map_or_else(|| "".into(), |client| Arc::clone(&client.account.name))
     }
 
     /// Returns the milliseconds until the caller's deadline.
@@ -208,7 +231,7 @@
             Event::Answered,
             "request" => &*self.attempt_id,
             "program" => program.map_or("", |program| &*program.id),
-            "account" => self.client.as_ref().map(|client| &*client.account.name),
+            "account" => self.account(),
             "service" => &*self.service,
             "rank" => self.priority,
             "upstream" => &*placement.id,
@@ -348,6 +371,7 @@
                 self.state.log,
                 Event::RequestRelayed,
                 "request" => &*self.attempt_id,
+                "account" => self.account(),
                 "service" => &*self.service,
                 "by" => instance.to_owned(),
                 "status" => status,
@@ -419,7 +443,8 @@
         match self.kind {
             RouteKind::Safe if self.has_alternative() => SAFE_ATTEMPT_TIMEOUT_MS,
             RouteKind::ResumableStream if self.has_alternative() => {
-                FIRST_EVENT_TIMEOUT_MS + 2 * placement.expected_ms as u64
+                let own_ms = placement.expected_ms * placement.time_factor.max(1.0);
+                FIRST_EVENT_TIMEOUT_MS + 2 * own_ms as u64
             }
             _ => u64::MAX,
         }
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,9 +7,10 @@
 use basilramp_adapter::header;
 use basilramp_adapter::upstream::{self, ConnectionReuse, ResponseClass};
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::admission::RunningTurn;
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::fleet::{AttemptOutcome, HealthChange, UpstreamKey};
-use basilramp_core::dispatch::placement::Placement;
+use basilramp_core::dispatch::placement::{ExpectedTime, Placement};
 use basilramp_process::event;
 use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
@@ -21,7 +22,7 @@
 use crate::log_event::Event;
 use crate::metric::AttemptKind;
 use crate::state::State;
-use crate::{leaving, rate_limit, suspect};
+use crate::{leaving, pace, rate_limit, suspect};
 
 /// Maximum size of a response body that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -48,10 +49,25 @@
     is_suspect: bool,
     outcome: AttemptOutcome,
     started: Time,
-    expected_ms: f64,
+    expected_time: ExpectedTime,
+    /// The turn as admission control counts it.
+    turn: Option<RunningTurn>,
 }
 
 impl AttemptGuard {
+    /// Records the number of events that the turn has had so far.
+    pub(crate) fn record_events(&self, events: u64) {
+        if let Some(turn) = &self.turn {
+            let now = self.state.now();
+            self.state.admission().record_events(turn, events, now);
+        }
+    }
+
+    /// Returns the turn as admission control counts it, if it does.
+    pub(crate) const fn turn(&self) -> Option<&RunningTurn> {
+        self.turn.as_ref()
+    }
+
     /// Records that the upstream has read the prompt.
     pub(crate) fn record_prompt_read(&mut self) {
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
@@ -66,8 +82,8 @@
     /// updates the upstream's state. Returns the latency in milliseconds.
     pub(crate) fn record_response(&mut self, status: StatusCode) -> f64 {
         let ms = self.state.now().since(self.started) as f64;
-        let is_measured = status.is_success() && self.expected_ms > 0.0;
-        let latency_ratio = is_measured.then(|| ms / self.expected_ms);
+        let is_measured = status.is_success();
+        let latency_ratio = is_measured.then(|| self.expected_time.ratio(ms)).flatten();
         self.outcome = if status.is_server_error() {
             AttemptOutcome::ServerError
         } else {
@@ -87,18 +103,24 @@
     fn drop(&mut self) {
         self.record_prompt_read();
         let now = self.state.now();
+        if let Some(turn) = &self.turn {
+            self.state.admission().end_turn(turn, now);
+        }
+        let paces;
         let change = {
             let mut fleet = self.state.fleet();
             if self.is_suspect {
                 fleet.end_suspect(self.key);
             }
             let change = fleet.end_attempt(self.key, self.outcome, now);
+            paces = fleet.take_pace_changes();
             let entry = change.and_then(|change| Some((change, fleet.get(self.key)?)));
             entry.map(|(change, entry)| (change, Arc::clone(&entry.upstream.id)))
         };
         if let Some((change, upstream)) = change {
             log_health_change(&self.state, &upstream, change, self.outcome);
         }
+        pace::log_changes(&self.state, paces);
     }
 }
 
@@ -151,7 +173,7 @@
 ) -> Result<UpstreamResponse, Failure> {
     let state = &request.state;
     let now = state.now();
-    let mut guard = start_attempt(request, placement, now);
+    let mut guard = start_attempt(request, placement, last_event, now);
     if state.fleet().rate_limits().rate(&placement.id).is_some() {
         state.metrics.limited_attempt(match last_event {
             Some(_) => AttemptKind::Continuation,
@@ -206,19 +228,31 @@
     Err(failure)
 }
 
-fn start_attempt(request: &ActiveRequest, placement: &Placement, now: Time) -> AttemptGuard {
+fn start_attempt(
+    request: &ActiveRequest,
+    placement: &Placement,
+    last_event: Option<u64>,
+    now: Time,
+) -> AttemptGuard {
     let state = &request.state;
+    // How much of a stream is left that continues elsewhere is not known.
+    let is_turn = request.kind.is_stream() && request.engine.is_some() && last_event.is_none();
+    let turn = is_turn.then(|| {
+        let account = request.account_name();
+        let mut admission = state.admission();
+        admission.start_turn(&request.service, &account, placement.unread_tokens, now)
+    });
     let is_suspect = suspect::is_suspect(request);
     let mut fleet = state.fleet();
     if is_suspect {
         fleet.start_suspect(placement.key);
     }
-    fleet.start_attempt(
-        placement.key,
-        &request.headers.prompt,
-        placement.unread_tokens,
-        now,
-    );
+    let (key, prompt) = (placement.key, &request.headers.prompt);
+    if placement.is_bound {
+        fleet.start_bound_attempt(key, prompt, placement.unread_tokens, now);
+    } else {
+        fleet.start_attempt(key, prompt, placement.unread_tokens, now);
+    }
     AttemptGuard {
         state: Arc::clone(state),
         key: placement.key,
@@ -226,7 +260,8 @@
         is_suspect,
         outcome: AttemptOutcome::Abandoned,
         started: now,
-        expected_ms: placement.expected_ms,
+        expected_time: placement.expected_time(),
+        turn: turn.flatten(),
     }
 }
 
@@ -245,6 +280,7 @@
         request.state.log,
         Event::AttemptFailed,
         "request" => &*request.attempt_id,
+        "account" => request.account(),
         "upstream" => upstream.to_owned(),
         "ran" => if failure.did_not_run() { "no" } else { "unknown" },
         "fingerprint" => (!failure.did_not_run()).then(|| request.fingerprint().to_string()),
@@ -293,8 +329,9 @@
                 }
                 let is_done = self.head.status.is_success();
                 if is_done && request.engine.is_none() {
+                    let now = request.state.now();
                     let mut fleet = request.state.fleet();
-                    fleet.speed_mut(&request.service).record_plain(ms);
+                    fleet.record_plain(&request.service, self.guard.key, ms, now);
                 }
                 if is_done {
                     let state = &request.state;
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -14,7 +14,7 @@
 
 use crate::log_event::Event;
 use crate::state::State;
-use crate::{rate_limit, suspect, version_history};
+use crate::{pace, rate_limit, suspect, version_history};
 
 /// Long-poll timeout for the configuration table. It distinguishes a dead connection from a quiet
 /// table, well within the time in which a change must take effect.
@@ -64,10 +64,16 @@
 /// Follows the configuration. Never returns.
 pub(crate) async fn follow_config(state: Arc<State>) {
     let mut feed = Feed::new(config::TABLE, CONFIG_LONG_POLL_MS, 0);
+    // After each interruption of the feed, the same row is read again.
+    let mut row_version = 0;
     loop {
         if let Some((page, _)) = feed.next(&state).await {
-            for row in page.rows.iter().filter(|row| &*row.key == config::KEY) {
-                apply_config_row(&state, row);
+            let rows = page.rows.iter().filter(|row| &*row.key == config::KEY);
+            for row in rows {
+                if row.version > row_version {
+                    row_version = row.version;
+                    apply_config_row(&state, row);
+                }
             }
         }
     }
@@ -83,7 +89,12 @@
         }
         let known = |key| state.fleet().get(key).is_some();
         let now = state.now();
-        state.fleet().expire(now);
+        let paces = {
+            let mut fleet = state.fleet();
+            fleet.expire(now);
+            fleet.take_pace_changes()
+        };
+        pace::log_changes(&state, paces);
         version_history::record_view(&state);
         state.pool.expire(known, now);
         state.budgets.expire(now);
@@ -244,7 +255,7 @@
                 }
             }
         }
-        Err(error) => log_unreadable(state, config::TABLE, row, &error.0),
+        Err(error) => log_unreadable(state, config::TABLE, row, &error.to_string()),
     }
 }
 
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -1,13 +1,14 @@
 //! Handles one request from its headers to its response.
 
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use basilramp_adapter::store::Error;
 use basilramp_adapter::{caller, header};
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::account::Scope;
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::placement::Placement;
@@ -30,13 +31,15 @@
 use crate::buffer::{self, BufferedBody, CollectError, Reservation};
 use crate::log_event::Event;
 use crate::metric::Outcome;
+use crate::quota::SpentPermit;
 use crate::relay::Delegation;
 use crate::server::ConnectionGuard;
 use crate::state::State;
 use crate::stream::Stream;
 use crate::stream_log::StreamLog;
 use crate::{
-    attempt, client, crash, prepare, relay, stream_log, stream_version, suspect, version_history,
+    attempt, client, crash, prepare, quota, relay, stream_log, stream_version, suspect,
+    version_history,
 };
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
@@ -101,7 +104,8 @@
     // The end of a chunked body is defined by its sender alone. Close the connection, so that bytes
     // after it are not read as another request (request smuggling).
     let is_chunked = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let handling = prepare_and_dispatch(&state, source, parts, headers, body, arrived);
+    let account = OnceLock::new();
+    let handling = prepare_and_dispatch(&state, source, parts, headers, body, arrived, &account);
     let result = tokio::select! {
         biased;
         result = handling => result,
@@ -112,7 +116,8 @@
         Ok(response) => response,
         Err(rejection) => {
             let id = attempt_id.as_deref();
-            record_rejection(&state, id, rejection, arrived);
+            let account = account.get().map(|name: &Arc<str>| &**name);
+            record_rejection(&state, id, account, rejection, arrived);
             let mut response = caller::error_response(rejection, id).map(full_body);
             let headers = response.headers_mut();
             match rejection {
@@ -185,11 +190,18 @@
             }
         };
         wire::relay::remove_headers(&mut parts.headers);
+        wire::permit::unmark(&mut parts.headers);
         Ok(source)
     }
 }
 
-fn record_rejection(state: &State, attempt: Option<&str>, rejection: Rejection, arrived: Time) {
+fn record_rejection(
+    state: &State,
+    attempt: Option<&str>,
+    account: Option<&str>,
+    rejection: Rejection,
+    arrived: Time,
+) {
     let ms = state.now().since(arrived);
     state.metrics.request("", Outcome::Rejected(rejection), ms);
     if !state.allows_log_line(Event::Refused) {
@@ -199,6 +211,7 @@
         state.log,
         Event::Refused,
         "request" => attempt.unwrap_or_default().to_owned(),
+        "account" => account,
         "refusal" => format!("{rejection:?}"),
         "store_down_ms" => state.store_outage_ms(),
         "ms" => ms
@@ -211,6 +224,7 @@
         .boxed_unsync()
 }
 
+/// Sets `account` to the name of the client account, once that is known.
 async fn prepare_and_dispatch(
     state: &Arc<State>,
     source: Source,
@@ -218,6 +232,7 @@
     headers: RequestHeaders,
     body: Incoming,
     arrived: Time,
+    account: &OnceLock<Arc<str>>,
 ) -> Result<Response<Body>, Rejection> {
     let attempt_id = headers.attempt_id.clone().ok_or(Rejection::Malformed)?;
     let shutdown = state.shutdown();
@@ -230,6 +245,9 @@
         .select(host, parts.uri.path())
         .ok_or(Rejection::NoRoute)?;
     let client = client::find(state, &table, route, source.client.as_ref(), &parts.headers)?;
+    if let Some(client) = &client {
+        account.get_or_init(|| Arc::clone(&client.account.name));
+    }
     let limit_ms = headers
         .deadline_ms
         .unwrap_or(u64::MAX)
@@ -249,7 +267,8 @@
         .map_err(|_| Rejection::NotRun(NO_UPSTREAM_RETRY_MS))??;
     header::remove_hop_by_hop(&mut parts.headers);
     header::remove_internal(&mut parts.headers);
-    if table.config().accounts.is_some() {
+    let scope = client::scope(table.config(), client.as_ref());
+    if scope != Scope::Unscoped {
         let account = client.as_ref().map(|client| &*client.account.name);
         caller::set_account(&mut parts.headers, account);
     }
@@ -266,6 +285,7 @@
             .and_then(|client| client.account.priority)
             .unwrap_or(route.priority),
         client,
+        scope,
         body,
         memory,
         kind: route.kind,
@@ -273,6 +293,7 @@
         retention_ms: route.retention_ms.unwrap_or_default(),
         max_event_gap_ms: route.max_event_gap_ms,
         service: Arc::clone(service),
+        route: Arc::clone(&route.name),
         engine: service_config.and_then(|service| service.engine.clone()),
         arrived,
         deadline,
@@ -285,10 +306,17 @@
         previous_upstream: None,
         timings: Timings::default(),
         relayed_by: source.relayed_by,
+        is_counted: false,
+        permit: None,
         trial: None,
         is_logged: AtomicBool::new(false),
         headers,
     };
+    let recheck = |request: &ActiveRequest| {
+        let result = client::recheck(&request.state, request.client.as_ref());
+        result.inspect_err(|_| request.mark_logged())
+    };
+    recheck(&request)?;
     suspect::check(&request).inspect_err(|_| request.mark_logged())?;
     if state.path().is_lost() {
         return relay_or_reject(request).await;
@@ -313,6 +341,7 @@
     );
     let (budget, transcript, version, stream_log) =
         prepared.inspect_err(|_| request.mark_logged())?;
+    recheck(&request)?;
     request.version = version;
     request.timings.loaded_ms = request.elapsed_ms();
     request.previous_upstream = budget
@@ -323,6 +352,11 @@
         prepare::check_admission(&request, budget)?;
         request.starts_program = budget.is_new();
     }
+    if request.starts_program {
+        quota::start_program(&mut request)
+            .await
+            .inspect_err(|_| request.mark_logged())?;
+    }
     let transcript = match transcript {
         Some((mut transcript, upstream)) => {
             request.previous_upstream = upstream.or(request.previous_upstream.take());
@@ -404,6 +438,13 @@
             request.mark_logged();
             return Err(Rejection::NotRun(SHUTDOWN_RETRY_MS));
         }
+        if let Err(rejection) = quota::acquire(&mut request).await {
+            if let Some(error) = server_error {
+                return Ok(complete(&request, error));
+            }
+            request.mark_logged();
+            return Err(request.attempts.after(rejection));
+        }
         let Some(placement) = request.place().await else {
             if let Some(error) = server_error {
                 return Ok(complete(&request, error));
@@ -435,6 +476,16 @@
             }
         }
         let key = placement.key;
+        let permit = match quota::spend(&mut request).await {
+            Ok(permit) => permit,
+            Err(rejection) => {
+                if let Some(error) = server_error {
+                    return Ok(complete(&request, error));
+                }
+                request.mark_logged();
+                return Err(request.attempts.after(rejection));
+            }
+        };
         let failure = match run_attempt(&request, &placement).await {
             Ok(AttemptResult::Complete(response)) => {
                 if !response.status().is_server_error() {
@@ -476,6 +527,9 @@
             }
             Err(failure) => failure,
         };
+        if failure.did_not_run() {
+            request.permit = permit.map(SpentPermit::restore);
+        }
         let decision = request.record_failure(failure);
         if failure == Failure::Interrupted {
             let investigation = crash::investigate(&mut request, key);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -16,6 +16,8 @@
 //! | `crash` | finds out whether an upstream crashed under a request |
 //! | `suspect` | requests that may crash upstreams, shared by all instances |
 //! | `leaving` | upstreams that say in their answers that they leave |
+//! | `quota` | quotas of accounts, shared by all instances |
+//! | `pace` | logs how upstreams that have started or recovered are paced |
 //! | `rate_limit` | rate limits of upstreams, shared by all instances |
 //! | `stream` | relays event streams |
 //! | `stream_log` | events of retained turns in the store, until the turns end |
@@ -33,7 +35,7 @@
 //! | `operator` | HTTP interface for operators |
 //! | `log_event` | log events |
 //!
-//! Lock order: the pool before the fleet. No other lock is held while acquiring a lock, and none
+//! Lock order: the pool before the fleet, an account's permits before the program shapes. No other lock is held while acquiring a lock, and none
 //! across an await point.
 
 mod active_request;
@@ -50,11 +52,13 @@
 mod membership;
 mod metric;
 mod operator;
+mod pace;
 mod path;
 mod peer_server;
 mod peer_tls;
 mod pool;
 mod prepare;
+mod quota;
 mod rate_limit;
 mod relay;
 mod run;
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use basilramp_core::dispatch::admission::{Decision, ServiceLoad};
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::relay;
 use basilramp_core::dispatch::request::Rejection;
@@ -84,6 +85,54 @@
     }
 }
 
+/// What became of a permit of an account's quota, or of a request for one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QuotaOutcome {
+    /// A request took a permit.
+    Taken,
+    /// A request gave its permit back, as no upstream ran it.
+    Returned,
+    /// A request was rejected, as there are no permits.
+    Rejected,
+    /// A request was rejected, as the store could not be reached.
+    Failed,
+}
+
+impl QuotaOutcome {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Returned => "returned",
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// Result of a store call for quotas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QuotaCall {
+    /// A row was read.
+    Read,
+    /// Permits were reserved or returned.
+    Written,
+    /// Another instance had changed the row.
+    Conflict,
+    /// The outcome is an error, or unknown.
+    Failed,
+}
+
+impl QuotaCall {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Written => "written",
+            Self::Conflict => "conflict",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// What was found out about an upstream whose connection ended under a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Finding {
@@ -114,8 +163,12 @@
     attempts_failed: Counter<u64>,
     limited_attempts: Counter<u64>,
     permits: Counter<u64>,
+    quota_permits: Counter<u64>,
+    quota_calls: Counter<u64>,
+    quota_reserved: Counter<u64>,
     interruptions: Counter<u64>,
     path_losses: Counter<u64>,
+    programs: Counter<u64>,
     relays: Counter<u64>,
     request_time: Histogram<u64>,
     first_event_time: Histogram<u64>,
@@ -146,6 +199,18 @@
                 "basilramp.permits",
                 "Permits for upstreams that limit their rate, by outcome",
             ),
+            quota_permits: exporter.counter(
+                "basilramp.quota.permits",
+                "Permits of accounts' quotas, by outcome",
+            ),
+            quota_calls: exporter.counter(
+                "basilramp.quota.calls",
+                "Calls of the store for quotas, by result",
+            ),
+            quota_reserved: exporter.counter(
+                "basilramp.quota.reserved",
+                "Permits of accounts' quotas that were reserved",
+            ),
             interruptions: exporter.counter(
                 "basilramp.upstreams.interrupted",
                 "Upstreams whose connections ended under requests, by what was found out",
@@ -154,6 +219,10 @@
                 "basilramp.path.lost",
                 "How often no upstream was reached any more",
             ),
+            programs: exporter.counter(
+                "basilramp.programs",
+                "New programs admitted and rejected, by cause",
+            ),
             relays: exporter.counter(
                 "basilramp.relays",
                 "Requests relayed to other instances, by outcome",
@@ -234,12 +303,87 @@
             .add(1, &[KeyValue::new("outcome", outcome.label())]);
     }
 
+    /// Counts what became of a permit of an account's quota.
+    pub(crate) fn quota_permit(&self, outcome: QuotaOutcome) {
+        let label = KeyValue::new("outcome", outcome.label());
+        self.quota_permits.add(1, &[label]);
+    }
+
+    /// Counts a store call for quotas.
+    pub(crate) fn quota_call(&self, result: QuotaCall) {
+        self.quota_calls
+            .add(1, &[KeyValue::new("result", result.label())]);
+    }
+
+    /// Counts permits of an account's quota that were reserved.
+    pub(crate) fn quota_reserved(&self, permits: u64) {
+        self.quota_reserved.add(permits, &[]);
+    }
+
     /// Counts what was found out about an upstream whose connection ended under requests.
     pub(crate) fn interruption(&self, finding: Finding) {
         self.interruptions
             .add(1, &[KeyValue::new("finding", finding.label())]);
     }
 
+    /// Counts the decision on a new program.
+    pub(crate) fn program(&self, decision: &Decision) {
+        let outcome = match decision.retry_ms {
+            None => "admitted",
+            Some(_) => "rejected",
+        };
+        let labels = [
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("cause", decision.cause.label()),
+        ];
+        self.programs.add(1, &labels);
+    }
+
+    /// Exports the present slowdown of each service, and that from which new programs are rejected.
+    pub(crate) fn observe_loads(
+        &self,
+        loads: impl Fn() -> Vec<ServiceLoad> + Clone + Send + Sync + 'static,
+    ) {
+        let slowdowns = loads.clone();
+        self.observe_services(
+            "basilramp.service.slowdown",
+            "Duration of turns as a multiple of that on idle engines, by service",
+            move || {
+                slowdowns()
+                    .into_iter()
+                    .map(|load| (load.service, load.slowdown))
+                    .collect()
+            },
+        );
+        self.observe_services(
+            "basilramp.service.threshold",
+            "Slowdown from which new programs are rejected, by service",
+            move || {
+                loads()
+                    .into_iter()
+                    .map(|load| (load.service, load.threshold))
+                    .collect()
+            },
+        );
+    }
+
+    fn observe_services(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        values: impl Fn() -> Vec<(Arc<str>, f64)> + Send + Sync + 'static,
+    ) {
+        let gauge = self.exporter.meter().f64_observable_gauge(name);
+        gauge
+            .with_description(description)
+            .with_callback(move |observer| {
+                for (service, value) in values() {
+                    observer.observe(value, &[KeyValue::new("service", service.to_string())]);
+                }
+            })
+            .build();
+    }
+
     /// Counts that no upstream was reached any more.
     pub(crate) fn path_lost(&self) {
         self.path_losses.add(1, &[]);
@@ -268,6 +412,18 @@
             .build();
     }
 
+    /// Exports the number of upstreams that are limited because they have started or recovered.
+    pub(crate) fn observe_paced(&self, count: impl Fn() -> u64 + Send + Sync + 'static) {
+        let gauge = self
+            .exporter
+            .meter()
+            .u64_observable_gauge("basilramp.upstreams.paced");
+        gauge
+            .with_description("Upstreams that get few requests, as they have started or recovered")
+            .with_callback(move |observer| observer.observe(count(), &[]))
+            .build();
+    }
+
     /// Counts a store call and records its duration.
     pub(crate) fn store_call(&self, call: StoreCall, is_done: bool, ms: u64) {
         let kind = KeyValue::new("call", call.label());
--- a/crates/ingress/src/run.rs
+++ b/crates/ingress/src/run.rs
@@ -15,7 +15,7 @@
 use crate::server::{self, Audience, OpenConnections};
 use crate::settings::Settings;
 use crate::state::State;
-use crate::{feed, membership, peer_server, suspect, version_history};
+use crate::{feed, membership, peer_server, quota, suspect, version_history};
 
 /// Interval at which the number of open connections is checked during shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -58,6 +58,12 @@
     let observed = Arc::clone(&state);
     let count_suspects = move || observed.suspects.table().len() as u64;
     state.metrics.observe_suspects(count_suspects);
+    let observed = Arc::clone(&state);
+    let loads = move || observed.admission().loads(observed.now());
+    state.metrics.observe_loads(loads);
+    let observed = Arc::clone(&state);
+    let count_paced = move || observed.fleet().paced_upstreams(observed.now()) as u64;
+    state.metrics.observe_paced(count_paced);
     let connections = OpenConnections::default();
     let relayed_requests = OpenConnections::default();
     if let Some(peers) = peers {
@@ -76,6 +82,7 @@
     tokio::spawn(supervise(&state, "rate limit feed", feed::follow_limits));
     tokio::spawn(supervise(&state, "suspect feed", feed::follow_suspects));
     tokio::spawn(supervise(&state, "suspect writer", suspect::write_changes));
+    tokio::spawn(supervise(&state, "quota returns", quota::return_permits));
     tokio::spawn(supervise(
         &state,
         "version writer",
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -17,7 +17,7 @@
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_core::dispatch::route::RouteTable;
 use basilramp_core::dispatch::shutdown::Shutdown;
-use basilramp_process::clock::Clock;
+use basilramp_process::clock::{Clock, boot_time};
 use basilramp_process::event;
 use basilramp_process::log::Handle;
 use basilramp_process::log_rate::LogRateLimiter;
@@ -34,6 +34,7 @@
 use crate::path::Checks;
 use crate::peer_tls::Identity;
 use crate::pool::Pool;
+use crate::quota::Quotas;
 use crate::relay::Connections;
 use crate::settings::Settings;
 use crate::stream_log::StreamLogs;
@@ -55,6 +56,7 @@
     pub(crate) version_histories: VersionHistories,
     pub(crate) stream_logs: StreamLogs,
     pub(crate) budgets: Budgets,
+    pub(crate) quotas: Quotas,
     pub(crate) suspects: Suspects,
     pub(crate) probes: Probes,
     /// Memory for the buffered bytes of all requests.
@@ -104,17 +106,18 @@
         Ok(Arc::new(Self {
             clock: Clock::start(),
             log,
-            store: store::Client::open(settings.store),
+            store: store::Client::open(settings.store, boot_time),
             pool: Pool::default(),
             turns: TurnStore::open(cache_bytes),
             stream_versions: StreamVersions::default(),
             version_histories: VersionHistories::default(),
             stream_logs: StreamLogs::default(),
             budgets: Budgets::default(),
+            quotas: Quotas::default(),
             suspects: Suspects::default(),
             probes: Probes::default(),
             memory,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(Fleet::with_pace_seed(rand::random())),
             path: Mutex::default(),
             checks: Checks::default(),
             sign_at: AtomicU64::new(0),
@@ -389,7 +392,7 @@
     ) {
         let now = self.now();
         let transition = match result {
-            Err(store::Error::NotDone(_) | store::Error::Unknown(_)) => {
+            Err(store::Error::NotDone(_) | store::Error::Throttled | store::Error::Unknown(_)) => {
                 lock(&self.health).record_failure(partition, now)
             }
             _ => lock(&self.health).record_success(partition, began, now),
@@ -480,7 +483,7 @@
 const fn is_failure<T>(result: &Result<T, store::Error>) -> bool {
     matches!(
         result,
-        Err(store::Error::NotDone(_) | store::Error::Unknown(_))
+        Err(store::Error::NotDone(_) | store::Error::Throttled | store::Error::Unknown(_))
     )
 }
 
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -4,9 +4,10 @@
 
 use basilramp_adapter::header;
 use basilramp_core::clock::Time;
-use basilramp_core::dispatch::admission::TurnTiming;
+use basilramp_core::dispatch::admission::{ProgramTurn, RunningTurn, TurnTiming};
 use basilramp_core::dispatch::attempt::{Decision, Failure};
-use basilramp_core::dispatch::fleet::AttemptOutcome;
+
+use basilramp_core::dispatch::fleet::{AttemptOutcome, TurnTimes};
 use basilramp_core::dispatch::placement::Placement;
 use basilramp_core::dispatch::sse::{Decoder, Event as SseEvent};
 use basilramp_process::event;
@@ -25,6 +26,7 @@
 use crate::log_event::Event;
 use crate::metric;
 use crate::path::{self, WaitError};
+use crate::quota::{self, SpentPermit};
 use crate::relay::{self, Continuation};
 use crate::state::State;
 use crate::{crash, suspect, turn_store};
@@ -184,6 +186,7 @@
         let (outcome, error) = match read {
             Ok(Ok(first_event)) => {
                 response.guard.record_response(response.head.status);
+                response.guard.record_events(1);
                 return Ok(Self {
                     response,
                     decoder,
@@ -386,6 +389,9 @@
                 return Err(self.abort("no memory is left for the turn"));
             }
         }
+        if let Some(Source::Upstream(response)) = &self.source {
+            response.guard.record_events(self.events);
+        }
         if let Some(stream_log) = &mut self.turn.stream_log
             && stream_log.flush().await.is_err()
         {
@@ -439,6 +445,9 @@
             if self.request.state.path().is_lost() {
                 return self.resume_elsewhere(cause).await;
             }
+            if quota::acquire(&mut self.request).await.is_err() {
+                return Err(self.abort("the account has no permit for another attempt"));
+            }
             let Some(placement) = self.request.place().await else {
                 return Err(self.abort(cause));
             };
@@ -446,6 +455,9 @@
                 return Err(self.abort("the request may crash upstreams"));
             }
             key = placement.key;
+            let Ok(permit) = quota::spend(&mut self.request).await else {
+                return Err(self.abort("the account has no permit for another attempt"));
+            };
             match attempt::send(
                 &self.request,
                 &placement,
@@ -471,7 +483,12 @@
                     response.guard.record_response(response.head.status);
                     failure = Failure::Unknown;
                 }
-                Err(other) => failure = other,
+                Err(other) => {
+                    failure = other;
+                    if failure.did_not_run() {
+                        self.request.permit = permit.map(SpentPermit::restore);
+                    }
+                }
             }
         }
     }
@@ -508,6 +525,7 @@
             self.request.state.log,
             Event::Broken,
             "request" => &*self.request.attempt_id,
+            "account" => self.request.account(),
             "events" => self.events,
             "cause" => cause,
             "ms" => self.request.state.now().since(self.request.arrived)
@@ -516,7 +534,7 @@
     }
 
     /// Records the timing of the turn for admission control, if it took a single attempt.
-    fn record_turn_timing(&self) {
+    fn record_turn_timing(&self, running: Option<&RunningTurn>) {
         if self.request.tried.len() > 1 {
             return;
         }
@@ -528,11 +546,18 @@
             .admission()
             .slowdown(&self.request.service, state.now());
         let read_tokens = self.placement.unread_tokens + self.placement.queued_tokens;
-        state.fleet().speed_mut(&self.request.service).record_turn(
-            read_tokens,
+        let times = TurnTimes {
             first_event_ms,
             turn_ms,
             slowdown,
+        };
+        let now = state.now();
+        state.fleet().record_turn(
+            &self.request.service,
+            self.placement.key,
+            read_tokens,
+            times,
+            now,
         );
         let turn = TurnTiming {
             unread_tokens: self.placement.unread_tokens,
@@ -540,9 +565,16 @@
             streaming_ms: timings.last_event_ms.saturating_sub(timings.first_event_ms) as f64,
             events: self.events,
         };
-        state
-            .admission()
-            .record(&self.request.service, turn, state.now());
+        let program = self.request.headers.program.as_ref();
+        let remaining_ms = program.and_then(|program| program.remaining_ms);
+        let of_program = remaining_ms.map(|remaining_ms| ProgramTurn {
+            route: &self.request.route,
+            is_first: self.request.starts_program,
+            remaining_ms,
+        });
+        let service = &self.request.service;
+        let mut admission = state.admission();
+        admission.record(service, turn, running, of_program, state.now());
     }
 
     /// Stores the turn, then ends the response.
@@ -559,8 +591,8 @@
         };
         let upstream = response.upstream.clone();
         self.request.timings.last_event_ms = self.request.elapsed_ms();
+        self.record_turn_timing(response.guard.turn());
         response.finish();
-        self.record_turn_timing();
         if let Some(transcript) = self.turn.transcript.take() {
             let turn = turn_store::Turn {
                 transcript: transcript.finish(),
