--- a/review/standins/src/machine.rs
+++ b/review/standins/src/machine.rs
@@ -72,8 +72,6 @@
             ("{{limits.memory_mb}}", "270".to_owned()),
             ("{{bounds.grace_s}}", "8".to_owned()),
         ];
-        // These machines have no bounds on quotas, so the section for them is left out.
-        let template = without_section(&template, "bounds.quota_window_s");
         let settings = fields
             .iter()
             .fold(template, |text, (field, value)| text.replace(field, value));
@@ -169,12 +167,3 @@
     let listeners = [(); 4].map(|()| std::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
     listeners.map(|listener| listener.local_addr().expect("address"))
 }
-
-/// Returns a template without a section.
-fn without_section(template: &str, name: &str) -> String {
-    let (opening, closing) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
-    match (template.split_once(&opening), template.split_once(&closing)) {
-        (Some((before, _)), Some((_, after))) => format!("{before}{after}"),
-        _ => template.to_owned(),
-    }
-}
