Find the home of a row without copying the ids of all instances

Cause: each request that needs a permit copied the ids of all instances, and read the members while it held the lock of the avoided ones, against the lock order of the crate. Change: Membership::find_best compares the weights in place; the avoided instances are copied, which are few. Result: no change of behaviour; clippy clean for ingress and daemon, tests of ingress and wire and one of quotas with real processes pass.

--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -78,9 +78,15 @@
         !lock(&self.members).is_empty()
     }
 
-    /// Returns the ids of the other instances.
-    pub(crate) fn ids(&self) -> Vec<Arc<str>> {
-        lock(&self.members).keys().cloned().collect()
+    /// Returns the id of the other instance with the largest weight, among those that are `accepted`.
+    pub(crate) fn find_best(
+        &self,
+        accepted: impl Fn(&str) -> bool,
+        weight: impl Fn(&str) -> u64,
+    ) -> Option<Arc<str>> {
+        let members = lock(&self.members);
+        let ids = members.keys().filter(|id| accepted(id));
+        ids.max_by_key(|id| weight(id)).cloned()
     }
 
     /// Returns the id of the instance with a certificate.
--- a/crates/ingress/src/quota/home.rs
+++ b/crates/ingress/src/quota/home.rs
@@ -47,16 +47,14 @@
     let seed = xxh3_64_with_seed(account.as_bytes(), u64::from(row));
     let weight = |id: &str| xxh3_64_with_seed(id.as_bytes(), seed);
     let now = state.now();
-    let best = {
+    let avoided = {
         let mut avoided = lock(&state.quotas.avoided.0);
         avoided.retain(|_, until| *until > now);
-        state
-            .membership
-            .ids()
-            .into_iter()
-            .filter(|id| !avoided.contains_key(id))
-            .max_by_key(|id| weight(id))
+        avoided.clone()
     };
+    let best = state
+        .membership
+        .find_best(|id| !avoided.contains_key(id), weight);
     best.filter(|best| weight(best) > weight(&state.settings.instance))
 }
 
