--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -78,6 +78,7 @@
             "routes": routes,
             "services": [
                 {"name": "shop", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false},
+                {"name": "shop-new", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false},
                 {"name": "engine", "health_path": "/healthz", "max_conns": 210, "protocol": "h1", "tls": false,
                  "engine": {"slots": 24, "kv_capacity": 227669, "chunk_tokens": 4}},
             ],
