Begin streams in an outage only at the version that other instances assume

Cause: a stream without a record belongs to the version that was alone two spans ago. The condition under which a stream begins without a record said so for settled services; where no instance seems to reach the store, a stream began at any version.

Change: History::unrecorded_start answers for all ways to begin without a record, with the version that readers will assume for as long as the stream lasts, and the stream is placed there. It replaces is_settled. While calls fail before the store counts as down, streams begin there too, so that a silent store costs them no record. Without such a version a stream waits or is rejected like a turn.

--- a/crates/core/src/dispatch/outage.rs
+++ b/crates/core/src/dispatch/outage.rs
@@ -153,6 +153,12 @@
         Transition::None
     }
 
+    /// Returns whether calls have failed since the latest one that succeeded.
+    #[must_use]
+    pub const fn is_failing(&self) -> bool {
+        self.since.is_some()
+    }
+
     /// Returns for how many milliseconds the whole store has been unavailable; 0 if it is
     /// available.
     #[must_use]
--- a/crates/core/src/dispatch/software_version.rs
+++ b/crates/core/src/dispatch/software_version.rs
@@ -8,11 +8,12 @@
 //! just started knows as much as the others. All its times are those of the store's clock.
 //!
 //! Let the span be the longest time for which a stream and the requests that take it up again last. A
-//! stream is begun without a record only if its version has been alone for two spans, as far as the
-//! instance knows whose view of the upstreams is at most one span old. Of the time from two spans to
-//! one span before that, the view is up to date, so the version was alone then. A stream that is taken
-//! up was begun at most one span ago. All streams without a record thus belong to the version that
-//! was alone two spans ago.
+//! stream that is taken up was begun at most one span ago. One without a record belongs to the version
+//! that was alone two spans ago, which is from two spans to one span before the stream began. A stream
+//! may thus begin without a record at the version that was alone all that time, and only there,
+//! whatever other versions the service has by now. The instance knows that time if its view of the
+//! upstreams is at most one span old, or if no instance has reached the store since: no entry changes
+//! then, and no history.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -123,35 +124,58 @@
         self.presences.drain(..excess);
     }
 
-    /// Returns whether a stream that begins at an upstream of the only version in `present` needs no
-    /// record.
+    /// Returns the version at which a stream may begin without a record at `now_ms`, or `None` if there
+    /// is none. `present` are the versions in the view of the upstreams, which are the same since
+    /// `changed_ms`.
+    ///
+    /// A view older than [`max_view_age_ms`] is only good if no instance has reached the store since.
     #[must_use]
-    pub fn is_settled(&self, present: &BTreeSet<Arc<str>>, span_ms: u64, now_ms: u64) -> bool {
-        let mut present = present.iter();
-        let (Some(version), None) = (present.next(), present.next()) else {
-            return false;
-        };
-        let mut is_present = false;
-        let are_others_gone = self
-            .presences
-            .iter()
-            .all(|presence| match presence.left_ms {
-                None => {
-                    is_present |= presence.version == *version;
-                    presence.version == *version
-                }
-                Some(left_ms) => {
-                    presence.version == *version || left_ms + 2 * self.span_ms + MARGIN_MS <= now_ms
-                }
-            });
-        is_present && are_others_gone && self.span_ms >= effective_span_ms(span_ms)
+    pub fn unrecorded_start(
+        &self,
+        present: &BTreeSet<Arc<str>>,
+        changed_ms: u64,
+        span_ms: u64,
+        now_ms: u64,
+    ) -> Option<Arc<str>> {
+        if self.presences.is_empty() || self.span_ms < effective_span_ms(span_ms) {
+            return None;
+        }
+        // The history may lack the latest changes. A version that came counts from the earliest time on,
+        // one that left as still present.
+        let open = self.presences.iter();
+        let open = open.filter(|presence| presence.left_ms.is_none());
+        let mut known: BTreeSet<_> = open.map(|presence| Arc::clone(&presence.version)).collect();
+        known.extend(present.iter().cloned());
+        let updated = self.update(&known, span_ms, changed_ms.saturating_sub(MARGIN_MS));
+        let history = updated.as_ref().unwrap_or(self);
+        let from_ms = now_ms.saturating_sub(2 * self.span_ms + MARGIN_MS);
+        let to_ms = (now_ms + MARGIN_MS).saturating_sub(self.span_ms);
+        let version = history.alone_throughout(from_ms, to_ms)?;
+        present.get(version).cloned()
     }
 
     /// Returns the version of a stream that has no record and is taken up at `now_ms`, or `None` if it
     /// is unknown.
     #[must_use]
     pub fn unrecorded(&self, now_ms: u64) -> Option<&Arc<str>> {
-        let point_ms = now_ms.saturating_sub(2 * self.span_ms);
+        self.alone_at(now_ms.saturating_sub(2 * self.span_ms))
+    }
+
+    /// Returns the version that was alone at each time from `from_ms` to `to_ms`.
+    fn alone_throughout(&self, from_ms: u64, to_ms: u64) -> Option<&Arc<str>> {
+        let version = self.alone_at(from_ms)?;
+        let presences = self.presences.iter();
+        let changes = presences.flat_map(|presence| [Some(presence.first_ms), presence.left_ms]);
+        let mut changes = changes
+            .flatten()
+            .filter(|at_ms| (from_ms..=to_ms).contains(at_ms));
+        changes
+            .all(|at_ms| self.alone_at(at_ms) == Some(version))
+            .then_some(version)
+    }
+
+    /// Returns the version that was alone at a time, or the first one after it if there was none.
+    fn alone_at(&self, point_ms: u64) -> Option<&Arc<str>> {
         let mut then = self.presences.iter().filter(|presence| {
             let has_left = presence.left_ms.is_some_and(|left_ms| left_ms <= point_ms);
             presence.first_ms <= point_ms && !has_left
--- a/crates/core/tests/dispatch/software_version.rs
+++ b/crates/core/tests/dispatch/software_version.rs
@@ -43,6 +43,16 @@
     history
 }
 
+/// Returns since when the versions with entries were the same at `now`, as an instance noticed it.
+fn changed(presences: &[Presence], now: u64) -> u64 {
+    let view = present(presences, now);
+    let mut since = now;
+    while since >= POLL_MS && present(presences, since - POLL_MS) == view {
+        since -= POLL_MS;
+    }
+    since
+}
+
 /// Returns the version that an instance assumes of a stream without a record.
 fn assumed(history: &History, view: &BTreeSet<Arc<str>>, now: u64) -> Option<Arc<str>> {
     let updated = history.update(view, SPAN_MS, now);
@@ -58,12 +68,13 @@
     let single = versions(["v1"]);
     // The first instance of a fleet has just written the row.
     let history = History::default().update(&single, SPAN_MS, 900).unwrap();
-    assert!(history.is_settled(&single, SPAN_MS, 900));
+    let start = |history: &History, now| history.unrecorded_start(&single, 0, SPAN_MS, now);
+    assert_eq!(start(&history, 900).as_deref(), Some("v1"));
     assert_eq!(history.unrecorded(900).unwrap().as_ref(), "v1");
     assert_eq!(history.update(&single, SPAN_MS, 90_000), None);
-    assert!(history.is_settled(&single, SPAN_MS, 90_000));
+    assert_eq!(start(&history, 90_000).as_deref(), Some("v1"));
     // Without a row, nothing is known.
-    assert!(!History::default().is_settled(&single, SPAN_MS, 900));
+    assert_eq!(start(&History::default(), 900), None);
 }
 
 #[test]
@@ -77,17 +88,25 @@
     let at = |now| {
         let history = row(&release, now, 0);
         let view = present(&release, now);
-        let is_settled = history.is_settled(&view, SPAN_MS, now);
-        (is_settled, assumed(&history, &view, now))
+        let start = history.unrecorded_start(&view, changed(&release, now), SPAN_MS, now);
+        (start, assumed(&history, &view, now))
     };
-    for during in [31_000, 39_000, 41_000, 45_000] {
-        assert_eq!(at(during), (false, Some("v1".into())), "{during}");
+    // A stream that begins now at the earlier version ends before the assumption changes.
+    for during in [31_000, 35_000] {
+        assert_eq!(
+            at(during),
+            (Some("v1".into()), Some("v1".into())),
+            "{during}"
+        );
+    }
+    for during in [36_000, 39_000, 41_000, 45_000] {
+        assert_eq!(at(during), (None, Some("v1".into())), "{during}");
     }
     // Sixteen seconds ago there were two versions, so that each stream had a record.
-    assert_eq!(at(55_000), (false, None));
+    assert_eq!(at(55_000), (None, None));
     // An instance that began such a stream without the store has stopped doing so for a span.
-    assert_eq!(at(57_000), (false, Some("v2".into())));
-    assert_eq!(at(59_000), (true, Some("v2".into())));
+    assert_eq!(at(57_000), (None, Some("v2".into())));
+    assert_eq!(at(59_000), (Some("v2".into()), Some("v2".into())));
 }
 
 /// Streams of a longer timeout than now were begun with the earlier configuration.
@@ -98,12 +117,14 @@
     assert_eq!(history.update(&versions(["v1"]), SPAN_MS, 10), None);
     let history = history.update(&versions(["v2"]), SPAN_MS, 20_000).unwrap();
     let later = 20_000 + 6 * SPAN_MS;
-    assert!(!history.is_settled(&versions(["v2"]), SPAN_MS, later));
+    let start = history.unrecorded_start(&versions(["v2"]), 20_000, SPAN_MS, later);
+    assert_eq!(start, None);
     assert_eq!(history.unrecorded(later).unwrap().as_ref(), "v1");
     // With a longer one, streams are recorded until the row says so.
     let history = History::default();
     let history = history.update(&versions(["v1"]), SPAN_MS, 0).unwrap();
-    assert!(!history.is_settled(&versions(["v1"]), 2 * SPAN_MS, 90_000));
+    let start = history.unrecorded_start(&versions(["v1"]), 0, 2 * SPAN_MS, 90_000);
+    assert_eq!(start, None);
 }
 
 #[test]
@@ -177,21 +198,50 @@
     fn no_instance_assumes_another_version_than_the_one_that_began_a_stream(
         presences in presences(),
         (begun, lasts) in (20_000_u64..140_000, 0..SPAN_MS),
-        view_age in prop_oneof![Just(0), 0..20_000_u64],
+        view_age in prop_oneof![Just(0), 0..=max_view_age_ms(SPAN_MS)],
         (row_lag, reader_lag) in (0..600_u64, 0..600_u64),
     ) {
         let synced = begun.saturating_sub(view_age);
         let view = present(&presences, synced);
         let writer = row(&presences, synced, row_lag);
-        let leaves_out_record =
-            view_age <= max_view_age_ms(SPAN_MS) && writer.is_settled(&view, SPAN_MS, begun);
-        let version = view.first().filter(|_| leaves_out_record);
-        if let Some(version) = version {
+        let changed = changed(&presences, synced);
+        if let Some(version) = writer.unrecorded_start(&view, changed, SPAN_MS, begun) {
             let taken_up = begun + lasts;
             let reader = row(&presences, taken_up, row_lag);
             let view = present(&presences, taken_up.saturating_sub(reader_lag));
-            let assumed = assumed(&reader, &view, taken_up);
-            prop_assert_eq!(assumed.as_ref(), Some(version));
+            prop_assert_eq!(assumed(&reader, &view, taken_up), Some(version));
+        }
+    }
+
+    /// No instance has reached the store for any time when a stream begins. It is taken up after the
+    /// return of the store, when the upstreams may be others.
+    #[test]
+    fn a_stream_begun_in_an_outage_of_any_length_belongs_to_the_assumed_version(
+        presences in presences(),
+        (lost, outage, remaining) in (20_000_u64..100_000, 0..40_000_u64, 0..SPAN_MS),
+        (row_lag, has_row) in (0..600_u64, any::<bool>()),
+        lasts in 0..SPAN_MS,
+    ) {
+        let begun = lost + outage.saturating_sub(remaining);
+        let taken_up = (lost + outage).max(begun + lasts);
+        // No entry changes during the outage, and no row. Changes just before it may not be in the row
+        // that the writer knows, though in that of the store.
+        let entries = |at: u64| present(&presences, if at < lost + outage { at.min(lost) } else { at });
+        let rows = |now: u64, lag: u64| {
+            let mut history = History::default();
+            for poll in (0..=now).step_by(POLL_MS as usize) {
+                if !(lost..lost + outage).contains(&poll) {
+                    let present = entries(poll.saturating_sub(lag));
+                    history = history.update(&present, SPAN_MS, poll).unwrap_or(history);
+                }
+            }
+            history
+        };
+        let writer = rows(lost, if has_row { row_lag } else { 600 });
+        let changed = changed(&presences, lost);
+        if let Some(version) = writer.unrecorded_start(&entries(lost), changed, SPAN_MS, begun) {
+            let reader = rows(taken_up, row_lag);
+            prop_assert_eq!(assumed(&reader, &entries(taken_up), taken_up), Some(version));
         }
     }
 }
--- a/crates/daemon/tests/ingress/software_version.rs
+++ b/crates/daemon/tests/ingress/software_version.rs
@@ -238,6 +238,69 @@
     assert_eq!(continuations(&new), 0);
 }
 
+/// Longest time from the start of two instances until they know each other, and a margin.
+const DISCOVERY: Duration = Duration::from_secs(17);
+
+/// Begins streams at an instance while the store has been in `mode` for two seconds, kills the instance
+/// after the store's return, and takes the streams up at another one. A second version has come just
+/// before the outage.
+async fn check_streams_begun_in_an_outage(mode: Mode) {
+    let slow = Behaviour::Respond {
+        events: 28,
+        interval_ms: 100,
+    };
+    let (store, _old) = start_versions([("v1", slow), ("v1", slow)]);
+    let begun_at = Instance::spawn(&store, "a").await;
+    let survivor = Instance::spawn(&store, "b").await;
+    tokio::time::sleep(DISCOVERY).await;
+    let _new = Upstream::spawn_version(&store, "i-3", "engine", "v2", slow);
+    begun_at.wait_for_event("E0731").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    store.set_mode(mode);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let streams = (0..12).map(|number| begun_at.send(stream(&format!("t{number}"))));
+    let (begun, ()) = tokio::join!(futures_util::future::join_all(streams), async {
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        store.set_mode(Mode::Up);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        begun_at.signal("KILL");
+    });
+    let survivor = &survivor;
+    let taken_up = begun
+        .into_iter()
+        .enumerate()
+        .map(|(number, reply)| async move {
+            let begun = reply.unwrap();
+            assert_eq!(begun.status, StatusCode::OK, "{mode:?}, stream {number}");
+            assert!(!begun.body.is_empty() && !begun.is_complete);
+            // The instance may not have noticed the store's return yet.
+            let continued = wait_for("the stream goes on", || async {
+                let attempt = format!("u{number}-{}", rand::random::<u32>());
+                let request = resumption(&attempt, &format!("t{number}"), 5);
+                let reply = survivor.send(request).await.unwrap();
+                (reply.status == StatusCode::OK).then_some(reply)
+            })
+            .await;
+            let is_new = |reply: &Reply| reply.header("server-signature") == Some("sig-i-3");
+            assert_eq!(
+                is_new(&begun),
+                is_new(&continued),
+                "{mode:?}, stream {number}"
+            );
+        });
+    futures_util::future::join_all(taken_up).await;
+}
+
+/// A stream that begins without a record during an outage must begin at the version that instances
+/// assume of it after the outage.
+#[tokio::test]
+async fn streams_begun_in_an_outage_go_on_at_the_version_that_began_them() {
+    tokio::join!(
+        check_streams_begun_in_an_outage(Mode::Unavailable),
+        check_streams_begun_in_an_outage(Mode::Unresponsive)
+    );
+}
+
 /// All instances start again, one after the other. A service of one version stays one of which every
 /// stream goes on at once.
 #[tokio::test]
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -71,10 +71,10 @@
     /// Name of the route.
     pub(crate) route: Arc<str>,
     pub(crate) engine: Option<Engine>,
-    /// Software version that began the stream, once its first event has arrived or was received by
-    /// an earlier attempt.
+    /// Software version at which the stream may run: the one that began it, once its first event has
+    /// arrived or was received by an earlier attempt, or the one that needs no record.
     pub(crate) version: Option<Arc<str>>,
-    /// Whether the stream begins without a record of its version, whatever the versions are.
+    /// Whether the stream begins without a record, at the version that other instances then assume.
     pub(crate) begins_unrecorded: bool,
     /// How long a stream of the route and the requests that take it up again last, in milliseconds.
     pub(crate) stream_span_ms: u64,
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -321,7 +321,7 @@
     if state.path().is_lost() {
         return relay_or_reject(request).await;
     }
-    if stream_version::lacks_store(&request) {
+    if stream_version::lacks_store(&mut request) {
         if request.relayed_by.is_some() {
             return relay_or_reject(request).await;
         }
@@ -507,7 +507,8 @@
                 }
                 request.version = Some(Arc::clone(&placement.version));
                 // No event is sent before its tokens are granted and any instance could continue
-                // the stream.
+                // the stream. A record that failed may still be stored, so that the stream can't begin
+                // at another version.
                 let recorded = stream_version::record(&request, &placement.version).await;
                 recorded.map_err(|error| reject_unrecorded(&request, &error))?;
                 let waited_ms = request
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -287,6 +287,11 @@
         self.store_outage_ms() > 0
     }
 
+    /// Returns whether calls of the store have failed since the latest one that succeeded.
+    pub(crate) fn is_store_failing(&self) -> bool {
+        lock(&self.health).is_failing()
+    }
+
     /// Returns for how many milliseconds the store has been unavailable; 0 if it is available.
     pub(crate) fn store_outage_ms(&self) -> u64 {
         lock(&self.health).outage_ms(self.now())
--- a/crates/ingress/src/stream_version.rs
+++ b/crates/ingress/src/stream_version.rs
@@ -28,15 +28,15 @@
     retention: Mutex<Retention>,
 }
 
-/// Returns the version that began the stream which a request takes up, or `None` if the request
-/// begins a stream.
+/// Returns the version that began the stream which a request takes up, or the one at which the stream has
+/// to begin. Returns `None` if it may begin at any.
 ///
 /// # Errors
 ///
 /// Returns a rejection if the version is not known or the store does not respond in time.
 pub(crate) async fn load(request: &ActiveRequest) -> Result<Option<Arc<str>>, Rejection> {
     if request.kind != RouteKind::ResumableStream || request.headers.last_event.is_none() {
-        return Ok(None);
+        return Ok(request.version.clone());
     }
     let state = &request.state;
     let find_recorded = async {
@@ -71,29 +71,38 @@
 }
 
 /// Returns whether a stream can't begin or go on at this instance at present, as its version can be
-/// neither stored nor looked up.
-pub(crate) fn lacks_store(request: &ActiveRequest) -> bool {
-    let is_concerned = request.kind == RouteKind::ResumableStream && request.state.is_store_down();
-    is_concerned && (request.headers.last_event.is_some() || needs_record(request))
+/// neither stored nor looked up. While calls of the store fail, a stream begins at the version that needs
+/// no record.
+pub(crate) fn lacks_store(request: &mut ActiveRequest) -> bool {
+    if request.kind != RouteKind::ResumableStream {
+        return false;
+    }
+    let state = Arc::clone(&request.state);
+    let is_down = state.is_store_down();
+    if request.headers.last_event.is_some() {
+        return is_down;
+    }
+    let versions = version_history::present_versions(&state, &request.service);
+    if is_down && versions.len() != 1 {
+        // Another instance may store the version.
+        return true;
+    }
+    let begins = (is_down || state.is_store_failing()) && begin_unrecorded(request);
+    is_down && !begins
 }
 
-/// Waits until the store is available for a stream whose version has to be stored. If no instance
-/// seems to reach the store, none learns of versions that this one does not know, so that a stream may
-/// begin without a record.
+/// Lets a stream begin at the version that needs no record, or waits until the store is available for
+/// the record of another one.
 ///
 /// # Errors
 ///
 /// Returns a rejection if the request should not wait any longer.
 pub(crate) async fn await_store(request: &mut ActiveRequest) -> Result<(), Rejection> {
-    let state = &request.state;
-    if request.headers.last_event.is_some() {
-        // The version is looked up later, which waits.
-        return Ok(());
-    }
-    if state.relays().is_store_lost() {
-        request.begins_unrecorded = true;
+    if request.headers.last_event.is_some() || begin_unrecorded(request) {
+        // The version of a stream that is taken up is looked up later, which waits.
         return Ok(());
     }
+    let state = &request.state;
     let partition = partition_key(&request.scoped(&request.attempt_id));
     let began = state.now();
     state
@@ -101,12 +110,25 @@
         .await
 }
 
-fn needs_record(request: &ActiveRequest) -> bool {
-    if request.begins_unrecorded {
-        return false;
-    }
-    let (state, span_ms) = (&request.state, request.stream_span_ms);
-    !version_history::is_settled(state, &request.service, span_ms)
+/// Lets a stream begin at the version that needs no record, if there is one with upstreams. Returns
+/// whether it does.
+pub(crate) fn begin_unrecorded(request: &mut ActiveRequest) -> bool {
+    let state = &request.state;
+    let version = unrecorded_start(request).filter(|version| {
+        let fleet = state.fleet();
+        fleet.serves_version(&request.service, version, state.now())
+    });
+    request.begins_unrecorded = version.is_some();
+    request.version = version;
+    request.begins_unrecorded
+}
+
+/// Returns the version at which the stream may begin without a record, if there is one.
+fn unrecorded_start(request: &ActiveRequest) -> Option<Arc<str>> {
+    let state = &request.state;
+    let is_store_lost = state.relays().is_store_lost();
+    let span_ms = request.stream_span_ms;
+    version_history::unrecorded_start(state, &request.service, span_ms, is_store_lost)
 }
 
 /// Stores the version of a stream before its first event is sent, if other instances could not tell
@@ -117,7 +139,11 @@
 /// Returns the store's last error when the time is over.
 pub(crate) async fn record(request: &ActiveRequest, version: &str) -> Result<(), Error> {
     let is_begun = request.headers.last_event.is_some();
-    if request.kind != RouteKind::ResumableStream || is_begun || !needs_record(request) {
+    if request.kind != RouteKind::ResumableStream
+        || is_begun
+        || request.begins_unrecorded
+        || unrecorded_start(request).as_deref() == Some(version)
+    {
         return Ok(());
     }
     let state = &request.state;
--- a/crates/ingress/src/version_history.rs
+++ b/crates/ingress/src/version_history.rs
@@ -52,7 +52,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct VersionHistories {
     /// Versions of each service's upstreams when these were last read.
-    present: Mutex<BTreeMap<Arc<str>, BTreeSet<Arc<str>>>>,
+    present: Mutex<BTreeMap<Arc<str>, Present>>,
     stored: Mutex<BTreeMap<Arc<str>, Stored>>,
     /// When the rows were read.
     read: tokio::sync::Mutex<Option<Time>>,
@@ -60,6 +60,13 @@
     view_changed: Notify,
 }
 
+/// Versions that a service has, and since when they are the same.
+#[derive(Clone, Debug)]
+struct Present {
+    versions: BTreeSet<Arc<str>>,
+    since: Time,
+}
+
 /// A history and the version of its row.
 #[derive(Clone, Debug, Default)]
 struct Stored {
@@ -70,9 +77,20 @@
 /// Records which versions the services have, after the upstreams were read, and wakes the writer.
 pub(crate) fn record_view(state: &State) {
     let now = state.now();
-    let present = state.fleet().versions(now);
+    let found = state.fleet().versions(now);
     let histories = &state.version_histories;
-    *lock(&histories.present) = present;
+    {
+        let mut present = lock(&histories.present);
+        let known = std::mem::take(&mut *present);
+        let found = found.into_iter().map(|(service, versions)| {
+            let same = known
+                .get(&service)
+                .filter(|known| known.versions == versions);
+            let since = same.map_or(now, |known| known.since);
+            (service, Present { versions, since })
+        });
+        present.extend(found);
+    }
     histories.view_changed.notify_one();
 }
 
@@ -106,19 +124,25 @@
     }
 }
 
-/// Returns whether a stream that begins at the only version of a service's upstreams needs no record.
-pub(crate) fn is_settled(state: &State, service: &str, span_ms: u64) -> bool {
-    let Some(now_ms) = state.store.now_ms() else {
-        return false;
-    };
-    if state.fleet_view_age_ms() > max_view_age_ms(span_ms) {
-        return false;
+/// Returns the version at which a stream of a service may begin without a record, or `None` if there is
+/// none. `is_store_lost` tells whether no instance seems to reach the store.
+pub(crate) fn unrecorded_start(
+    state: &State,
+    service: &str,
+    span_ms: u64,
+    is_store_lost: bool,
+) -> Option<Arc<str>> {
+    let now_ms = state.store.now_ms()?;
+    if state.fleet_view_age_ms() > max_view_age_ms(span_ms) && !is_store_lost {
+        return None;
     }
-    let present = present_versions(state, service);
-    let stored = lock(&state.version_histories.stored);
-    stored
+    let present = lock(&state.version_histories.present)
         .get(service)
-        .is_some_and(|stored| stored.history.is_settled(&present, span_ms, now_ms))
+        .cloned()?;
+    let changed_ms = now_ms.saturating_sub(state.now().since(present.since));
+    let stored = lock(&state.version_histories.stored);
+    let history = &stored.get(service)?.history;
+    history.unrecorded_start(&present.versions, changed_ms, span_ms, now_ms)
 }
 
 /// Returns the version of a stream without a record that a request takes up, or `None` if it is
@@ -153,9 +177,13 @@
     Ok(history.unrecorded(now_ms).cloned())
 }
 
-fn present_versions(state: &State, service: &str) -> BTreeSet<Arc<str>> {
+/// Returns the versions of a service's upstreams when these were last read.
+pub(crate) fn present_versions(state: &State, service: &str) -> BTreeSet<Arc<str>> {
     let present = lock(&state.version_histories.present);
-    present.get(service).cloned().unwrap_or_default()
+    let present = present.get(service);
+    present
+        .map(|present| present.versions.clone())
+        .unwrap_or_default()
 }
 
 /// Returns the changes that the rows lack, by service.
@@ -169,7 +197,7 @@
         // Without streams that can be resumed, the versions don't matter.
         let span_ms = stream_span_ms(table.resumable_timeout_ms(&service)?);
         let known = stored.get(&service).cloned().unwrap_or_default();
-        let history = known.history.update(&present, span_ms, now_ms)?;
+        let history = known.history.update(&present.versions, span_ms, now_ms)?;
         let change = Stored {
             history,
             row_version: known.row_version,
