Say on which configuration a relayed request rests, and copy it to the instance that is behind

Cause: a relayed request did not carry what the relaying instance's decisions rest on. The other one decided again by its own configuration, and neither could tell which is newer. Both directions break: the relaying instance may be the older one.

Change: relayed requests carry the version that they need, whether they may be repeated and where they may have run; a request that must not be repeated leaves one attempt to the other instance, which earlier builds keep too. The instance that is behind copies the document from the other one before it handles anything, so that nothing stops when a version comes, and no store is needed. One that can't declines.

account_relay::a_relayed_request_with_a_revoked_key_is_rejected expected 503 for a key that only the newer configuration has, as the relaying instance could not know it. It knows now: the test expects that the request runs for its account, and 503 for a key that no instance knows.

--- a/crates/core/src/dispatch/request.rs
+++ b/crates/core/src/dispatch/request.rs
@@ -72,6 +72,11 @@
     OverQuota(u64),
     /// This instance has no path to the upstreams. The request did not run.
     Unreachable,
+    /// This instance has an older configuration than the request needs. The request did not run.
+    Outdated,
+    /// The request was relayed as one that may be repeated, and must not be according to the newer
+    /// configuration of this instance. The request did not run.
+    Superseded,
     /// The request may have run.
     Unknown,
     /// The request crashed upstreams earlier and is not sent again.
--- a/crates/daemon/tests/ingress/account_relay.rs
+++ b/crates/daemon/tests/ingress/account_relay.rs
@@ -12,6 +12,9 @@
 use crate::lost_path::{Failure, Site};
 use crate::support::{Turn, configure_accounts, to_public_host, wait_for, with_key};
 
+/// A key of no account.
+const UNKNOWN_KEY: &str = "sk-unknown-51c0e7";
+
 /// An instance that has lost its path and does not reach the store has an older configuration than the
 /// one that it relays to. Guards against a key that is accepted there though it was revoked.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -57,11 +60,17 @@
     let reply = send(relaying, request("kept", ALPHA_SPARE_KEY)).await;
     assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
     assert_account(&site.runs("kept"), Some("alpha"));
+    // The instance has got the newer configuration from the other one.
     let reply = send(relaying, request("added", NEW_KEY)).await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert_account(&site.runs("added"), Some("alpha"));
+    // A key that it doesn't know may be in a configuration that no instance here knows.
+    let reply = send(relaying, request("unknown", UNKNOWN_KEY)).await;
     assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{reply:?}");
+    assert!(site.runs("unknown").is_empty());
     for instance in &site.instances {
         let log = instance.log_text();
-        for key in [ALPHA_KEY, ALPHA_SPARE_KEY, BETA_KEY, NEW_KEY] {
+        for key in [ALPHA_KEY, ALPHA_SPARE_KEY, BETA_KEY, NEW_KEY, UNKNOWN_KEY] {
             assert!(!log.contains(key));
         }
     }
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -17,6 +17,7 @@
 mod process;
 mod quota;
 mod rate_limit;
+mod relayed_config;
 mod scripted_upstream;
 mod soak;
 mod software_version;
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -414,6 +414,33 @@
     request
 }
 
+/// A route for plain requests, in a configuration of such routes alone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlainRoute {
+    pub(crate) prefix: &'static str,
+    pub(crate) kind: &'static str,
+    pub(crate) service: &'static str,
+}
+
+/// Puts a configuration with these routes in the store. Its services are `app` and `other`.
+pub(crate) fn configure_plain(store: &Store, version: u64, routes: &[PlainRoute]) {
+    let mut config = build_config(version, 60.0, 100_000, 4_000);
+    let pattern = config["routes"][0].clone();
+    let routes = routes.iter().map(|route| {
+        let mut value = pattern.clone();
+        value["name"] = route.prefix.into();
+        value["prefix"] = route.prefix.into();
+        value["type"] = route.kind.into();
+        value["service"] = route.service.into();
+        value
+    });
+    config["routes"] = routes.collect();
+    let mut other = config["services"][0].clone();
+    other["name"] = "other".into();
+    config["services"].as_array_mut().unwrap().push(other);
+    store.put("op", "config", config.to_string().as_bytes());
+}
+
 fn build_config(version: u64, retention_s: f64, max_body_bytes: usize, timeout_ms: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, resumable: bool, retained: bool| {
         json!({
--- a/crates/daemon/tests/upgrade/main.rs
+++ b/crates/daemon/tests/upgrade/main.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use basilramp_fakes::relay::{self, Door, Relay};
+use basilramp_fakes::relay::{self, Cut, Door, Relay};
 use basilramp_fakes::user_platform::{Behaviour, RequestRecord, Store, Upstream, View};
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -22,8 +22,8 @@
 use serde_json::json;
 
 use crate::support::{
-    EVENT_TOKENS, IMMEDIATE_RESPONSE, Instance, Turn, configure, configure_accounts, plain_request,
-    start_site, wait_for, with_key,
+    EVENT_TOKENS, IMMEDIATE_RESPONSE, Instance, PlainRoute, Turn, configure, configure_accounts,
+    configure_plain, plain_request, start_site, wait_for, with_key,
 };
 
 const SLOW: Behaviour = Behaviour::Respond {
@@ -139,6 +139,8 @@
     upstreams: [Upstream; 2],
     _links: [Relay; 2],
     _view: View,
+    /// Link of the other instance to the store.
+    store_link: Relay,
     cut_off: Instance,
     other: Instance,
 }
@@ -160,13 +162,17 @@
             .map(|(upstream, link)| (upstream.address(), link.address()))
             .collect();
         let view = store.spawn_view(addresses);
+        let store_link = relay::spawn(store.address());
         let (cut_off, other) = if is_earlier_cut_off {
             let program = earlier_build::program();
             let cut_off = Instance::spawn_build(program, view.address(), "a").await;
-            (cut_off, Instance::spawn(&store, "b").await)
+            let other = Instance::spawn_ready_at(store_link.address(), "b").await;
+            (cut_off, other)
         } else {
             let cut_off = Instance::spawn_ready_at(view.address(), "a").await;
-            (cut_off, earlier(&store, "b").await)
+            let program = earlier_build::program();
+            let other = Instance::spawn_build(program, store_link.address(), "b").await;
+            (cut_off, other)
         };
         for link in &links {
             link.set_door(Door::Refusing);
@@ -185,6 +191,7 @@
             upstreams,
             _links: links,
             _view: view,
+            store_link,
             cut_off,
             other,
         }
@@ -209,6 +216,48 @@
     }
 }
 
+/// An instance of this build relays orders to one of the earlier build, to which the store is silent and
+/// whose configuration says that they may be repeated. Guards against an order that runs twice, and against
+/// headers at an upstream that the earlier build doesn't know.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_relayed_to_the_earlier_build_run_once() {
+    let shop = |kind| PlainRoute {
+        prefix: "/shop/",
+        kind,
+        service: "app",
+    };
+    let site = CutOff::spawn(false).await;
+    configure_plain(&site.store, 4, &[shop("safe")]);
+    site.other.wait_for_config(4).await;
+    let second = Upstream::spawn(&site.store, "i-second", "app", SLOW);
+    site.upstreams[0].set_leaving(false);
+    site.other.wait_for_event("E0731").await;
+    let upstreams = [&site.upstreams[0], &second];
+    for upstream in upstreams {
+        upstream.set_behaviour(Behaviour::Respond {
+            events: 1,
+            interval_ms: 700,
+        });
+    }
+    site.store_link.cut(Cut::Both);
+    site.store_link.set_door(Door::Silent);
+    configure_plain(&site.store, 5, &[shop("unsafe")]);
+    site.cut_off.wait_for_config(5).await;
+    let attempts: Vec<_> = (0..8).map(|number| format!("order-{number}")).collect();
+    let replies = attempts
+        .iter()
+        .map(|attempt| site.cut_off.send(plain_request("shop", attempt)));
+    let replies = futures_util::future::join_all(replies).await;
+    for (attempt, reply) in attempts.iter().zip(replies) {
+        let runs = upstreams.into_iter().flat_map(Upstream::requests);
+        let runs: Vec<_> = runs.filter(|run| run.attempt_id == *attempt).collect();
+        assert!(runs.len() <= 1, "{attempt}: {runs:?}, {reply:?}");
+        assert!(runs.iter().all(|run| run.forged_headers.is_empty()));
+    }
+    let mut runs = upstreams.into_iter().flat_map(Upstream::requests);
+    assert!(runs.any(|run| run.attempt_id.starts_with("order")));
+}
+
 /// Requests with keys are relayed to an instance of the other build. Guards against a key or its digest at
 /// an upstream, and against a caller that names an account in headers which the earlier build passes on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/fakes/src/user_platform/upstream.rs
+++ b/crates/fakes/src/user_platform/upstream.rs
@@ -120,7 +120,7 @@
 const VARIED_PATH: &str = "/varied/";
 
 /// Internal headers that must be removed from callers' requests.
-const INTERNAL_HEADERS: [&str; 8] = [
+const INTERNAL_HEADERS: [&str; 12] = [
     "hold",
     "pin-ms",
     "kv-from",
@@ -129,6 +129,10 @@
     "relay-account",
     "relay-key",
     "relay-version",
+    "relay-config",
+    "relay-repeatable",
+    "relay-ran",
+    "relay-config-copy",
 ];
 
 impl Upstream {
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -76,6 +76,9 @@
     pub(crate) version: Option<Arc<str>>,
     /// Whether the stream begins without a record, at the version that other instances then assume.
     pub(crate) begins_unrecorded: bool,
+    /// Whether an upstream may have begun the stream through another instance, which may store its
+    /// version late.
+    pub(crate) may_have_begun: bool,
     /// How long a stream of the route and the requests that take it up again last, in milliseconds.
     pub(crate) stream_span_ms: u64,
     pub(crate) arrived: Time,
--- /dev/null
+++ b/crates/ingress/src/config_copy.rs
@@ -0,0 +1,138 @@
+//! Copies of the configuration that instances get from each other.
+//!
+//! An instance that the store does not answer may have an older configuration than the instance whose
+//! requests it handles, or the one that handles its requests. The one that is behind gets the document
+//! from the other, so that the requests of a caller are handled according to one version.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use basilramp_core::clock::Time;
+use basilramp_process::event;
+use basilramp_wire::config_copy;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+
+use crate::handler::Body;
+use crate::log_event::Event;
+use crate::state::{State, lock};
+use crate::{feed, relay};
+
+/// Time limit for a copy. Requests wait for it.
+const COPY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time after a failed copy within which no other one is tried, in milliseconds.
+const RETRY_MS: u64 = 300;
+
+/// Maximum length of a document in bytes, several times what a row of the store holds.
+const MAX_DOCUMENT_BYTES: usize = 1_024 * 1_024;
+
+/// What is known of configurations that are newer than the one in force.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigCopies {
+    newest: Mutex<Option<Newest>>,
+    /// When the latest copy failed. Held while one is made.
+    failed_at: tokio::sync::Mutex<Option<Time>>,
+}
+
+/// The newest version that is known, and an instance that has it.
+#[derive(Clone, Debug)]
+struct Newest {
+    version: u64,
+    holder: Arc<str>,
+}
+
+/// Returns the version of the configuration that requests of this instance's callers need at least:
+/// an upstream may have seen its effect.
+pub(crate) fn required_version(state: &State) -> u64 {
+    let newest = lock(&state.config_copies.newest);
+    let known = newest.as_ref().map_or(0, |newest| newest.version);
+    known.max(state.config_version())
+}
+
+/// Returns whether the configuration in force is older than the required one.
+pub(crate) fn is_outdated(state: &State) -> bool {
+    state.config_version() < required_version(state)
+}
+
+/// Records that an instance which handled a request has a version, and gets it if it is newer.
+pub(crate) fn require(state: &Arc<State>, version: u64, holder: &Arc<str>) {
+    if version <= required_version(state) {
+        return;
+    }
+    *lock(&state.config_copies.newest) = Some(Newest {
+        version,
+        holder: Arc::clone(holder),
+    });
+    let state = Arc::clone(state);
+    tokio::spawn(async move { catch_up(&state).await });
+}
+
+/// Gets the required version, if it is newer than the one in force.
+pub(crate) async fn catch_up(state: &Arc<State>) {
+    let newest = lock(&state.config_copies.newest).clone();
+    if let Some(newest) = newest {
+        ensure(state, newest.version, &newest.holder).await;
+    }
+}
+
+/// Returns whether a version or a newer one is in force, after getting it from an instance that has it
+/// if necessary.
+pub(crate) async fn ensure(state: &Arc<State>, version: u64, holder: &Arc<str>) -> bool {
+    if state.config_version() >= version {
+        return true;
+    }
+    let mut failed_at = state.config_copies.failed_at.lock().await;
+    // Another request may have got it meanwhile.
+    if state.config_version() >= version {
+        return true;
+    }
+    if failed_at.is_some_and(|at| state.now().since(at) < RETRY_MS) {
+        return false;
+    }
+    let document = tokio::time::timeout(COPY_TIMEOUT, copy(state, holder)).await;
+    let error = match document {
+        Ok(Some(document)) => match feed::apply_config(state, document, Some(holder)) {
+            Ok(()) => None,
+            Err(error) => Some(error.to_string()),
+        },
+        Ok(None) => Some("no document".to_owned()),
+        Err(_) => Some("no answer in time".to_owned()),
+    };
+    let is_in_force = state.config_version() >= version;
+    *failed_at = (!is_in_force).then(|| state.now());
+    if !is_in_force && state.allows_log_line(Event::ConfigNotCopied) {
+        event!(
+            state.log,
+            Event::ConfigNotCopied,
+            "version" => version,
+            "from" => holder.to_string(),
+            "error" => error
+        );
+    }
+    is_in_force
+}
+
+async fn copy(state: &Arc<State>, holder: &Arc<str>) -> Option<Bytes> {
+    let mut request = Request::new(Full::default());
+    config_copy::mark(request.headers_mut());
+    relay::call(state, holder, request, MAX_DOCUMENT_BYTES).await
+}
+
+/// Answers another instance that asks for the document.
+pub(crate) fn respond(state: &State) -> Response<Body> {
+    let document = state.config_document();
+    let status = if document.is_some() {
+        StatusCode::OK
+    } else {
+        StatusCode::NOT_FOUND
+    };
+    let body = Limited::new(Full::new(document.unwrap_or_default()), usize::MAX);
+    let mut response = Response::new(
+        body.map_err(|_| crate::handler::ResponseAborted)
+            .boxed_unsync(),
+    );
+    *response.status_mut() = status;
+    response
+}
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use basilramp_adapter::config::InvalidConfig;
 use basilramp_adapter::store::{Error, Page, PartitionKey, Row};
 use basilramp_adapter::{config, discovery};
 use basilramp_core::clock::Time;
@@ -10,6 +11,7 @@
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::route::RouteTable;
 use basilramp_process::event;
+use bytes::Bytes;
 use rand::Rng;
 
 use crate::log_event::Event;
@@ -238,20 +240,39 @@
     let Some(value) = &row.value else {
         return;
     };
-    match config::parse(value) {
-        Ok(config) => {
-            let version = config.version;
-            let routes = config.routes.len();
-            let was_ready = state.table().is_some();
-            if state.apply_config(RouteTable::new(config)) {
-                event!(state.log, Event::ConfigInForce, "version" => version, "routes" => routes);
-                if !was_ready {
-                    event!(state.log, Event::Ready);
-                }
-            }
+    if let Err(error) = apply_config(state, Bytes::copy_from_slice(value), None) {
+        log_unreadable(state, config::TABLE, row, &error.to_string());
+    }
+}
+
+/// Applies a configuration document if it is newer than the one in force. `source` is the instance that it
+/// was copied from, if it does not come from the store.
+///
+/// # Errors
+///
+/// Fails if the document is invalid.
+pub(crate) fn apply_config(
+    state: &State,
+    document: Bytes,
+    source: Option<&str>,
+) -> Result<(), InvalidConfig> {
+    let config = config::parse(&document)?;
+    let version = config.version;
+    let routes = config.routes.len();
+    let was_ready = state.table().is_some();
+    if state.apply_config(RouteTable::new(config), document) {
+        event!(
+            state.log,
+            Event::ConfigInForce,
+            "version" => version,
+            "routes" => routes,
+            "from" => source
+        );
+        if !was_ready {
+            event!(state.log, Event::Ready);
         }
-        Err(error) => log_unreadable(state, config::TABLE, row, &error.to_string()),
     }
+    Ok(())
 }
 
 fn apply_entries(state: &State, page: &Page, is_full_table: bool) {
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -10,6 +10,7 @@
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::account::Scope;
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
+use basilramp_core::dispatch::config::Route;
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::placement::Placement;
 use basilramp_core::dispatch::request::{Rejection, RequestHeaders};
@@ -38,8 +39,8 @@
 use crate::stream::Stream;
 use crate::stream_log::StreamLog;
 use crate::{
-    attempt, client, crash, prepare, quota, relay, stream_log, stream_version, suspect,
-    version_history,
+    attempt, client, config_copy, crash, prepare, quota, relay, stream_log, stream_version,
+    suspect, version_history,
 };
 
 /// Retry delay sent to a caller when no configuration is loaded yet.
@@ -99,6 +100,7 @@
         Err(response) => return *response,
     };
     let is_relayed = source.relayed_by.is_some();
+    let tells_config = source.basis.is_some();
     let headers = caller::parse_headers(&parts.headers);
     let attempt_id = headers.attempt_id.clone();
     // The end of a chunked body is defined by its sender alone. Close the connection, so that bytes
@@ -123,6 +125,8 @@
             match rejection {
                 Rejection::Unknown => wire::relay::mark_unserved(headers),
                 Rejection::Unreachable => Decline::NoPath.insert_into(headers),
+                Rejection::Outdated => Decline::Outdated.insert_into(headers),
+                Rejection::Superseded => Decline::Superseded.insert_into(headers),
                 _ => {}
             }
             if !is_relayed {
@@ -131,6 +135,9 @@
             response
         }
     };
+    if tells_config {
+        wire::relay::insert_config_version(response.headers_mut(), state.config_version());
+    }
     if is_relayed {
         return response;
     }
@@ -151,6 +158,8 @@
     /// Number of upstreams that may run the request, if that is less than its route allows.
     max_attempts: u32,
     relayed_by: Option<Arc<str>>,
+    /// What the relaying instance's decisions rest on, if it says so.
+    basis: Option<wire::relay::Basis>,
     /// Client account, as the relaying instance found it.
     client: Option<wire::relay::Client>,
 }
@@ -167,6 +176,7 @@
                 caller,
                 max_attempts: u32::MAX,
                 relayed_by: None,
+                basis: None,
                 client: None,
             },
             Origin::Instance(instance) => {
@@ -185,14 +195,47 @@
                     caller: request.caller,
                     max_attempts: request.attempts,
                     relayed_by: Some(instance),
+                    basis: request.basis,
                     client: request.client,
                 }
             }
         };
         wire::relay::remove_headers(&mut parts.headers);
         wire::permit::unmark(&mut parts.headers);
+        wire::config_copy::unmark(&mut parts.headers);
         Ok(source)
     }
+
+    /// Gets the configuration that the request needs, if the one in force is older.
+    ///
+    /// # Errors
+    ///
+    /// Returns a rejection if a relayed request needs a newer one.
+    async fn catch_up(&self, state: &Arc<State>) -> Result<(), Rejection> {
+        match (&self.relayed_by, self.basis) {
+            (None, _) => config_copy::catch_up(state).await,
+            (Some(_), None) => {}
+            (Some(instance), Some(basis)) => {
+                if !config_copy::ensure(state, basis.config_version, instance).await {
+                    return Err(Rejection::Outdated);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that a route does not forbid to repeat a request which the relaying instance may repeat.
+    ///
+    /// # Errors
+    ///
+    /// Returns a rejection if it does.
+    fn check_repeats(&self, route: &Route) -> Result<(), Rejection> {
+        let may_repeat = route.kind.is_idempotent() && route.retention_ms.is_none();
+        match self.basis {
+            Some(basis) if basis.is_repeatable && !may_repeat => Err(Rejection::Superseded),
+            _ => Ok(()),
+        }
+    }
 }
 
 fn record_rejection(
@@ -239,11 +282,15 @@
     if shutdown.is_some_and(|shutdown| arrived >= shutdown.accept_until()) {
         return Err(Rejection::NotRun(SHUTDOWN_RETRY_MS));
     }
+    source.catch_up(state).await?;
     let table = state.table().ok_or(Rejection::NotRun(START_RETRY_MS))?;
     let host = request_host(&parts).ok_or(Rejection::Malformed)?;
-    let route = table
-        .select(host, parts.uri.path())
-        .ok_or(Rejection::NoRoute)?;
+    let route = match table.select(host, parts.uri.path()) {
+        Some(route) => route,
+        None if config_copy::is_outdated(state) => return Err(Rejection::NotRun(START_RETRY_MS)),
+        None => return Err(Rejection::NoRoute),
+    };
+    source.check_repeats(route)?;
     let client = client::find(state, &table, route, source.client.as_ref(), &parts.headers)?;
     if let Some(client) = &client {
         account.get_or_init(|| Arc::clone(&client.account.name));
@@ -299,6 +346,7 @@
         deadline,
         version: None,
         begins_unrecorded: false,
+        may_have_begun: source.basis.is_some_and(|basis| basis.possibly_ran > 0),
         stream_span_ms: version_history::stream_span_ms(route.timeout_ms),
         starts_program: false,
         attempts: Attempts::default(),
@@ -318,7 +366,8 @@
     };
     recheck(&request)?;
     suspect::check(&request).inspect_err(|_| request.mark_logged())?;
-    if state.path().is_lost() {
+    let is_outdated = request.relayed_by.is_none() && config_copy::is_outdated(state);
+    if is_outdated || state.path().is_lost() {
         return relay_or_reject(request).await;
     }
     if stream_version::lacks_store(&mut request) {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -26,6 +26,7 @@
 //! | `feed` | follows configuration and upstream entries in the store |
 //! | `path` | checks the path to the upstreams |
 //! | `relay` | relays requests to other instances while the path is lost |
+//! | `config_copy` | gets a newer configuration from another instance |
 //! | `peer_server`, `peer_tls` | accepts relayed requests over mutual TLS |
 //! | `membership` | rows by which the instances find each other |
 //! | `pool` | connection pool for upstreams |
@@ -42,6 +43,7 @@
 mod budget;
 mod buffer;
 mod client;
+mod config_copy;
 mod crash;
 mod exchange;
 mod feed;
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -87,6 +87,8 @@
     PeerRejected = "E0765", Warning, "peer rejected";
     /// A call of the store for the rows of the instances failed.
     MembershipFailed = "E0766", Warning, "membership call failed";
+    /// A newer configuration could not be copied from another instance.
+    ConfigNotCopied = "E0767", Warning, "configuration not copied";
     /// The versions of a service changed, and this instance stored it.
     VersionsRecorded = "E0771", Info, "versions stored";
     /// A call of the store for the histories of versions failed.
--- a/crates/ingress/src/metric.rs
+++ b/crates/ingress/src/metric.rs
@@ -42,6 +42,8 @@
             Self::Rejected(Rejection::BudgetSpent) => "budget_spent",
             Self::Rejected(Rejection::NotRun(_)) => "not_run",
             Self::Rejected(Rejection::Unreachable) => "unreachable",
+            Self::Rejected(Rejection::Outdated) => "outdated",
+            Self::Rejected(Rejection::Superseded) => "superseded",
             Self::Rejected(Rejection::Unknown) => "unknown",
             Self::Rejected(Rejection::Quarantined) => "quarantined",
             Self::Rejected(Rejection::TimedOut) => "timed_out",
--- a/crates/ingress/src/peer_server.rs
+++ b/crates/ingress/src/peer_server.rs
@@ -7,7 +7,7 @@
 
 use basilramp_adapter::connection;
 use basilramp_process::event;
-use basilramp_wire::permit;
+use basilramp_wire::{config_copy, permit};
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -78,6 +78,8 @@
         async move {
             let response = if permit::is_marked(request.headers()) {
                 quota::respond(&state, request).await
+            } else if config_copy::is_marked(request.headers()) {
+                crate::config_copy::respond(&state)
             } else {
                 handler::handle(state, origin, request).await
             };
--- a/crates/ingress/src/quota/home.rs
+++ b/crates/ingress/src/quota/home.rs
@@ -108,15 +108,7 @@
     let mut request = Request::new(Full::new(Bytes::from(message)));
     *request.method_mut() = Method::POST;
     permit::mark(request.headers_mut());
-    let mut connection = relay::connect_to(state, home).await.ok()?;
-    let response = connection.sender().send_request(request).await.ok()?;
-    let is_ok = response.status() == StatusCode::OK;
-    let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES);
-    let body = body.collect().await.ok()?.to_bytes();
-    connection.release(state, home);
-    if !is_ok {
-        return None;
-    }
+    let body = relay::call(state, home, request, MAX_MESSAGE_BYTES).await?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -16,9 +16,9 @@
 use basilramp_wire::relay::{self, Decline};
 use bytes::Bytes;
 use futures_util::stream;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body::Frame;
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -26,6 +26,7 @@
 
 use crate::active_request::ActiveRequest;
 use crate::buffer::Reservation;
+use crate::config_copy;
 use crate::handler::{Body, ResponseAborted};
 use crate::leaving;
 use crate::log_event::Event;
@@ -58,6 +59,10 @@
 /// Retry delay sent to a caller if no other instance has a path either, in milliseconds.
 const NO_INSTANCE_RETRY_MS: u64 = 500;
 
+/// Retry delay sent to a caller whose request was relayed as an older configuration allows, in
+/// milliseconds. It is short, as this instance has the newer one by then.
+const SUPERSEDED_RETRY_MS: u64 = 50;
+
 /// Idle connections to other instances.
 #[derive(Debug, Default)]
 pub(crate) struct Connections(Mutex<BTreeMap<Arc<str>, Vec<IdleConnection>>>);
@@ -259,12 +264,22 @@
         let result = exchange(request, &instance, last_event).await;
         if let Ok((response, _)) = &result {
             leaving::observe_relayed(&state, response.headers());
+            if let Some(version) = relay::config_version(response.headers()) {
+                config_copy::require(&state, version, &instance);
+            }
         }
         let error = match result {
+            Ok((response, _))
+                if relay::decline_reason(response.headers()) == Some(Decline::Superseded) =>
+            {
+                guard.outcome = Outcome::Handled;
+                config_copy::catch_up(&state).await;
+                return Err(request.attempts.rejection(SUPERSEDED_RETRY_MS));
+            }
             Ok((response, _)) if let Some(reason) = relay::decline_reason(response.headers()) => {
                 guard.outcome = match reason {
                     Decline::NotReady => Outcome::LacksStore,
-                    Decline::NoPath | Decline::Stopping => Outcome::Declined,
+                    _ => Outcome::Declined,
                 };
                 RelayError::NotSent(format!("declined: {}", reason.label()))
             }
@@ -332,7 +347,7 @@
 }
 
 /// A connection in use, with what its reuse needs.
-pub(crate) struct Connection {
+struct Connection {
     sender: Sender,
     member: Member,
 }
@@ -367,10 +382,7 @@
 /// # Errors
 ///
 /// Fails if the instance is unknown or accepts no connection in time.
-pub(crate) async fn connect_to(
-    state: &State,
-    instance: &Arc<str>,
-) -> Result<Connection, RelayError> {
+async fn connect_to(state: &State, instance: &Arc<str>) -> Result<Connection, RelayError> {
     let unknown = || RelayError::NotSent("the instance is gone".into());
     let member = state.membership.get(instance).ok_or_else(unknown)?;
     let idle = state.connections.take(instance, &member);
@@ -389,18 +401,21 @@
     Ok(Connection { sender, member })
 }
 
-impl Connection {
-    /// Returns the sender of requests.
-    pub(crate) const fn sender(&mut self) -> &mut Sender {
-        &mut self.sender
-    }
-
-    /// Keeps the connection after a completely read response.
-    pub(crate) fn release(self, state: &State, instance: &Arc<str>) {
-        state
-            .connections
-            .release(instance, self.member, self.sender);
-    }
+/// Sends a request of this instance itself to another one. Returns the body of a response with status 200
+/// and at most `max_bytes` bytes.
+pub(crate) async fn call(
+    state: &State,
+    instance: &Arc<str>,
+    request: Request<Full<Bytes>>,
+    max_bytes: usize,
+) -> Option<Bytes> {
+    let Connection { mut sender, member } = connect_to(state, instance).await.ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let is_ok = response.status() == StatusCode::OK;
+    let body = Limited::new(response.into_body(), max_bytes);
+    let body = body.collect().await.ok()?.to_bytes();
+    state.connections.release(instance, member, sender);
+    is_ok.then_some(body)
 }
 
 async fn connect(state: &State, member: &Member) -> eyre::Result<Sender> {
@@ -427,9 +442,13 @@
     may_repeat_elsewhere(request) && request.may_abandon_attempt()
 }
 
-/// Returns the number of upstreams that the next instance may send a request to. If the request may be
-/// repeated, one is left for another instance.
+/// Returns the number of upstreams that may run a request at the next instance. If the request may be
+/// repeated, one is left for another instance. If it must not be, the other instance must not repeat it
+/// either, whatever its own configuration says.
 fn hop_attempts(request: &ActiveRequest) -> u32 {
+    if !request.kind.is_idempotent() {
+        return 1;
+    }
     let possibly_ran = request.attempts.possibly_ran;
     let remaining = request.max_attempts.saturating_sub(possibly_ran);
     let kept = u32::from(may_go_on_elsewhere(request));
@@ -458,6 +477,11 @@
     let headers = relay::Request {
         caller: request.identity.caller(),
         attempts: hop_attempts(request),
+        basis: Some(relay::Basis {
+            config_version: config_copy::required_version(&request.state),
+            is_repeatable: may_repeat_elsewhere(request),
+            possibly_ran: request.attempts.possibly_ran,
+        }),
         client: request.client.as_ref().map(|client| relay::Client {
             account: Arc::clone(&client.account.name),
             key: client.key.to_string(),
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -21,12 +21,14 @@
 use basilramp_process::event;
 use basilramp_process::log::Handle;
 use basilramp_process::log_rate::LogRateLimiter;
+use bytes::Bytes;
 use eyre::Result;
 use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budget::Budgets;
 use crate::buffer::Memory;
+use crate::config_copy::ConfigCopies;
 use crate::crash::Probes;
 use crate::log_event::Event;
 use crate::membership::Membership;
@@ -43,6 +45,14 @@
 use crate::turn_store::TurnStore;
 use crate::version_history::VersionHistories;
 
+/// The configuration in force.
+#[derive(Debug)]
+struct ConfigInForce {
+    table: Arc<RouteTable>,
+    /// As it is in the store.
+    document: Bytes,
+}
+
 /// State shared by all requests of an instance.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -78,7 +88,8 @@
     write_latency: Mutex<CallLatency>,
     quota: Mutex<LogRateLimiter>,
     pub(crate) metrics: Metrics,
-    table: RwLock<Option<Arc<RouteTable>>>,
+    config: RwLock<Option<ConfigInForce>>,
+    pub(crate) config_copies: ConfigCopies,
     /// Whether the table of upstreams was read completely at least once.
     is_fleet_loaded: AtomicBool,
     /// Time as of which the upstreams are known, in milliseconds.
@@ -131,7 +142,8 @@
             write_latency: Mutex::default(),
             quota: Mutex::new(LogRateLimiter::new(MAX_LOG_LINES_PER_SECOND)),
             metrics,
-            table: RwLock::default(),
+            config: RwLock::default(),
+            config_copies: ConfigCopies::default(),
             is_fleet_loaded: AtomicBool::new(false),
             fleet_view_at: AtomicU64::new(0),
             shutdown: OnceLock::new(),
@@ -206,21 +218,31 @@
 
     /// Returns the routes in force, or `None` before the first configuration.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
-        self.table
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        let config = self.config.read().unwrap_or_else(PoisonError::into_inner);
+        config.as_ref().map(|config| Arc::clone(&config.table))
+    }
+
+    /// Returns the version of the configuration in force; 0 before the first one.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.table().map_or(0, |table| table.config().version)
+    }
+
+    /// Returns the document of the configuration in force, or `None` before the first one.
+    pub(crate) fn config_document(&self) -> Option<Bytes> {
+        let config = self.config.read().unwrap_or_else(PoisonError::into_inner);
+        config.as_ref().map(|config| config.document.clone())
     }
 
     /// Applies a configuration if it is newer than the one in force. Returns whether it was
     /// applied.
-    pub(crate) fn apply_config(&self, table: RouteTable) -> bool {
-        let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
+    pub(crate) fn apply_config(&self, table: RouteTable, document: Bytes) -> bool {
+        let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
         let is_newer = current
             .as_ref()
-            .is_none_or(|known| known.config().version < table.config().version);
+            .is_none_or(|known| known.table.config().version < table.config().version);
         if is_newer {
-            *current = Some(Arc::new(table));
+            let table = Arc::new(table);
+            *current = Some(ConfigInForce { table, document });
         }
         is_newer
     }
--- a/crates/ingress/src/stream_version.rs
+++ b/crates/ingress/src/stream_version.rs
@@ -126,6 +126,10 @@
 /// Returns the version at which the stream may begin without a record, if there is one.
 fn unrecorded_start(request: &ActiveRequest) -> Option<Arc<str>> {
     let state = &request.state;
+    let versions = version_history::present_versions(state, &request.service);
+    if request.may_have_begun && versions.len() > 1 {
+        return None;
+    }
     let is_store_lost = state.relays().is_store_lost();
     let span_ms = request.stream_span_ms;
     version_history::unrecorded_start(state, &request.service, span_ms, is_store_lost)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod api;
 pub mod config;
+pub mod config_copy;
 pub mod convert;
 pub mod endpoints;
 pub mod engine;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -27,6 +27,21 @@
 const CLIENT_HEADERS: HeaderValue =
     HeaderValue::from_static("relay-account, relay-key, relay-version");
 
+/// Version of the configuration that the request needs at least. In a response, the version that the
+/// instance has.
+const CONFIG: HeaderName = HeaderName::from_static("relay-config");
+
+/// Present if the relaying instance may send the request to a further one that may run it again.
+const REPEATABLE: HeaderName = HeaderName::from_static("relay-repeatable");
+
+/// Number of upstreams that may have run the request.
+const RAN: HeaderName = HeaderName::from_static("relay-ran");
+
+/// Names of the headers of the basis, in a value of `Connection` of their own, so that earlier builds
+/// find that of the client account unchanged.
+const BASIS_HEADERS: HeaderValue =
+    HeaderValue::from_static("relay-config, relay-repeatable, relay-ran");
+
 /// Set in a response if the instance did not handle the request; holds the reason.
 const DECLINED: HeaderName = HeaderName::from_static("relay-declined");
 
@@ -43,10 +58,47 @@
     pub caller: IpAddr,
     /// Number of upstreams that may still run the request.
     pub attempts: u32,
+    /// What the relaying instance's decisions about the request rest on. `None` if it runs a build that
+    /// does not say so.
+    pub basis: Option<Basis>,
     /// Client account, if callers need a key.
     pub client: Option<Client>,
 }
 
+/// What a relaying instance's decisions about a request rest on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Basis {
+    /// Version of the configuration that the request needs at least.
+    pub config_version: u64,
+    /// Whether the relaying instance may send the request to a further one that may run it again.
+    pub is_repeatable: bool,
+    /// Number of upstreams that may have run the request.
+    pub possibly_ran: u32,
+}
+
+impl Basis {
+    fn insert_into(self, headers: &mut HeaderMap) {
+        headers.insert(CONFIG, HeaderValue::from(self.config_version));
+        if self.is_repeatable {
+            headers.insert(REPEATABLE, HeaderValue::from_static("1"));
+        }
+        headers.insert(RAN, HeaderValue::from(self.possibly_ran));
+        headers.append(header::CONNECTION, BASIS_HEADERS);
+    }
+
+    fn read(headers: &HeaderMap) -> Option<Self> {
+        // Earlier builds pass a caller's headers on, but never its `Connection`.
+        let mut named = headers.get_all(header::CONNECTION).iter();
+        named.find(|names| **names == BASIS_HEADERS)?;
+        let text = |name: &HeaderName| headers.get(name)?.to_str().ok();
+        Some(Self {
+            config_version: text(&CONFIG)?.parse().ok()?,
+            is_repeatable: headers.contains_key(REPEATABLE),
+            possibly_ran: text(&RAN)?.parse().ok()?,
+        })
+    }
+}
+
 /// Client account of a relayed request, whose key is not passed on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Client {
@@ -103,6 +155,9 @@
         if let Some(client) = &self.client {
             client.insert_into(headers);
         }
+        if let Some(basis) = self.basis {
+            basis.insert_into(headers);
+        }
     }
 }
 
@@ -116,6 +171,7 @@
         Ok(Self {
             caller: caller.ok_or(Malformed)?,
             attempts: attempts.ok_or(Malformed)?,
+            basis: Basis::read(headers),
             client: Client::read(headers),
         })
     }
@@ -130,9 +186,22 @@
     Stopping,
     /// The instance has no configuration yet, or does not reach the store.
     NotReady,
+    /// The instance has an older configuration than the request needs, and can't get a newer one.
+    Outdated,
+    /// The relaying instance may repeat the request, and must not according to the newer configuration
+    /// of this one.
+    Superseded,
 }
 
 impl Decline {
+    const ALL: [Self; 5] = [
+        Self::NoPath,
+        Self::Stopping,
+        Self::NotReady,
+        Self::Outdated,
+        Self::Superseded,
+    ];
+
     /// Returns the text of the reason.
     #[must_use]
     pub const fn label(self) -> &'static str {
@@ -140,6 +209,8 @@
             Self::NoPath => "no path",
             Self::Stopping => "stopping",
             Self::NotReady => "not ready",
+            Self::Outdated => "outdated",
+            Self::Superseded => "superseded",
         }
     }
 
@@ -153,11 +224,22 @@
 #[must_use]
 pub fn decline_reason(headers: &HeaderMap) -> Option<Decline> {
     let label = headers.get(DECLINED)?.as_bytes();
-    let mut reasons = [Decline::NotReady, Decline::NoPath].into_iter();
+    let mut reasons = Decline::ALL.into_iter();
     let known = reasons.find(|reason| reason.label().as_bytes() == label);
     Some(known.unwrap_or(Decline::Stopping))
 }
 
+/// Adds the version of the configuration that the responding instance has.
+pub fn insert_config_version(headers: &mut HeaderMap, version: u64) {
+    headers.insert(CONFIG, HeaderValue::from(version));
+}
+
+/// Returns the version of the configuration that the responding instance has, if it says so.
+#[must_use]
+pub fn config_version(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONFIG)?.to_str().ok()?.parse().ok()
+}
+
 /// Marks a response to a request to which no upstream responded.
 pub fn mark_unserved(headers: &mut HeaderMap) {
     headers.insert(UNSERVED, HeaderValue::from_static("1"));
@@ -202,7 +284,8 @@
 /// Removes the headers of relayed requests and their responses.
 pub fn remove_headers(headers: &mut HeaderMap) {
     for name in [
-        CALLER, ATTEMPTS, ACCOUNT, KEY, VERSION, DECLINED, UNSERVED, LEAVING,
+        CALLER, ATTEMPTS, ACCOUNT, KEY, VERSION, CONFIG, REPEATABLE, RAN, DECLINED, UNSERVED,
+        LEAVING,
     ] {
         headers.remove(name);
     }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -2,13 +2,18 @@
 
 use std::net::{IpAddr, Ipv4Addr};
 
-use basilramp_wire::relay::{Client, Request, remove_headers};
+use basilramp_wire::relay::{Basis, Client, Request, remove_headers};
 use http::{HeaderMap, header};
 
 fn request(account: &str) -> Request {
     Request {
         caller: IpAddr::V4(Ipv4Addr::LOCALHOST),
         attempts: 2,
+        basis: Some(Basis {
+            config_version: 7,
+            is_repeatable: true,
+            possibly_ran: 1,
+        }),
         client: Some(Client {
             account: account.into(),
             key: "00ff".into(),
