Bound the memory for streams and bodies without end

Operators of a similar system saw a process run out of memory as a faulty upstream sent bytes without end; here, three such upstreams and 80 callers took up to 348 MB with a limit of 130 MB, and no request to a sound service beside endless bodies was served.

Cause: less was reserved than used. An event's overhead in the log of its stream, the room of a growing transcript and the copies of a growing body were not counted, one limit was shared by all, and nothing ended a stream with more events than its request allows.

Change: reservations cover what is allocated; bodies are kept in pieces; a body over 64 KB leaves half of the memory to others; the log of a stream ends when it fits in no row; a stream ends 64 events beyond the tokens that its request allows.

--- a/crates/core/src/dispatch/event_log.rs
+++ b/crates/core/src/dispatch/event_log.rs
@@ -5,6 +5,9 @@
 //! are stored before they are sent, as one row for each stream. The instance that handles the latest
 //! try owns the row: it cuts off what its caller does not have, and no earlier owner can write any more.
 
+/// Memory for an event beside its data, and for its allocation.
+const EVENT_OVERHEAD_BYTES: usize = size_of::<LoggedEvent>() + 32;
+
 /// An event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LoggedEvent {
@@ -23,6 +26,15 @@
     pub events: Vec<LoggedEvent>,
 }
 
+impl LoggedEvent {
+    /// Returns the memory that an event with `data_bytes` bytes of data takes. The list of the events may
+    /// have room for twice as many.
+    #[must_use]
+    pub const fn memory_bytes(data_bytes: usize) -> usize {
+        data_bytes + 2 * EVENT_OVERHEAD_BYTES
+    }
+}
+
 impl EventLog {
     /// Returns the empty log of a stream that begins.
     #[must_use]
--- a/crates/core/src/dispatch/sse.rs
+++ b/crates/core/src/dispatch/sse.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     pending: Vec<u8>,
+    /// Number of bytes of `pending` that belong to events which were returned.
+    taken: usize,
     /// Number of bytes of `pending` that were already searched for an event end.
     searched: usize,
     /// Whether the stream holds the head of a response in place of an event.
@@ -32,19 +34,22 @@
 impl Decoder {
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.pending.drain(..self.taken);
+        self.searched = self.searched.saturating_sub(self.taken);
+        self.taken = 0;
         self.pending.extend_from_slice(bytes);
     }
 
     /// Returns the next complete event. There is none after bytes that are no event.
     pub fn next_event(&mut self) -> Option<Event> {
-        self.is_malformed |= self.pending.starts_with(RESPONSE_HEAD);
+        self.is_malformed |= self.pending[self.taken..].starts_with(RESPONSE_HEAD);
         if self.is_malformed {
             return None;
         }
         let end = self.find_event_end()?;
-        let rest = self.pending.split_off(end);
-        let bytes = std::mem::replace(&mut self.pending, rest);
-        self.searched = 0;
+        let bytes = self.pending[self.taken..end].to_vec();
+        self.taken = end;
+        self.searched = end;
         Some(Event::parse(bytes))
     }
 
@@ -56,25 +61,25 @@
 
     /// Returns whether bytes of an incomplete event are buffered.
     #[must_use]
-    pub fn has_partial_event(&self) -> bool {
-        !self.pending.is_empty()
+    pub const fn has_partial_event(&self) -> bool {
+        self.buffered_bytes() > 0
     }
 
     /// Returns the number of buffered bytes.
     #[must_use]
-    pub fn buffered_bytes(&self) -> usize {
-        self.pending.len()
+    pub const fn buffered_bytes(&self) -> usize {
+        self.pending.len() - self.taken
     }
 
     /// Returns whether the buffered event is longer than any valid one.
     #[must_use]
-    pub fn is_event_too_long(&self) -> bool {
-        self.pending.len() > MAX_EVENT_BYTES
+    pub const fn is_event_too_long(&self) -> bool {
+        self.buffered_bytes() > MAX_EVENT_BYTES
     }
 
     fn find_event_end(&mut self) -> Option<usize> {
         // An empty line may be split between two reads, so the search starts three bytes earlier.
-        let from = self.searched.saturating_sub(3);
+        let from = self.searched.saturating_sub(3).max(self.taken);
         let window = &self.pending[from..];
         let found = window.iter().enumerate().find_map(|(at, byte)| {
             let rest = &window[at..];
--- a/crates/core/src/dispatch/transcript.rs
+++ b/crates/core/src/dispatch/transcript.rs
@@ -27,6 +27,13 @@
         &self.bytes
     }
 
+    /// Returns the memory that an event with `data_bytes` bytes of data takes. The transcript may have room
+    /// for twice as many.
+    #[must_use]
+    pub const fn event_memory_bytes(data_bytes: usize) -> usize {
+        2 * (data_bytes + 1)
+    }
+
     /// Appends the data of an event.
     pub fn push_event(&mut self, data: &[u8]) {
         self.bytes.extend_from_slice(data);
--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -9,6 +9,7 @@
 mod crashing_request;
 mod discovery;
 mod early_rejection;
+mod endless_bytes;
 mod forwarding;
 mod history;
 mod leaving;
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -41,6 +41,9 @@
 /// to another upstream, in milliseconds.
 const FIRST_EVENT_TIMEOUT_MS: u64 = 1_200;
 
+/// Number of events that a stream may have beyond the maximum of tokens that its request names.
+const EXCESS_EVENTS: u64 = 64;
+
 /// Maximum number of limited upstreams that a request tries to get a permit for. Each costs a call of
 /// the store.
 const MAX_DENIED_PERMITS: u32 = 2;
@@ -203,6 +206,15 @@
         client.map_or_else(|| "".into(), |client| Arc::clone(&client.account.name))
     }
 
+    /// Returns the number of events after which a stream is taken to be endless. Each holds a token at
+    /// least.
+    pub(crate) fn max_events(&self) -> u64 {
+        match self.headers.max_output_tokens {
+            0 => u64::MAX,
+            tokens => u64::from(tokens) + EXCESS_EVENTS,
+        }
+    }
+
     /// Returns the milliseconds until the caller's deadline.
     pub(crate) fn remaining_ms(&self) -> u64 {
         self.deadline.since(self.state.now())
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 
 use crate::active_request::ActiveRequest;
-use crate::buffer::{self, BufferedBody, CollectError, Reservation};
+use crate::buffer::{BufferedBody, CollectError, Reservation};
 use crate::exchange::{self, Exchanged};
 use crate::log_event::Event;
 use crate::metric::AttemptKind;
@@ -313,8 +313,8 @@
         timeout_ms: u64,
     ) -> Result<Response<BufferedBody>, Failure> {
         let limit = Duration::from_millis(timeout_ms.min(request.remaining_ms()));
-        let mut memory = request.state.memory.reservation();
-        let body = buffer::collect(self.body, MAX_RESPONSE_BYTES, &mut memory);
+        let memory = request.state.memory.reservation();
+        let body = BufferedBody::read(self.body, MAX_RESPONSE_BYTES, memory);
         let (outcome, failure, error) = match tokio::time::timeout(limit, body).await {
             Ok(Ok(body)) => {
                 let ms = self.guard.record_response(self.head.status);
@@ -336,7 +336,6 @@
                         .release(self.guard.key, self.sender, self.reuse, state.now());
                 }
                 header::remove_hop_by_hop(&mut self.head.headers);
-                let body = BufferedBody::new(body, memory);
                 return Ok(Response::from_parts(self.head, body));
             }
             Ok(Err(CollectError::Broken(error))) => {
--- a/crates/ingress/src/buffer.rs
+++ b/crates/ingress/src/buffer.rs
@@ -3,6 +3,7 @@
 //! Callers and upstreams decide how many bytes they send. Whatever is buffered is reserved first,
 //! so that large or endless bodies fail their own requests and not the process.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -13,9 +14,13 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// Size of the pieces in which a buffered body is handed to its connection. Its memory stays
-/// reserved until the last piece is taken.
-const PIECE_BYTES: usize = 64 * 1_024;
+/// Sizes of the pieces of a buffered body. Pieces need no copy as the body grows, and their memory is
+/// reserved exactly; it stays so until the last piece is handed to its connection.
+const PIECE_BYTES: std::ops::RangeInclusive<usize> = 4 * 1_024..=64 * 1_024;
+
+/// Size up to which a body may use all of the memory. Larger ones leave half of it to the others, so that
+/// bodies without end don't keep other requests from being served.
+const SMALL_BODY_BYTES: usize = 64 * 1_024;
 
 /// Memory for buffered bytes.
 #[derive(Debug)]
@@ -65,10 +70,12 @@
     ///
     /// Fails, without a change, if they exceed the limit.
     pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), Exhausted> {
-        let within_limit = |used: usize| {
-            used.checked_add(bytes)
-                .filter(|used| *used <= self.memory.limit)
-        };
+        self.grow_within(bytes, self.memory.limit)
+    }
+
+    /// Reserves more bytes if all reservations together then have at most `limit` bytes.
+    fn grow_within(&mut self, bytes: usize, limit: usize) -> Result<(), Exhausted> {
+        let within_limit = |used: usize| used.checked_add(bytes).filter(|used| *used <= limit);
         self.memory
             .used
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, within_limit)
@@ -161,17 +168,74 @@
 /// A complete body that is handed over piece by piece.
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
-    bytes: Bytes,
-    _reservation: Reservation,
+    pieces: VecDeque<Bytes>,
+    len: usize,
+    reservation: Reservation,
 }
 
 impl BufferedBody {
-    /// Creates a body from bytes that are part of a reservation.
-    pub(crate) const fn new(bytes: Bytes, reservation: Reservation) -> Self {
-        Self {
-            bytes,
-            _reservation: reservation,
+    /// Reads a whole body of at most `max_bytes` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is too long for its limit or for the memory, or if its connection fails.
+    pub(crate) async fn read(
+        mut body: Incoming,
+        max_bytes: usize,
+        reservation: Reservation,
+    ) -> Result<Self, CollectError> {
+        if body.size_hint().lower() > max_bytes as u64 {
+            return Err(CollectError::TooLong);
+        }
+        let mut buffered = Self {
+            pieces: VecDeque::new(),
+            len: 0,
+            reservation,
+        };
+        let mut piece = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| CollectError::Broken(error.to_string()))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if buffered.len + data.len() > max_bytes {
+                return Err(CollectError::TooLong);
+            }
+            buffered.append(&mut piece, data)?;
         }
+        buffered.pieces.push_back(piece.freeze());
+        Ok(buffered)
+    }
+
+    /// Appends bytes to the last piece and, where it is full, to further ones.
+    fn append(&mut self, piece: &mut BytesMut, mut data: Bytes) -> Result<(), Exhausted> {
+        while !data.is_empty() {
+            let room = piece.capacity() - piece.len();
+            if room == 0 {
+                let full = std::mem::take(piece);
+                if !full.is_empty() {
+                    self.pieces.push_back(full.freeze());
+                }
+                *piece = self.open_piece()?;
+                continue;
+            }
+            let part = data.split_to(room.min(data.len()));
+            self.len += part.len();
+            piece.extend_from_slice(&part);
+        }
+        Ok(())
+    }
+
+    /// Returns an empty piece that doubles the room for the body, within the sizes of pieces.
+    fn open_piece(&mut self) -> Result<BytesMut, Exhausted> {
+        let bytes = self.len.clamp(*PIECE_BYTES.start(), *PIECE_BYTES.end());
+        let limit = self.reservation.memory.limit;
+        if self.len + bytes > SMALL_BODY_BYTES {
+            self.reservation.grow_within(bytes, limit / 2)?;
+        } else {
+            self.reservation.grow(bytes)?;
+        }
+        Ok(BytesMut::with_capacity(bytes))
     }
 }
 
@@ -183,19 +247,19 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        if self.bytes.is_empty() {
+        let piece = self.pieces.pop_front().filter(|piece| !piece.is_empty());
+        let Some(piece) = piece else {
             return Poll::Ready(None);
-        }
-        let len = self.bytes.len().min(PIECE_BYTES);
-        let piece = self.bytes.split_to(len);
+        };
+        self.len -= piece.len();
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.bytes.is_empty()
+        self.len == 0
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.len() as u64)
+        SizeHint::with_exact(self.len as u64)
     }
 }
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -6,9 +6,11 @@
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::admission::{ProgramTurn, RunningTurn, TurnTiming};
 use basilramp_core::dispatch::attempt::{Decision, Failure};
+use basilramp_core::dispatch::event_log::LoggedEvent;
 use basilramp_core::dispatch::fleet::AttemptOutcome;
 use basilramp_core::dispatch::placement::Placement;
 use basilramp_core::dispatch::sse::{Decoder, Event as SseEvent};
+use basilramp_core::dispatch::transcript::TranscriptBuilder;
 use basilramp_process::event;
 use bytes::Bytes;
 use futures_util::stream;
@@ -370,12 +372,16 @@
             .engine
             .as_ref()
             .map_or(1, |engine| engine.tokens_per_event);
+        let max_events = self.request.max_events();
         let mut bytes = Vec::new();
         for event in events {
             bytes.extend_from_slice(&event.bytes);
             if !event.has_data() {
                 continue;
             }
+            if self.events >= max_events {
+                return Err(self.abort_endless());
+            }
             self.events += 1;
             self.last_event = event.id.or(self.last_event);
             self.last_event_at = self.request.state.now();
@@ -402,11 +408,13 @@
     /// Adds an event to what is stored of the turn.
     fn record_event(&mut self, id: Option<u64>, data: &[u8]) -> Result<(), Exhausted> {
         if let Some(transcript) = &mut self.turn.transcript {
-            self.request.memory.grow(data.len())?;
+            let bytes = TranscriptBuilder::event_memory_bytes(data.len());
+            self.request.memory.grow(bytes)?;
             transcript.push_event(data);
         }
         if let Some(stream_log) = &mut self.turn.stream_log {
-            self.request.memory.grow(data.len())?;
+            let bytes = LoggedEvent::memory_bytes(data.len());
+            self.request.memory.grow(bytes)?;
             stream_log.push(id, data);
         }
         Ok(())
@@ -510,6 +518,16 @@
         Ok(())
     }
 
+    /// Ends a stream of more events than its request allows.
+    fn abort_endless(&mut self) -> ResponseAborted {
+        let cause = "the stream has more events than its request allows";
+        if let Some(mut source) = self.source.take() {
+            source.fail(AttemptOutcome::Broken);
+            attempt::record_failure(&self.request, source.id(), Failure::Unknown, cause);
+        }
+        self.abort(cause)
+    }
+
     fn abort(&self, cause: &'static str) -> ResponseAborted {
         self.request.mark_logged();
         let ms = self.request.elapsed_ms();
--- a/crates/ingress/src/stream_log.rs
+++ b/crates/ingress/src/stream_log.rs
@@ -51,29 +51,33 @@
     log: EventLog,
     row_version: u64,
     span_ms: u64,
+    /// Bytes of the data of the events.
+    data_bytes: usize,
+    /// Whether the events don't fit in a row any more. The log is no longer kept then.
+    is_overflown: bool,
     /// Whether the row is known to hold this owner's events, up to those not written yet.
     is_written: bool,
 }
 
-/// Content of a row.
+/// Content of a row, with data of type `D`.
 #[derive(Serialize, Deserialize)]
-struct Row {
+struct Row<D> {
     owner: u64,
-    events: Vec<(Option<u64>, Vec<u8>)>,
+    events: Vec<(Option<u64>, D)>,
 }
 
-impl From<&EventLog> for Row {
-    fn from(log: &EventLog) -> Self {
+impl<'a> From<&'a EventLog> for Row<&'a [u8]> {
+    fn from(log: &'a EventLog) -> Self {
         let events = log.events.iter();
         Self {
             owner: log.owner,
-            events: events.map(|event| (event.id, event.data.clone())).collect(),
+            events: events.map(|event| (event.id, &*event.data)).collect(),
         }
     }
 }
 
-impl From<Row> for EventLog {
-    fn from(row: Row) -> Self {
+impl From<Row<Vec<u8>>> for EventLog {
+    fn from(row: Row<Vec<u8>>) -> Self {
         let events = row.events.into_iter();
         Self {
             owner: row.owner,
@@ -106,6 +110,8 @@
         log: EventLog::begin(rand::random()),
         row_version: 0,
         span_ms: request.stream_span_ms,
+        data_bytes: 0,
+        is_overflown: false,
         is_written: false,
     };
     let Some(last) = last_event else {
@@ -134,7 +140,13 @@
 
     /// Appends an event that is sent next.
     pub(crate) fn push(&mut self, id: Option<u64>, data: &[u8]) {
-        self.log.push(id, data);
+        self.data_bytes += data.len();
+        self.is_overflown |= self.data_bytes > MAX_VALUE_BYTES;
+        if self.is_overflown {
+            self.log.events = Vec::new();
+        } else {
+            self.log.push(id, data);
+        }
     }
 
     /// Stores the events before they are sent, if the store responds soon.
@@ -152,7 +164,7 @@
     }
 
     async fn write(&mut self, deadline: Time) -> Result<(), TakenOver> {
-        if self.state.is_store_down() {
+        if self.is_overflown || self.state.is_store_down() {
             return Ok(());
         }
         loop {
@@ -206,6 +218,7 @@
             let Some(log) = row.take_up(self.log.owner, last) else {
                 return Ok(false);
             };
+            self.data_bytes = log.events.iter().map(|event| event.data.len()).sum();
             self.log = log;
             self.row_version = version;
             match self.commit(deadline).await {
@@ -259,7 +272,7 @@
 
     fn find_row(&self, rows: Vec<StoreRow>) -> Option<(EventLog, u64)> {
         let row = rows.into_iter().find(|row| row.key == self.begun_by)?;
-        let content = postcard::from_bytes::<Row>(&row.value?).ok()?;
+        let content = postcard::from_bytes::<Row<Vec<u8>>>(&row.value?).ok()?;
         Some((content.into(), row.version))
     }
 }
