Hold the crashes of several requests against their common target

Cause: a request is known by its path, caller and body, as PROTOCOL.md says.

Change: the rows of suspects name the target. While no request for a target has completed, its suspects count together: from three crashes under two requests on, requests for it are trials, and a crash of a trial quarantines it. Any completion, at any instance, takes the target out of the rows.

--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -5,7 +5,9 @@
 //! a time, and is quarantined in the end.
 
 mod table;
+mod target;
 
+use crate::history::Digest;
 use crate::id;
 
 pub use table::{Change, Listed, Table};
@@ -40,10 +42,14 @@
     pub crashed: Vec<id::Upstream>,
     /// The upstream of the current trial.
     pub trial: Option<id::Upstream>,
+    /// Digest of the request's target, until another request for it completes.
+    pub target: Option<Digest>,
+    /// Whether an upstream crashed during a trial.
+    pub has_failed_trial: bool,
 }
 
-/// How a suspect request may proceed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How a suspect request may proceed, in the order of restriction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// The request may run like any other.
     Unrestricted,
--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::target::Evidence;
 use super::{Limits, Suspect, Verdict};
 use crate::clock::Time;
 use crate::history::Digest;
@@ -103,6 +104,7 @@
                 .trial
                 .clone()
                 .filter(|_| self.unstored.is_empty()),
+            ..self.suspect
         }
     }
 
@@ -147,8 +149,13 @@
             self.entries.extend(known.map(|known| (fingerprint, known)));
             return;
         }
-        let mut unstored = known.map(|known| known.unstored).unwrap_or_default();
+        let known = known.map(|known| (known.unstored, known.suspect));
+        let (mut unstored, known) = known.unwrap_or_default();
         unstored.retain(|upstream| !stored.crashed.contains(upstream));
+        if !unstored.is_empty() {
+            stored.target = stored.target.or(known.target);
+            stored.has_failed_trial |= known.has_failed_trial;
+        }
         let entry = Entry {
             suspect: stored,
             version,
@@ -199,6 +206,7 @@
             changed_at: now,
         });
         if !entry.met(upstream) && !self.retracted.contains_key(upstream) {
+            entry.suspect.has_failed_trial |= entry.suspect.trial.as_ref() == Some(upstream);
             entry.unstored.push(upstream.clone());
             entry.changed_at = now;
         }
@@ -209,6 +217,39 @@
         crashes
     }
 
+    /// Sets the target of a suspect.
+    pub fn set_target(&mut self, fingerprint: Digest, target: Digest) {
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.suspect.target = Some(target);
+        }
+    }
+
+    /// Records that a request for a target has completed, so that the target is held against no suspect.
+    /// Returns whether it was one of some.
+    pub fn exonerate(&mut self, target: Digest) -> bool {
+        let suspects = self.entries.values_mut();
+        let mut is_known = false;
+        for entry in suspects.filter(|entry| entry.suspect.target == Some(target)) {
+            entry.suspect.target = None;
+            entry.is_outdated |= entry.version > 0;
+            is_known = true;
+        }
+        is_known
+    }
+
+    /// Returns how a request may proceed because of other requests for its target.
+    #[must_use]
+    pub fn target_verdict(&self, target: Digest, now: Time) -> Verdict {
+        let mut evidence = Evidence::default();
+        let suspects = self.entries.values();
+        for entry in suspects.filter(|entry| entry.suspect.target == Some(target)) {
+            let current = entry.current();
+            let is_on_trial = current.trial.is_some() && !entry.is_trial_stale(now);
+            evidence.add(current, is_on_trial, entry.changed_at);
+        }
+        evidence.verdict(now)
+    }
+
     /// Records that an upstream did not crash. Returns the requests that were suspected of it.
     pub fn retract(&mut self, upstream: &id::Upstream, now: Time) -> Vec<Digest> {
         self.retracted.insert(upstream.clone(), now);
@@ -274,6 +315,29 @@
         entry.is_none_or(|entry| entry.unstored.is_empty())
     }
 
+    /// Returns the change that starts a trial of a request for a target at an upstream, or `None` if a
+    /// crash of the request is not stored yet. The request may be no suspect itself.
+    #[must_use]
+    pub fn target_trial(
+        &self,
+        fingerprint: Digest,
+        target: Digest,
+        upstream: &id::Upstream,
+    ) -> Option<Change> {
+        if self.entries.contains_key(&fingerprint) {
+            return self.trial(fingerprint, upstream);
+        }
+        let suspect = Suspect {
+            target: Some(target),
+            ..Suspect::default()
+        };
+        Some(Change {
+            fingerprint,
+            suspect: Some(suspect.with_trial(upstream)),
+            version: 0,
+        })
+    }
+
     /// Returns the change that starts a trial of a request at an upstream, or `None` if a crash of
     /// the request is not stored yet.
     #[must_use]
@@ -356,7 +420,11 @@
         let listed = self.entries.iter().map(|(fingerprint, entry)| Listed {
             fingerprint: *fingerprint,
             suspect: entry.current(),
-            verdict: self.verdict(*fingerprint, now),
+            verdict: {
+                let own = self.verdict(*fingerprint, now);
+                let target = entry.suspect.target;
+                target.map_or(own, |target| own.max(self.target_verdict(target, now)))
+            },
             age_ms: now.since(entry.changed_at),
         });
         listed.collect()
--- /dev/null
+++ b/crates/core/src/suspect/target.rs
@@ -0,0 +1,64 @@
+//! Targets whose requests crash upstreams, each of them a few.
+//!
+//! What triggers a fault of an engine may be part of many requests, with different bodies and callers,
+//! so that each of them is a suspect of its own. Their target is held against them once several of them
+//! have met crashes while no request for it has completed.
+
+use std::collections::BTreeSet;
+
+use super::{Suspect, Verdict};
+use crate::clock::Time;
+use crate::id;
+
+/// Suspects with a target from which on it is held against them. With a single one, the fault is in the
+/// request.
+const MIN_SUSPECTS: usize = 2;
+
+/// Crashes under these suspects from which on requests for the target run only as trials.
+const TRIAL_CRASHES: usize = 3;
+
+/// Crashes from which on the target is quarantined, if one of them ended a trial.
+const QUARANTINE_CRASHES: usize = 4;
+
+/// Time after the last crash at which a quarantined target may have a trial again, in milliseconds. The
+/// upstreams may be others by then.
+const QUARANTINE_MS: u64 = 60_000;
+
+/// What the suspects with one target tell of it.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    suspects: usize,
+    crashed: BTreeSet<id::Upstream>,
+    has_failed_trial: bool,
+    is_on_trial: bool,
+    changed_at: Time,
+}
+
+impl Evidence {
+    /// Adds a suspect, which changed last at a time. `is_on_trial` tells whether it is on trial now.
+    pub(super) fn add(&mut self, suspect: Suspect, is_on_trial: bool, changed_at: Time) {
+        self.is_on_trial |= is_on_trial;
+        if suspect.crashed.is_empty() {
+            return;
+        }
+        self.suspects += 1;
+        self.crashed.extend(suspect.crashed);
+        self.has_failed_trial |= suspect.has_failed_trial;
+        self.changed_at = self.changed_at.max(changed_at);
+    }
+
+    /// Returns how a request for the target may proceed.
+    pub(super) fn verdict(&self, now: Time) -> Verdict {
+        if self.suspects < MIN_SUSPECTS || self.crashed.len() < TRIAL_CRASHES {
+            return Verdict::Unrestricted;
+        }
+        let is_quarantined = self.has_failed_trial && self.crashed.len() >= QUARANTINE_CRASHES;
+        if is_quarantined && now.since(self.changed_at) < QUARANTINE_MS {
+            Verdict::Quarantined
+        } else if self.is_on_trial {
+            Verdict::Busy
+        } else {
+            Verdict::Trial
+        }
+    }
+}
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -22,6 +22,7 @@
     Suspect {
         crashed: crashed.iter().map(|name| upstream(name)).collect(),
         trial: None,
+        ..Suspect::default()
     }
 }
 
@@ -310,3 +311,91 @@
     }
     assert!(served > 0);
 }
+
+/// The digest of a target.
+fn target(number: u64) -> Digest {
+    fingerprint(1_000_000 + number)
+}
+
+/// Records crashes of requests for target 1, one upstream each, and that they are stored.
+fn crash_at_target(table: &mut Table, requests: &[u64], now: Time) {
+    for (index, request) in requests.iter().enumerate() {
+        let request = fingerprint(*request);
+        table.record_crash(request, &upstream(&format!("u{index}")), now);
+        table.set_target(request, target(1));
+    }
+    store(table, now);
+}
+
+fn store(table: &mut Table, now: Time) {
+    for (version, change) in (now.as_ms() + 1..).zip(table.changes(100)) {
+        table.record_written(&change, version, now);
+    }
+}
+
+/// What triggers a fault may be part of many requests. Guards against one crash after the other, each
+/// under a new request for the same target.
+#[test]
+fn a_target_is_quarantined_after_several_of_its_requests_met_crashes() {
+    let (mut table, now) = (Table::default(), Time::from_ms(100));
+    crash_at_target(&mut table, &[1, 2], now);
+    assert_eq!(table.target_verdict(target(1), now), Verdict::Unrestricted);
+    crash_at_target(&mut table, &[1, 2, 3], now);
+    assert_eq!(table.target_verdict(target(1), now), Verdict::Trial);
+    assert_eq!(table.target_verdict(target(2), now), Verdict::Unrestricted);
+    // A request that was not seen before has a trial.
+    let change = table.target_trial(fingerprint(4), target(1), &upstream("u9"));
+    table.record_written(&change.unwrap(), 200, now);
+    assert_eq!(table.target_verdict(target(1), now), Verdict::Busy);
+    table.record_crash(fingerprint(4), &upstream("u9"), now);
+    assert_eq!(table.target_verdict(target(1), now), Verdict::Quarantined);
+    store(&mut table, now.after(200));
+    let later = now.after(30_000);
+    assert_eq!(table.target_verdict(target(1), later), Verdict::Quarantined);
+    // The upstreams may be others by then.
+    let later = now.after(70_000);
+    assert_eq!(table.target_verdict(target(1), later), Verdict::Trial);
+}
+
+/// Guards against a target that is refused for one of its requests, or although others complete.
+#[test]
+fn a_target_of_sound_requests_is_not_held_against_them() {
+    let now = Time::from_ms(100);
+    // A single request crashes its upstreams.
+    let mut table = Table::default();
+    crash_at_target(&mut table, &[1, 1, 1, 1], now);
+    assert_eq!(table.verdict(fingerprint(1), now), Verdict::Quarantined);
+    assert_eq!(table.target_verdict(target(1), now), Verdict::Unrestricted);
+    // Requests beside a crashing one, of which any completes.
+    let mut table = Table::default();
+    crash_at_target(&mut table, &[1, 2, 3, 4, 5], now);
+    assert_eq!(table.target_verdict(target(1), now), Verdict::Trial);
+    let instance = table.changes(100);
+    assert!(instance.is_empty());
+    assert!(table.exonerate(target(1)));
+    assert!(!table.exonerate(target(1)));
+    assert_eq!(table.target_verdict(target(1), now), Verdict::Unrestricted);
+    // The other instances learn of it, and the crashes remain.
+    let changes = table.changes(100);
+    assert_eq!(changes.len(), 5);
+    let is_cleared = |suspect: &Suspect| suspect.target.is_none() && !suspect.crashed.is_empty();
+    assert!(
+        changes
+            .iter()
+            .all(|change| change.suspect.as_ref().is_some_and(is_cleared))
+    );
+}
+
+/// A trial whose instance ends leaves a row without crashes, which is removed.
+#[test]
+fn a_trial_for_a_target_leaves_nothing_behind() {
+    let (mut table, now) = (Table::default(), Time::from_ms(100));
+    crash_at_target(&mut table, &[1, 2, 3], now);
+    let change = table.target_trial(fingerprint(4), target(1), &upstream("u9"));
+    table.record_written(&change.unwrap(), 200, now);
+    assert!(table.end_trial(fingerprint(4), &upstream("u9")));
+    let changes = table.changes(100);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].suspect, None);
+    assert_eq!(table.target_verdict(target(1), now), Verdict::Trial);
+}
--- a/crates/daemon/src/suspect.rs
+++ b/crates/daemon/src/suspect.rs
@@ -412,7 +412,7 @@
 fn quarantined_suspect() -> Suspect {
     Suspect {
         crashed: vec![id::Upstream::new(""); Limits::OWNED.quarantine],
-        trial: None,
+        ..Suspect::default()
     }
 }
 
--- a/crates/daemon/tests/ingress/crashing_request.rs
+++ b/crates/daemon/tests/ingress/crashing_request.rs
@@ -236,6 +236,88 @@
     assert!(site.crashes("CRASH now") > crashes);
 }
 
+/// Requests with many bodies for the same target crash upstreams, each of them a few. Guards against one
+/// crash after the other although each request is stopped. Requests for other targets are served.
+#[tokio::test]
+async fn requests_of_a_target_that_crash_upstreams_are_stopped() {
+    for (service, route) in [("engine", "advice"), ("engine", "chat"), ("app", "read")] {
+        let site = Site::spawn(service, 8, 4).await;
+        let until = Instant::now() + Duration::from_secs(8);
+        let request = |attempt: &str, body: &str| {
+            if service == "engine" {
+                turn(route, attempt, body)
+            } else {
+                plain(route, attempt, body)
+            }
+        };
+        let faulty = site.resend("t", until, |attempt| {
+            let number: usize = attempt.rsplit('-').next().unwrap().parse().unwrap();
+            request(attempt, &format!("CRASH {}", number % 16))
+        });
+        let sound = async {
+            let (mut served, mut sent) = (0, 0);
+            while Instant::now() < until {
+                sent += 1;
+                let mut request = request(&format!("sound-{sent}"), "question");
+                *request.uri_mut() = format!("/{route}/other").parse().unwrap();
+                // Its callers try again.
+                let instance = &site.instances[sent % 4];
+                let reply = instance.send(request).await;
+                let is_served = |reply: Reply| reply.status == StatusCode::OK && reply.is_complete;
+                served += usize::from(reply.is_some_and(is_served));
+                sleep(Duration::from_millis(50)).await;
+            }
+            (served, sent)
+        };
+        let (_, (served, sent), ()) =
+            tokio::join!(faulty, sound, site.keep_running(until + RESTART_DELAY * 2));
+        let crashes = site.upstreams.iter().flat_map(Upstream::crashes);
+        let mut times: Vec<_> = crashes.map(|crash| crash.at).collect();
+        times.sort();
+        let stable = times[MAX_CRASHES - 1] + STABLE;
+        let later = times.iter().filter(|at| **at > stable).count();
+        assert!(
+            later <= MAX_LATER_ATTEMPTS,
+            "{route}: {later} of {} crashes came later",
+            times.len()
+        );
+        assert!(served * 10 >= sent * 9, "{route}: {served} of {sent}");
+    }
+}
+
+/// Requests with different bodies for the target of a crashing one are served, as they complete.
+#[tokio::test]
+async fn sound_requests_for_the_target_of_a_crashing_one_are_served() {
+    let site = Site::spawn("engine", 8, 3).await;
+    let until = Instant::now() + Duration::from_secs(5);
+    let sound = async {
+        let mut sent = 0;
+        while Instant::now() < until {
+            sent += 1;
+            let mut is_served = false;
+            for attempt in 0..3 {
+                let instance = &site.instances[(sent + attempt) % 3];
+                let input = format!("question {sent}");
+                let request = turn("advice", &format!("s{sent}-{attempt}"), &input);
+                let reply = instance.send(request).await;
+                is_served =
+                    reply.is_some_and(|reply| reply.status == StatusCode::OK && reply.is_complete);
+                if is_served {
+                    break;
+                }
+                sleep(Duration::from_millis(200)).await;
+            }
+            assert!(is_served, "request {sent}");
+        }
+    };
+    tokio::join!(
+        sound,
+        site.resend("t", until, |attempt| turn("advice", attempt, "CRASH now")),
+        site.keep_running(until)
+    );
+    assert!(site.crashes("CRASH now") <= MAX_CRASHES + MAX_LATER_ATTEMPTS);
+}
+
 /// An instance is killed right after it has seen a crash, and another one starts.
 #[tokio::test]
 async fn the_evidence_outlives_the_instance_that_saw_the_crash() {
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -189,6 +189,16 @@
         })
     }
 
+    /// Returns the digest of the method and path, which requests with other bodies and callers share.
+    pub(crate) fn target(&self) -> Digest {
+        let target = self.parts.uri.path_and_query();
+        let parts = [
+            self.parts.method.as_str().as_bytes(),
+            target.map_or(&b""[..], |target| target.as_str().as_bytes()),
+        ];
+        Digest::from_parts(parts.into_iter().chain(self.account().map(str::as_bytes)))
+    }
+
     /// Returns the name of the client account, if callers of the route need a key.
     pub(crate) fn account(&self) -> Option<&str> {
         self.client.as_ref().map(|client| &*client.account.name)
--- a/crates/ingress/src/crash.rs
+++ b/crates/ingress/src/crash.rs
@@ -12,7 +12,6 @@
 use basilramp_adapter::upstream::ConnectionReuse;
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::fleet::UpstreamKey;
-use basilramp_core::history::Digest;
 use basilramp_core::id;
 use basilramp_process::event;
 use rand::seq::IteratorRandom;
@@ -23,6 +22,7 @@
 use crate::log_event::Event;
 use crate::metric::Finding;
 use crate::state::{State, lock};
+use crate::suspect::Interrupted;
 use crate::{path, suspect};
 
 /// Delay before an upstream is probed, as a process that ends may close its connections before its
@@ -52,13 +52,6 @@
     requests: Arc<Mutex<Vec<Interrupted>>>,
 }
 
-/// A request whose connection ended.
-#[derive(Clone, Debug)]
-struct Interrupted {
-    attempt_id: Arc<str>,
-    fingerprint: Digest,
-}
-
 impl Probes {
     fn start(&self, key: UpstreamKey, now: Time) -> Probe {
         let mut probes = lock(&self.0);
@@ -76,10 +69,7 @@
 /// connection ended. The handle ends when the request may be checked again.
 pub(crate) fn investigate(request: &mut ActiveRequest, key: UpstreamKey) -> JoinHandle<()> {
     let state = Arc::clone(&request.state);
-    let interrupted = Interrupted {
-        attempt_id: Arc::clone(&request.attempt_id),
-        fingerprint: request.fingerprint(),
-    };
+    let interrupted = Interrupted::from(&*request);
     // A trial ends after its crash is recorded.
     let trial = request.trial.take();
     tokio::spawn(async move {
@@ -95,7 +85,7 @@
             .get_or_init(|| find_out(&state, key, &upstream, address, &probe))
             .await;
         if *finding == Finding::Crashed {
-            record_crash(&state, &interrupted, &upstream).await;
+            suspect::record_crash(&state, &interrupted, &upstream).await;
         }
     })
 }
@@ -179,18 +169,10 @@
     state.metrics.interruption(Finding::Crashed);
     let requests = std::mem::take(&mut *lock(&observed.requests));
     for request in &requests {
-        record_crash(&state, request, &observed.upstream).await;
+        suspect::record_crash(&state, request, &observed.upstream).await;
     }
 }
 
-async fn record_crash(state: &State, request: &Interrupted, upstream: &id::Upstream) {
-    let Interrupted {
-        attempt_id,
-        fingerprint,
-    } = request;
-    suspect::record_crash(state, attempt_id, *fingerprint, upstream).await;
-}
-
 /// Opens a connection to an upstream that keeps it. A proxy on the way accepts also if nobody listens
 /// behind it.
 async fn open_connection(state: &State, address: SocketAddr) -> Option<Sender> {
--- a/crates/ingress/src/operator.rs
+++ b/crates/ingress/src/operator.rs
@@ -38,6 +38,8 @@
     upstreams: Vec<String>,
     /// Upstream of the current trial.
     trial: Option<String>,
+    /// Digest of its target, if that may be held against it and others.
+    target: Option<String>,
     verdict: &'static str,
     age_ms: u64,
 }
@@ -49,6 +51,7 @@
             fingerprint: listed.fingerprint.to_string(),
             upstreams: suspect.crashed.iter().map(ToString::to_string).collect(),
             trial: suspect.trial.map(|upstream| upstream.to_string()),
+            target: suspect.target.map(|target| target.to_string()),
             verdict: match listed.verdict {
                 Verdict::Unrestricted => "unrestricted",
                 Verdict::Trial => "trial",
@@ -60,7 +63,7 @@
     }
 }
 
-/// Handles `GET /accounts`, `GET /suspects` and `DELETE /suspects/FINGERPRINT`. Returns `None` for other
+/// Handles `GET /accounts`, `GET /suspects` and `DELETE /suspects/DIGEST`, of a fingerprint or target. Returns `None` for other
 /// requests.
 pub(crate) fn respond(state: &State, method: &Method, path: &str) -> Option<Response<Full<Bytes>>> {
     if method == Method::GET && path == ACCOUNTS {
--- a/crates/ingress/src/suspect.rs
+++ b/crates/ingress/src/suspect.rs
@@ -80,6 +80,10 @@
 struct Row {
     upstreams: Vec<String>,
     trial: Option<String>,
+    #[serde(default)]
+    target: Option<String>,
+    #[serde(default)]
+    failed_trial: bool,
 }
 
 impl From<&Suspect> for Row {
@@ -87,6 +91,8 @@
         Self {
             upstreams: suspect.crashed.iter().map(ToString::to_string).collect(),
             trial: suspect.trial.as_ref().map(ToString::to_string),
+            target: suspect.target.as_ref().map(ToString::to_string),
+            failed_trial: suspect.has_failed_trial,
         }
     }
 }
@@ -96,6 +102,8 @@
         Self {
             crashed: row.upstreams.into_iter().map(id::Upstream::new).collect(),
             trial: row.trial.map(id::Upstream::new),
+            target: row.target.and_then(|target| target.parse().ok()),
+            has_failed_trial: row.failed_trial,
         }
     }
 }
@@ -150,9 +158,25 @@
         self.changed.notify_one();
     }
 
-    /// Releases a suspect for an operator. Returns whether there was one.
-    pub(crate) fn release(&self, state: &State, fingerprint: Digest) -> bool {
-        self.clear(state, fingerprint, "operator")
+    /// Releases a suspect, or a target, for an operator. Returns whether there was one.
+    pub(crate) fn release(&self, state: &State, digest: Digest) -> bool {
+        self.clear(state, digest, "operator") || self.exonerate(state, digest, "operator")
+    }
+
+    fn exonerate(&self, state: &State, target: Digest, cause: &'static str) -> bool {
+        let is_known = self.table().exonerate(target);
+        if is_known {
+            if state.allows_log_line(Event::SuspectCleared) {
+                event!(
+                    state.log,
+                    Event::SuspectCleared,
+                    "target" => target.to_string(),
+                    "cause" => cause
+                );
+            }
+            self.changed.notify_one();
+        }
+        is_known
     }
 
     fn clear(&self, state: &State, fingerprint: Digest, cause: &'static str) -> bool {
@@ -165,6 +189,24 @@
     }
 }
 
+/// A request whose connection ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Interrupted {
+    attempt_id: Arc<str>,
+    fingerprint: Digest,
+    target: Digest,
+}
+
+impl From<&ActiveRequest> for Interrupted {
+    fn from(request: &ActiveRequest) -> Self {
+        Self {
+            attempt_id: Arc::clone(&request.attempt_id),
+            fingerprint: request.fingerprint(),
+            target: request.target(),
+        }
+    }
+}
+
 /// Checks that a request is not quarantined and not on trial elsewhere.
 ///
 /// # Errors
@@ -200,7 +242,10 @@
         let entry = fleet.get(placement.key).ok_or(busy)?;
         entry.upstream.incarnation()
     };
-    let change = state.suspects.table().trial(fingerprint, &upstream);
+    let change = {
+        let table = state.suspects.table();
+        table.target_trial(fingerprint, request.target(), &upstream)
+    };
     let change = change.ok_or(busy)?;
     if let Err(error) = write(&state, &[change]).await {
         if !matches!(error, Error::Conflict(_)) {
@@ -227,9 +272,13 @@
     }
     let fingerprint = request.fingerprint();
     let now = state.now();
-    let verdict = state.suspects.table().verdict(fingerprint, now);
-    match verdict {
-        Verdict::Unrestricted | Verdict::Trial => Ok(verdict),
+    let (own, of_target) = {
+        let table = state.suspects.table();
+        let of_target = table.target_verdict(request.target(), now);
+        (table.verdict(fingerprint, now), of_target)
+    };
+    match own.max(of_target) {
+        verdict @ (Verdict::Unrestricted | Verdict::Trial) => Ok(verdict),
         Verdict::Busy => Err(Rejection::NotRun(BUSY_RETRY_MS)),
         Verdict::Quarantined => {
             if state.allows_log_line(Event::RequestQuarantined) {
@@ -239,6 +288,7 @@
                     Event::RequestQuarantined,
                     "request" => &*request.attempt_id,
                     "fingerprint" => fingerprint.to_string(),
+                    "target" => (of_target > own).then(|| request.target().to_string()),
                     "crashes" => crashes
                 );
             }
@@ -247,10 +297,12 @@
     }
 }
 
-/// Returns whether a request was in flight when an upstream crashed.
+/// Returns whether a request was in flight when an upstream crashed, or its target is held against it.
 pub(crate) fn is_suspect(request: &ActiveRequest) -> bool {
-    let suspects = &request.state.suspects;
-    !suspects.table().is_empty() && suspects.table().crashes(request.fingerprint()) > 0
+    let table = request.state.suspects.table();
+    !table.is_empty()
+        && (table.crashes(request.fingerprint()) > 0
+            || table.target_verdict(request.target(), request.state.now()) != Verdict::Unrestricted)
 }
 
 /// Returns the upstreams at which suspects are on trial, if a request is a suspect itself.
@@ -268,16 +320,13 @@
         return;
     }
     suspects.clear(&request.state, request.fingerprint(), "completed");
+    suspects.exonerate(&request.state, request.target(), "completed");
 }
 
 /// Records that an upstream crashed with a request in flight, and waits until the crash is stored,
 /// but not for long.
-pub(crate) async fn record_crash(
-    state: &State,
-    attempt_id: &str,
-    fingerprint: Digest,
-    upstream: &id::Upstream,
-) {
+pub(crate) async fn record_crash(state: &State, request: &Interrupted, upstream: &id::Upstream) {
+    let fingerprint = request.fingerprint;
     let now = state.now();
     let suspects = &state.suspects;
     let accusation = Accusation {
@@ -287,14 +336,20 @@
     lock(&suspects.accused)
         .entry(upstream.clone())
         .or_insert(accusation);
-    let crashes = suspects.table().record_crash(fingerprint, upstream, now);
+    let crashes = {
+        let mut table = suspects.table();
+        let crashes = table.record_crash(fingerprint, upstream, now);
+        table.set_target(fingerprint, request.target);
+        crashes
+    };
     suspects.changed.notify_one();
     if state.allows_log_line(Event::RequestSuspected) {
         event!(
             state.log,
             Event::RequestSuspected,
-            "request" => attempt_id.to_owned(),
+            "request" => &*request.attempt_id,
             "fingerprint" => fingerprint.to_string(),
+            "target" => request.target.to_string(),
             "upstream" => upstream.to_string(),
             "crashes" => crashes
         );
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -212,6 +212,7 @@
         Self {
             crashed: vec![upstream; (row.crashes as usize).min(Limits::OWNED.quarantine)],
             trial,
+            ..Self::default()
         }
     }
 }
