Confirm the configuration before a turn is denied or runs without the turns before it

Cause of both: the instance answered for certain from a configuration of unknown age. A turn that names a previous one where no route retains turns tells that it may be too old.

Change: for such a turn the configuration is read from the store, once for all that wait. Without that read, and for a request without a route while the store is down, the answer is 503.

--- a/crates/daemon/tests/ingress/main.rs
+++ b/crates/daemon/tests/ingress/main.rs
@@ -14,6 +14,7 @@
 mod history;
 mod leaving;
 mod lost_path;
+mod older_config;
 mod outage;
 mod process;
 mod quota;
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -414,6 +414,21 @@
     request
 }
 
+/// Like [`configure`], with a further route that is like the one named `pattern`, with a prefix of its own.
+pub(crate) fn configure_prefix(store: &Store, version: u64, pattern: &str, prefix: &str) {
+    let mut config = build_config(version, 60.0, 100_000, 4_000);
+    let routes = config["routes"].as_array_mut().unwrap();
+    let mut added = routes
+        .iter()
+        .find(|route| route["name"] == pattern)
+        .unwrap()
+        .clone();
+    added["name"] = "added".into();
+    added["prefix"] = prefix.into();
+    routes.push(added);
+    store.put("op", "config", config.to_string().as_bytes());
+}
+
 /// A route for plain requests, in a configuration of such routes alone.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlainRoute {
--- a/crates/ingress/src/config_copy.rs
+++ b/crates/ingress/src/config_copy.rs
@@ -34,6 +34,9 @@
     newest: Mutex<Option<Newest>>,
     /// When the latest copy failed. Held while one is made.
     failed_at: tokio::sync::Mutex<Option<Time>>,
+    /// When the latest read of the store began that confirmed the version in force. Held while one is
+    /// made.
+    confirmed_at: tokio::sync::Mutex<Option<Time>>,
 }
 
 /// The newest version that is known, and an instance that has it.
@@ -114,6 +117,24 @@
     is_in_force
 }
 
+/// Returns whether no newer configuration than the one in force existed at `time`, after reading it from
+/// the store if necessary.
+pub(crate) async fn confirm(state: &State, time: Time, deadline: Time) -> bool {
+    if state.is_store_down() {
+        return false;
+    }
+    let mut confirmed_at = state.config_copies.confirmed_at.lock().await;
+    if confirmed_at.is_some_and(|at| at >= time) {
+        return true;
+    }
+    let began = state.now();
+    let is_read = feed::read_config(state, deadline).await.is_ok();
+    if is_read {
+        *confirmed_at = Some(began);
+    }
+    is_read
+}
+
 async fn copy(state: &Arc<State>, holder: &Arc<str>) -> Option<Bytes> {
     let mut request = Request::new(Full::default());
     config_copy::mark(request.headers_mut());
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use basilramp_adapter::config::InvalidConfig;
-use basilramp_adapter::store::{Error, Page, PartitionKey, Row};
+use basilramp_adapter::store::{Client, Error, Page, PartitionKey, Row};
 use basilramp_adapter::{config, discovery};
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::fleet::Change;
@@ -15,7 +15,7 @@
 use rand::Rng;
 
 use crate::log_event::Event;
-use crate::state::State;
+use crate::state::{State, StoreCall};
 use crate::{rate_limit, suspect, version_history};
 
 /// Long-poll timeout for the configuration table. It distinguishes a dead connection from a quiet
@@ -236,6 +236,26 @@
     }
 }
 
+/// Reads the configuration from the store.
+///
+/// # Errors
+///
+/// Returns the error of the call.
+pub(crate) async fn read_config(state: &State, deadline: Time) -> Result<(), Error> {
+    let place = PartitionKey {
+        table: config::TABLE,
+        partition: "",
+    };
+    let call = async |store: &Client, limit_ms| store.read_range(place, None, None, limit_ms).await;
+    // The partition has the name of the watched tables' one, whose health is another matter.
+    let page = state
+        .call(StoreCall::Read, config::TABLE, deadline, call)
+        .await?;
+    let rows = page.rows.iter().filter(|row| &*row.key == config::KEY);
+    rows.for_each(|row| apply_config_row(state, row));
+    Ok(())
+}
+
 fn apply_config_row(state: &State, row: &Row) {
     let Some(value) = &row.value else {
         return;
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -14,7 +14,7 @@
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::placement::Placement;
 use basilramp_core::dispatch::request::{Rejection, RequestHeaders};
-use basilramp_core::dispatch::route;
+use basilramp_core::dispatch::route::{self, RouteTable};
 use basilramp_core::dispatch::transcript::TranscriptBuilder;
 use basilramp_process::event;
 use basilramp_wire as wire;
@@ -46,6 +46,10 @@
 /// Retry delay sent to a caller when no configuration is loaded yet.
 const START_RETRY_MS: u64 = 300;
 
+/// Time within which the configuration is read from the store for a request that may need a newer one, in
+/// milliseconds.
+const CONFIRMATION_LIMIT_MS: u64 = 1_000;
+
 /// Retry delay sent to a caller whose request arrives at the end of a shutdown. It is short, as the
 /// caller's next connection usually reaches another instance.
 const SHUTDOWN_RETRY_MS: u64 = 50;
@@ -283,13 +287,10 @@
         return Err(Rejection::NotRun(SHUTDOWN_RETRY_MS));
     }
     source.catch_up(state).await?;
-    let table = state.table().ok_or(Rejection::NotRun(START_RETRY_MS))?;
     let host = request_host(&parts).ok_or(Rejection::Malformed)?;
-    let route = match table.select(host, parts.uri.path()) {
-        Some(route) => route,
-        None if config_copy::is_outdated(state) => return Err(Rejection::NotRun(START_RETRY_MS)),
-        None => return Err(Rejection::NoRoute),
-    };
+    let table = current_table(state, host, &parts, &headers, arrived).await?;
+    let route = table.select(host, parts.uri.path());
+    let route = route.ok_or(Rejection::NoRoute)?;
     source.check_repeats(route)?;
     let client = client::find(state, &table, route, source.client.as_ref(), &parts.headers)?;
     if let Some(client) = &client {
@@ -433,6 +434,40 @@
     dispatch(request, budget, turn).await
 }
 
+/// Returns the configuration in force, of which it is certain that a newer one would not have another
+/// route for a request that has none or that continues a turn which its route doesn't retain.
+///
+/// # Errors
+///
+/// Returns a rejection if there may be a newer one.
+async fn current_table(
+    state: &State,
+    host: &str,
+    parts: &Parts,
+    headers: &RequestHeaders,
+    arrived: Time,
+) -> Result<Arc<RouteTable>, Rejection> {
+    let continues_turn = headers.previous_turn.is_some();
+    let unknown = Rejection::NotRun(START_RETRY_MS);
+    let mut is_confirmed = false;
+    loop {
+        let table = state.table().ok_or(unknown)?;
+        let is_clear = match table.select(host, parts.uri.path()) {
+            Some(route) => !continues_turn || route.retention_ms.is_some(),
+            None => !continues_turn && !state.is_store_down() && !config_copy::is_outdated(state),
+        };
+        if is_clear || is_confirmed {
+            return Ok(table);
+        }
+        let limit_ms = headers.deadline_ms.unwrap_or(CONFIRMATION_LIMIT_MS);
+        let deadline = arrived.after(limit_ms.min(CONFIRMATION_LIMIT_MS));
+        if !config_copy::confirm(state, arrived, deadline).await {
+            return Err(unknown);
+        }
+        is_confirmed = true;
+    }
+}
+
 /// Returns the key by which a split route selects the service: the program id, or else the attempt
 /// id.
 fn split_key<'a>(headers: &'a RequestHeaders, attempt: &'a str) -> &'a str {
