--- a/crates/daemon/tests/ingress/upstream_faults.rs
+++ b/crates/daemon/tests/ingress/upstream_faults.rs
@@ -339,6 +339,8 @@
     let replies = futures_util::future::join_all(requests);
     let (replies, peak_mb) = instance.peak_resident_mb(replies).await;
     assert!(peak_mb < MAX_RESIDENT_MB, "{peak_mb} MB");
+    let unanswered = replies.iter().filter(|reply| reply.is_none());
+    assert_eq!(unanswered.count(), 0);
     let rejected = replies.iter().flatten();
     let rejected = rejected.filter(|reply| reply.status == StatusCode::SERVICE_UNAVAILABLE);
     assert!(rejected.count() > 0, "{peak_mb} MB");
--- a/crates/ingress/src/buffer.rs
+++ b/crates/ingress/src/buffer.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
@@ -124,7 +125,12 @@
     }
 }
 
-/// Reads a whole body of at most `max_bytes` bytes, which are added to a reservation.
+/// Time for which the rest of a rejected body is discarded. A connection that is closed before resets, and
+/// its caller may not get the rejection.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reads a whole body of at most `max_bytes` bytes, which are added to a reservation. The rest of a body
+/// that doesn't fit in the memory is discarded.
 ///
 /// # Errors
 ///
@@ -133,6 +139,25 @@
     mut body: Incoming,
     max_bytes: usize,
     reservation: &mut Reservation,
+) -> Result<Bytes, CollectError> {
+    let collected = collect_frames(&mut body, max_bytes, reservation).await;
+    if collected == Err(CollectError::Exhausted) {
+        tokio::spawn(discard(body));
+    }
+    collected
+}
+
+/// Discards the rest of a body for a limited time.
+async fn discard(mut body: Incoming) {
+    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A caller that is slower loses its connection.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+}
+
+async fn collect_frames(
+    body: &mut Incoming,
+    max_bytes: usize,
+    reservation: &mut Reservation,
 ) -> Result<Bytes, CollectError> {
     let announced = body.size_hint().exact().unwrap_or_default();
     if announced > max_bytes as u64 {
