Split connections to instances and the source of a request into modules of their own

relay.rs and handler.rs had grown; no behaviour changes, but for a confirmation of the configuration whose time is over before it begins.

--- a/crates/ingress/src/config_copy.rs
+++ b/crates/ingress/src/config_copy.rs
@@ -12,12 +12,12 @@
 use basilramp_wire::config_copy;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 
 use crate::handler::Body;
 use crate::log_event::Event;
 use crate::state::{State, lock};
-use crate::{feed, relay};
+use crate::{feed, peer_connection};
 
 /// Time limit for a copy. Requests wait for it.
 const COPY_TIMEOUT: Duration = Duration::from_millis(300);
@@ -128,6 +128,9 @@
         return true;
     }
     let began = state.now();
+    if began >= deadline {
+        return false;
+    }
     let is_read = feed::read_config(state, deadline).await.is_ok();
     if is_read {
         *confirmed_at = Some(began);
@@ -138,7 +141,7 @@
 async fn copy(state: &Arc<State>, holder: &Arc<str>) -> Option<Bytes> {
     let mut request = Request::new(Full::default());
     config_copy::mark(request.headers_mut());
-    relay::call(state, holder, request, MAX_DOCUMENT_BYTES).await
+    peer_connection::call(state, holder, request, MAX_DOCUMENT_BYTES).await
 }
 
 /// Answers another instance that asks for the document.
@@ -149,11 +152,8 @@
     } else {
         StatusCode::NOT_FOUND
     };
-    let body = Limited::new(Full::new(document.unwrap_or_default()), usize::MAX);
-    let mut response = Response::new(
-        body.map_err(|_| crate::handler::ResponseAborted)
-            .boxed_unsync(),
-    );
+    let body = Full::new(document.unwrap_or_default());
+    let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
     *response.status_mut() = status;
     response
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -7,6 +7,7 @@
 //! | `run` | startup and shutdown |
 //! | `server` | listeners and caller connections |
 //! | `handler` | handles one request from its headers to its response |
+//! | `source` | who sent a request, and what a relaying instance says of it |
 //! | `prepare` | loads what a turn needs before it is placed |
 //! | `client` | finds the client account of a request |
 //! | `active_request` | a request in progress |
@@ -27,6 +28,7 @@
 //! | `path` | checks the path to the upstreams |
 //! | `relay` | relays requests to other instances while the path is lost |
 //! | `config_copy` | gets a newer configuration from another instance |
+//! | `peer_connection` | connections to other instances |
 //! | `peer_server`, `peer_tls` | accepts relayed requests over mutual TLS |
 //! | `membership` | rows by which the instances find each other |
 //! | `pool` | connection pool for upstreams |
@@ -54,6 +56,7 @@
 mod metric;
 mod operator;
 mod path;
+mod peer_connection;
 mod peer_server;
 mod peer_tls;
 mod pool;
@@ -64,6 +67,7 @@
 mod run;
 mod server;
 mod settings;
+mod source;
 mod state;
 mod stream;
 mod stream_log;
--- a/crates/ingress/src/peer_server.rs
+++ b/crates/ingress/src/peer_server.rs
@@ -17,9 +17,10 @@
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::server::TlsStream;
 
-use crate::handler::{self, Origin};
+use crate::handler;
 use crate::log_event::Event;
 use crate::server::{ACCEPT_RETRY_DELAY, OpenConnections};
+use crate::source::Origin;
 use crate::state::State;
 use crate::{membership, peer_tls, quota};
 
--- a/crates/ingress/src/quota/home.rs
+++ b/crates/ingress/src/quota/home.rs
@@ -24,7 +24,7 @@
 use super::Asking;
 use crate::handler::Body;
 use crate::membership;
-use crate::relay;
+use crate::peer_connection;
 use crate::state::{State, lock};
 
 /// Time limit for an answer of the home, in milliseconds: the time for which a request may wait for a
@@ -108,7 +108,7 @@
     let mut request = Request::new(Full::new(Bytes::from(message)));
     *request.method_mut() = Method::POST;
     permit::mark(request.headers_mut());
-    let body = relay::call(state, home, request, MAX_MESSAGE_BYTES).await?;
+    let body = peer_connection::call(state, home, request, MAX_MESSAGE_BYTES).await?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -3,11 +3,9 @@
 //! The other instance handles a request like one of its own caller's: it loads, places and records it.
 //! This instance passes the response on.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::Duration;
 
-use basilramp_adapter::connection::{self, Sender};
 use basilramp_adapter::{caller, header, upstream};
 use basilramp_core::dispatch::attempt::Failure;
 use basilramp_core::dispatch::relay::Outcome;
@@ -16,13 +14,10 @@
 use basilramp_wire::relay::{self, Decline};
 use bytes::Bytes;
 use futures_util::stream;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body::Frame;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 
 use crate::active_request::ActiveRequest;
 use crate::buffer::Reservation;
@@ -30,18 +25,15 @@
 use crate::handler::{Body, ResponseAborted};
 use crate::leaving;
 use crate::log_event::Event;
-use crate::membership::{self, Member};
+use crate::membership;
 use crate::metric;
-use crate::peer_tls;
+use crate::peer_connection::{self, Connection};
 use crate::quota::{self, SpentPermit};
-use crate::state::{State, lock};
+use crate::state::State;
 
 /// Maximum number of instances that are tried for a request.
 const MAX_INSTANCES: usize = 5;
 
-/// Time limit for a connection to another instance.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time for which the end of a response is waited for beyond the caller's deadline, in milliseconds:
 /// the other instance ends it at the deadline.
 const DEADLINE_MARGIN_MS: u64 = 100;
@@ -50,12 +42,6 @@
 /// milliseconds.
 const MIN_RESPONSE_TIMEOUT_MS: u64 = 1_000;
 
-/// Idle time after which a connection to another instance is discarded.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Maximum number of idle connections to an instance.
-const MAX_IDLE_PER_INSTANCE: usize = 8;
-
 /// Retry delay sent to a caller if no other instance has a path either, in milliseconds.
 const NO_INSTANCE_RETRY_MS: u64 = 500;
 
@@ -63,48 +49,6 @@
 /// milliseconds. It is short, as this instance has the newer one by then.
 const SUPERSEDED_RETRY_MS: u64 = 50;
 
-/// Idle connections to other instances.
-#[derive(Debug, Default)]
-pub(crate) struct Connections(Mutex<BTreeMap<Arc<str>, Vec<IdleConnection>>>);
-
-#[derive(Debug)]
-struct IdleConnection {
-    sender: Sender,
-    /// Whom the connection was opened to; an instance may start again at another address.
-    member: Member,
-    since: Instant,
-}
-
-impl Connections {
-    fn take(&self, id: &str, member: &Member) -> Option<Sender> {
-        let mut idle = lock(&self.0);
-        let connections = idle.get_mut(id)?;
-        while let Some(idle) = connections.pop() {
-            let is_usable = idle.since.elapsed() < IDLE_TIMEOUT && !idle.sender.is_closed();
-            if is_usable && idle.member == *member {
-                return Some(idle.sender);
-            }
-        }
-        None
-    }
-
-    fn release(&self, id: &Arc<str>, member: Member, sender: Sender) {
-        let mut idle = lock(&self.0);
-        idle.retain(|_, connections| {
-            connections.retain(|idle| idle.since.elapsed() < IDLE_TIMEOUT);
-            !connections.is_empty()
-        });
-        let connections = idle.entry(Arc::clone(id)).or_default();
-        if connections.len() < MAX_IDLE_PER_INSTANCE && !sender.is_closed() {
-            connections.push(IdleConnection {
-                sender,
-                member,
-                since: Instant::now(),
-            });
-        }
-    }
-}
-
 /// Returns why this instance declines relayed requests at present.
 pub(crate) fn decline_reason(state: &State) -> Option<Decline> {
     if state.is_stopping() {
@@ -210,9 +154,8 @@
 
     /// Keeps the connection of a completely read stream.
     pub(crate) fn finish(self) {
-        let Connection { sender, member } = self.connection;
-        let connections = &self.guard.state.connections;
-        connections.release(&self.guard.instance, member, sender);
+        let guard = &self.guard;
+        self.connection.release(&guard.state, &guard.instance);
     }
 }
 
@@ -346,19 +289,14 @@
     Late,
 }
 
-/// A connection in use, with what its reuse needs.
-struct Connection {
-    sender: Sender,
-    member: Member,
-}
-
 async fn exchange(
     request: &ActiveRequest,
     instance: &Arc<str>,
     last_event: Option<u64>,
 ) -> Result<(Response<Incoming>, Connection), RelayError> {
     let state = &request.state;
-    let mut connection = connect_to(state, instance).await?;
+    let connection = peer_connection::open(state, instance).await;
+    let mut connection = connection.map_err(RelayError::NotSent)?;
     let sender = &mut connection.sender;
     let limit = Duration::from_millis(response_timeout_ms(request));
     let response = sender.try_send_request(build_request(request, last_event));
@@ -377,60 +315,6 @@
     }
 }
 
-/// Returns a connection to an instance that is ready for a request.
-///
-/// # Errors
-///
-/// Fails if the instance is unknown or accepts no connection in time.
-async fn connect_to(state: &State, instance: &Arc<str>) -> Result<Connection, RelayError> {
-    let unknown = || RelayError::NotSent("the instance is gone".into());
-    let member = state.membership.get(instance).ok_or_else(unknown)?;
-    let idle = state.connections.take(instance, &member);
-    let mut sender = match idle {
-        Some(sender) => sender,
-        None => tokio::time::timeout(CONNECT_TIMEOUT, connect(state, &member))
-            .await
-            .map_err(|_| RelayError::NotSent("timed out".into()))?
-            .map_err(|error| RelayError::NotSent(format!("{error:#}")))?,
-    };
-    // The body of an earlier request may still be being written.
-    tokio::time::timeout(CONNECT_TIMEOUT, sender.ready())
-        .await
-        .map_err(|_| RelayError::NotSent("the connection is busy".into()))?
-        .map_err(|error| RelayError::NotSent(error.to_string()))?;
-    Ok(Connection { sender, member })
-}
-
-/// Sends a request of this instance itself to another one. Returns the body of a response with status 200
-/// and at most `max_bytes` bytes.
-pub(crate) async fn call(
-    state: &State,
-    instance: &Arc<str>,
-    request: Request<Full<Bytes>>,
-    max_bytes: usize,
-) -> Option<Bytes> {
-    let Connection { mut sender, member } = connect_to(state, instance).await.ok()?;
-    let response = sender.send_request(request).await.ok()?;
-    let is_ok = response.status() == StatusCode::OK;
-    let body = Limited::new(response.into_body(), max_bytes);
-    let body = body.collect().await.ok()?.to_bytes();
-    state.connections.release(instance, member, sender);
-    is_ok.then_some(body)
-}
-
-async fn connect(state: &State, member: &Member) -> eyre::Result<Sender> {
-    let stream = TcpStream::connect(member.address).await?;
-    connection::set_socket_options(&stream)?;
-    let connector = state.identity.connector(member.certificate)?;
-    let stream = connector.connect(peer_tls::server_name()?, stream).await?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    // Connection errors are also returned to the pending request, so they are ignored here.
-    tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    Ok(sender)
-}
-
 /// Returns whether a request that may have been handled by another instance may be sent to a further
 /// one. Both would store a retained turn under the same attempt, with different events.
 const fn may_repeat_elsewhere(request: &ActiveRequest) -> bool {
@@ -553,9 +437,8 @@
     fn finish(self) {
         let request = &self.request;
         request.record_relayed(&self.guard.instance, self.status);
-        let Connection { sender, member } = self.connection;
-        let connections = &request.state.connections;
-        connections.release(&self.guard.instance, member, sender);
+        self.connection
+            .release(&request.state, &self.guard.instance);
     }
 
     fn abort(&mut self, error: &RelayError) {
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -18,8 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::handler::Origin;
 use crate::log_event::Event;
+use crate::source::Origin;
 use crate::state::State;
 use crate::{handler, operator};
 
