Let a quarantined request explain the crashes under others for its target

Change: crashes under a request that is quarantined itself count for the target only if two are quarantined there. A target may have a trial again ten seconds after its last crash; the time doubles with each further crash.

--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -240,10 +240,27 @@
     /// Returns how a request may proceed because of other requests for its target.
     #[must_use]
     pub fn target_verdict(&self, target: Digest, now: Time) -> Verdict {
+        let is_of_target = |entry: &&Entry| entry.suspect.target == Some(target);
+        let suspects = || self.entries.values();
+        if !suspects().any(|entry| is_of_target(&entry)) {
+            return Verdict::Unrestricted;
+        }
+        let convicted: Vec<_> = suspects()
+            .filter(|entry| entry.crashes() >= LIMITS.quarantine)
+            .collect();
+        let has_several = convicted.iter().filter(|entry| is_of_target(entry)).count() > 1;
+        let explains = |entry: &&Entry| !(has_several && is_of_target(entry));
+        let explained: BTreeSet<_> = convicted
+            .into_iter()
+            .filter(explains)
+            .flat_map(Entry::crashed)
+            .collect();
         let mut evidence = Evidence::default();
-        let suspects = self.entries.values();
-        for entry in suspects.filter(|entry| entry.suspect.target == Some(target)) {
-            let current = entry.current();
+        for entry in suspects().filter(is_of_target) {
+            let mut current = entry.current();
+            current
+                .crashed
+                .retain(|upstream| !explained.contains(upstream));
             let is_on_trial = current.trial.is_some() && !entry.is_trial_stale(now);
             evidence.add(current, is_on_trial, entry.changed_at);
         }
--- a/crates/core/src/suspect/target.rs
+++ b/crates/core/src/suspect/target.rs
@@ -2,7 +2,8 @@
 //!
 //! What triggers a fault of an engine may be part of many requests, with different bodies and callers,
 //! so that each of them is a suspect of its own. Their target is held against them once several of them
-//! have met crashes while no request for it has completed.
+//! have met crashes while no request for it has completed. What a quarantined request explains does not
+//! count, unless several requests for the target are quarantined.
 
 use std::collections::BTreeSet;
 
@@ -20,9 +21,12 @@
 /// Crashes from which on the target is quarantined, if one of them ended a trial.
 const QUARANTINE_CRASHES: usize = 4;
 
-/// Time after the last crash at which a quarantined target may have a trial again, in milliseconds. The
-/// upstreams may be others by then.
-const QUARANTINE_MS: u64 = 60_000;
+/// Time after the last crash at which a quarantined target may have a trial again, in milliseconds. It
+/// doubles with each further crash, so that a sound target returns soon.
+const FIRST_QUARANTINE_MS: u64 = 10_000;
+
+/// Maximum of that time, in milliseconds.
+const MAX_QUARANTINE_MS: u64 = 10 * 60_000;
 
 /// What the suspects with one target tell of it.
 #[derive(Debug, Default)]
@@ -52,8 +56,11 @@
         if self.suspects < MIN_SUSPECTS || self.crashed.len() < TRIAL_CRASHES {
             return Verdict::Unrestricted;
         }
-        let is_quarantined = self.has_failed_trial && self.crashed.len() >= QUARANTINE_CRASHES;
-        if is_quarantined && now.since(self.changed_at) < QUARANTINE_MS {
+        let further = self.crashed.len().checked_sub(QUARANTINE_CRASHES);
+        let quarantine_ms = further
+            .filter(|_| self.has_failed_trial)
+            .map_or(0, |further| FIRST_QUARANTINE_MS << further.min(6));
+        if now.since(self.changed_at) < quarantine_ms.min(MAX_QUARANTINE_MS) {
             Verdict::Quarantined
         } else if self.is_on_trial {
             Verdict::Busy
