Quarantine a target only after two of its trials have failed

One failed trial is weak evidence, as the upstream may crash for a reason of its own.

Change: two suspects with a failed trial and five crashes are needed.

--- a/crates/core/src/suspect/target.rs
+++ b/crates/core/src/suspect/target.rs
@@ -18,8 +18,12 @@
 /// Crashes under these suspects from which on requests for the target run only as trials.
 const TRIAL_CRASHES: usize = 3;
 
-/// Crashes from which on the target is quarantined, if one of them ended a trial.
-const QUARANTINE_CRASHES: usize = 4;
+/// Crashes from which on the target is quarantined, after enough failed trials.
+const QUARANTINE_CRASHES: usize = 5;
+
+/// Suspects of which a trial ended with a crash before the target is quarantined. An upstream may crash
+/// under a single trial for a reason of its own.
+const FAILED_TRIALS: usize = 2;
 
 /// Time after the last crash at which a quarantined target may have a trial again, in milliseconds. It
 /// doubles with each further crash, so that a sound target returns soon.
@@ -33,7 +37,7 @@
 pub(super) struct Evidence {
     suspects: usize,
     crashed: BTreeSet<id::Upstream>,
-    has_failed_trial: bool,
+    failed_trials: usize,
     is_on_trial: bool,
     changed_at: Time,
 }
@@ -47,7 +51,7 @@
         }
         self.suspects += 1;
         self.crashed.extend(suspect.crashed);
-        self.has_failed_trial |= suspect.has_failed_trial;
+        self.failed_trials += usize::from(suspect.has_failed_trial);
         self.changed_at = self.changed_at.max(changed_at);
     }
 
@@ -58,7 +62,7 @@
         }
         let further = self.crashed.len().checked_sub(QUARANTINE_CRASHES);
         let quarantine_ms = further
-            .filter(|_| self.has_failed_trial)
+            .filter(|_| self.failed_trials >= FAILED_TRIALS)
             .map_or(0, |further| FIRST_QUARANTINE_MS << further.min(6));
         if now.since(self.changed_at) < quarantine_ms.min(MAX_QUARANTINE_MS) {
             Verdict::Quarantined
