--- a/review/standins-3/src/bin/case-11.rs
+++ b/review/standins-3/src/bin/case-11.rs
@@ -44,7 +44,7 @@
 }
 
 async fn run(record: Record, has_trouble: bool) -> i32 {
-    let Ok(store) = site::start_store(&site::config(3)).await else {
+    let Ok(store) = site::start_store(&site::config(3, &[site::PAY])).await else {
         return NOT_RUN;
     };
     let runs = Runs::default();
@@ -132,7 +132,7 @@
             let id = format!("c{caller}-p{payment}-a{attempt}");
             let body = format!("payment {payment} of caller {caller}");
             record.line(format!("sent {id}"));
-            let request = caller::plain("POST", "pay", &id, 2_000, &body);
+            let request = caller::plain("POST", "/pay/x", &id, 2_000, &body);
             let reply = caller::send(address, request).await;
             let status = reply.as_ref().map_or(0, |reply| reply.status.as_u16());
             record.line(format!("answered {id} {status}"));
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -6,32 +6,64 @@
 
 use crate::store::Store;
 
-/// Returns a configuration with a plain service `app` and an engine `engine`. Its routes are `read`
-/// (safe), `pay` (unsafe), `advice` (stream that can be resumed) and `chat` (stream whose turns are
-/// retained for 60 s).
-#[must_use]
-pub fn config(version: u64) -> Value {
-    let route = |name: &str,
-                 kind: &str,
-                 service: &str,
-                 timeout_ms: u64,
-                 resumable: bool,
-                 retained: bool| {
+/// A route of a configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Route {
+    /// Its name and, between slashes, its prefix.
+    pub name: &'static str,
+    /// `safe`, `unsafe` or `stream`.
+    pub kind: &'static str,
+    pub service: &'static str,
+    pub timeout_ms: u64,
+    pub max_attempts: u32,
+    pub is_resumable: bool,
+    pub is_retained: bool,
+}
+
+impl Route {
+    fn json(self) -> Value {
+        let Self {
+            name,
+            kind,
+            service,
+            ..
+        } = self;
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": kind,
-            "service": service, "timeout_ms": timeout_ms, "slo_ms": 200, "priority": 1,
-            "max_attempts": 2, "retained": retained, "retention_s": 60.0, "sticky": true,
-            "resumable": resumable, "gap_target_ms": 400,
+            "service": service, "timeout_ms": self.timeout_ms, "slo_ms": 200, "priority": 1,
+            "max_attempts": self.max_attempts, "retained": self.is_retained, "retention_s": 60.0,
+            "sticky": true, "resumable": self.is_resumable, "gap_target_ms": 400,
         })
-    };
+    }
+}
+
+/// Reads that may be repeated.
+pub const READ: Route = Route {
+    name: "read",
+    kind: "safe",
+    service: "app",
+    timeout_ms: 1_200,
+    max_attempts: 2,
+    is_resumable: false,
+    is_retained: false,
+};
+
+/// Payments, which must run once at most.
+pub const PAY: Route = Route {
+    name: "pay",
+    kind: "unsafe",
+    timeout_ms: 2_000,
+    ..READ
+};
+
+/// Returns a configuration with a plain service `app` and an engine `engine`.
+#[must_use]
+pub fn config(version: u64, routes: &[Route]) -> Value {
+    let routes = routes.iter().map(|route| route.json());
+    let routes: Vec<_> = routes.collect();
     json!({
         "version": version,
-        "routes": [
-            route("read", "safe", "app", 1_200, false, false),
-            route("pay", "unsafe", "app", 2_000, false, false),
-            route("advice", "stream", "engine", 4_000, true, false),
-            route("chat", "stream", "engine", 4_000, false, true),
-        ],
+        "routes": routes,
         "services": [
             {"name": "app", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false},
             {"name": "engine", "health_path": "/healthz", "max_conns": 210, "protocol": "h1", "tls": false,
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -50,6 +51,8 @@
 pub struct Store {
     address: SocketAddr,
     rows: Arc<Mutex<Rows>>,
+    /// Whether calls at this address are rejected.
+    rejects: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -59,15 +62,38 @@
     ///
     /// Fails if no port is free.
     pub async fn start() -> Result<Self, String> {
-        let listener = TcpListener::bind("127.0.0.1:0").await;
-        let listener = listener.map_err(|error| error.to_string())?;
-        let address = listener.local_addr().map_err(|error| error.to_string())?;
-        let rows = Arc::new(Mutex::new(Rows {
+        Self::listen(Arc::new(Mutex::new(Rows {
             rows: BTreeMap::new(),
             version: 1,
             started_at: Instant::now(),
-        }));
-        let store = Self { address, rows };
+        })))
+        .await
+    }
+
+    /// Opens another address of the same store, for one machine, which can be turned away there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn open_view(&self) -> Result<Self, String> {
+        Self::listen(Arc::clone(&self.rows)).await
+    }
+
+    /// Sets whether all calls at this address are rejected with status 503, without an effect.
+    pub fn set_rejecting(&self, rejects: bool) {
+        self.rejects.store(rejects, Ordering::Relaxed);
+    }
+
+    async fn listen(rows: Arc<Mutex<Rows>>) -> Result<Self, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.map_err(|error| error.to_string())?;
+        let address = listener.local_addr().map_err(|error| error.to_string())?;
+        let rejects = Arc::default();
+        let store = Self {
+            address,
+            rows,
+            rejects,
+        };
         let served = store.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -128,6 +154,9 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let query = parse_query(request.uri().query().unwrap_or_default());
+        if self.is_rejecting() {
+            return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
         match request.uri().path() {
             "/rows-get" => {
                 tokio::time::sleep(CALL).await;
@@ -149,6 +178,10 @@
         }
     }
 
+    fn is_rejecting(&self) -> bool {
+        self.rejects.load(Ordering::Relaxed)
+    }
+
     fn read(&self, query: &BTreeMap<String, String>) -> Value {
         let get = |name: &str| query.get(name).cloned().unwrap_or_default();
         let (table, part, from, to) = (get("table"), get("part"), get("from"), get("to"));
@@ -167,6 +200,9 @@
         let after = number("after").unwrap_or_default();
         let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or_default());
         loop {
+            if self.is_rejecting() {
+                return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            }
             {
                 let rows = lock(&self.rows);
                 let changed = rows.rows.iter();
