review: the first client account makes turns on public routes unreachable (case 15)

Cause: callers of a public route have one scope without accounts and another one with accounts, so that the ids of their turns change when the first account is configured.

Change: the case as a script; what it shares with case 13 moved to a module.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-3/release/case-15 review/15
--- a/review/standins-3/src/bin/case-13.rs
+++ b/review/standins-3/src/bin/case-13.rs
@@ -2,21 +2,14 @@
 //! the first turn of a line on a route that it does not know, as an older route with a shorter prefix
 //! allows, and keeps nothing of it. The next turn, at another machine, gets 404.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use basilramp_review_3::caller::{Connection, Reply};
+use basilramp_review_3::caller::Connection;
 use basilramp_review_3::case::{self, BROKEN, HELD, NOT_RUN, Record, lock};
+use basilramp_review_3::engine::{Runs, Turn, start_runner};
 use basilramp_review_3::instance::Instance;
-use basilramp_review_3::runner::read_request;
 use basilramp_review_3::site::{self, Route};
-use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
-use tokio::io::{AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
 
 /// Advice, whose turns carry their whole prompts.
 const ADVICE: Route = Route {
@@ -42,9 +35,6 @@
 /// Programs that ran before, so that the machine knows the size of a turn.
 const EARLIER_PROGRAMS: usize = 24;
 
-/// Events of a turn.
-const EVENTS: usize = 8;
-
 /// Time from the beginning of the disruption to the newer configuration.
 const CONFIG_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -57,9 +47,6 @@
 /// Time from the second turns to the end of the disruption.
 const END_AFTER: Duration = Duration::from_millis(1_000);
 
-/// What the runners ran: the body by attempt id.
-type Runs = Arc<Mutex<BTreeMap<String, String>>>;
-
 fn main() {
     case::run(|record, has_trouble| async move {
         match run(&record, has_trouble).await {
@@ -173,141 +160,3 @@
         .await
         .ok_or_else(|| "no connection".to_owned())
 }
-
-/// A turn of a program.
-struct Turn {
-    program: String,
-    session: &'static str,
-    path: &'static str,
-    attempt: String,
-    previous: Option<String>,
-}
-
-impl Turn {
-    /// Returns the first turn of a line.
-    fn first(program: &str, session: &'static str, path: &'static str) -> Self {
-        Self {
-            program: program.to_owned(),
-            session,
-            path,
-            attempt: format!("{program}-{session}-1"),
-            previous: None,
-        }
-    }
-
-    fn input(&self) -> String {
-        format!("input of {};", self.attempt)
-    }
-
-    /// Returns what a runner has to get: the previous turn's input and events, then the input.
-    fn expected_body(&self) -> String {
-        let previous = self.previous.as_ref().map_or_else(String::new, |previous| {
-            let events: String = (1..=EVENTS)
-                .map(|id| format!("{}\n", event_data(previous, id)))
-                .collect();
-            format!("input of {previous};{events}")
-        });
-        previous + &self.input()
-    }
-
-    async fn send(
-        &self,
-        connection: &mut Connection,
-        record: &Record,
-    ) -> Result<(u16, bool), String> {
-        let reply = connection.send(self.request()?).await;
-        let status = reply.as_ref().map_or(0, |reply| reply.status.as_u16());
-        let is_whole = reply.is_some_and(|reply| is_whole(&reply));
-        record.line(format!(
-            "{} on {} after {:?}: {status}, whole: {is_whole}",
-            self.attempt, self.path, self.previous
-        ));
-        Ok((status, is_whole))
-    }
-
-    fn request(&self) -> Result<Request<Full<Bytes>>, String> {
-        let mut request = Request::post(self.path)
-            .header("host", "a.example")
-            .header("attempt-id", &self.attempt)
-            .header("program-id", &self.program)
-            .header("session-id", format!("{}-{}", self.program, self.session))
-            .header("program-deadline-ms", "20000")
-            .header("token-budget", "1088")
-            .header("token-usage", "1840,136")
-            .header("model", "m")
-            .header("prompt-prefix", "5c1e07a2:800,91bd3f06:410")
-            .header("deadline-ms", "4000");
-        if let Some(previous) = &self.previous {
-            request = request.header("previous-turn", previous);
-        }
-        let request = request.body(Full::from(self.input()));
-        request.map_err(|error| error.to_string())
-    }
-}
-
-fn is_whole(reply: &Reply) -> bool {
-    reply.is_complete && reply.body.matches("\n\n").count() == EVENTS
-}
-
-fn event_data(attempt: &str, id: usize) -> String {
-    format!("{attempt} says {id}")
-}
-
-async fn start_runner(
-    name: &'static str,
-    runs: &Runs,
-    record: &Record,
-) -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.map_err(|error| error.to_string())?;
-    let address = listener.local_addr().map_err(|error| error.to_string())?;
-    let (runs, record) = (Arc::clone(runs), record.clone());
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(name, Arc::clone(&runs), record.clone(), stream));
-        }
-    });
-    Ok(address)
-}
-
-async fn serve(name: &'static str, runs: Runs, record: Record, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let mut stream = BufReader::new(stream);
-    while let Some(arrival) = read_request(&mut stream).await {
-        let id = arrival.header("attempt-id").to_owned();
-        if arrival.header("expect-instance") != name {
-            let refusal = format!(
-                "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-            );
-            if stream
-                .get_mut()
-                .write_all(refusal.as_bytes())
-                .await
-                .is_err()
-            {
-                return;
-            }
-            continue;
-        }
-        let body = String::from_utf8_lossy(&arrival.body).into_owned();
-        record.line(format!("{name} runs {id}: {body:?}"));
-        lock(&runs).insert(id.clone(), body);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: {name}.{id}\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        );
-        if stream.get_mut().write_all(head.as_bytes()).await.is_err() {
-            return;
-        }
-        for event in 1..=EVENTS {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-            let text = format!("id: {event}\ndata: {}\n\n", event_data(&id, event));
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            if stream.get_mut().write_all(chunk.as_bytes()).await.is_err() {
-                return;
-            }
-        }
-        if stream.get_mut().write_all(b"0\r\n\r\n").await.is_err() {
-            return;
-        }
-    }
-}
--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod case;
+pub mod engine;
 pub mod instance;
 pub mod runner;
 pub mod site;
