--- a/review/standins-3/src/bin/case-11.rs
+++ b/review/standins-3/src/bin/case-11.rs
@@ -188,6 +188,6 @@
             return;
         }
         let number = runner.answers.fetch_add(1, Ordering::Relaxed) + 1;
-        extra_is_due = runner.garbles && number % GARBLE_EVERY == 0;
+        extra_is_due = runner.garbles && number.is_multiple_of(GARBLE_EVERY);
     }
 }
--- a/review/standins-3/src/instance.rs
+++ b/review/standins-3/src/instance.rs
@@ -9,9 +9,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::case::lock;
 use serde_json::Value;
 
+use crate::case::lock;
+
 /// The command of the deploy file, seen from the repository's root.
 const PROGRAM: &str = "target/release/basilrampd";
 
@@ -29,7 +30,6 @@
     pub callers: SocketAddr,
     /// Address for the balancer's probes.
     pub ready: SocketAddr,
-    log: Arc<Mutex<Vec<Value>>>,
     _folder: Folder,
 }
 
@@ -91,7 +91,6 @@
             child,
             callers,
             ready,
-            log,
             _folder: folder,
         })
     }
@@ -108,53 +107,11 @@
         reply.is_some_and(|reply| reply.status == http::StatusCode::OK)
     }
 
-    /// Returns the process id.
-    #[must_use]
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends a signal, such as `TERM`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the signal can't be sent.
-    pub fn signal(&self, name: &str) -> Result<(), String> {
-        let status = Command::new("kill")
-            .args(["-s", name, &self.child.id().to_string()])
-            .status()
-            .map_err(|error| error.to_string())?;
-        if status.success() {
-            Ok(())
-        } else {
-            Err(format!("signal {name} was not sent"))
-        }
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Returns how the process ended, if it has.
-    pub fn exit_status(&mut self) -> Option<std::process::ExitStatus> {
-        self.child.try_wait().ok().flatten()
-    }
-
-    /// Returns the log lines of an event.
-    #[must_use]
-    pub fn events(&self, code: &str) -> Vec<Value> {
-        let lines = lock(&self.log);
-        let found = lines.iter().filter(|line| line["event"] == code);
-        found.cloned().collect()
-    }
-
-    /// Returns all log lines.
-    #[must_use]
-    pub fn log_lines(&self) -> Vec<String> {
-        lock(&self.log).iter().map(ToString::to_string).collect()
-    }
 }
 
 impl Drop for Instance {
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -144,14 +144,6 @@
             .insert((table.into(), String::new(), key.into()), row);
     }
 
-    /// Returns the number of rows of a table.
-    #[must_use]
-    pub fn count(&self, table: &str) -> usize {
-        let rows = lock(&self.rows);
-        let live = rows.rows.iter().filter(|(_, row)| row.value.is_some());
-        live.filter(|((name, _, _), _)| name == table).count()
-    }
-
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let query = parse_query(request.uri().query().unwrap_or_default());
         if self.is_rejecting() {
