--- a/review/standins-3/src/bin/case-14.rs
+++ b/review/standins-3/src/bin/case-14.rs
@@ -30,10 +30,16 @@
 };
 
 /// Timeout of the route in the newer configuration.
-const LONGER_TIMEOUT_MS: u64 = 8_000;
+const LONGER_TIMEOUT_MS: u64 = 10_000;
 
 /// Runners that the service has.
-const RUNNERS: usize = 4;
+const RUNNERS: usize = 5;
+
+/// Runners that one release replaces: a share of 0.4.
+const RELEASED: usize = 2;
+
+/// Pause between two releases.
+const RELEASE_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Streams that are under way when the machine is killed.
 const STREAMS: usize = 24;
@@ -52,7 +58,7 @@
 const DRAIN: Duration = Duration::from_millis(2_200);
 
 /// Time from the end of the release to the next one, back to the earlier version.
-const STEADY: Duration = Duration::from_secs(22);
+const STEADY: Duration = Duration::from_secs(21);
 
 /// Time from the second release to the streams, from these to the new timeout, and from that to the kill.
 const STREAMS_AFTER: Duration = Duration::from_millis(1_000);
@@ -89,6 +95,10 @@
         old.leave(&store);
         record.line(format!("{} drains", old.id));
         tokio::time::sleep(RELEASE_GAP).await;
+        if (number + 1) % RELEASED == 0 {
+            record.line("a release has ended");
+            tokio::time::sleep(RELEASE_PAUSE).await;
+        }
     }
     tokio::time::sleep(DRAIN + STEADY).await;
     Runner::start(&store, RUNNERS, "v1", record).await?;
--- a/review/standins-3/src/case.rs
+++ b/review/standins-3/src/case.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::io::Write;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -64,14 +65,23 @@
     let Ok(runtime) = runtime else {
         std::process::exit(NOT_RUN);
     };
-    let code = runtime.block_on(async {
-        let case = case(record.clone(), has_trouble);
-        tokio::time::timeout(TIME_LIMIT, case).await
-    });
-    let code = code.unwrap_or_else(|_| {
-        record.line("the case took too long");
-        NOT_RUN
-    });
+    let run = || {
+        runtime.block_on(async {
+            let case = case(record.clone(), has_trouble);
+            tokio::time::timeout(TIME_LIMIT, case).await
+        })
+    };
+    let code = match catch_unwind(AssertUnwindSafe(run)) {
+        Ok(Ok(code)) => code,
+        Ok(Err(_)) => {
+            record.line("the case took too long");
+            NOT_RUN
+        }
+        Err(_) => {
+            record.line("the driver failed");
+            NOT_RUN
+        }
+    };
     let verdict = match code {
         HELD => "the rule held",
         BROKEN => "the rule was broken",
