Keep the moment of a change of versions when the span of streams grows

Cause: a stream without a record belongs to the version that was alone two spans before it is taken up. Reader and writer each took the span that they knew, so that a raised timeout moved the reader's point into the past by 12 s.

Change: when the span of a history grows, the times of its changes move back by twice the difference. The moment at which a change reaches readers, two spans after it, thus stays, whatever span a writer knew. The row keeps its form.

Evidence: software_version::a_longer_timeout_leaves_streams_under_way_at_their_version failed before (v1 assumed for a stream of v2), as did a property with timeouts that are raised, lowered and raised again beside older configurations (None for Some("v1")) and a_longer_span_waits_until_the_clock_allows_it.

--- a/crates/core/src/dispatch/software_version.rs
+++ b/crates/core/src/dispatch/software_version.rs
@@ -14,6 +14,10 @@
 //! whatever other versions the service has by now. The instance knows that time if its view of the
 //! upstreams is at most one span old, or if no instance has reached the store since: no entry changes
 //! then, and no history.
+//!
+//! A change of versions thus reaches those who take streams up two spans after it. When the span grows,
+//! that moment stays for each earlier change, as streams have begun that rely on it: the times of the
+//! history are moved back by twice the difference.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -52,8 +56,10 @@
     /// The version.
     pub version: Arc<str>,
     /// When the first upstream was seen, in milliseconds; 0 if it was there before the history began.
+    /// Earlier than that if the span has grown since.
     pub first_ms: u64,
-    /// When the last upstream was found to have left, in milliseconds. `None` if there are some.
+    /// When the last upstream was found to have left, in milliseconds. `None` if there are some. Earlier
+    /// than that if the span has grown since.
     pub left_ms: Option<u64>,
 }
 
@@ -74,7 +80,7 @@
     #[must_use]
     pub fn update(&self, present: &BTreeSet<Arc<str>>, span_ms: u64, now_ms: u64) -> Option<Self> {
         let mut updated = self.clone();
-        updated.span_ms = self.span_ms.max(effective_span_ms(span_ms));
+        updated.lengthen_span(effective_span_ms(span_ms));
         if !present.is_empty() {
             let is_first = self.presences.is_empty();
             for version in present {
@@ -93,6 +99,19 @@
         Some(updated)
     }
 
+    /// Sets a longer span. It stays as it is if times would lie before the start of the store's clock.
+    fn lengthen_span(&mut self, span_ms: u64) {
+        let shift_ms = 2 * span_ms.saturating_sub(self.span_ms);
+        let presences = self.presences.iter_mut();
+        let times = presences
+            .flat_map(|presence| [Some(&mut presence.first_ms), presence.left_ms.as_mut()]);
+        let mut times: Vec<_> = times.flatten().filter(|at_ms| **at_ms > 0).collect();
+        if times.iter().all(|at_ms| **at_ms > shift_ms) {
+            self.span_ms = self.span_ms.max(span_ms);
+            times.iter_mut().for_each(|at_ms| **at_ms -= shift_ms);
+        }
+    }
+
     /// Records that there are upstreams of a version. After a gap in which no other version can have
     /// become the only one, the earlier presence continues.
     fn open(&mut self, version: &Arc<str>, first_ms: u64, now_ms: u64) {
--- a/crates/core/tests/dispatch/software_version.rs
+++ b/crates/core/tests/dispatch/software_version.rs
@@ -35,10 +35,23 @@
 
 /// Returns the row at `now`, if the instances that write it notice changes late by `lag_ms`.
 fn row(presences: &[Presence], now: u64, lag_ms: u64) -> History {
+    row_of_spans(presences, now, lag_ms, |_| SPAN_MS)
+}
+
+/// Returns the row at `now`, where `span_ms` is the span of the configuration at a time.
+fn row_of_spans(
+    presences: &[Presence],
+    now: u64,
+    lag_ms: u64,
+    span_ms: impl Fn(u64) -> u64,
+) -> History {
     let mut history = History::default();
     for poll in (0..=now).step_by(POLL_MS as usize) {
-        let present = present(presences, poll.saturating_sub(lag_ms));
-        history = history.update(&present, SPAN_MS, poll).unwrap_or(history);
+        let at = poll.saturating_sub(lag_ms);
+        let present = present(presences, at);
+        history = history
+            .update(&present, span_ms(at), poll)
+            .unwrap_or(history);
     }
     history
 }
@@ -55,7 +68,17 @@
 
 /// Returns the version that an instance assumes of a stream without a record.
 fn assumed(history: &History, view: &BTreeSet<Arc<str>>, now: u64) -> Option<Arc<str>> {
-    let updated = history.update(view, SPAN_MS, now);
+    assumed_with(history, view, SPAN_MS, now)
+}
+
+/// Like [`assumed`], for an instance whose configuration has another span.
+fn assumed_with(
+    history: &History,
+    view: &BTreeSet<Arc<str>>,
+    span_ms: u64,
+    now: u64,
+) -> Option<Arc<str>> {
+    let updated = history.update(view, span_ms, now);
     updated.as_ref().unwrap_or(history).unrecorded(now).cloned()
 }
 
@@ -127,6 +150,56 @@
     assert_eq!(start, None);
 }
 
+/// A timeout is raised while streams without a record are under way. Whether the version before the
+/// latest release comes back or not, they go on at their own.
+#[test]
+fn a_longer_timeout_leaves_streams_under_way_at_their_version() {
+    let raised_ms = 48_000;
+    let span_ms = |at: u64| if at < raised_ms { SPAN_MS } else { 3 * SPAN_MS };
+    for back_ms in [46_000, u64::MAX] {
+        let presences = [
+            ("v1", 0, 22_000),
+            ("v2", 12_000, u64::MAX),
+            ("v1", back_ms, u64::MAX),
+        ];
+        let presences = presences.map(|(version, from, until)| Presence {
+            version: version.into(),
+            from,
+            until,
+        });
+        let begun = 47_000;
+        let writer = row_of_spans(&presences, begun, 0, span_ms);
+        let view = present(&presences, begun);
+        let changed = changed(&presences, begun);
+        let version = writer.unrecorded_start(&view, changed, SPAN_MS, begun);
+        assert_eq!(version.as_deref(), Some("v2"));
+        for taken_up in [begun, 48_000, 49_000, begun + SPAN_MS] {
+            let reader = row_of_spans(&presences, taken_up, 0, span_ms);
+            let view = present(&presences, taken_up);
+            for span_ms in [SPAN_MS, 3 * SPAN_MS] {
+                let assumed = assumed_with(&reader, &view, span_ms, taken_up);
+                assert_eq!(assumed, version, "at {taken_up}, back at {back_ms}");
+            }
+        }
+    }
+}
+
+/// The span can't grow while a change would then lie before the start of the store's clock.
+#[test]
+fn a_longer_span_waits_until_the_clock_allows_it() {
+    let history = History::default();
+    let history = history.update(&versions(["v1"]), SPAN_MS, 100).unwrap();
+    let both = versions(["v1", "v2"]);
+    let history = history.update(&both, SPAN_MS, 3_000).unwrap();
+    assert_eq!(history.update(&both, 2 * SPAN_MS, 4_000), None);
+    assert_eq!(
+        history.unrecorded_start(&both, 3_000, 2 * SPAN_MS, 4_000),
+        None
+    );
+    assert_eq!(history.unrecorded(18_999).unwrap().as_ref(), "v1");
+    assert_eq!(history.unrecorded(19_000), None);
+}
+
 #[test]
 fn an_upstream_of_another_version_is_no_candidate() {
     let mut fleet = Fleet::default();
@@ -213,6 +286,37 @@
         }
     }
 
+    /// Timeouts are raised and lowered around a stream, and the instance that begins it or the one that
+    /// takes it up may have an older configuration than others.
+    #[test]
+    fn a_stream_without_a_record_keeps_its_version_whatever_timeouts_are_configured(
+        presences in presences(),
+        changes in prop::collection::vec((20_000_u64..140_000, 1..6_u64), 0..4),
+        (begun, lasts) in (20_000_u64..140_000, 0.0..1.0_f64),
+        view_age in prop_oneof![Just(0), 0..=max_view_age_ms(SPAN_MS)],
+        (config_age, reader_config_age) in (0..20_000_u64, 0..20_000_u64),
+        (row_lag, reader_lag) in (0..600_u64, 0..600_u64),
+    ) {
+        let span_ms = |at: u64| {
+            let latest = changes.iter().filter(|(from, _)| *from <= at).max();
+            latest.map_or(SPAN_MS, |(_, factor)| factor * SPAN_MS)
+        };
+        let synced = begun.saturating_sub(view_age);
+        let view = present(&presences, synced);
+        let writer = row_of_spans(&presences, synced, row_lag, span_ms);
+        let writer_span_ms = span_ms(begun.saturating_sub(config_age));
+        let changed = changed(&presences, synced);
+        let version = writer.unrecorded_start(&view, changed, writer_span_ms, begun);
+        if let Some(version) = version {
+            let taken_up = begun + (lasts * writer_span_ms as f64) as u64;
+            let reader = row_of_spans(&presences, taken_up, row_lag, span_ms);
+            let view = present(&presences, taken_up.saturating_sub(reader_lag));
+            let reader_span_ms = span_ms(taken_up.saturating_sub(reader_config_age));
+            let assumed = assumed_with(&reader, &view, reader_span_ms, taken_up);
+            prop_assert_eq!(assumed, Some(version));
+        }
+    }
+
     /// No instance has reached the store for any time when a stream begins. It is taken up after the
     /// return of the store, when the upstreams may be others.
     #[test]
