Repeat no request while there may be a newer configuration

Cause: the kind of a request came from the route in force, whatever its age. Ruled out: that asking for the state of the store is enough. An instance that was suspended has no failed call yet, and repeated orders too.

Change: the instance knows as of when its configuration is the newest one, by a clock that runs on while it is suspended. E0768 tells the age and the result.

Evidence: ingress older_config::an_order_of_a_route_that_is_not_known_yet_runs_once failed before (2 runs of an order; store rejecting, silent, instance suspended, route below another one and route that changes itself) and passes now. The opposite, known_routes_are_served_in_an_outage, passes before and after: 12 of 12 reads, 12 of 12 orders and 6 of 6 turns at each instance, with an outage for one instance and for all.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -5,6 +5,7 @@
 //! | [`account`] | client accounts, their keys and quotas |
 //! | [`config`] | routes, services and limits set by the operator |
 //! | [`config_check`] | finds mistakes in a configuration and compares two versions |
+//! | [`config_view`] | tells how certain it is that a configuration is the newest one |
 //! | [`request`] | parsed request headers and the rejections sent by this system |
 //! | [`route`] | selects the route and service of a request |
 //! | [`fleet`] | tracks the upstreams and their state |
@@ -30,6 +31,7 @@
 pub mod attempt;
 pub mod config;
 pub mod config_check;
+pub mod config_view;
 pub mod event_log;
 pub mod fleet;
 pub mod outage;
--- a/crates/daemon/tests/ingress/older_config.rs
+++ b/crates/daemon/tests/ingress/older_config.rs
@@ -1,21 +1,164 @@
 //! An instance that may have an older configuration than others says nothing for certain that a newer one
 //! could contradict.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use basilramp_fakes::relay::{self, Cut, Door};
-use basilramp_fakes::user_platform::{Store, Upstream};
+use basilramp_fakes::relay::{self, Cut, Door, Relay};
+use basilramp_fakes::user_platform::{Behaviour, Mode, Store, Upstream, View};
+use futures_util::future::join_all;
 use http::StatusCode;
+use tokio::time::sleep;
 
-use crate::support::{IMMEDIATE_RESPONSE, Instance, Turn, configure, configure_prefix, wait_for};
+use crate::support::{
+    IMMEDIATE_RESPONSE, Instance, PlainRoute, Reply, Turn, configure, configure_plain,
+    configure_prefix, plain_request, send, wait_for,
+};
 
 /// How the store fails for an instance.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Failure {
     /// It rejects the calls, which the instance has noticed.
     Rejects,
     /// It has just fallen silent.
     Silent,
+    /// The instance is suspended meanwhile. Its store is sound.
+    Suspends,
+}
+
+/// An instance with a path of its own to the store, which can fail.
+struct Older {
+    instance: Instance,
+    view: View,
+    link: Relay,
+}
+
+impl Older {
+    async fn spawn(store: &Store) -> Self {
+        let view = store.spawn_view(BTreeMap::new());
+        let link = relay::spawn(view.address());
+        let instance = Instance::spawn_ready_at(link.address(), "b").await;
+        Self {
+            instance,
+            view,
+            link,
+        }
+    }
+
+    async fn begin(&self, failure: Failure) {
+        match failure {
+            Failure::Rejects => {
+                self.view.set_rejecting(true);
+                self.instance.wait_for_event("E0711").await;
+            }
+            Failure::Silent => {
+                self.link.cut(Cut::Both);
+                self.link.set_door(Door::Silent);
+            }
+            Failure::Suspends => self.instance.signal("STOP"),
+        }
+    }
+
+    fn end(&self) {
+        self.view.set_rejecting(false);
+        self.link.heal();
+    }
+}
+
+/// Time after which a configuration has to be in force everywhere.
+const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_000);
+
+/// Time of a request that is longer than that after which it goes to another upstream if it may be
+/// repeated, in milliseconds.
+const SLOW_MS: u64 = 600;
+
+const SHOP: PlainRoute = PlainRoute {
+    prefix: "/shop/",
+    kind: "safe",
+    service: "app",
+};
+
+/// Starts three upstreams that take [`SLOW_MS`] for a request.
+fn start_shop(store: &Store) -> [Upstream; 3] {
+    let slow = Behaviour::Respond {
+        events: 1,
+        interval_ms: SLOW_MS,
+    };
+    ["i-1", "i-2", "i-3"].map(|id| Upstream::spawn(store, id, "app", slow))
+}
+
+/// Sends 12 requests at the same time.
+async fn send_orders(instance: &Instance, route: &str) -> Vec<(String, Option<Reply>)> {
+    let attempts = (0..12).map(|number| format!("order-{number}"));
+    let orders = attempts.map(|attempt| async {
+        let reply = instance.send(plain_request(route, &attempt)).await;
+        (attempt, reply)
+    });
+    join_all(orders).await
+}
+
+fn count_runs(upstreams: &[Upstream], attempt: &str) -> usize {
+    let runs = upstreams.iter().flat_map(Upstream::requests);
+    runs.filter(|run| run.attempt_id == attempt).count()
+}
+
+fn is_ok(reply: Option<&Reply>) -> bool {
+    reply.is_some_and(|reply| reply.status == StatusCode::OK && reply.is_complete)
+}
+
+/// A version makes orders unsafe, by a route below a safe one (`is_below`) or by a change of that route.
+/// Then orders arrive at an instance without that version.
+async fn check_orders_run_once(failure: Failure, is_below: bool) {
+    let store = Store::spawn();
+    configure_plain(&store, 3, &[SHOP]);
+    let upstreams = start_shop(&store);
+    let informed = Instance::spawn(&store, "a").await;
+    let older = Older::spawn(&store).await;
+    older.begin(failure).await;
+    let order = PlainRoute {
+        prefix: if is_below {
+            "/shop/order/"
+        } else {
+            SHOP.prefix
+        },
+        kind: "unsafe",
+        ..SHOP
+    };
+    let routes = if is_below {
+        vec![SHOP, order]
+    } else {
+        vec![order]
+    };
+    configure_plain(&store, 5, &routes);
+    informed.wait_for_config(5).await;
+    sleep(CONFIG_APPLY_TIME).await;
+    let (orders, ()) = tokio::join!(send_orders(&older.instance, "shop/order"), async {
+        if failure == Failure::Suspends {
+            // The orders wait in its sockets.
+            sleep(Duration::from_millis(50)).await;
+            older.instance.signal("CONT");
+        }
+    });
+    sleep(Duration::from_millis(SLOW_MS)).await;
+    let context = format!("{failure:?}, below: {is_below}");
+    for (attempt, reply) in &orders {
+        let runs = count_runs(&upstreams, attempt);
+        assert!(runs <= 1, "{context}, {attempt}: {runs} runs, {reply:?}");
+    }
+    let served = orders.iter().filter(|(_, reply)| is_ok(reply.as_ref()));
+    assert_eq!(served.count(), orders.len(), "{context}");
+}
+
+/// Guards against orders that run twice, as an older route allows.
+#[tokio::test]
+async fn an_order_of_a_route_that_is_not_known_yet_runs_once() {
+    tokio::join!(
+        check_orders_run_once(Failure::Rejects, true),
+        check_orders_run_once(Failure::Silent, true),
+        check_orders_run_once(Failure::Suspends, true),
+        check_orders_run_once(Failure::Rejects, false),
+        check_orders_run_once(Failure::Suspends, false),
+    );
 }
 
 /// A version adds a route whose turns are retained, below the prefix of another route (`is_below`) or
@@ -24,36 +167,24 @@
     let store = Store::spawn();
     configure(&store, 3);
     let upstream = Upstream::spawn(&store, "i-1", "engine", IMMEDIATE_RESPONSE);
-    let view = store.spawn_view(std::collections::BTreeMap::new());
-    let link = relay::spawn(view.address());
     let informed = Instance::spawn(&store, "a").await;
-    let older = Instance::spawn_ready_at(link.address(), "b").await;
-    match failure {
-        Failure::Rejects => {
-            view.set_rejecting(true);
-            older.wait_for_event("E0711").await;
-        }
-        Failure::Silent => {
-            link.cut(Cut::Both);
-            link.set_door(Door::Silent);
-        }
-    }
+    let older = Older::spawn(&store).await;
+    older.begin(failure).await;
     let route = if is_below { "advice/chat" } else { "talk" };
     configure_prefix(&store, 5, "chat", &format!("/{route}/"));
     informed.wait_for_config(5).await;
     let first = Turn::first(route, "t1").request();
     assert_eq!(informed.send(first).await.unwrap().status, StatusCode::OK);
     let next = || Turn::chained(route, "t2", Some("t1"), "more").request();
-    let reply = older.send(next()).await.unwrap();
+    let reply = older.instance.send(next()).await.unwrap();
     let context = format!("{failure:?}, below: {is_below}");
     assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{context}");
     assert!(reply.retry_after().is_some(), "{context}");
     let runs = upstream.requests();
     assert!(runs.iter().all(|run| run.attempt_id != "t2"), "{context}");
-    view.set_rejecting(false);
-    link.heal();
+    older.end();
     wait_for("the turn goes on", || async {
-        let reply = older.send(next()).await?;
+        let reply = older.instance.send(next()).await?;
         (reply.status == StatusCode::OK).then_some(())
     })
     .await;
@@ -96,3 +227,58 @@
         assert!(began.elapsed() < Duration::from_millis(500));
     }
 }
+
+/// An outage of the store for one instance or for all, in which nothing is configured.
+async fn check_known_routes(is_whole: bool) {
+    let store = Store::spawn();
+    configure(&store, 3);
+    let services = ["app", "engine"];
+    let _upstreams = services.map(|service| {
+        let ids = ["1", "2"].map(|number| format!("{service}-{number}"));
+        ids.map(|id| Upstream::spawn(&store, &id, service, IMMEDIATE_RESPONSE))
+    });
+    let informed = Instance::spawn(&store, "a").await;
+    let older = Older::spawn(&store).await;
+    // A program that has tokens at each instance goes on without the store.
+    for (instance, program) in [(&informed, "pa"), (&older.instance, "pb")] {
+        let first = Turn::first("advice", program).request();
+        assert!(is_ok(instance.send(first).await.as_ref()));
+    }
+    sleep(Duration::from_millis(500)).await;
+    older.begin(Failure::Rejects).await;
+    if is_whole {
+        store.set_mode(Mode::Unavailable);
+        informed.wait_for_event("E0711").await;
+    }
+    sleep(CONFIG_APPLY_TIME).await;
+    let instances = if is_whole {
+        vec![(&informed, "pa"), (&older.instance, "pb")]
+    } else {
+        vec![(&older.instance, "pb")]
+    };
+    for (instance, program) in instances {
+        for route in ["read", "pay"] {
+            for (attempt, reply) in send_orders(instance, route).await {
+                let context = format!("{route} {attempt}, whole outage: {is_whole}: {reply:?}");
+                assert!(is_ok(reply.as_ref()), "{context}");
+            }
+        }
+        for number in 0..6 {
+            let attempt = format!("{program}-{number}");
+            let turn = Turn {
+                program,
+                max_output: 20,
+                ..Turn::first("advice", &attempt)
+            };
+            let reply = send(instance.callers, turn.request()).await;
+            let context = format!("turn {attempt}, whole outage: {is_whole}: {reply:?}");
+            assert!(is_ok(reply.as_ref()), "{context}");
+        }
+    }
+}
+
+/// Guards against sound work that is turned away in an outage without a newer configuration.
+#[tokio::test]
+async fn known_routes_are_served_in_an_outage() {
+    tokio::join!(check_known_routes(false), check_known_routes(true));
+}
--- a/crates/ingress/src/config_copy.rs
+++ b/crates/ingress/src/config_copy.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use basilramp_core::clock::Time;
+use basilramp_core::dispatch::config_view::{Certainty, MAX_AGE_MS};
 use basilramp_process::event;
 use basilramp_wire::config_copy;
 use bytes::Bytes;
@@ -37,6 +38,9 @@
     /// When the latest read of the store began that confirmed the version in force. Held while one is
     /// made.
     confirmed_at: tokio::sync::Mutex<Option<Time>>,
+    /// When it was last found out that there may be a newer configuration, and the result. Held while
+    /// that is found out.
+    assessed: tokio::sync::Mutex<Option<(Time, Certainty)>>,
 }
 
 /// The newest version that is known, and an instance that has it.
@@ -117,6 +121,50 @@
     is_in_force
 }
 
+/// Returns how certain it is that there is no newer configuration than the one in force, after looking for
+/// one if the instance has not heard of the store for long.
+pub(crate) async fn assess(state: &State, deadline: Time) -> Certainty {
+    if is_known_newest(state) {
+        return Certainty::Confirmed;
+    }
+    let mut assessed = state.config_copies.assessed.lock().await;
+    // Another request may have found one meanwhile.
+    if is_known_newest(state) {
+        return Certainty::Confirmed;
+    }
+    if let Some((at, certainty)) = *assessed
+        && state.now().since(at) < RETRY_MS
+    {
+        return certainty;
+    }
+    let age_ms = state.config_view_age_ms();
+    if !state.is_store_down() {
+        // The state records what a failed call means for the store's health.
+        let _ = feed::read_config(state, deadline).await;
+    }
+    let certainty = if is_known_newest(state) {
+        Certainty::Confirmed
+    } else {
+        Certainty::Unconfirmed
+    };
+    *assessed = Some((state.now(), certainty));
+    if state.allows_log_line(Event::ConfigAssessed) {
+        event!(
+            state.log,
+            Event::ConfigAssessed,
+            "version" => state.config_version(),
+            "age_ms" => age_ms,
+            "certainty" => certainty.label()
+        );
+    }
+    certainty
+}
+
+/// Returns whether the configuration in force was the newest one a short time ago.
+fn is_known_newest(state: &State) -> bool {
+    state.config_view_age_ms() <= MAX_AGE_MS && !is_outdated(state)
+}
+
 /// Returns whether no newer configuration than the one in force existed at `time`, after reading it from
 /// the store if necessary.
 pub(crate) async fn confirm(state: &State, time: Time, deadline: Time) -> bool {
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -10,6 +10,7 @@
 use basilramp_core::dispatch::fleet::Change;
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::route::RouteTable;
+use basilramp_process::clock::boot_time;
 use basilramp_process::event;
 use bytes::Bytes;
 use rand::Rng;
@@ -61,6 +62,9 @@
     failures: u32,
     /// Time as of which the table is known.
     read_at: Time,
+    /// Later time as of which it is known too, of the boot clock. A long poll ends some time after its
+    /// start.
+    as_of: Time,
 }
 
 /// Follows the configuration. Never returns.
@@ -77,6 +81,7 @@
                     apply_config_row(&state, row);
                 }
             }
+            state.record_config_view(feed.as_of);
         }
     }
 }
@@ -147,6 +152,7 @@
             max_version: 0,
             failures: 0,
             read_at: Time::ZERO,
+            as_of: Time::ZERO,
         }
     }
 
@@ -187,6 +193,9 @@
                     return None;
                 }
                 self.read_at = began;
+                let since_began = state.now().since(began);
+                let age_ms = state.store.age_ms(&page).unwrap_or(since_began);
+                self.as_of = boot_time().before(age_ms.min(since_began));
                 self.after = Some(page.version);
                 self.max_version = page.version;
                 Some((page, after.is_none()))
@@ -247,12 +256,14 @@
         partition: "",
     };
     let call = async |store: &Client, limit_ms| store.read_range(place, None, None, limit_ms).await;
+    let began = boot_time();
     // The partition has the name of the watched tables' one, whose health is another matter.
     let page = state
         .call(StoreCall::Read, config::TABLE, deadline, call)
         .await?;
     let rows = page.rows.iter().filter(|row| &*row.key == config::KEY);
     rows.for_each(|row| apply_config_row(state, row));
+    state.record_config_view(began);
     Ok(())
 }
 
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -9,6 +9,7 @@
 use basilramp_core::clock::Time;
 use basilramp_core::dispatch::account::Scope;
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
+use basilramp_core::dispatch::config_view::Certainty;
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::placement::Placement;
 use basilramp_core::dispatch::request::{Rejection, RequestHeaders};
@@ -192,7 +193,7 @@
     }
     source.catch_up(state).await?;
     let host = request_host(&parts).ok_or(Rejection::Malformed)?;
-    let table = current_table(state, host, &parts, &headers, arrived).await?;
+    let (table, certainty) = current_table(state, host, &parts, &headers, arrived).await?;
     let route = table.select(host, parts.uri.path());
     let route = route.ok_or(Rejection::NoRoute)?;
     source.check_repeats(route)?;
@@ -241,7 +242,9 @@
         body,
         memory,
         kind: route.kind,
-        max_attempts: route.max_attempts.min(source.max_attempts),
+        max_attempts: certainty
+            .limit_attempts(route.max_attempts)
+            .min(source.max_attempts),
         retention_ms: route.retention_ms.unwrap_or_default(),
         max_event_gap_ms: route.max_event_gap_ms,
         service: Arc::clone(service),
@@ -338,8 +341,9 @@
     dispatch(request, budget, turn).await
 }
 
-/// Returns the configuration in force, of which it is certain that a newer one would not have another
-/// route for a request that has none or that continues a turn which its route doesn't retain.
+/// Returns the configuration in force, and how certain it is that there is no newer one. It is certain
+/// that a newer one would not have another route for a request that has none or that continues a turn
+/// which its route doesn't retain.
 ///
 /// # Errors
 ///
@@ -350,26 +354,26 @@
     parts: &Parts,
     headers: &RequestHeaders,
     arrived: Time,
-) -> Result<Arc<RouteTable>, Rejection> {
-    let continues_turn = headers.previous_turn.is_some();
+) -> Result<(Arc<RouteTable>, Certainty), Rejection> {
     let unknown = Rejection::NotRun(START_RETRY_MS);
-    let mut is_confirmed = false;
-    loop {
-        let table = state.table().ok_or(unknown)?;
-        let is_clear = match table.select(host, parts.uri.path()) {
-            Some(route) => !continues_turn || route.retention_ms.is_some(),
-            None => !continues_turn && !state.is_store_down() && !config_copy::is_outdated(state),
-        };
-        if is_clear || is_confirmed {
-            return Ok(table);
-        }
-        let limit_ms = headers.deadline_ms.unwrap_or(CONFIRMATION_LIMIT_MS);
-        let deadline = arrived.after(limit_ms.min(CONFIRMATION_LIMIT_MS));
+    let limit_ms = headers.deadline_ms.unwrap_or(CONFIRMATION_LIMIT_MS);
+    let deadline = arrived.after(limit_ms.min(CONFIRMATION_LIMIT_MS));
+    state.table().ok_or(unknown)?;
+    let certainty = config_copy::assess(state, deadline).await;
+    let table = state.table().ok_or(unknown)?;
+    let route = table.select(host, parts.uri.path());
+    let retains_turns = route.is_some_and(|route| route.retention_ms.is_some());
+    if headers.previous_turn.is_some() && !retains_turns {
         if !config_copy::confirm(state, arrived, deadline).await {
             return Err(unknown);
         }
-        is_confirmed = true;
+        let table = state.table().ok_or(unknown)?;
+        return Ok((table, Certainty::Confirmed));
+    }
+    if route.is_none() && (!certainty.is_confirmed() || state.is_store_down()) {
+        return Err(unknown);
     }
+    Ok((table, certainty))
 }
 
 /// Returns the key by which a split route selects the service: the program id, or else the attempt
--- a/crates/ingress/src/log_event.rs
+++ b/crates/ingress/src/log_event.rs
@@ -89,6 +89,8 @@
     MembershipFailed = "E0766", Warning, "membership call failed";
     /// A newer configuration could not be copied from another instance.
     ConfigNotCopied = "E0767", Warning, "configuration not copied";
+    /// The store was not heard of for `age_ms`, so that it was looked for a newer configuration.
+    ConfigAssessed = "E0768", Info, "configuration assessed";
     /// The versions of a service changed, and this instance stored it.
     VersionsRecorded = "E0771", Info, "versions stored";
     /// A call of the store for the histories of versions failed.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -90,6 +90,9 @@
     pub(crate) metrics: Metrics,
     config: RwLock<Option<ConfigInForce>>,
     pub(crate) config_copies: ConfigCopies,
+    /// Time as of which the configuration in force is known to be the newest one, in milliseconds of the
+    /// boot clock.
+    config_view_at: AtomicU64,
     /// Whether the table of upstreams was read completely at least once.
     is_fleet_loaded: AtomicBool,
     /// Time as of which the upstreams are known, in milliseconds.
@@ -144,6 +147,7 @@
             metrics,
             config: RwLock::default(),
             config_copies: ConfigCopies::default(),
+            config_view_at: AtomicU64::new(0),
             is_fleet_loaded: AtomicBool::new(false),
             fleet_view_at: AtomicU64::new(0),
             shutdown: OnceLock::new(),
@@ -247,6 +251,19 @@
         is_newer
     }
 
+    /// Records that the configuration in force was the newest one at a time of the boot clock.
+    pub(crate) fn record_config_view(&self, as_of: Time) {
+        self.config_view_at
+            .fetch_max(as_of.as_ms(), Ordering::Relaxed);
+    }
+
+    /// Returns the age of the knowledge that the configuration in force is the newest one, in milliseconds.
+    /// It grows also while the process or the machine is suspended.
+    pub(crate) fn config_view_age_ms(&self) -> u64 {
+        let as_of = Time::from_ms(self.config_view_at.load(Ordering::Relaxed));
+        boot_time().since(as_of)
+    }
+
     /// Records that the table of upstreams was read completely.
     pub(crate) fn mark_fleet_loaded(&self) {
         self.is_fleet_loaded.store(true, Ordering::Relaxed);
