Ask other instances for a newer configuration, and begin no turn that may not be kept

Cause: as for orders that ran twice, a route of unknown age was taken for certain. Ruled out: a check of the previous turn (a first turn names none) and a single run (the turn is lost all the same).

If none knows more, it is an outage, and known routes are served. If nobody answers, what may be a turn that is not retained is rejected with 503 before anything ran. Instances meet within 1.5 s of their start and read each other's rows more often, about one call a second for a fleet of any size.

--- a/crates/core/src/dispatch/config_view.rs
+++ b/crates/core/src/dispatch/config_view.rs
@@ -13,8 +13,11 @@
 pub enum Certainty {
     /// There was none a short time ago.
     Confirmed,
-    /// There may be one.
-    Unconfirmed,
+    /// There may be one, but no instance that was asked has heard of the store lately either. In such an
+    /// outage the operator hardly reaches it.
+    Outage,
+    /// There may be one. Neither the store nor another instance answers.
+    Isolated,
 }
 
 impl Certainty {
@@ -30,16 +33,24 @@
     pub const fn limit_attempts(self, max_attempts: u32) -> u32 {
         match self {
             Self::Confirmed => max_attempts,
-            Self::Unconfirmed => 1,
+            Self::Outage | Self::Isolated => 1,
         }
     }
 
+    /// Returns whether a turn may run on a route that retains nothing of it. A newer configuration may
+    /// retain it, and then its caller counts on that.
+    #[must_use]
+    pub const fn allows_unretained_turns(self) -> bool {
+        !matches!(self, Self::Isolated)
+    }
+
     /// Returns the label in logs.
     #[must_use]
     pub const fn label(self) -> &'static str {
         match self {
             Self::Confirmed => "confirmed",
-            Self::Unconfirmed => "unconfirmed",
+            Self::Outage => "outage",
+            Self::Isolated => "isolated",
         }
     }
 }
--- a/crates/core/src/dispatch/request.rs
+++ b/crates/core/src/dispatch/request.rs
@@ -28,6 +28,15 @@
     pub resumed_attempt: Option<Arc<str>>,
 }
 
+impl RequestHeaders {
+    /// Returns whether the request says that it is a turn of a program.
+    #[must_use]
+    pub fn is_turn(&self) -> bool {
+        let program = self.program.as_ref();
+        program.is_some_and(|program| program.budget.is_some())
+    }
+}
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/daemon/tests/ingress/older_config.rs
+++ b/crates/daemon/tests/ingress/older_config.rs
@@ -68,6 +68,9 @@
 /// Time after which a configuration has to be in force everywhere.
 const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_000);
 
+/// Time after the start of two instances within which they know of each other.
+const MEETING_TIME: Duration = Duration::from_millis(1_600);
+
 /// Time of a request that is longer than that after which it goes to another upstream if it may be
 /// repeated, in milliseconds.
 const SLOW_MS: u64 = 600;
@@ -76,6 +79,7 @@
     prefix: "/shop/",
     kind: "safe",
     service: "app",
+    is_retained: false,
 };
 
 /// Starts three upstreams that take [`SLOW_MS`] for a request.
@@ -228,10 +232,113 @@
     }
 }
 
+/// What other instances an instance with an older configuration can ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Others {
+    /// One that has the newer one.
+    Informed,
+    /// None that it knows of runs any more.
+    Gone,
+}
+
+const ADVICE: PlainRoute = PlainRoute {
+    prefix: "/advice/",
+    kind: "stream",
+    service: "engine",
+    is_retained: false,
+};
+
+/// A version adds a route whose turns are retained below one that retains none. A program that has tokens
+/// at an instance without that version begins a line of turns there.
+async fn check_first_turns(failure: Failure, others: Others) {
+    let store = Store::spawn();
+    configure_plain(&store, 3, &[ADVICE]);
+    let upstream = Upstream::spawn(&store, "i-1", "engine", IMMEDIATE_RESPONSE);
+    let early = Instance::spawn(&store, "a").await;
+    let older = Older::spawn(&store).await;
+    let turn = |attempt: &'static str, previous| {
+        let turn = Turn {
+            max_output: 20,
+            ..Turn::chained("advice/chat", attempt, previous, "input")
+        };
+        turn.request()
+    };
+    // It leaves tokens for later turns.
+    let earlier = Turn::chained("advice", "t0", None, "input").request();
+    assert!(is_ok(older.instance.send(earlier).await.as_ref()));
+    sleep(MEETING_TIME).await;
+    let informed = match others {
+        Others::Informed => early,
+        Others::Gone => {
+            drop(early);
+            Instance::spawn(&store, "c").await
+        }
+    };
+    older.begin(failure).await;
+    let chat = PlainRoute {
+        prefix: "/advice/chat/",
+        is_retained: true,
+        ..ADVICE
+    };
+    configure_plain(&store, 5, &[ADVICE, chat]);
+    informed.wait_for_config(5).await;
+    sleep(CONFIG_APPLY_TIME).await;
+    let (first, ()) = tokio::join!(older.instance.send(turn("t1", None)), async {
+        if failure == Failure::Suspends {
+            sleep(Duration::from_millis(50)).await;
+            older.instance.signal("CONT");
+        }
+    });
+    let context = format!("{failure:?}, {others:?}: {first:?}");
+    if is_ok(first.as_ref()) {
+        let next = turn("t2", Some("t1"));
+        let reply = informed.send(next).await;
+        assert!(is_ok(reply.as_ref()), "{context}, then {reply:?}");
+        let runs = upstream.requests();
+        let run = runs.iter().find(|run| run.attempt_id == "t2").unwrap();
+        let body = String::from_utf8_lossy(&run.body);
+        assert_eq!(body, "inputt1\nt2\nt3\ninput", "{context}");
+    } else if others == Others::Gone {
+        let reply = first.unwrap();
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{context}");
+        let runs = upstream.requests();
+        assert!(runs.iter().all(|run| run.attempt_id != "t1"), "{context}");
+    }
+    older.end();
+    wait_for("a line of turns begins", || async {
+        let reply = older.instance.send(turn("t3", None)).await;
+        is_ok(reply.as_ref()).then_some(())
+    })
+    .await;
+}
+
+/// Guards against a turn that is answered whole and of which nothing is kept.
+#[tokio::test]
+async fn a_first_turn_of_a_route_that_is_not_known_yet_is_kept_or_not_answered() {
+    tokio::join!(
+        check_first_turns(Failure::Rejects, Others::Informed),
+        check_first_turns(Failure::Silent, Others::Informed),
+        check_first_turns(Failure::Suspends, Others::Informed),
+        check_first_turns(Failure::Rejects, Others::Gone),
+        check_first_turns(Failure::Suspends, Others::Gone),
+    );
+}
+
+const READ: PlainRoute = PlainRoute {
+    prefix: "/read/",
+    ..SHOP
+};
+
+const PAY: PlainRoute = PlainRoute {
+    prefix: "/pay/",
+    kind: "unsafe",
+    ..SHOP
+};
+
 /// An outage of the store for one instance or for all, in which nothing is configured.
 async fn check_known_routes(is_whole: bool) {
     let store = Store::spawn();
-    configure(&store, 3);
+    configure_plain(&store, 3, &[READ, PAY, ADVICE]);
     let services = ["app", "engine"];
     let _upstreams = services.map(|service| {
         let ids = ["1", "2"].map(|number| format!("{service}-{number}"));
@@ -244,7 +351,7 @@
         let first = Turn::first("advice", program).request();
         assert!(is_ok(instance.send(first).await.as_ref()));
     }
-    sleep(Duration::from_millis(500)).await;
+    sleep(MEETING_TIME).await;
     older.begin(Failure::Rejects).await;
     if is_whole {
         store.set_mode(Mode::Unavailable);
--- a/crates/daemon/tests/ingress/relayed_config.rs
+++ b/crates/daemon/tests/ingress/relayed_config.rs
@@ -28,6 +28,7 @@
     prefix: "/shop/",
     kind: "safe",
     service: "app",
+    is_retained: false,
 };
 
 /// An instance that relays to two others.
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -429,15 +429,17 @@
     store.put("op", "config", config.to_string().as_bytes());
 }
 
-/// A route for plain requests, in a configuration of such routes alone.
+/// A route whose streams can't be resumed, or for plain requests, in a configuration of such routes alone.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlainRoute {
     pub(crate) prefix: &'static str,
     pub(crate) kind: &'static str,
     pub(crate) service: &'static str,
+    /// Whether turns are retained, if it is a stream.
+    pub(crate) is_retained: bool,
 }
 
-/// Puts a configuration with these routes in the store. Its services are `app` and `other`.
+/// Puts a configuration with these routes in the store. Its services are `app`, `other` and `engine`.
 pub(crate) fn configure_plain(store: &Store, version: u64, routes: &[PlainRoute]) {
     let mut config = build_config(version, 60.0, 100_000, 4_000);
     let pattern = config["routes"][0].clone();
@@ -447,6 +449,7 @@
         value["prefix"] = route.prefix.into();
         value["type"] = route.kind.into();
         value["service"] = route.service.into();
+        value["retained"] = route.is_retained.into();
         value
     });
     config["routes"] = routes.collect();
--- a/crates/daemon/tests/upgrade/main.rs
+++ b/crates/daemon/tests/upgrade/main.rs
@@ -225,6 +225,7 @@
         prefix: "/shop/",
         kind,
         service: "app",
+        is_retained: false,
     };
     let site = CutOff::spawn(false).await;
     configure_plain(&site.store, 4, &[shop("safe")]);
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -363,6 +363,10 @@
     let table = state.table().ok_or(unknown)?;
     let route = table.select(host, parts.uri.path());
     let retains_turns = route.is_some_and(|route| route.retention_ms.is_some());
+    let may_be_turn = route.is_some_and(|route| route.kind.is_stream()) || headers.is_turn();
+    if may_be_turn && !retains_turns && !certainty.allows_unretained_turns() {
+        return Err(unknown);
+    }
     if headers.previous_turn.is_some() && !retains_turns {
         if !config_copy::confirm(state, arrived, deadline).await {
             return Err(unknown);
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -1,9 +1,10 @@
 //! Rows by which the instances find each other. Each instance writes its own and reads the others when
 //! it needs them, so that a fleet of any size costs little.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::str::FromStr;
+
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use basilramp_process::event;
 use basilramp_wire::relay;
 use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use crate::feed;
 use crate::log_event::Event;
@@ -39,6 +41,16 @@
 /// milliseconds. Many instances may start at the same time.
 const FIRST_READ_MS: u64 = 10_000;
 
+/// Time after the start within which an instance reads the rows for the first time, in milliseconds.
+const EARLY_READ_MS: std::ops::Range<u64> = 500..1_500;
+
+/// Time between two reads for each known instance, in milliseconds. The rows that an instance reads are
+/// then as many at any size of the fleet.
+const READ_INTERVAL_PER_INSTANCE_MS: u64 = 1_000;
+
+/// Minimum of that time, in milliseconds.
+const MIN_PERIODIC_READ_MS: u64 = 10_000;
+
 /// Time between two reads while accounts have quotas, in milliseconds.
 const QUOTA_READ_MS: std::ops::Range<u64> = 2_000..6_000;
 
@@ -54,6 +66,8 @@
     members: Mutex<BTreeMap<Arc<str>, Member>>,
     /// When the rows were read.
     read: tokio::sync::Mutex<Option<Time>>,
+    /// The instances that this one met soon after its start. Empty after the first regular read.
+    early: Mutex<BTreeMap<Arc<str>, Member>>,
 }
 
 /// Another instance.
@@ -70,7 +84,8 @@
 impl Membership {
     /// Returns an instance.
     pub(crate) fn get(&self, id: &str) -> Option<Member> {
-        lock(&self.members).get(id).cloned()
+        let member = lock(&self.members).get(id).cloned();
+        member.or_else(|| lock(&self.early).get(id).cloned())
     }
 
     /// Returns whether other instances are known.
@@ -78,6 +93,19 @@
         !lock(&self.members).is_empty()
     }
 
+    /// Returns the ids of at most `count` other instances, drawn at random.
+    pub(crate) fn sample(&self, count: usize) -> Vec<Arc<str>> {
+        let mut ids: BTreeSet<_> = lock(&self.members).keys().cloned().collect();
+        ids.extend(lock(&self.early).keys().cloned());
+        ids.into_iter().choose_multiple(&mut rand::rng(), count)
+    }
+
+    /// Returns the time between two reads.
+    fn read_interval_ms(&self) -> u64 {
+        let known = lock(&self.members).len() as u64;
+        (known * READ_INTERVAL_PER_INSTANCE_MS).clamp(MIN_PERIODIC_READ_MS, RENEWAL_MS)
+    }
+
     /// Returns the id of the other instance with the largest weight, among those that are `accepted`.
     pub(crate) fn find_best(
         &self,
@@ -115,22 +143,42 @@
             continue;
         }
         backoff = Backoff::default();
+        if interval_ms == FIRST_READ_MS {
+            meet_others(&state).await;
+        }
         let ms = rand::rng().random_range(interval_ms / 2..=interval_ms + interval_ms / 2);
         let renewal = state.now().after(ms);
         interval_ms = RENEWAL_MS;
+        let mut next_read = state.now().after(state.membership.read_interval_ms());
         while state.now() < renewal {
             let left_ms = renewal.since(state.now());
             let spread = rand::rng().random_range(QUOTA_READ_MS);
             tokio::time::sleep(Duration::from_millis(spread.min(left_ms))).await;
             // The homes of quotas follow from the instances that exist now.
-            if has_quotas(&state) {
+            if has_quotas(&state) || state.now() >= next_read {
                 refresh(&state).await;
+                next_read = state.now().after(state.membership.read_interval_ms());
             }
         }
         refresh(&state).await;
     }
 }
 
+/// Reads the rows of the others soon after the start, for an outage that begins before the first regular
+/// read. Quotas and relays don't follow from it, as instances that start at the same time see each other
+/// in part.
+async fn meet_others(state: &State) {
+    let ms = rand::rng().random_range(EARLY_READ_MS);
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+    match read_rows(state).await {
+        Ok(rows) => {
+            let (members, _) = parse_rows(state, &rows);
+            *lock(&state.membership.early) = members;
+        }
+        Err(error) => log_failure(state, "read", &error),
+    }
+}
+
 fn has_quotas(state: &State) -> bool {
     let table = state.table();
     let accounts = table
@@ -214,39 +262,43 @@
 }
 
 async fn apply_rows(state: &State, rows: &[Row]) {
+    let (members, stale) = parse_rows(state, rows);
+    let relays = members.iter();
+    let relays = relays.map(|(id, member)| (Arc::clone(id), Arc::clone(&member.failure_domain)));
+    state.relays().replace_all(relays);
+    *lock(&state.membership.members) = members;
+    lock(&state.membership.early).clear();
+
+    // One at a time: others may remove it at the same time.
+    let Some(row) = stale.first() else {
+        return;
+    };
+    let removal = Transaction::default()
+        .require_version(PARTITION, &row.key, row.version)
+        .remove(PARTITION, &row.key);
+    if let Err(error) = commit(state, &removal).await
+        && !matches!(error, Error::Conflict(_))
+    {
+        log_failure(state, "remove", &error);
+    }
+}
+
+/// Returns the other instances, and the rows of those that are gone.
+fn parse_rows<'a>(state: &State, rows: &'a [Row]) -> (BTreeMap<Arc<str>, Member>, Vec<&'a Row>) {
     let now_ms = state.store.now_ms().unwrap_or_default();
     let mut members = BTreeMap::new();
-    let mut removal = Transaction::default();
-    let mut has_stale_rows = false;
-    for row in rows
-        .iter()
-        .filter(|row| *row.key != *state.settings.instance)
-    {
+    let mut stale = Vec::new();
+    let others = rows.iter();
+    for row in others.filter(|row| *row.key != *state.settings.instance) {
         match parse(row) {
             Ok((member, renewed_ms)) if now_ms < renewed_ms.saturating_add(ROW_LIFETIME_MS) => {
                 members.insert(Arc::clone(&row.key), member);
             }
-            Ok(_) if !has_stale_rows => {
-                // One at a time: others may remove it at the same time.
-                has_stale_rows = true;
-                removal = removal
-                    .require_version(PARTITION, &row.key, row.version)
-                    .remove(PARTITION, &row.key);
-            }
-            Ok(_) => {}
+            Ok(_) => stale.push(row),
             Err(error) => feed::log_unreadable(state, TABLE, row, &error),
         }
     }
-    let relays = members.iter();
-    let relays = relays.map(|(id, member)| (Arc::clone(id), Arc::clone(&member.failure_domain)));
-    state.relays().replace_all(relays);
-    *lock(&state.membership.members) = members;
-    if has_stale_rows
-        && let Err(error) = commit(state, &removal).await
-        && !matches!(error, Error::Conflict(_))
-    {
-        log_failure(state, "remove", &error);
-    }
+    (members, stale)
 }
 
 fn parse(row: &Row) -> Result<(Member, u64), String> {
--- a/crates/ingress/src/peer_connection.rs
+++ b/crates/ingress/src/peer_connection.rs
@@ -6,7 +6,7 @@
 
 use basilramp_adapter::connection::{self, Sender};
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -70,6 +70,8 @@
 /// A connection in use, with what its reuse needs.
 pub(crate) struct Connection {
     pub(crate) sender: Sender,
+    /// Whether it was opened just now, so that the other instance runs.
+    pub(crate) is_new: bool,
     member: Member,
 }
 
@@ -80,6 +82,22 @@
             .connections
             .release(instance, self.member, self.sender);
     }
+
+    /// Sends a request of this instance itself. Returns a response of at most `max_bytes` bytes.
+    pub(crate) async fn exchange(
+        mut self,
+        state: &State,
+        instance: &Arc<str>,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Option<Response<Bytes>> {
+        let response = self.sender.send_request(request).await.ok()?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, max_bytes);
+        let body = body.collect().await.ok()?.to_bytes();
+        self.release(state, instance);
+        Some(Response::from_parts(head, body))
+    }
 }
 
 /// Returns a connection to an instance that is ready for a request.
@@ -91,6 +109,7 @@
     let unknown = || "the instance is gone".to_owned();
     let member = state.membership.get(instance).ok_or_else(unknown)?;
     let idle = state.connections.take(instance, &member);
+    let is_new = idle.is_none();
     let mut sender = match idle {
         Some(sender) => sender,
         None => tokio::time::timeout(CONNECT_TIMEOUT, connect(state, &member))
@@ -103,7 +122,11 @@
         .await
         .map_err(|_| "the connection is busy".to_owned())?
         .map_err(|error| error.to_string())?;
-    Ok(Connection { sender, member })
+    Ok(Connection {
+        sender,
+        is_new,
+        member,
+    })
 }
 
 /// Sends a request of this instance itself to another one. Returns the body of a response with status 200
@@ -114,13 +137,10 @@
     request: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> Option<Bytes> {
-    let mut connection = open(state, instance).await.ok()?;
-    let response = connection.sender.send_request(request).await.ok()?;
-    let is_ok = response.status() == StatusCode::OK;
-    let body = Limited::new(response.into_body(), max_bytes);
-    let body = body.collect().await.ok()?.to_bytes();
-    connection.release(state, instance);
-    is_ok.then_some(body)
+    let connection = open(state, instance).await.ok()?;
+    let exchange = connection.exchange(state, instance, request, max_bytes);
+    let response = exchange.await?;
+    (response.status() == StatusCode::OK).then(|| response.into_body())
 }
 
 async fn connect(state: &State, member: &Member) -> eyre::Result<Sender> {
--- a/crates/ingress/src/peer_server.rs
+++ b/crates/ingress/src/peer_server.rs
@@ -80,7 +80,7 @@
             let response = if permit::is_marked(request.headers()) {
                 quota::respond(&state, request).await
             } else if config_copy::is_marked(request.headers()) {
-                crate::config_copy::respond(&state)
+                crate::config_copy::respond(&state, request.headers())
             } else {
                 handler::handle(state, origin, request).await
             };
