Give callers who need no key one scope, with and without accounts

Cause: stored data is named by the caller's scope, and callers of a public route had one scope without accounts and another with accounts.

Change: one scope for callers who need no key, with the ids that they name. That is the form that a deployment without accounts has, and the build of production. An id that looks like an account's is escaped, so that no account is reached. For the relatives (a route becomes public or stops being so, the list becomes empty), an instance remembers the configuration before the change for as long as turns are retained: budgets go on, and turns and streams too for who shows the key of the account that wrote them. A turn is denied only once the configuration is confirmed since the request arrived.

--- a/crates/core/src/dispatch/account.rs
+++ b/crates/core/src/dispatch/account.rs
@@ -16,6 +16,12 @@
 /// Maximum rate and burst of a quota: far above what all instances together can handle.
 pub const MAX_QUOTA: f64 = 1_000_000.0;
 
+/// Separates the account's digest in a scoped id from the id that callers name.
+const SEPARATOR: char = '~';
+
+/// End of an id of public callers that looks like one of an account.
+const ESCAPE: &str = "~~";
+
 /// Hexadecimal digits of the account's digest in a scoped id.
 const SCOPE_DIGITS: usize = 16;
 
@@ -70,7 +76,7 @@
     #[must_use]
     pub fn new(name: Arc<str>, priority: Option<u8>, quota: Option<Quota>) -> Self {
         let digest = Digest::from_parts([name.as_bytes()]).to_string();
-        let scope = format!("~{}", &digest[..SCOPE_DIGITS]).into();
+        let scope = format!("{SEPARATOR}{}", &digest[..SCOPE_DIGITS]).into();
         Self {
             name,
             priority,
@@ -90,9 +96,7 @@
 /// Whose data a request reads and writes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Scope {
-    /// The deployment has no accounts.
-    Unscoped,
-    /// Callers without a key, on a deployment with accounts.
+    /// Callers who need no key: those of public routes, and all callers of a deployment without accounts.
     Public,
     /// Callers with a key of the account.
     Account(Arc<Account>),
@@ -101,17 +105,27 @@
 impl Scope {
     /// Returns the id under which data that callers name `id` is stored. It differs between scopes also
     /// if a caller names an id under which data of another scope is stored: ids of accounts end with a
-    /// digest, and those of public callers with the separator.
+    /// digest, and a public caller that names such an id gets it with an escape.
     #[must_use]
     pub fn id(&self, id: &Arc<str>) -> Arc<str> {
         match self {
-            Self::Unscoped => Arc::clone(id),
-            Self::Public => format!("{id}~").into(),
+            Self::Public if is_account_id(id.trim_end_matches(ESCAPE)) => {
+                format!("{id}{ESCAPE}").into()
+            }
+            Self::Public => Arc::clone(id),
             Self::Account(account) => account.scoped(id),
         }
     }
 }
 
+/// Returns whether an id is one under which data of an account is stored.
+fn is_account_id(id: &str) -> bool {
+    let Some((_, digest)) = id.rsplit_once(SEPARATOR) else {
+        return false;
+    };
+    digest.len() == SCOPE_DIGITS && digest.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
 /// An account as the operator configured it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
--- a/crates/core/src/dispatch/route.rs
+++ b/crates/core/src/dispatch/route.rs
@@ -52,6 +52,32 @@
         resumable.map(|route| route.timeout_ms).max()
     }
 
+    /// Returns whether callers of a route need a key.
+    #[must_use]
+    pub fn needs_key(&self, route: &Route) -> bool {
+        self.config.accounts.is_some() && !route.is_public
+    }
+
+    /// Returns whether callers need a key on a route on which they needed none in an earlier configuration,
+    /// or the other way round.
+    #[must_use]
+    pub fn changes_need_of_keys(&self, earlier: &Self) -> bool {
+        self.config.routes.iter().any(|route| {
+            let before = earlier.select(&route.host, &route.prefix);
+            before.is_some_and(|before| earlier.needs_key(before) != self.needs_key(route))
+        })
+    }
+
+    /// Returns the longest time for which the turns of a route can be continued, in milliseconds.
+    #[must_use]
+    pub fn longest_retention_ms(&self) -> u64 {
+        let routes = self.config.routes.iter();
+        routes
+            .filter_map(|route| route.retention_ms)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Returns the route of the host with the longest prefix of the path. A port in `host` is
     /// ignored.
     #[must_use]
--- a/crates/core/src/dispatch/token_budget.rs
+++ b/crates/core/src/dispatch/token_budget.rs
@@ -168,6 +168,12 @@
         reserved
     }
 
+    /// Returns whether a program had a turn at this instance lately.
+    #[must_use]
+    pub fn knows(&self, program: &str) -> bool {
+        self.programs.contains_key(program)
+    }
+
     /// Releases the unused tokens of a turn that used `used` tokens.
     pub fn release(&mut self, program: &Arc<str>, unused: u64, used: u64, now: Time) {
         if used > 0 {
--- a/crates/core/tests/dispatch/account.rs
+++ b/crates/core/tests/dispatch/account.rs
@@ -74,7 +74,7 @@
     let scopes = [alpha, beta, Scope::Public];
     // Ids that callers name on purpose: those under which data of the scopes is stored.
     let mut ids: BTreeSet<Arc<str>> = ["t1", "", "~", "t1~", "t1/000"].map(Arc::from).into();
-    for _ in 0..2 {
+    for _ in 0..3 {
         let stored = ids
             .iter()
             .flat_map(|id| scopes.iter().map(|scope| scope.id(id)));
@@ -82,8 +82,10 @@
         assert_eq!(stored.iter().collect::<BTreeSet<_>>().len(), stored.len());
         ids.extend(stored);
     }
-    // Without accounts, rows have the ids that callers name.
-    assert_eq!(&*Scope::Unscoped.id(&"t1".into()), "t1");
+    // Without accounts, and on public routes, rows have the ids that callers name.
+    for id in ["t1", "t1~", "~", ""] {
+        assert_eq!(&*Scope::Public.id(&id.into()), id);
+    }
 }
 
 #[test]
--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -400,6 +400,16 @@
     store.put("op", "config", config.to_string().as_bytes());
 }
 
+/// Like [`configure_accounts`], with all routes public.
+pub(crate) fn configure_public(store: &Store, version: u64, accounts: &Value) {
+    let mut config = build_config(version, 60.0, 100_000, 4_000);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["public"] = true.into();
+    }
+    config["tenants"] = accounts.clone();
+    store.put("op", "config", config.to_string().as_bytes());
+}
+
 /// Adds a key to a request.
 pub(crate) fn with_key(mut request: Request<Full<Bytes>>, key: &str) -> Request<Full<Bytes>> {
     let headers = request.headers_mut();
--- a/crates/daemon/tests/upgrade/main.rs
+++ b/crates/daemon/tests/upgrade/main.rs
@@ -23,7 +23,7 @@
 
 use crate::support::{
     EVENT_TOKENS, IMMEDIATE_RESPONSE, Instance, PlainRoute, Turn, configure, configure_accounts,
-    configure_plain, plain_request, start_site, wait_for, with_key,
+    configure_plain, plain_request, start_site, to_public_host, wait_for, with_key,
 };
 
 const SLOW: Behaviour = Behaviour::Respond {
@@ -35,13 +35,15 @@
     Instance::spawn_build(earlier_build::program(), store.address(), name).await
 }
 
-/// Turns of a program come through both builds in turn. Each finds the turns and the budget that the other
-/// one stored.
-#[tokio::test]
-async fn turns_and_budgets_go_on_between_builds() {
+/// Turns of a program come through both builds in turn, of which each request is made by `caller`. Each finds
+/// the turns and the budget that the other one stored.
+async fn check_turns_and_budgets(
+    store: Store,
+    upstream: Upstream,
+    caller: impl Fn(Request<Full<Bytes>>) -> Request<Full<Bytes>>,
+) {
     const MAX_OUTPUT: u64 = 20;
     const BUDGET: u64 = 200;
-    let (store, [upstream]) = start_site("engine", [IMMEDIATE_RESPONSE]);
     let instances = [
         earlier(&store, "a").await,
         Instance::spawn(&store, "b").await,
@@ -59,7 +61,7 @@
             input: &input,
         };
         // Two turns at one build, then two at the other.
-        let reply = instances[number / 2 % 2].send(turn.request()).await;
+        let reply = instances[number / 2 % 2].send(caller(turn.request())).await;
         let reply = reply.unwrap();
         if reply.status == StatusCode::PAYMENT_REQUIRED {
             break;
@@ -76,6 +78,21 @@
     assert!(tokens >= BUDGET / 2, "{tokens}");
 }
 
+#[tokio::test]
+async fn turns_and_budgets_go_on_between_builds() {
+    let (store, [upstream]) = start_site("engine", [IMMEDIATE_RESPONSE]);
+    check_turns_and_budgets(store, upstream, |request| request).await;
+}
+
+/// Guards against ids of public callers that the earlier build does not know.
+#[tokio::test]
+async fn turns_and_budgets_of_public_routes_go_on_between_builds() {
+    let (store, [upstream]) = start_site("engine", [IMMEDIATE_RESPONSE]);
+    let accounts = json!([{"name": "alpha", "api_keys": ["sk-alpha"]}]);
+    configure_accounts(&store, 4, &accounts);
+    check_turns_and_budgets(store, upstream, to_public_host).await;
+}
+
 fn resumption(attempt: &str, begun_by: &str) -> Request<Full<Bytes>> {
     let mut request = Turn::first("advice", attempt).request();
     let headers = request.headers_mut();
--- a/crates/ingress/src/active_request.rs
+++ b/crates/ingress/src/active_request.rs
@@ -61,6 +61,10 @@
     pub(crate) client: Option<Client>,
     /// Whose data the request reads and writes.
     pub(crate) scope: Scope,
+    /// Whose data its caller read and wrote before a recent change of its need for a key.
+    pub(crate) earlier_scope: Option<Scope>,
+    /// Version of the configuration that the request is handled by.
+    pub(crate) config_version: u64,
     pub(crate) body: Bytes,
     /// Memory for the body and the transcript.
     pub(crate) memory: Reservation,
@@ -210,6 +214,15 @@
         self.scope.id(id)
     }
 
+    /// Returns the ids under which data that the caller names `id` may be stored, the usual one first. What an
+    /// account's callers read is that of the account alone.
+    pub(crate) fn readable(&self, id: &Arc<str>) -> Vec<Arc<str>> {
+        let earlier = self.earlier_scope.iter();
+        let earlier = earlier.filter(|scope| matches!(scope, Scope::Account(_)));
+        let earlier = earlier.map(|scope| scope.id(id));
+        std::iter::once(self.scoped(id)).chain(earlier).collect()
+    }
+
     /// Returns the name of the client account, or an empty one if callers of the route need no key.
     pub(crate) fn account_name(&self) -> Arc<str> {
         let client = self.client.as_ref();
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -139,6 +139,44 @@
     }
 }
 
+/// Returns the id under which a program has its budget: `usual`, unless there is only one under `earlier`.
+///
+/// # Errors
+///
+/// Returns a rejection if the store does not respond in time.
+pub(crate) async fn find(
+    state: &State,
+    usual: Arc<str>,
+    earlier: Option<Arc<str>>,
+    deadline: Time,
+) -> Result<Arc<str>, Rejection> {
+    let Some(earlier) = earlier else {
+        return Ok(usual);
+    };
+    for id in [&usual, &earlier] {
+        if lock(&state.budgets.ledger).knows(id) || exists(state, id, deadline).await? {
+            return Ok(Arc::clone(id));
+        }
+    }
+    Ok(usual)
+}
+
+/// Returns whether a program has a row.
+async fn exists(state: &State, program: &str, deadline: Time) -> Result<bool, Rejection> {
+    let began = state.now();
+    let partition = partition_key(program);
+    let mut backoff = Backoff::default();
+    loop {
+        state
+            .wait_until_available(&partition, began, deadline)
+            .await?;
+        match read_row(state, program, deadline).await {
+            Ok(stored) => return Ok(stored.version > 0),
+            Err(_) => backoff.wait().await,
+        }
+    }
+}
+
 /// Loads a program's budget for a turn of at most `max_tokens` tokens.
 ///
 /// # Errors
--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -86,14 +86,33 @@
 }
 
 /// Returns whose data a request reads and writes.
-pub(crate) fn scope(config: &Config, client: Option<&Client>) -> Scope {
+pub(crate) fn scope(client: Option<&Client>) -> Scope {
     match client {
         Some(client) => Scope::Account(Arc::clone(&client.account)),
-        None if config.accounts.is_some() => Scope::Public,
-        None => Scope::Unscoped,
+        None => Scope::Public,
     }
 }
 
+/// Returns whose data the caller of a request with these headers read and wrote before the latest change of
+/// its need for a key, if programs may still go on from then and it was another's.
+///
+/// A caller that needs no key any more shows by its key which account it had.
+pub(crate) fn earlier_scope(
+    state: &State,
+    table: &RouteTable,
+    client: Option<&Client>,
+    headers: &HeaderMap,
+) -> Option<Scope> {
+    let earlier = state.table_before_key_change()?;
+    if client.is_some() {
+        return Some(Scope::Public);
+    }
+    let key = caller::parse_key(headers).map(KeyDigest::of)?;
+    let accounts = table.config().accounts.as_ref();
+    let accounts = accounts.or(earlier.config().accounts.as_ref())?;
+    accounts.find(key).cloned().map(Scope::Account)
+}
+
 fn find_relayed(config: &Config, relayed: &relay::Client) -> Result<Client, Rejection> {
     let key = Digest::from_str(&relayed.key).map_err(|_| Rejection::Malformed)?;
     let key = KeyDigest::from(key);
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -7,7 +7,7 @@
 use basilramp_adapter::store::Error;
 use basilramp_adapter::{caller, header};
 use basilramp_core::clock::Time;
-use basilramp_core::dispatch::account::Scope;
+
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
 use basilramp_core::dispatch::config_view::Certainty;
 use basilramp_core::dispatch::outage;
@@ -220,8 +220,8 @@
         .map_err(|_| Rejection::NotRun(NO_UPSTREAM_RETRY_MS))??;
     header::remove_hop_by_hop(&mut parts.headers);
     header::remove_internal(&mut parts.headers);
-    let scope = client::scope(table.config(), client.as_ref());
-    if scope != Scope::Unscoped {
+    let earlier_scope = client::earlier_scope(state, &table, client.as_ref(), &parts.headers);
+    if table.config().accounts.is_some() {
         let account = client.as_ref().map(|client| &*client.account.name);
         caller::set_account(&mut parts.headers, account);
     }
@@ -237,8 +237,10 @@
             .as_ref()
             .and_then(|client| client.account.priority)
             .unwrap_or(route.priority),
+        scope: client::scope(client.as_ref()),
+        earlier_scope,
         client,
-        scope,
+        config_version: table.config().version,
         body,
         memory,
         kind: route.kind,
--- a/crates/ingress/src/prepare.rs
+++ b/crates/ingress/src/prepare.rs
@@ -4,13 +4,14 @@
 
 use basilramp_core::dispatch::admission::NewProgram;
 use basilramp_core::dispatch::config::Route;
+use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::request::{Program, Rejection};
 use basilramp_core::dispatch::transcript::TranscriptBuilder;
 use basilramp_process::event;
 
 use crate::active_request::ActiveRequest;
 use crate::log_event::Event;
-use crate::{budget, turn_store};
+use crate::{budget, config_copy, turn_store};
 
 /// Loads the budget of a turn's program. Returns `None` for a request without a budget.
 ///
@@ -32,8 +33,11 @@
         return Ok(None);
     };
     let max_tokens = u64::from(request.headers.max_output_tokens);
+    let usual = request.scoped(&program.id);
+    let earlier = request.earlier_scope.as_ref();
+    let earlier = earlier.map(|scope| scope.id(&program.id));
     let program = Program {
-        id: request.scoped(&program.id),
+        id: budget::find(&request.state, usual, earlier, request.deadline).await?,
         ..program.clone()
     };
     budget::load(
@@ -108,13 +112,30 @@
         return Ok(None);
     }
     let previous_turn = match &request.headers.previous_turn {
-        Some(previous) => {
-            let previous = request.scoped(previous);
-            Some(turn_store::load(&request.state, &previous, request.deadline).await?)
-        }
+        Some(previous) => Some(load_turn(request, previous).await?),
         None => None,
     };
     let transcript = previous_turn.as_ref().map(|turn| &*turn.transcript);
     let transcript = TranscriptBuilder::new(transcript, &request.body);
     Ok(Some((transcript, previous_turn.map(|turn| turn.upstream))))
 }
+
+/// Loads the turn that its caller names `turn`.
+async fn load_turn(
+    request: &ActiveRequest,
+    turn: &Arc<str>,
+) -> Result<turn_store::Turn, Rejection> {
+    let state = &request.state;
+    for id in request.readable(turn) {
+        match turn_store::load(state, &id, request.deadline).await {
+            Err(Rejection::NoTurn) => {}
+            result => return result,
+        }
+    }
+    // By a newer configuration, it may have been stored as another's.
+    let is_confirmed = config_copy::confirm(state, request.arrived, request.deadline).await;
+    if is_confirmed && state.config_version() == request.config_version {
+        return Err(Rejection::NoTurn);
+    }
+    Err(Rejection::NotRun(outage::retry_after_hold_ms()))
+}
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -45,12 +45,27 @@
 use crate::turn_store::TurnStore;
 use crate::version_history::VersionHistories;
 
+/// Time for which programs may go on at least after a change of the configuration, in milliseconds: longer
+/// than their deadlines.
+const MIN_PROGRAM_MS: u64 = 60_000;
+
 /// The configuration in force.
 #[derive(Debug)]
 struct ConfigInForce {
     table: Arc<RouteTable>,
     /// As it is in the store.
     document: Bytes,
+    /// The latest change by which callers need a key, or need none any more. `None` if this instance has
+    /// seen none.
+    key_change: Option<KeyChange>,
+}
+
+/// A change of the configuration by which callers of a route need a key, or need none any more.
+#[derive(Clone, Debug)]
+struct KeyChange {
+    /// The configuration before it.
+    earlier: Arc<RouteTable>,
+    at: Time,
 }
 
 /// State shared by all requests of an instance.
@@ -241,14 +256,40 @@
     /// applied.
     pub(crate) fn apply_config(&self, table: RouteTable, document: Bytes) -> bool {
         let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
-        let is_newer = current
+        let known = current.take();
+        let known_version = known
             .as_ref()
-            .is_none_or(|known| known.table.config().version < table.config().version);
-        if is_newer {
-            let table = Arc::new(table);
-            *current = Some(ConfigInForce { table, document });
+            .map_or(0, |known| known.table.config().version);
+        if known.is_some() && known_version >= table.config().version {
+            *current = known;
+            return false;
         }
-        is_newer
+        let key_change = known.and_then(|known| {
+            let is_changed = table.changes_need_of_keys(&known.table);
+            let change = is_changed.then_some(KeyChange {
+                earlier: known.table,
+                at: self.now(),
+            });
+            change.or(known.key_change)
+        });
+        *current = Some(ConfigInForce {
+            table: Arc::new(table),
+            document,
+            key_change,
+        });
+        true
+    }
+
+    /// Returns the configuration before the latest change by which callers need a key or need none any more,
+    /// if programs that began before it may go on.
+    pub(crate) fn table_before_key_change(&self) -> Option<Arc<RouteTable>> {
+        let config = self.config.read().unwrap_or_else(PoisonError::into_inner);
+        let config = config.as_ref()?;
+        let change = config.key_change.as_ref()?;
+        let retention_ms = config.table.longest_retention_ms();
+        let retention_ms = retention_ms.max(change.earlier.longest_retention_ms());
+        let lasts_ms = retention_ms.max(MIN_PROGRAM_MS);
+        (self.now().since(change.at) < lasts_ms).then(|| Arc::clone(&change.earlier))
     }
 
     /// Records that the configuration in force was the newest one at a time of the boot clock.
--- a/crates/ingress/src/stream_log.rs
+++ b/crates/ingress/src/stream_log.rs
@@ -117,19 +117,23 @@
     let Some(last) = last_event else {
         return Ok(Some(stream_log));
     };
-    if !stream_log.take_up(last, request.deadline).await? {
-        if state.allows_log_line(Event::EventsUnknown) {
-            event!(
-                state.log,
-                Event::EventsUnknown,
-                "request" => &*request.attempt_id,
-                "begun_by" => begun_by.map_or("", |begun_by| &**begun_by),
-                "after" => last
-            );
+    let ids = request.readable(begun_by.unwrap_or(&request.attempt_id));
+    for id in ids {
+        stream_log.begun_by = id;
+        if stream_log.take_up(last, request.deadline).await? {
+            return Ok(Some(stream_log));
         }
-        return Err(Rejection::NotRun(UNKNOWN_EVENTS_RETRY_MS));
     }
-    Ok(Some(stream_log))
+    if state.allows_log_line(Event::EventsUnknown) {
+        event!(
+            state.log,
+            Event::EventsUnknown,
+            "request" => &*request.attempt_id,
+            "begun_by" => begun_by.map_or("", |begun_by| &**begun_by),
+            "after" => last
+        );
+    }
+    Err(Rejection::NotRun(UNKNOWN_EVENTS_RETRY_MS))
 }
 
 impl StreamLog {
--- a/crates/ingress/src/stream_version.rs
+++ b/crates/ingress/src/stream_version.rs
@@ -41,7 +41,15 @@
     let state = &request.state;
     let find_recorded = async {
         match &request.headers.resumed_attempt {
-            Some(attempt) => find(state, &request.scoped(attempt), request.deadline).await,
+            Some(attempt) => {
+                for id in request.readable(attempt) {
+                    let found = find(state, &id, request.deadline).await?;
+                    if found.is_some() {
+                        return Ok(found);
+                    }
+                }
+                Ok(None)
+            }
             None => Ok(None),
         }
     };
