Take an answer whose status HTTP does not have for none

Callers got answers with status 101, 600, 700 or 999 of an upstream in trouble as they were. 000, 099, 199, 1000 and lines without a number never reached one.

Cause: the HTTP library parses any three digits from 100 on, and ends the exchange at 101. RFC 9110 (15) has statuses from 100 to 599, and those below 200 are no final answers.

Change: a response with a status outside of 200 to 599 does not belong to the attempt: an unsafe request, which may have run, gets 502, and one that may be repeated goes elsewhere. The same holds for what another instance relays.

Evidence: ingress upstream_faults::a_status_that_http_does_not_have_is_no_answer failed before (101 for 502; ten forms, plain requests and streams) and a_repeatable_request_goes_elsewhere_after_a_status_that_http_does_not_have, too (999 for 200). Both pass now. The store's and the health checks' answers were only read: nothing but 200 counts as success there.

--- a/crates/daemon/tests/ingress/upstream_faults.rs
+++ b/crates/daemon/tests/ingress/upstream_faults.rs
@@ -479,3 +479,53 @@
         }
     }
 }
+
+/// Guards against an answer whose status HTTP does not have (RFC 9110, 15), or an interim one in the place of
+/// the final answer. A request that has run is not refused with a promise in its place.
+#[tokio::test]
+async fn a_status_that_http_does_not_have_is_no_answer() {
+    for status in [
+        "000", "099", "101", "600", "700", "999", "1000", "20", "abc", "",
+    ] {
+        for service in ["app", "engine"] {
+            let answer = format!(
+                "HTTP/1.1 {status} Odd\r\nattempt-id: {{id}}\r\nserver-signature: sig\r\n\
+                 content-length: 3\r\n\r\nodd"
+            );
+            let (store, faulty) = site(service, vec![send(&answer)]).await;
+            let instance = Instance::spawn(&store, "a").await;
+            let requests = match service {
+                "app" => vec![plain_request("pay", "pay"), plain_request("read", "read")],
+                _ => vec![
+                    Turn::first("chat", "chat").request(),
+                    Turn::first("advice", "advice").request(),
+                ],
+            };
+            for request in requests {
+                let context = format!("{status}, {}", request.uri());
+                let reply = instance.send(request).await.unwrap();
+                assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{context}");
+                assert_eq!(reply.body, "", "{context}");
+                assert_eq!(reply.header("server-signature"), None, "{context}");
+            }
+            assert_eq!(faulty.requests(), 2, "{status}");
+        }
+    }
+}
+
+/// Where the request may be repeated, the answer of another upstream is passed on.
+#[tokio::test]
+async fn a_repeatable_request_goes_elsewhere_after_a_status_that_http_does_not_have() {
+    let answer = "HTTP/1.1 999 Odd\r\nattempt-id: {id}\r\nserver-signature: sig\r\n\
+         content-length: 0\r\n\r\n";
+    let (store, faulty) = site("app", vec![send(answer)]).await;
+    let _sound = Upstream::spawn(&store, "i-9", "app", IMMEDIATE_RESPONSE);
+    let instance = Instance::spawn(&store, "a").await;
+    for number in 0..20 {
+        let reply = instance
+            .send(plain_request("read", &format!("t{number}")))
+            .await;
+        assert_eq!(reply.unwrap().status, StatusCode::OK, "{number}");
+    }
+    assert!(faulty.requests() > 0);
+}
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -232,6 +232,11 @@
                 guard.outcome = Outcome::Handled;
                 RelayError::Broken("no upstream responded there".into())
             }
+            // An earlier build may pass it on.
+            Ok((response, _)) if !upstream::is_final_status(response.status()) => {
+                guard.outcome = Outcome::Handled;
+                RelayError::Broken("no HTTP status".into())
+            }
             // It did not run there, but may have run before.
             Ok((response, _))
                 if request.attempts.possibly_ran > 0
