--- a/crates/daemon/tests/ingress/upstream_faults.rs
+++ b/crates/daemon/tests/ingress/upstream_faults.rs
@@ -380,6 +380,55 @@
     }
 }
 
+/// Bytes that belong to no request follow a complete answer when the connection is in use for the next
+/// request, which the upstream runs. Guards against their status as the answer to it.
+#[tokio::test]
+async fn bytes_after_a_complete_answer_are_no_answer_to_the_next_request() {
+    for status in [
+        "503 Service Unavailable",
+        "429 Too Many Requests",
+        "408 Request Timeout",
+        "404 Not Found",
+        "500 Internal Server Error",
+    ] {
+        let answer = "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-signature: sig\r\n\
+                      content-length: 2\r\n\r\nok";
+        let additional = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+        let script = vec![
+            send(answer),
+            Step::Wait(Duration::from_millis(60)),
+            send(&additional),
+        ];
+        let (store, faulty) = site("app", script).await;
+        let instance = Instance::spawn(&store, "a").await;
+        let first = instance.send(plain_request("pay", "t1")).await.unwrap();
+        assert_eq!(first.status, StatusCode::OK, "{status}");
+        let second = instance.send(plain_request("pay", "t2")).await.unwrap();
+        assert!(faulty.attempts().contains(&"t2".to_owned()), "{status}");
+        assert_eq!(second.status, StatusCode::BAD_GATEWAY, "{status}");
+    }
+}
+
+/// Guards against a status that promises that a request has not run, from an upstream that does not say so.
+#[tokio::test]
+async fn a_refusal_without_proof_is_not_passed_on() {
+    for status in [
+        "503 Service Unavailable",
+        "429 Too Many Requests",
+        "408 Request Timeout",
+    ] {
+        let answer = format!(
+            "HTTP/1.1 {status}\r\nattempt-id: {{id}}\r\nserver-signature: sig\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        let (store, faulty) = site("app", vec![send(&answer)]).await;
+        let instance = Instance::spawn(&store, "a").await;
+        let reply = instance.send(plain_request("pay", "t1")).await.unwrap();
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{status}");
+        assert_eq!(faulty.requests(), 1, "{status}");
+    }
+}
+
 /// The same on the first connection: nothing earlier can have been written there.
 #[tokio::test]
 async fn a_refusal_on_a_new_connection_is_proof_also_without_an_id() {
