Deny no caller for its key while there may be a newer configuration

Cause: a missing key was refused at once, and an unknown one unless the store was known to be down.

Change: without a confirmed configuration both get 503. While it is confirmed, a missing key is refused as before. Instances meet beside their first regular reads instead of before them, so that quotas know their homes as early as they did.

--- a/crates/daemon/tests/ingress/older_config.rs
+++ b/crates/daemon/tests/ingress/older_config.rs
@@ -11,8 +11,8 @@
 use tokio::time::sleep;
 
 use crate::support::{
-    IMMEDIATE_RESPONSE, Instance, PlainRoute, Reply, Turn, configure, configure_plain,
-    configure_prefix, plain_request, send, wait_for,
+    IMMEDIATE_RESPONSE, Instance, PlainRoute, Reply, Turn, configure, configure_accounts,
+    configure_plain, configure_prefix, configure_public, plain_request, send, wait_for,
 };
 
 /// How the store fails for an instance.
@@ -324,6 +324,32 @@
     );
 }
 
+/// Guards against 401, which ends a program, for a caller of a route that needs no key any more, at an instance
+/// that can't know.
+#[tokio::test]
+async fn a_caller_without_a_key_is_not_denied_by_an_older_configuration() {
+    let store = Store::spawn();
+    let accounts = serde_json::json!([{"name": "alpha", "api_keys": ["sk-alpha"]}]);
+    configure_accounts(&store, 3, &accounts);
+    let _upstream = Upstream::spawn(&store, "i-1", "app", IMMEDIATE_RESPONSE);
+    let early = Instance::spawn(&store, "a").await;
+    let older = Older::spawn(&store).await;
+    sleep(MEETING_TIME).await;
+    let order = || plain_request("pay", "t1");
+    let reply = older.instance.send(order()).await.unwrap();
+    assert_eq!(reply.status, StatusCode::UNAUTHORIZED);
+    drop(early);
+    older.begin(Failure::Rejects).await;
+    configure_public(&store, 5, &accounts);
+    sleep(CONFIG_APPLY_TIME).await;
+    let reply = older.instance.send(order()).await.unwrap();
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{reply:?}");
+    older.end();
+    older.instance.wait_for_config(5).await;
+    let reply = older.instance.send(order()).await;
+    assert!(is_ok(reply.as_ref()), "{reply:?}");
+}
+
 const READ: PlainRoute = PlainRoute {
     prefix: "/read/",
     ..SHOP
--- a/crates/ingress/src/client.rs
+++ b/crates/ingress/src/client.rs
@@ -6,6 +6,7 @@
 use basilramp_adapter::caller;
 use basilramp_core::dispatch::account::{Account, Accounts, KeyDigest, Scope};
 use basilramp_core::dispatch::config::{Config, Route};
+use basilramp_core::dispatch::config_view::Certainty;
 use basilramp_core::dispatch::outage;
 use basilramp_core::dispatch::request::Rejection;
 use basilramp_core::dispatch::route::RouteTable;
@@ -30,11 +31,12 @@
 ///
 /// # Errors
 ///
-/// Returns a rejection if the key belongs to no account. While the store is unavailable the key may be
-/// new, so the request is rejected as not run.
+/// Returns a rejection if the key belongs to no account. While there may be a newer configuration, the key may
+/// be new or not needed any more, so the request is rejected as not run.
 pub(crate) fn find(
     state: &State,
     table: &RouteTable,
+    certainty: Certainty,
     route: &Route,
     relayed: Option<&relay::Client>,
     headers: &HeaderMap,
@@ -51,14 +53,17 @@
         return find_relayed(config, relayed).map(Some);
     }
     let key = caller::parse_key(headers).map(KeyDigest::of);
-    let key = key.ok_or(Rejection::Unauthorized)?;
-    match accounts.find(key) {
-        Some(account) => Ok(Some(Client {
+    let found = key.and_then(|key| Some((key, accounts.find(key)?)));
+    match found {
+        Some((key, account)) => Ok(Some(Client {
             account: Arc::clone(account),
             key,
             version: config.version,
         })),
-        None if state.is_store_down() => Err(Rejection::NotRun(outage::retry_after_hold_ms())),
+        // A key may have been added just now.
+        None if !certainty.is_confirmed() || (key.is_some() && state.is_store_down()) => {
+            Err(Rejection::NotRun(outage::retry_after_hold_ms()))
+        }
         None => Err(Rejection::Unauthorized),
     }
 }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -197,7 +197,14 @@
     let route = table.select(host, parts.uri.path());
     let route = route.ok_or(Rejection::NoRoute)?;
     source.check_repeats(route)?;
-    let client = client::find(state, &table, route, source.client.as_ref(), &parts.headers)?;
+    let client = client::find(
+        state,
+        &table,
+        certainty,
+        route,
+        source.client.as_ref(),
+        &parts.headers,
+    )?;
     if let Some(client) = &client {
         account.get_or_init(|| Arc::clone(&client.account.name));
     }
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -131,6 +131,8 @@
     let Some(address) = state.peer_address() else {
         return std::future::pending().await;
     };
+    let newcomer = Arc::clone(&state);
+    tokio::spawn(async move { meet_others(&newcomer).await });
     let mut backoff = Backoff::default();
     let mut interval_ms = FIRST_READ_MS;
     loop {
@@ -143,9 +145,7 @@
             continue;
         }
         backoff = Backoff::default();
-        if interval_ms == FIRST_READ_MS {
-            meet_others(&state).await;
-        }
+
         let ms = rand::rng().random_range(interval_ms / 2..=interval_ms + interval_ms / 2);
         let renewal = state.now().after(ms);
         interval_ms = RENEWAL_MS;
@@ -173,7 +173,10 @@
     match read_rows(state).await {
         Ok(rows) => {
             let (members, _) = parse_rows(state, &rows);
-            *lock(&state.membership.early) = members;
+            // A regular read may have been faster.
+            if !state.membership.is_known() {
+                *lock(&state.membership.early) = members;
+            }
         }
         Err(error) => log_failure(state, "read", &error),
     }
