Start the processes of tests in groups of their own

A test that stops an instance could find it ended by signal 1 (KNOWN-RED.txt, order::histories_stay_complete...): the kernel sends that signal to stopped members of a process group once the shell that started the tests is gone.

Change: each instance is the leader of a process group, whose parent, the test, is in another one of the same session.

Evidence: the twelve tests of accounts and one more pass.

--- a/crates/daemon/tests/ingress/support.rs
+++ b/crates/daemon/tests/ingress/support.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -125,6 +126,8 @@
         let settings_dir = tempfile::tempdir().unwrap();
         let path = settings_dir.path().join("settings.jsonc");
         fs::write(&path, settings.to_string()).unwrap();
+        // The kernel ends stopped members of a process group once the shell that started it is gone.
+        command.process_group(0);
         let mut child = command.arg(&path).stdout(Stdio::piped()).spawn().unwrap();
         let stdout = child.stdout.take().unwrap();
         let lines = Arc::new(Mutex::new(Vec::<Value>::new()));
--- a/crates/fakes/src/launcher.rs
+++ b/crates/fakes/src/launcher.rs
@@ -3,6 +3,7 @@
 use std::ffi::OsString;
 use std::io::{self, BufRead, BufReader, Read};
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -81,6 +82,8 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
+            // The kernel ends stopped members of a process group once the shell that started it is gone.
+            .process_group(0)
             .spawn()
             .wrap_err_with(|| format!("cannot start {}", self.program.display()))?;
         let output = Arc::new(Mutex::new(Vec::new()));
