Ask the instances that answered last, and once a second in an outage

In an outage of the store an instance asked five others, drawn at random, every 0.3 s, each over a new TLS connection. With hundreds of instances and a tenth of a core each, this would cost more than control may.

Change: those that answered are asked again over their open connections, with at least one new one; in an outage there is one search a second, as the feeds notice its end.

The cost was worked out, not measured.

--- a/crates/ingress/src/config_copy.rs
+++ b/crates/ingress/src/config_copy.rs
@@ -33,8 +33,11 @@
 /// of all instances does not reach the store, hardly ever none of these does.
 const MAX_ASKED: usize = 5;
 
-/// Age up to which the result of a search counts while the next search goes on, in milliseconds. A search
-/// ends sooner.
+/// Time between two searches in an outage, in milliseconds. The feeds notice its end by themselves.
+const OUTAGE_SEARCH_INTERVAL_MS: u64 = 1_000;
+
+/// Time for which the result of a search counts while the next one goes on, in milliseconds. A search ends
+/// sooner.
 const MAX_SEARCH_MS: u64 = 1_500;
 
 /// Maximum length of a document in bytes, several times what a row of the store holds.
@@ -51,6 +54,8 @@
     confirmed_at: tokio::sync::Mutex<Option<Time>>,
     /// Result of the latest search for a newer configuration, and when that ended.
     assessed: Mutex<Option<(Time, Certainty)>>,
+    /// The instances that answered in the latest search. They are asked again, as connections to them are open.
+    answering: Mutex<Vec<Arc<str>>>,
     /// Held while a newer configuration is searched for.
     search: tokio::sync::Mutex<()>,
 }
@@ -139,7 +144,7 @@
     if is_known_newest(state) {
         return Certainty::Confirmed;
     }
-    if let Some(certainty) = assessed(state, RETRY_MS) {
+    if let Some(certainty) = assessed(state, 0) {
         return certainty;
     }
     let copies = &state.config_copies;
@@ -156,7 +161,7 @@
     if is_known_newest(state) {
         return Certainty::Confirmed;
     }
-    if let Some(certainty) = assessed(state, RETRY_MS) {
+    if let Some(certainty) = assessed(state, 0) {
         return certainty;
     }
     let age_ms = state.config_view_age_ms();
@@ -182,11 +187,15 @@
     certainty
 }
 
-/// Returns the result of the latest search for a newer configuration if that ended at most `max_age_ms`
-/// milliseconds ago.
-fn assessed(state: &State, max_age_ms: u64) -> Option<Certainty> {
+/// Returns the result of the latest search for a newer configuration unless the next one has been due for
+/// `overdue_ms` milliseconds.
+fn assessed(state: &State, overdue_ms: u64) -> Option<Certainty> {
     let (at, certainty) = (*lock(&state.config_copies.assessed))?;
-    (state.now().since(at) < max_age_ms).then_some(certainty)
+    let interval_ms = match certainty {
+        Certainty::Outage => OUTAGE_SEARCH_INTERVAL_MS,
+        Certainty::Confirmed | Certainty::Isolated => RETRY_MS,
+    };
+    (state.now().since(at) < interval_ms + overdue_ms).then_some(certainty)
 }
 
 /// Asks the store and other instances for a newer configuration, until it is known whether there is one.
@@ -212,21 +221,34 @@
 /// Asks some other instances for a newer configuration, until one knows whether there is one. Returns
 /// whether any of them runs.
 async fn ask_others(state: &State) -> bool {
-    let others = state.membership.sample(MAX_ASKED);
-    let copies = others.iter().map(|other| async move {
-        let result = copy(state, other).await;
+    let answering = &state.config_copies.answering;
+    let mut others = std::mem::take(&mut *lock(answering));
+    // One place is for an instance that was not asked before, which may know more.
+    others.truncate(MAX_ASKED - 1);
+    let mut drawn = state.membership.sample(MAX_ASKED);
+    drawn.retain(|id| !others.contains(id));
+    others.extend(drawn.into_iter().take(MAX_ASKED - others.len()));
+    let copies = others.into_iter().map(|other| async move {
+        let result = copy(state, &other).await;
         if let Err(error) = &result {
-            log_failure(state, state.config_version(), other, &error.text);
+            log_failure(state, state.config_version(), &other, &error.text);
         }
-        result.map_or_else(|error| error.is_running, |()| true)
+        (other, result)
     });
     let mut copies: FuturesUnordered<_> = copies.collect();
     let mut is_running = false;
-    while let Some(result) = copies.next().await {
-        is_running |= result;
+    while let Some((other, result)) = copies.next().await {
+        is_running |= result
+            .as_ref()
+            .map_or_else(|error| error.is_running, |()| true);
         if is_known_newest(state) {
+            // The one that knows is asked first of all next time.
+            lock(answering).insert(0, other);
             break;
         }
+        if result.is_ok() {
+            lock(answering).push(other);
+        }
     }
     is_running
 }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -7,7 +7,6 @@
 use basilramp_adapter::store::Error;
 use basilramp_adapter::{caller, header};
 use basilramp_core::clock::Time;
-
 use basilramp_core::dispatch::attempt::{Attempts, Decision, Failure};
 use basilramp_core::dispatch::config_view::Certainty;
 use basilramp_core::dispatch::outage;
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::str::FromStr;
-
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -145,7 +144,6 @@
             continue;
         }
         backoff = Backoff::default();
-
         let ms = rand::rng().random_range(interval_ms / 2..=interval_ms + interval_ms / 2);
         let renewal = state.now().after(ms);
         interval_ms = RENEWAL_MS;
